Queue requests at an endpoint by tier, workspace and guaranteed class share

Cause: something must decide which request an endpoint starts next, which to refuse at once, and which waiting one to give up for a higher tier.

The queue starts strictly by tier; inside a tier the workspace that received the least service goes first (virtual counters, charged again when the length of the answer is known). A class with a share is owed one start in every 1/share starts, also when each of its requests alone would be refused as too late. Waits are estimated from the mean and deviation of the interval between releases, since the length of an answer is unknown.

Ruled out: a deficit counter per class updated at every start (linear in the classes); a queue ordered by arrival with priorities added (no fairness).

Seen failing first: with the owed flag left out, the class whose requests are each too late was never served.

--- /dev/null
+++ b/src/policy/classShares.ts
@@ -0,0 +1,94 @@
+import { IndexedHeap } from './indexedHeap'
+
+interface ClassShare {
+  name: string
+  /** Starts at the endpoint between two guaranteed starts of the class. */
+  spacing: number
+  /** Number of the start by which the class is owed its next one. */
+  dueAt: number
+  /** Whether a request of the class went unserved since the class last started one. */
+  owed: boolean
+  queued: number
+}
+
+/**
+ * Counts starts by class and says which class is owed one: each class with a share of `s` and
+ * something queued starts at least once in every `1 / s` starts of the endpoint.
+ *
+ * @example
+ * const shares = new ClassShares()
+ * shares.recordDemand('lookup', 0.5)
+ * shares.recordQueued('lookup')
+ * shares.recordStart('panel', 'tier')
+ * shares.recordStart('panel', 'tier')
+ * shares.findOwedClass() // 'lookup'
+ */
+export class ClassShares {
+  readonly #classes = new Map<string, ClassShare>()
+  readonly #backlogged = new IndexedHeap<ClassShare>((a, b) => a.dueAt < b.dueAt)
+  #starts = 0
+
+  /** Finds the backlogged class that is owed the next start. */
+  findOwedClass (): string | undefined {
+    const first = this.#backlogged.getFirst()
+    return first !== undefined && first.dueAt <= this.#starts ? first.name : undefined
+  }
+
+  /** Estimates how many starts pass until one more queued request of the class is started by its share. */
+  estimateStartsUntilDue (className: string): number {
+    const share = this.#classes.get(className)
+    if (share === undefined) return Infinity
+    return Math.max(0, share.dueAt - this.#starts) + share.queued * share.spacing + 1
+  }
+
+  /** Counts the queued requests of a class. */
+  countQueued (className: string): number {
+    return this.#classes.get(className)?.queued ?? 0
+  }
+
+  /** Records that a request of the class was offered, with the class's share of 0 to 1. */
+  recordDemand (className: string, share: number): void {
+    if (share <= 0) return
+    const spacing = 1 / Math.min(1, share)
+    const known = this.#classes.get(className)
+    if (known === undefined) {
+      this.#classes.set(className, { name: className, spacing, dueAt: this.#starts + spacing, owed: false, queued: 0 })
+      return
+    }
+    known.spacing = spacing
+    if (known.queued > 0) return
+    known.dueAt = Math.max(known.dueAt, this.#starts + (known.owed ? 0 : spacing))
+  }
+
+  /** Records that a request of the class joined the queue. */
+  recordQueued (className: string): void {
+    const share = this.#classes.get(className)
+    if (share === undefined) return
+    share.queued += 1
+    this.#backlogged.add(share)
+  }
+
+  /** Records that a request of the class left the queue. */
+  recordLeft (className: string): void {
+    const share = this.#classes.get(className)
+    if (share === undefined) return
+    share.queued -= 1
+    if (share.queued === 0) this.#backlogged.remove(share)
+  }
+
+  /** Records that a request of the class was refused, displaced or expired. */
+  recordUnserved (className: string): void {
+    const share = this.#classes.get(className)
+    if (share !== undefined) share.owed = true
+  }
+
+  /** Records a start of the class, by its tier or by its share. */
+  recordStart (className: string, by: 'tier' | 'share'): void {
+    this.#starts += 1
+    const share = this.#classes.get(className)
+    if (share === undefined) return
+    share.owed = false
+    share.dueAt = (by === 'share' ? share.dueAt : this.#starts) + share.spacing
+    if (share.queued > 0) this.#backlogged.add(share)
+  }
+}
--- /dev/null
+++ b/src/policy/requestQueue.ts
@@ -0,0 +1,310 @@
+import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
+import { ClassShares } from './classShares'
+import { FairTier } from './fairTier'
+import { IndexedHeap } from './indexedHeap'
+import { ReleaseRate } from './releaseRate'
+
+import type { Tier } from '../protocol/serviceLevels'
+import type { QueuedRequest } from './fairTier'
+
+/** A request that waits for a slot of the endpoint. */
+export interface QueueEntry {
+  id: string
+  tier: Tier
+  className: string
+  workspace: string
+  enqueuedAtMs: number
+  /** Latest start that can still meet the deadline. */
+  startByMs: number
+  /** Time at which the first token is late for its target. */
+  firstTokenDueMs: number
+  /** Guaranteed fraction, 0 to 1, of the endpoint's starts for the class. */
+  share: number
+}
+
+/** What became of an offered entry, and which others had to leave for it. */
+export type OfferDecision =
+  | { kind: 'queued', displaced: QueueEntry[] }
+  | { kind: 'refused', reason: 'queueFull' | 'cannotMeetDeadline', retryAfterMs: number }
+
+/** An entry to be started now, with the rule that chose it. */
+export interface TakenEntry {
+  entry: QueueEntry
+  by: 'tier' | 'share'
+}
+
+/** A request that ended and gave its slot back. */
+export interface ReleasedSlot {
+  tier: Tier
+  workspace: string
+  ranForMs: number
+  /** Tokens that the endpoint generated for it. */
+  outputTokens: number
+}
+
+/** Settings of a `RequestQueue`. */
+export interface RequestQueueOptions {
+  /** Entries held at most. */
+  maxQueued: number
+  /** Milliseconds between two releases of slots assumed before any was seen. */
+  initialReleaseIntervalMs: number
+}
+
+const START_SMOOTHING = 0.02
+const TOKEN_SMOOTHING = 0.02
+const MIN_FREE_FRACTION = 0.02
+const MIN_RETRY_AFTER_MS = 100
+const CAUTIOUS_DEVIATIONS = 1
+const HOPEFUL_DEVIATIONS = -1.3
+
+/**
+ * The queue before one endpoint. It starts strictly by tier, inside a tier the workspace that
+ * received the least service first, besides a guaranteed share of the starts for each class.
+ * It holds only what can be expected to start in time. Every operation takes logarithmic time.
+ *
+ * @example
+ * const queue = new RequestQueue({ maxQueued: 500, initialReleaseIntervalMs: 100 })
+ * queue.setSlots({ running: 8, limit: 8 }, nowMs)
+ * const decision = queue.offer(entry, nowMs)
+ * if (decision.kind === 'queued') decision.displaced.forEach(answerNotRun)
+ * const taken = queue.takeNext(nowMs)
+ */
+export class RequestQueue {
+  readonly #options: RequestQueueOptions
+  readonly #tiers = Array.from({ length: MAX_TIER }, () => new FairTier())
+  readonly #requests = new Map<string, QueuedRequest>()
+  readonly #byStartBy = new IndexedHeap<QueuedRequest>((a, b) => a.entry.startByMs < b.entry.startByMs)
+  readonly #byClass = new Map<string, IndexedHeap<QueuedRequest>>()
+  readonly #shares = new ClassShares()
+  readonly #rate: ReleaseRate
+  /** Fraction of starts that go before the requests of each tier; element 0 is tier 1. */
+  readonly #startsBefore = new Array<number>(MAX_TIER).fill(0)
+  #expired: QueueEntry[] = []
+  #freeSlots = 0
+  #slots = 1
+  #meanTokens = 1
+  #sequence = 0
+
+  constructor (options: RequestQueueOptions) {
+    this.#options = options
+    this.#rate = new ReleaseRate({ initialIntervalMs: options.initialReleaseIntervalMs })
+  }
+
+  /** Number of queued entries. */
+  get size (): number {
+    return this.#requests.size
+  }
+
+  /** Counts queued entries by tier; element 0 is tier 1. */
+  countByTier (): number[] {
+    return this.#tiers.map(tier => tier.size)
+  }
+
+  /** Estimates the milliseconds until one more request of each tier starts; element 0 is tier 1. */
+  estimateWaitMsByTier (nowMs: number): number[] {
+    return this.#tiers.map((queue, index) => this.#estimateTierWaitMs(index + 1, queue.size, nowMs, 0))
+  }
+
+  /** Gets the time at which the next entry expires, for a timer. */
+  getNextExpiryMs (): number | undefined {
+    return this.#byStartBy.getFirst()?.entry.startByMs
+  }
+
+  /** Sets how many requests run and how many may run at once; call it before `offer` whenever either changed. */
+  setSlots (slots: { running: number, limit: number }, nowMs: number): void {
+    this.#slots = Math.max(1, slots.limit)
+    this.#freeSlots = Math.max(0, slots.limit - slots.running)
+    if (this.#freeSlots > 0) this.#rate.recordIdle(nowMs)
+  }
+
+  /**
+   * Offers an entry to the queue.
+   *
+   * @example
+   * const decision = queue.offer(entry, nowMs)
+   * // { kind: 'refused', reason: 'cannotMeetDeadline', retryAfterMs: 1200 }
+   */
+  offer (entry: QueueEntry, nowMs: number): OfferDecision {
+    this.#shares.recordDemand(entry.className, entry.share)
+    const waitMs = this.#estimateEntryWaitMs(entry, nowMs)
+    if (nowMs + waitMs > entry.startByMs) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const displaced: QueueEntry[] = []
+    if (this.size >= this.#options.maxQueued) {
+      const victim = this.#findVictim(entry)
+      if (victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
+      displaced.push(this.#shed(victim))
+    }
+    this.#add(entry)
+    this.#shedHopeless(entry, nowMs, displaced)
+    return { kind: 'queued', displaced }
+  }
+
+  /** Takes the entry to start now, or null when none can start in time. */
+  takeNext (nowMs: number): TakenEntry | null {
+    this.#expire(nowMs)
+    const owed = this.#shares.findOwedClass()
+    const byTier = this.#findNextByTier()
+    if (byTier === undefined) return null
+    const byShare = owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
+    const taken = byShare ?? byTier
+    const by = byShare === undefined || byShare.entry.tier === byTier.entry.tier ? 'tier' : 'share'
+    this.#remove(taken)
+    this.#recordStart(taken.entry, by)
+    return { entry: taken.entry, by }
+  }
+
+  /** Removes an entry, for example when its caller left. */
+  remove (id: string): QueueEntry | undefined {
+    const request = this.#requests.get(id)
+    if (request === undefined) return undefined
+    this.#remove(request)
+    return request.entry
+  }
+
+  /** Takes the entries that can no longer start in time. */
+  takeExpired (nowMs: number): QueueEntry[] {
+    this.#expire(nowMs)
+    const expired = this.#expired
+    this.#expired = []
+    return expired
+  }
+
+  /** Records that a running request ended. */
+  recordRelease (released: ReleasedSlot, nowMs: number): void {
+    this.#rate.recordRelease(released.ranForMs, this.#slots, nowMs)
+    const surplus = released.outputTokens / Math.max(1, this.#meanTokens) - 1
+    this.#getTier(released.tier).recordService(released.workspace, Math.max(-1, surplus))
+    this.#meanTokens += TOKEN_SMOOTHING * (released.outputTokens - this.#meanTokens)
+  }
+
+  #getTier (tier: Tier): FairTier {
+    return this.#tiers[tier - MIN_TIER] as FairTier
+  }
+
+  #findNextByTier (): QueuedRequest | undefined {
+    return this.#tiers.find(tier => tier.size > 0)?.getNext()
+  }
+
+  #add (entry: QueueEntry): void {
+    const request: QueuedRequest = { entry, sequence: this.#sequence++ }
+    this.#requests.set(entry.id, request)
+    this.#byStartBy.add(request)
+    this.#getTier(entry.tier).add(request)
+    this.#openClass(entry.className).add(request)
+    this.#shares.recordQueued(entry.className)
+  }
+
+  #openClass (className: string): IndexedHeap<QueuedRequest> {
+    const known = this.#byClass.get(className)
+    if (known !== undefined) return known
+    const heap = new IndexedHeap<QueuedRequest>((a, b) => a.sequence < b.sequence)
+    this.#byClass.set(className, heap)
+    return heap
+  }
+
+  #remove (request: QueuedRequest): void {
+    const { entry } = request
+    this.#requests.delete(entry.id)
+    this.#byStartBy.remove(request)
+    this.#getTier(entry.tier).remove(request)
+    this.#byClass.get(entry.className)?.remove(request)
+    this.#shares.recordLeft(entry.className)
+  }
+
+  #recordStart (entry: QueueEntry, by: 'tier' | 'share'): void {
+    this.#freeSlots = Math.max(0, this.#freeSlots - 1)
+    this.#shares.recordStart(entry.className, by)
+    this.#getTier(entry.tier).recordService(entry.workspace, 1)
+    for (let tier = MIN_TIER; tier <= MAX_TIER; tier++) {
+      const goesBefore = entry.tier < tier || (by === 'share' && entry.tier !== tier)
+      const index = tier - MIN_TIER
+      const known = this.#startsBefore[index] as number
+      this.#startsBefore[index] = known + START_SMOOTHING * ((goesBefore ? 1 : 0) - known)
+    }
+  }
+
+  #expire (nowMs: number): void {
+    for (;;) {
+      const first = this.#byStartBy.getFirst()
+      if (first === undefined || first.entry.startByMs >= nowMs) return
+      this.#remove(first)
+      this.#shares.recordUnserved(first.entry.className)
+      this.#expired.push(first.entry)
+    }
+  }
+
+  #refuse (entry: QueueEntry, reason: 'queueFull' | 'cannotMeetDeadline', waitMs: number, nowMs: number): OfferDecision {
+    this.#shares.recordUnserved(entry.className)
+    const patienceMs = Math.max(0, entry.startByMs - entry.enqueuedAtMs)
+    const leastMs = Math.max(MIN_RETRY_AFTER_MS, this.#rate.getIntervalMs(nowMs))
+    return { kind: 'refused', reason, retryAfterMs: Math.max(leastMs, waitMs - patienceMs) }
+  }
+
+  #estimateEntryWaitMs (entry: QueueEntry, nowMs: number): number {
+    const deviations = this.#hasDisplaceableBelow(entry.tier) ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
+    const ahead = this.#getTier(entry.tier).countAhead(entry.workspace)
+    const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
+    const startsUntilDue = entry.share > 0 ? this.#shares.estimateStartsUntilDue(entry.className) : Infinity
+    return Math.min(byTierMs, this.#rate.estimateWaitMs(startsUntilDue, nowMs, deviations))
+  }
+
+  #estimateTierWaitMs (tier: Tier, aheadInTier: number, nowMs: number, deviations: number): number {
+    let ahead = aheadInTier
+    for (let higher = MIN_TIER; higher < tier; higher++) ahead += this.#getTier(higher).size
+    const releases = ahead + 1 - this.#freeSlots
+    const freeFraction = Math.max(MIN_FREE_FRACTION, 1 - (this.#startsBefore[tier - MIN_TIER] as number))
+    return this.#rate.estimateWaitMs(releases / freeFraction, nowMs, deviations)
+  }
+
+  #hasDisplaceableBelow (tier: Tier): boolean {
+    for (let lower = MAX_TIER; lower > tier; lower--) {
+      if (this.#findVictimInTier(lower) !== undefined) return true
+    }
+    return false
+  }
+
+  #findVictim (entry: QueueEntry): QueuedRequest | undefined {
+    for (let tier = MAX_TIER; tier > entry.tier; tier--) {
+      const victim = this.#findVictimInTier(tier)
+      if (victim !== undefined) return victim
+    }
+    return this.#getTier(entry.tier).hasLongerLane(entry.workspace) ? this.#findVictimInTier(entry.tier) : undefined
+  }
+
+  /** The last queued request of a class with a share is held for that share. */
+  #findVictimInTier (tier: Tier): QueuedRequest | undefined {
+    const queue = this.#getTier(tier)
+    const held: QueuedRequest[] = []
+    let victim = queue.getLatestOfLongest()
+    while (victim !== undefined && this.#isHeldForShare(victim)) {
+      held.push(victim)
+      queue.remove(victim)
+      victim = queue.getLatestOfLongest()
+    }
+    held.forEach(request => queue.add(request))
+    return victim
+  }
+
+  #isHeldForShare (request: QueuedRequest): boolean {
+    return request.entry.share > 0 && this.#shares.countQueued(request.entry.className) === 1
+  }
+
+  #shed (victim: QueuedRequest): QueueEntry {
+    this.#remove(victim)
+    this.#shares.recordUnserved(victim.entry.className)
+    return victim.entry
+  }
+
+  /** Displaces what the new entry pushed so far back that it cannot be expected to start in time. */
+  #shedHopeless (entry: QueueEntry, nowMs: number, displaced: QueueEntry[]): void {
+    for (let tier = MAX_TIER; tier >= entry.tier; tier--) {
+      for (;;) {
+        const victim = this.#findVictimInTier(tier)
+        if (victim === undefined || victim.entry.id === entry.id) break
+        const waitMs = this.#estimateTierWaitMs(tier, this.#getTier(tier).size - 1, nowMs, 0)
+        if (nowMs + waitMs <= victim.entry.startByMs) break
+        displaced.push(this.#shed(victim))
+      }
+    }
+  }
+}
--- /dev/null
+++ b/tests/policy/policyFixtures.ts
@@ -0,0 +1,29 @@
+import { RequestQueue } from '../../src/policy/requestQueue'
+
+import type { QueueEntry } from '../../src/policy/requestQueue'
+
+let entryCount = 0
+
+/** Builds a queue entry that waits up to ten seconds; fields given replace the defaults. */
+export function buildEntry (fields: Partial<QueueEntry> = {}): QueueEntry {
+  entryCount += 1
+  const enqueuedAtMs = fields.enqueuedAtMs ?? 0
+  return {
+    id: `entry-${entryCount}`,
+    tier: 3,
+    className: `class-of-tier-${fields.tier ?? 3}`,
+    workspace: 'shop',
+    enqueuedAtMs,
+    startByMs: enqueuedAtMs + 10_000,
+    firstTokenDueMs: enqueuedAtMs + 700,
+    share: 0,
+    ...fields
+  }
+}
+
+/** Builds a queue before an endpoint whose slots are all busy and which releases one each 100 ms. */
+export function buildBusyQueue (maxQueued = 100): RequestQueue {
+  const queue = new RequestQueue({ maxQueued, initialReleaseIntervalMs: 100 })
+  queue.setSlots({ running: 8, limit: 8 }, 0)
+  return queue
+}
