--- a/tests/policy/policyFixtures.ts
+++ b/tests/policy/policyFixtures.ts
@@ -1,6 +1,7 @@
 import { RequestQueue } from '../../src/policy/requestQueue'
 
 import type { QueueEntry } from '../../src/policy/requestQueue'
+import type { EndpointLoad } from '../../src/protocol/attemptMessages'
 
 let entryCount = 0
 
@@ -27,3 +28,27 @@
   queue.setSlots({ running: 8, limit: 8 }, 0)
   return queue
 }
+
+/** Builds a load report of an endpoint with eight slots, half of them free; fields given replace the defaults. */
+export function buildLoad (fields: Partial<EndpointLoad> = {}): EndpointLoad {
+  return {
+    running: 4,
+    slots: 8,
+    queuedByTier: [0, 0, 0, 0, 0, 0],
+    waitMsByTier: [0, 0, 0, 0, 0, 0],
+    tokenIntervalMs: 40,
+    draining: false,
+    ...fields
+  }
+}
+
+/** Builds a source of random numbers from 0 to 1 that is the same for the same seed. */
+export function buildRandom (seed: number): () => number {
+  let state = seed >>> 0
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0
+    let mixed = Math.imul(state ^ (state >>> 15), state | 1)
+    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61)
+    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32
+  }
+}
