Add the HTTP client of the object service

Cause: every process needs the platform's objects, through outages and lost answers. Ruled out: reporting a lost answer of a read as an unknown outcome, since a read has no effect; it is reported as unavailable.

--- /dev/null
+++ b/src/platform/backgroundTask.ts
@@ -0,0 +1,73 @@
+import csp from 'js-csp'
+
+import { openTimer, receiveValue, toChannel } from './channels'
+
+import type { Channel, Process } from 'js-csp'
+
+export interface BackgroundTaskOptions {
+  /** One step of the task; resolves to the milliseconds to wait before the next one. */
+  runStep: (signal: AbortSignal) => Promise<number>
+  /** Told of a step that threw; the task goes on after `ERROR_DELAY_MS`. */
+  onError?: (error: unknown) => void
+}
+
+const ERROR_DELAY_MS = 1_000
+
+/**
+ * A process that repeats one step until it is stopped, each time after the delay that the step
+ * asked for or as soon as it is woken. Steps never overlap.
+ *
+ * @example
+ * const task = new BackgroundTask({ runStep: async () => { await sendReport(); return 5_000 } })
+ * task.start()
+ * await task.stop()
+ */
+export class BackgroundTask {
+  readonly #options: BackgroundTaskOptions
+  readonly #controller = new AbortController()
+  readonly #stopped = csp.chan<never>()
+  readonly #wakeups = csp.chan<true>(csp.buffers.sliding(1))
+  #process: Channel<void> | null = null
+
+  constructor (options: BackgroundTaskOptions) {
+    this.#options = options
+  }
+
+  /** Starts the task; its first step runs after `delayMs`. A second call has no effect. */
+  start (delayMs = 0): void {
+    if (this.#process !== null || this.#controller.signal.aborted) return
+    this.#process = csp.spawn(this.#run(delayMs))
+  }
+
+  /** Runs the next step now, or directly after the step that is running. */
+  notify (): void {
+    csp.putAsync(this.#wakeups, true)
+  }
+
+  /** Aborts the running step's signal and waits until the step has returned. */
+  async stop (): Promise<void> {
+    this.#controller.abort()
+    this.#stopped.close()
+    if (this.#process !== null) await receiveValue(this.#process)
+  }
+
+  * #run (firstDelayMs: number): Process<void> {
+    let delayMs = firstDelayMs
+    while (true) {
+      const timer = openTimer(delayMs)
+      const { channel } = yield csp.alts([this.#stopped, this.#wakeups, timer.channel], { priority: true })
+      timer.stop()
+      if (channel === this.#stopped) return
+      delayMs = yield csp.take(toChannel(this.#runStep()))
+    }
+  }
+
+  async #runStep (): Promise<number> {
+    try {
+      return await this.#options.runStep(this.#controller.signal)
+    } catch (error) {
+      this.#options.onError?.(error)
+      return ERROR_DELAY_MS
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/httpObjectService.ts
@@ -0,0 +1,266 @@
+import http from 'node:http'
+
+import { Result } from 'true-myth'
+
+import { systemClock } from '../base/clock'
+import { Progress } from '../base/progress'
+
+import { waitFor } from './channels'
+import { sendHttpCall } from './httpCall'
+import { objectServiceMessages } from './objectServiceMessages'
+import { ServiceCircuit } from './serviceCircuit'
+import { TokenBucket } from './tokenBucket'
+
+import type { z } from 'zod'
+import type { Clock } from '../base/clock'
+import type { HttpCall, HttpCallResult } from './httpCall'
+import type { ListedInstance, ObjectService, ObjectServiceError, StoredObject, WatchBatch, WriteCondition } from './objectService'
+
+export interface HttpObjectServiceOptions {
+  /** Base URL of the service, such as `http://127.0.0.1:7000`. */
+  baseUrl: string
+  clock?: Clock
+  getRandom?: () => number
+  /** Calls that this process may make each second, and at once after a pause. */
+  callsPerSecond?: number
+  callBurst?: number
+  /** Milliseconds after which a call other than a watch counts as not answered. */
+  callTimeoutMs?: number
+}
+
+/** Calls made by kind, and those refused in this process before they were sent. */
+export interface CallCounts {
+  get: number
+  list: number
+  put: number
+  delete: number
+  watch: number
+  listInstances: number
+  probe: number
+  refused: number
+}
+
+type CallKind = Exclude<keyof CallCounts, 'refused'>
+type CallResult<T> = Result<T, ObjectServiceError>
+type HttpAnswer = Extract<HttpCallResult, { kind: 'answered' }>
+
+/** Largest value of one object in bytes. */
+export const MAX_VALUE_BYTES = 1_048_576
+const MAX_OBJECT_ANSWER_BYTES = 2 * MAX_VALUE_BYTES
+const MAX_LIST_ANSWER_BYTES = 64 * MAX_VALUE_BYTES
+const DEFAULT_CALLS_PER_SECOND = 50
+const DEFAULT_CALL_BURST = 100
+const DEFAULT_CALL_TIMEOUT_MS = 3_000
+const MAX_BUDGET_WAIT_MS = 1_000
+const DEFAULT_RETRY_AFTER_MS = 1_000
+/** A caller's shorter timeout says nothing of the service. */
+const MIN_TELLING_TIMEOUT_MS = 500
+const WATCH_GRACE_MS = 2_000
+const PROBE_KEY = 'status/probe'
+
+/**
+ * The platform's object service over HTTP with keep-alive connections. Calls stay within a budget
+ * per process, and while the service is known to be down they are refused at once.
+ *
+ * @example
+ * const service = new HttpObjectService({ baseUrl: 'http://127.0.0.1:7000' })
+ * const result = await service.get('config/manifest', new Progress({ title: 'reading', timeoutMs: 500 }))
+ * await service.close()
+ */
+export class HttpObjectService implements ObjectService {
+  /** Calls so far by kind. */
+  readonly callCounts: CallCounts = { get: 0, list: 0, put: 0, delete: 0, watch: 0, listInstances: 0, probe: 0, refused: 0 }
+  readonly #baseUrl: string
+  readonly #callTimeoutMs: number
+  readonly #agent = new http.Agent({ keepAlive: true })
+  readonly #bucket: TokenBucket
+  readonly #circuit: ServiceCircuit
+
+  constructor (options: HttpObjectServiceOptions) {
+    this.#baseUrl = options.baseUrl
+    this.#callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS
+    this.#bucket = new TokenBucket({
+      ratePerSecond: options.callsPerSecond ?? DEFAULT_CALLS_PER_SECOND,
+      burst: options.callBurst ?? DEFAULT_CALL_BURST,
+      clock: options.clock ?? systemClock
+    })
+    this.#circuit = new ServiceCircuit({ probe: async () => await this.#probe(), getRandom: options.getRandom })
+  }
+
+  /** Whether the service counts as up; while it does not, calls are refused at once. */
+  isAvailable (): boolean {
+    return !this.#circuit.isOpen()
+  }
+
+  /** Stops probing and closes the connections. */
+  async close (): Promise<void> {
+    await this.#circuit.stop()
+    this.#agent.destroy()
+  }
+
+  async get (key: string, progress: Progress): Promise<CallResult<StoredObject | null>> {
+    const call = this.#createCall('GET', toObjectPath(key))
+    return await this.#run('get', call, progress, answer => {
+      return answer.status === 404 ? Result.ok(null) : parseAnswer(answer, objectServiceMessages.object)
+    })
+  }
+
+  async list (prefix: string, progress: Progress): Promise<CallResult<{ objects: StoredObject[], revision: number }>> {
+    const call = this.#createCall('GET', `/objects?prefix=${encodeURIComponent(prefix)}`)
+    call.maxAnswerBytes = MAX_LIST_ANSWER_BYTES
+    return await this.#run('list', call, progress, answer => parseAnswer(answer, objectServiceMessages.list))
+  }
+
+  async put (key: string, value: unknown, condition: WriteCondition, progress: Progress): Promise<CallResult<{ version: number }>> {
+    const body = JSON.stringify(value)
+    const size = Buffer.byteLength(body)
+    if (size > MAX_VALUE_BYTES) {
+      return createUnavailable(`the value of ${key} has ${size} bytes, more than the ${MAX_VALUE_BYTES} that fit one object`)
+    }
+    const call = this.#createCall('PUT', toObjectPath(key))
+    call.headers = { 'content-type': 'application/json', 'content-length': String(size), ...toConditionHeaders(condition) }
+    call.body = body
+    return await this.#run('put', call, progress, answer => parseAnswer(answer, objectServiceMessages.written))
+  }
+
+  async delete (key: string, version: number, progress: Progress): Promise<CallResult<null>> {
+    const call = this.#createCall('DELETE', toObjectPath(key))
+    call.headers = toConditionHeaders({ kind: 'version', version })
+    return await this.#run('delete', call, progress, () => Result.ok(null))
+  }
+
+  /** Waits for changes below `prefix`; a `conflict` says that `afterRevision` is too old to go on from. */
+  async watch (prefix: string, afterRevision: number, timeoutMs: number, progress: Progress): Promise<CallResult<WatchBatch>> {
+    const query = new URLSearchParams({ prefix, after: String(afterRevision), timeoutMs: String(Math.round(timeoutMs)) })
+    const call = this.#createCall('GET', `/watch?${query}`)
+    call.maxAnswerBytes = MAX_LIST_ANSWER_BYTES
+    call.timeoutMs = timeoutMs + WATCH_GRACE_MS
+    return await this.#run('watch', call, progress, answer => parseAnswer(answer, objectServiceMessages.watch))
+  }
+
+  async listInstances (progress: Progress): Promise<CallResult<ListedInstance[]>> {
+    const call = this.#createCall('GET', '/instances')
+    return await this.#run('listInstances', call, progress, answer => {
+      return parseAnswer(answer, objectServiceMessages.instances).map(message => message.instances)
+    })
+  }
+
+  #createCall (method: HttpCall['method'], path: string): HttpCall {
+    return { method, url: new URL(path, this.#baseUrl), timeoutMs: this.#callTimeoutMs, maxAnswerBytes: MAX_OBJECT_ANSWER_BYTES }
+  }
+
+  async #run<T> (kind: CallKind, call: HttpCall, progress: Progress, parse: (answer: HttpAnswer) => CallResult<T>): Promise<CallResult<T>> {
+    const refusal = await this.#admit(progress)
+    if (refusal !== null) {
+      this.callCounts.refused += 1
+      return Result.err(refusal)
+    }
+    const timeoutMs = Math.min(call.timeoutMs, progress.getRemainingMs())
+    const result = await this.#send(kind, { ...call, timeoutMs }, progress)
+    return resolveResult(call.method, result, parse)
+  }
+
+  async #admit (progress: Progress): Promise<ObjectServiceError | null> {
+    if (this.#circuit.isOpen()) return { kind: 'unavailable', message: 'the object service is known to be down' }
+    const reservation = this.#bucket.acquire(Math.min(MAX_BUDGET_WAIT_MS, progress.getRemainingMs()))
+    if (reservation.kind === 'refused') return { kind: 'rateLimited', retryAfterMs: reservation.retryAfterMs }
+    if (reservation.waitMs > 0) await waitFor(reservation.waitMs, progress.signal)
+    if (progress.signal.aborted || progress.getRemainingMs() === 0) {
+      return { kind: 'unavailable', message: 'the deadline passed before the call was sent' }
+    }
+    return null
+  }
+
+  async #send (kind: CallKind, call: HttpCall, progress: Progress): Promise<HttpCallResult> {
+    this.callCounts[kind] += 1
+    const result = await sendHttpCall(this.#agent, call, progress)
+    switch (result.kind) {
+      case 'answered':
+        if (result.status === 503) this.#circuit.recordFailure()
+        else this.#circuit.recordSuccess()
+        return result
+      case 'notSent':
+      case 'noAnswer':
+        this.#circuit.recordFailure()
+        return result
+      case 'timedOut':
+        if (call.timeoutMs >= MIN_TELLING_TIMEOUT_MS) this.#circuit.recordFailure()
+        return result
+      case 'aborted':
+        return result
+    }
+  }
+
+  async #probe (): Promise<boolean> {
+    const progress = new Progress({ title: 'probing the object service', timeoutMs: this.#callTimeoutMs })
+    const result = await this.#send('probe', this.#createCall('GET', toObjectPath(PROBE_KEY)), progress)
+    return result.kind === 'answered' && result.status !== 503
+  }
+}
+
+function resolveResult<T> (method: HttpCall['method'], result: HttpCallResult, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
+  switch (result.kind) {
+    case 'answered': return resolveAnswer(method, result, parse)
+    case 'notSent': return createUnavailable(result.message)
+    case 'noAnswer': return createNoAnswer(method, result.message)
+    case 'timedOut':
+    case 'aborted': return result.sent ? createNoAnswer(method, result.message) : createUnavailable(result.message)
+  }
+}
+
+function resolveAnswer<T> (method: HttpCall['method'], answer: HttpAnswer, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
+  switch (answer.status) {
+    case 200:
+    case 404: {
+      const parsed = parse(answer)
+      return parsed.isErr && parsed.error.kind === 'unavailable' ? createNoAnswer(method, parsed.error.message) : parsed
+    }
+    case 410: return Result.err({ kind: 'conflict', current: null })
+    case 412: return parseAnswer(answer, objectServiceMessages.conflict).andThen(({ current }) => Result.err({ kind: 'conflict', current }))
+    case 429: return Result.err({ kind: 'rateLimited', retryAfterMs: parseRetryAfterMs(answer) })
+    case 503: return createUnavailable('the object service answered 503')
+    default: {
+      const message = `the object service answered ${answer.status}`
+      return answer.status >= 500 ? createNoAnswer(method, message) : createUnavailable(message)
+    }
+  }
+}
+
+function parseAnswer<S extends z.ZodType> (answer: HttpAnswer, schema: S): CallResult<z.infer<S>> {
+  const parsed = schema.safeParse(parseJson(answer.body))
+  if (parsed.success) return Result.ok(parsed.data)
+  return createUnavailable(`the object service answered ${answer.status} with a body of an unknown form`)
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function parseRetryAfterMs (answer: HttpAnswer): number {
+  const seconds = Number(answer.headers['retry-after'])
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : DEFAULT_RETRY_AFTER_MS
+}
+
+/** A read has no effect, so that a lost answer to it is no unknown outcome. */
+function createNoAnswer<T> (method: HttpCall['method'], message: string): CallResult<T> {
+  return method === 'GET' ? createUnavailable(message) : Result.err({ kind: 'unknownOutcome', message })
+}
+
+function createUnavailable<T> (message: string): CallResult<T> {
+  return Result.err({ kind: 'unavailable', message })
+}
+
+function toObjectPath (key: string): string {
+  return `/objects/${key.split('/').map(encodeURIComponent).join('/')}`
+}
+
+function toConditionHeaders (condition: WriteCondition): Record<string, string> {
+  switch (condition.kind) {
+    case 'absent': return { 'if-none-match': '*' }
+    case 'version': return { 'if-match': String(condition.version) }
+  }
+}
--- /dev/null
+++ b/src/platform/serviceCircuit.ts
@@ -0,0 +1,74 @@
+import { Backoff } from './backoff'
+import { BackgroundTask } from './backgroundTask'
+
+export interface ServiceCircuitOptions {
+  /** Asks the service once; true when it is up. */
+  probe: () => Promise<boolean>
+  /** Failures in a row after which the service counts as down. */
+  failureLimit?: number
+  /** Shortest and longest delay between probes in milliseconds. */
+  probeBaseMs?: number
+  probeCapMs?: number
+  getRandom?: () => number
+}
+
+const DEFAULT_FAILURE_LIMIT = 2
+const DEFAULT_PROBE_BASE_MS = 500
+const DEFAULT_PROBE_CAP_MS = 5_000
+const IDLE_MS = 3_600_000
+
+/**
+ * Knows whether the service is down, so that callers are refused at once in place of waiting for
+ * one timeout after another. While it is down, a background task probes it with jittered back-off.
+ */
+export class ServiceCircuit {
+  readonly #options: ServiceCircuitOptions
+  readonly #backoff: Backoff
+  readonly #task = new BackgroundTask({ runStep: async () => await this.#probe() })
+  #failures = 0
+  #open = false
+  #firstProbePending = false
+
+  constructor (options: ServiceCircuitOptions) {
+    this.#options = options
+    this.#backoff = new Backoff({
+      baseMs: options.probeBaseMs ?? DEFAULT_PROBE_BASE_MS,
+      capMs: options.probeCapMs ?? DEFAULT_PROBE_CAP_MS,
+      getRandom: options.getRandom
+    })
+  }
+
+  /** Whether the service is known to be down. */
+  isOpen (): boolean {
+    return this.#open
+  }
+
+  /** Records an answer of any status that shows the service up. */
+  recordSuccess (): void {
+    this.#failures = 0
+    this.#open = false
+    this.#backoff.reset()
+  }
+
+  /** Records a call that was refused or not answered. */
+  recordFailure (): void {
+    this.#failures += 1
+    if (this.#open || this.#failures < (this.#options.failureLimit ?? DEFAULT_FAILURE_LIMIT)) return
+    this.#open = true
+    this.#firstProbePending = true
+    this.#task.start()
+    this.#task.notify()
+  }
+
+  /** Stops probing. */
+  async stop (): Promise<void> {
+    await this.#task.stop()
+  }
+
+  async #probe (): Promise<number> {
+    const isFirst = this.#firstProbePending
+    this.#firstProbePending = false
+    if (this.#open && !isFirst && await this.#options.probe()) this.recordSuccess()
+    return this.#open ? this.#backoff.advance() : IDLE_MS
+  }
+}
