--- /dev/null
+++ b/src/platform/membershipDirectory.ts
@@ -0,0 +1,190 @@
+import { Progress } from '../base/progress'
+
+import { Backoff, spreadPeriod } from './backoff'
+import { BackgroundTask } from './backgroundTask'
+import { SIDECARS_PREFIX } from './keys'
+import { registrationSchema } from './membershipRecords'
+import { PrefixWatcher } from './prefixWatcher'
+
+import type { SidecarRecord } from './membershipRecords'
+import type { ListedInstance, ObjectService, StoredObject, WatchEvent } from './objectService'
+
+export interface MembershipDirectoryOptions {
+  service: ObjectService
+  getRandom?: () => number
+  /** Milliseconds between two looks at the platform's list of instances. */
+  instancePollMs?: number
+  /** Milliseconds for which one watch waits. */
+  watchMs?: number
+  onError?: (error: unknown) => void
+}
+
+/** How current the directory's view is. */
+export interface MembershipStatus {
+  /** Whether the view follows the service; false during an outage. */
+  following: boolean
+  sidecarCount: number
+  leavingCount: number
+  /** Objects that could not be read and were passed over. */
+  invalidCount: number
+}
+
+interface Entry {
+  version: number
+  /** Null once the registration was removed; the version still guards against late events. */
+  record: SidecarRecord | null
+}
+
+const DEFAULT_INSTANCE_POLL_MS = 3_000
+const INSTANCES_TIMEOUT_MS = 3_000
+const MAX_BACKOFF_MS = 10_000
+const MAX_ENTRIES = 20_000
+
+/**
+ * A gateway's view of the sidecars: their registrations, watched, and the instances that the
+ * platform's lagging list shows as leaving. The last known view survives an outage of the service.
+ * Whether a sidecar is alive is not known here; the data path and probes find that out.
+ *
+ * @example
+ * const directory = new MembershipDirectory({ service })
+ * const detach = directory.watch(() => update(directory.listSidecars()))
+ * directory.start()
+ * await directory.stop()
+ */
+export class MembershipDirectory {
+  readonly #options: MembershipDirectoryOptions
+  readonly #getRandom: () => number
+  readonly #watcher: PrefixWatcher
+  readonly #poll: BackgroundTask
+  readonly #pollBackoff: Backoff
+  readonly #entries = new Map<string, Entry>()
+  readonly #listeners = new Set<() => void>()
+  #instances: ListedInstance[] = []
+  #sidecars: readonly SidecarRecord[] = []
+  #invalidCount = 0
+
+  constructor (options: MembershipDirectoryOptions) {
+    this.#options = options
+    this.#getRandom = options.getRandom ?? Math.random
+    const { service, getRandom, watchMs, onError } = options
+    this.#pollBackoff = new Backoff({ baseMs: this.#getPollMs(), capMs: MAX_BACKOFF_MS, getRandom: this.#getRandom })
+    this.#poll = new BackgroundTask({ runStep: async signal => await this.#fetchInstances(signal), onError })
+    this.#watcher = new PrefixWatcher({
+      service,
+      getRandom,
+      watchMs,
+      onError,
+      prefix: SIDECARS_PREFIX,
+      handleList: objects => this.#handleList(objects),
+      handleEvents: events => this.#handleEvents(events)
+    })
+  }
+
+  /** Starts to follow the service. */
+  start (): void {
+    this.#watcher.start()
+    this.#poll.start()
+  }
+
+  /** Stops following; the last view stays readable. */
+  async stop (): Promise<void> {
+    await Promise.all([this.#watcher.stop(), this.#poll.stop()])
+  }
+
+  /** Sidecars of the last known view, one per endpoint, ordered by endpoint name. */
+  listSidecars (): readonly SidecarRecord[] {
+    return this.#sidecars
+  }
+
+  /** Calls `listener` after each change of the view; returns the function that stops this. */
+  watch (listener: () => void): () => void {
+    this.#listeners.add(listener)
+    return () => { this.#listeners.delete(listener) }
+  }
+
+  /** How current the view is, for dumps of the process's state and for tests. */
+  getStatus (): MembershipStatus {
+    return {
+      following: this.#watcher.isFollowing(),
+      sidecarCount: this.#sidecars.length,
+      leavingCount: this.#sidecars.filter(sidecar => sidecar.leaving).length,
+      invalidCount: this.#invalidCount
+    }
+  }
+
+  #handleList (objects: StoredObject[]): void {
+    const listed = new Set(objects.map(object => object.key))
+    for (const [key, entry] of this.#entries) {
+      if (!listed.has(key)) this.#entries.set(key, { version: entry.version, record: null })
+    }
+    for (const object of objects) this.#putObject(object)
+    this.#update()
+  }
+
+  #handleEvents (events: WatchEvent[]): void {
+    for (const event of events) {
+      switch (event.kind) {
+        case 'put':
+          this.#putObject(event.object)
+          break
+        case 'delete':
+          this.#deleteObject(event.key, event.version)
+          break
+      }
+    }
+    this.#update()
+  }
+
+  #putObject ({ key, version, value }: StoredObject): void {
+    const known = this.#entries.get(key)
+    if (known !== undefined && version <= known.version) return
+    const parsed = registrationSchema.safeParse(value)
+    if (!parsed.success || parsed.data.endpointName === null) {
+      this.#invalidCount += 1
+      return
+    }
+    if (known === undefined && this.#entries.size >= MAX_ENTRIES) return
+    const { instanceId, epoch, address, domain, endpointName } = parsed.data
+    const record = { sidecarId: instanceId, epoch, address, domain, endpointName, registrationVersion: version, leaving: false }
+    this.#entries.set(key, { version, record })
+  }
+
+  #deleteObject (key: string, version: number): void {
+    const known = this.#entries.get(key)
+    if (known !== undefined && version >= known.version) this.#entries.set(key, { version, record: null })
+  }
+
+  async #fetchInstances (signal: AbortSignal): Promise<number> {
+    const progress = new Progress({ title: 'listing the instances', timeoutMs: INSTANCES_TIMEOUT_MS, signal })
+    const result = await this.#options.service.listInstances(progress)
+    if (result.isErr) return this.#pollBackoff.advance()
+    this.#pollBackoff.reset()
+    this.#instances = result.value
+    this.#update()
+    return spreadPeriod(this.#getPollMs(), this.#getRandom)
+  }
+
+  #update (): void {
+    const leaving = buildLeavingCheck(this.#instances)
+    const records = [...this.#entries.values()].flatMap(entry => entry.record ?? [])
+    const sidecars = records.map(record => ({ ...record, leaving: leaving(record) }))
+    sidecars.sort((one, other) => one.endpointName < other.endpointName ? -1 : 1)
+    if (JSON.stringify(sidecars) === JSON.stringify(this.#sidecars)) return
+    this.#sidecars = sidecars
+    for (const listener of [...this.#listeners]) listener()
+  }
+
+  #getPollMs (): number {
+    return this.#options.instancePollMs ?? DEFAULT_INSTANCE_POLL_MS
+  }
+}
+
+/** An instance is found by its id; by its address only when the list does not know its id. */
+function buildLeavingCheck (instances: ListedInstance[]): (record: SidecarRecord) => boolean {
+  const byId = new Map(instances.map(instance => [instance.instanceId, instance]))
+  const byAddress = new Map(instances.map(instance => [instance.address, instance]))
+  return record => {
+    const instance = byId.get(record.sidecarId) ?? byAddress.get(record.address)
+    return instance?.state === 'leaving'
+  }
+}
