Add at-most-once claims of idempotency keys

Cause: a caller that sends again through another gateway must meet the first claim. Change: one object per key, created before the start; an unknown outcome is read back by write id, else refused and released in the background. A claim that has not appeared is fenced off with a released value, since a late write could otherwise still land after the read-back. Ruled out: taking an absent key after a lost answer for a claim that failed.

--- /dev/null
+++ b/src/platform/claimStore.ts
@@ -0,0 +1,251 @@
+import { Result } from 'true-myth'
+
+import { systemClock } from '../base/clock'
+import { createId } from '../base/identifiers'
+
+import { parseClaimRecord, toClaimKey } from './claimRecord'
+import { ClaimSettler } from './claimSettler'
+import { getRetryAfterMs } from './retryCall'
+
+import type { Clock } from '../base/clock'
+import type { Progress } from '../base/progress'
+import type { ClaimFields, ClaimRecord, StoredAnswer } from './claimRecord'
+import type { ObjectService, ObjectServiceError, StoredObject, WriteCondition } from './objectService'
+
+export interface ClaimRequest {
+  workspace: string
+  /** The caller's idempotency key. */
+  key: string
+  /** Digest of target and body; a key stands for one request only. */
+  requestDigest: string
+  attemptId: string
+  /** This process: its id and epoch. */
+  holder: string
+}
+
+/** The right to run one request once. */
+export interface Claim {
+  objectKey: string
+  request: ClaimRequest
+  writeId: string
+  version: number
+  /** Monotonic time in milliseconds just before the claim was asked for. */
+  requestedAtMs: number
+  claimedAtMs: number
+}
+
+/** Answer to a claim; only `granted` allows the request to be started. */
+export type ClaimOutcome =
+  | { kind: 'granted', claim: Claim }
+  /** The request has run; `answer` is null when it was too large to be kept. */
+  | { kind: 'completed', answer: StoredAnswer | null }
+  | { kind: 'inProgress', holder: string }
+  | { kind: 'mayHaveRun', holder: string }
+  /** The key stands for another request. */
+  | { kind: 'keyReused' }
+  | { kind: 'unavailable', retryAfterMs: number }
+
+/** Whether a claim's last state was stored, or is stored in the background. */
+export type SettleOutcome = { kind: 'stored' } | { kind: 'deferred' }
+
+export interface ClaimStoreOptions {
+  service: ObjectService
+  clock?: Clock
+  getRandom?: () => number
+  /** Largest answer body kept, in bytes. */
+  maxAnswerBytes?: number
+  /** Milliseconds after which a claim without an answer counts as possibly run. */
+  inProgressMs?: number
+  /** Whether the process that holds a claim is known to be gone. */
+  isHolderGone?: (holder: string) => boolean
+  onError?: (error: unknown) => void
+}
+
+/** Milliseconds from asking for a claim within which it may be used without a read-back. */
+export const CLAIM_FRESHNESS_MS = 5_000
+const DEFAULT_MAX_ANSWER_BYTES = 16_384
+const DEFAULT_IN_PROGRESS_MS = 600_000
+const DEFAULT_RETRY_AFTER_MS = 2_000
+const MAX_WRITES = 6
+
+/** State of one call of `claim`. */
+interface ClaimAttempt {
+  objectKey: string
+  request: ClaimRequest
+  writeId: string
+  requestedAtMs: number
+  claimedAtMs: number
+  condition: WriteCondition
+  /** Whether a write of this call may have taken effect unseen. */
+  uncertain: boolean
+}
+
+type Decision =
+  | { kind: 'claimable', condition: WriteCondition }
+  | { kind: 'decided', outcome: ClaimOutcome }
+
+/**
+ * At-most-once claims of idempotency keys, one object per key at the platform. A claim is granted
+ * only when its write is known to have taken effect. A lost answer is read back by the write's id;
+ * where that is not possible the caller is told `unavailable` and the claim is released in the
+ * background if it took effect after all.
+ *
+ * @example
+ * const store = new ClaimStore({ service })
+ * const outcome = await store.claim(request, progress)
+ * if (outcome.kind === 'granted') await store.complete(outcome.claim, answer, progress)
+ */
+export class ClaimStore {
+  readonly #options: ClaimStoreOptions
+  readonly #clock: Clock
+  readonly #settler: ClaimSettler
+
+  constructor (options: ClaimStoreOptions) {
+    this.#options = options
+    this.#clock = options.clock ?? systemClock
+    this.#settler = new ClaimSettler(options)
+  }
+
+  /** Asks for the right to run a request; never throws. While the service is down it answers at once. */
+  async claim (request: ClaimRequest, progress: Progress): Promise<ClaimOutcome> {
+    const attempt: ClaimAttempt = {
+      request,
+      objectKey: toClaimKey(request.workspace, request.key),
+      writeId: createId('claim'),
+      requestedAtMs: this.#clock.getMonotonicMs(),
+      claimedAtMs: this.#clock.getWallMs(),
+      condition: { kind: 'absent' },
+      uncertain: false
+    }
+    for (let writes = 0; writes < MAX_WRITES; writes += 1) {
+      const outcome = await this.#claimOnce(attempt, progress)
+      if (outcome !== null) return outcome
+    }
+    return this.#fail(attempt, DEFAULT_RETRY_AFTER_MS)
+  }
+
+  /**
+   * Reads a claim back; needed before the start when `isClaimFresh` is false, since a process that
+   * was paused may hold a claim that has been removed meanwhile.
+   */
+  async verify (claim: Claim, progress: Progress): Promise<ClaimOutcome> {
+    const requestedAtMs = this.#clock.getMonotonicMs()
+    const current = await this.#options.service.get(claim.objectKey, progress)
+    if (current.isErr) return { kind: 'unavailable', retryAfterMs: computeRetryAfterMs(current.error) }
+    const record = current.value === null ? null : parseClaimRecord(current.value)
+    if (record?.state === 'claimed' && record.writeId === claim.writeId) return { kind: 'granted', claim: { ...claim, requestedAtMs } }
+    return { kind: 'mayHaveRun', holder: record?.holder ?? claim.request.holder }
+  }
+
+  /** Stores that the request has run, with its answer if that is small enough. */
+  async complete (claim: Claim, answer: StoredAnswer, progress: Progress): Promise<SettleOutcome> {
+    const maxBytes = this.#options.maxAnswerBytes ?? DEFAULT_MAX_ANSWER_BYTES
+    const kept = Buffer.byteLength(answer.body) <= maxBytes ? answer : null
+    return await this.#finish(claim, { ...createFields(claim), state: 'completed', answer: kept }, progress)
+  }
+
+  /** Stores that the request was not run, so that its key may be claimed again. */
+  async release (claim: Claim, progress: Progress): Promise<SettleOutcome> {
+    return await this.#finish(claim, { ...createFields(claim), state: 'released' }, progress)
+  }
+
+  /** Claims whose last state is still to be stored. */
+  getStatus (): { pendingCount: number, droppedCount: number } {
+    return this.#settler.getStatus()
+  }
+
+  /** Tries to store what is pending, then stops the background work. */
+  async stop (progress: Progress): Promise<void> {
+    await this.#settler.stop(progress)
+  }
+
+  /** One write, with its read-back; null when another write is needed. */
+  async #claimOnce (attempt: ClaimAttempt, progress: Progress): Promise<ClaimOutcome | null> {
+    const { service } = this.#options
+    const record: ClaimRecord = { ...createFields(attempt), state: 'claimed' }
+    const written = await service.put(attempt.objectKey, record, attempt.condition, progress)
+    if (written.isOk) return createGrant(attempt, written.value.version)
+    const found = await this.#findCurrent(attempt, written.error, progress)
+    if (found.isErr) return this.#fail(attempt, computeRetryAfterMs(found.error))
+    const decision = this.#decide(attempt, found.value)
+    if (decision.kind === 'decided') return decision.outcome
+    attempt.condition = decision.condition
+    return null
+  }
+
+  async #findCurrent (attempt: ClaimAttempt, error: ObjectServiceError, progress: Progress): Promise<Result<StoredObject | null, ObjectServiceError>> {
+    switch (error.kind) {
+      case 'conflict': return Result.ok(error.current)
+      case 'rateLimited':
+      case 'unavailable': return Result.err(error)
+      case 'unknownOutcome':
+        attempt.uncertain = true
+        return await this.#options.service.get(attempt.objectKey, progress)
+    }
+  }
+
+  #decide (attempt: ClaimAttempt, current: StoredObject | null): Decision {
+    if (current === null) return { kind: 'claimable', condition: { kind: 'absent' } }
+    const stored = parseClaimRecord(current)
+    if (stored === null) return { kind: 'decided', outcome: { kind: 'mayHaveRun', holder: 'unknown' } }
+    if (stored.writeId === attempt.writeId) return { kind: 'decided', outcome: createGrant(attempt, current.version) }
+    const record = this.#settler.find(stored.writeId) ?? stored
+    if (record.state === 'released') return { kind: 'claimable', condition: { kind: 'version', version: current.version } }
+    return { kind: 'decided', outcome: this.#resolveHeld(attempt, record) }
+  }
+
+  #resolveHeld ({ request }: ClaimAttempt, record: Exclude<ClaimRecord, { state: 'released' }>): ClaimOutcome {
+    if (record.requestDigest !== request.requestDigest) return { kind: 'keyReused' }
+    switch (record.state) {
+      case 'completed': return { kind: 'completed', answer: record.answer }
+      case 'claimed': return { kind: this.#isInProgress(record) ? 'inProgress' : 'mayHaveRun', holder: record.holder }
+    }
+  }
+
+  #isInProgress (record: ClaimRecord): boolean {
+    if (this.#options.isHolderGone?.(record.holder)) return false
+    const ageMs = this.#clock.getWallMs() - record.claimedAtMs
+    return ageMs <= (this.#options.inProgressMs ?? DEFAULT_IN_PROGRESS_MS)
+  }
+
+  #fail (attempt: ClaimAttempt, retryAfterMs: number): ClaimOutcome {
+    if (attempt.uncertain) this.#addSettlement(attempt, { ...createFields(attempt), state: 'released' }, attempt.condition)
+    return { kind: 'unavailable', retryAfterMs }
+  }
+
+  async #finish (claim: Claim, record: ClaimRecord, progress: Progress): Promise<SettleOutcome> {
+    const written = await this.#options.service.put(claim.objectKey, record, { kind: 'version', version: claim.version }, progress)
+    if (written.isOk) return { kind: 'stored' }
+    this.#addSettlement(claim, record, { kind: 'version', version: claim.version })
+    return { kind: 'deferred' }
+  }
+
+  #addSettlement (claim: { objectKey: string, writeId: string }, record: ClaimRecord, claimCondition: WriteCondition): void {
+    this.#settler.add({ objectKey: claim.objectKey, claimWriteId: claim.writeId, claimCondition, record })
+  }
+}
+
+/**
+ * Whether a granted claim may be used without a read-back: not so long after it was asked for that
+ * the process must have been paused.
+ *
+ * @example
+ * if (!isClaimFresh(claim, clock)) outcome = await store.verify(claim, progress)
+ */
+export function isClaimFresh (claim: Claim, clock: Clock): boolean {
+  return clock.getMonotonicMs() - claim.requestedAtMs <= CLAIM_FRESHNESS_MS
+}
+
+function createFields (claim: Pick<Claim, 'writeId' | 'request' | 'claimedAtMs'>): ClaimFields {
+  const { requestDigest, attemptId, holder } = claim.request
+  return { writeId: claim.writeId, requestDigest, attemptId, holder, claimedAtMs: claim.claimedAtMs }
+}
+
+function createGrant (attempt: ClaimAttempt, version: number): ClaimOutcome {
+  const { objectKey, request, writeId, requestedAtMs, claimedAtMs } = attempt
+  return { kind: 'granted', claim: { objectKey, request, writeId, version, requestedAtMs, claimedAtMs } }
+}
+
+function computeRetryAfterMs (error: ObjectServiceError): number {
+  return Math.max(DEFAULT_RETRY_AFTER_MS, getRetryAfterMs(error))
+}
