Add JSON-RPC transport between the fleet's processes

Cause: gateways and sidecars need streamed calls that tell 'not sent' from 'lost'. Ruled out: a socket protocol of our own. Change: JSON-RPC 2.0 lines over Node's http with silence timers; a lost call drops the idle pool.

--- /dev/null
+++ b/src/protocol/rpcClient.ts
@@ -0,0 +1,235 @@
+import http from 'node:http'
+
+import { JSONRPCClient } from 'json-rpc-2.0'
+import { Result } from 'true-myth'
+
+import { LineSplitter } from './lineSplitter'
+import { RPC_PATH } from './attemptMessages'
+
+import type { IncomingMessage } from 'node:http'
+import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0'
+import type { Progress } from '../base/progress'
+import type { RpcError } from './rpcError'
+
+const MAX_LINE_LENGTH = 8 * 1024 * 1024
+const CONNECT_TIMEOUT_MS = 1000
+const MAX_IDLE_SOCKETS = 64
+const STREAM_END_MS = 1000
+
+/** A JSON-RPC notification as it came, before its parameters are checked. */
+export interface RpcNotification {
+  method: string
+  params: unknown
+}
+
+export interface RpcClientOptions {
+  /** `host:port` of the peer. */
+  address: string
+  fleetSecret: string
+}
+
+export interface RpcCallOptions {
+  progress: Progress
+  /** Milliseconds within which the first message must come; the call is lost otherwise. */
+  firstMessageMs: number
+  /** Milliseconds of silence between messages after which the call is lost. */
+  silenceMs: number
+  /** Whether to leave the pooled connections alone and open a new one. */
+  newConnection?: boolean
+  /** Takes the notifications of one read; a returned promise holds back the next read. */
+  onNotifications?: (notifications: RpcNotification[]) => Promise<void> | void
+}
+
+/**
+ * Calls one peer process by JSON-RPC 2.0 over HTTP; the answer is a stream of
+ * notifications followed by the response, one message a line.
+ *
+ * @example
+ * const client = new RpcClient({ address: '127.0.0.1:7100', fleetSecret })
+ * const result = await client.call('getLoad', {}, { progress, firstMessageMs: 250, silenceMs: 3000 })
+ */
+export class RpcClient {
+  readonly #options: RpcClientOptions
+  #agent = createAgent()
+
+  constructor (options: RpcClientOptions) {
+    this.#options = options
+  }
+
+  get address (): string {
+    return this.#options.address
+  }
+
+  /** Calls `method`; resolves with the result or a typed error and never rejects. */
+  async call (method: string, params: unknown, options: RpcCallOptions): Promise<Result<unknown, RpcError>> {
+    const exchange = new RpcExchange(this.#options, options.newConnection ? false : this.#agent, options)
+    const result = await exchange.run(method, params)
+    if (result.isErr && result.error.kind === 'lost') this.#dropPooledConnections()
+    return result
+  }
+
+  /** Closes idle connections. */
+  close (): void {
+    this.#agent.destroy()
+  }
+
+  /** Gives up the pool: what one connection met, its idle siblings may meet too. Open calls keep theirs. */
+  #dropPooledConnections (): void {
+    const sockets = Object.values(this.#agent.freeSockets).flatMap(list => list ?? [])
+    for (const socket of sockets) socket.destroy()
+  }
+}
+
+function createAgent (): http.Agent {
+  return new http.Agent({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS })
+}
+
+/** One call: an HTTP request, its streamed messages and the timers that watch over it. */
+class RpcExchange {
+  readonly #client: RpcClientOptions
+  readonly #agent: http.Agent | false
+  readonly #options: RpcCallOptions
+  readonly #splitter = new LineSplitter({ maxLineLength: MAX_LINE_LENGTH })
+  readonly #rpc: JSONRPCClient
+  #request: http.ClientRequest | null = null
+  #timer: NodeJS.Timeout | null = null
+  #connected = false
+  #answered = false
+  #fail: (error: RpcError) => void = () => {}
+
+  constructor (client: RpcClientOptions, agent: http.Agent | false, options: RpcCallOptions) {
+    this.#client = client
+    this.#agent = agent
+    this.#options = options
+    this.#rpc = new JSONRPCClient(payload => this.#send(payload))
+  }
+
+  async run (method: string, params: unknown): Promise<Result<unknown, RpcError>> {
+    const failure = new Promise<Result<unknown, RpcError>>(resolve => {
+      this.#fail = error => resolve(Result.err(error))
+    })
+    const { signal } = this.#options.progress
+    const handleAbort = () => this.#fail({ kind: this.#connected ? 'lost' : 'notSent', message: 'the call was aborted' })
+    signal.addEventListener('abort', handleAbort, { once: true })
+    if (signal.aborted) handleAbort()
+    try {
+      const response = this.#rpc.requestAdvanced({ jsonrpc: '2.0', id: 1, method, params: params as JSONRPCRequest['params'] })
+      return await Promise.race([failure, Promise.resolve(response).then(toResult, toLost)])
+    } finally {
+      signal.removeEventListener('abort', handleAbort)
+      this.#close()
+    }
+  }
+
+  #send (payload: unknown): void {
+    if (this.#options.progress.signal.aborted) return
+    const body = Buffer.from(JSON.stringify(payload))
+    const [host, port] = this.#client.address.split(':')
+    const request = http.request({
+      host,
+      port: Number(port),
+      method: 'POST',
+      path: RPC_PATH,
+      agent: this.#agent,
+      headers: {
+        'content-type': 'application/json',
+        'content-length': body.length,
+        authorization: `Bearer ${this.#client.fleetSecret}`
+      }
+    })
+    this.#request = request
+    request.setNoDelay(true)
+    request.on('socket', socket => {
+      const markConnected = () => { this.#connected = true }
+      if (socket.connecting) socket.once('connect', markConnected)
+      else markConnected()
+    })
+    request.on('response', response => this.#receive(response))
+    request.on('error', error => this.#failLost(error.message))
+    this.#watch(Math.min(CONNECT_TIMEOUT_MS, this.#options.firstMessageMs), 'the first message')
+    request.end(body)
+  }
+
+  #receive (response: IncomingMessage): void {
+    if (response.statusCode !== 200) {
+      response.resume()
+      this.#fail({ kind: 'rejected', code: response.statusCode ?? 0, message: `the peer answered HTTP ${response.statusCode}` })
+      return
+    }
+    this.#watch(this.#options.firstMessageMs, 'the first message')
+    response.on('data', (bytes: Buffer) => this.#receiveBytes(response, bytes))
+    response.on('end', () => this.#failLost('the peer closed the stream before its response'))
+    response.on('error', error => this.#failLost(error.message))
+  }
+
+  #receiveBytes (response: IncomingMessage, bytes: Buffer): void {
+    this.#watch(this.#options.silenceMs, 'the next message')
+    const messages = this.#parse(bytes)
+    if (messages === null) return
+    const notifications = messages.filter(isNotification)
+    const final = messages.find(message => !isNotification(message)) as JSONRPCResponse | undefined
+    const handled = notifications.length > 0 ? this.#options.onNotifications?.(notifications) : undefined
+    if (handled === undefined) {
+      this.#receiveFinal(final)
+      return
+    }
+    response.pause()
+    handled.then(() => {
+      response.resume()
+      this.#receiveFinal(final)
+    }, (error: Error) => this.#fail({ kind: 'malformed', message: error.message }))
+  }
+
+  #receiveFinal (final: JSONRPCResponse | undefined): void {
+    if (final === undefined) return
+    this.#answered = true
+    this.#rpc.receive(final)
+  }
+
+  #parse (bytes: Buffer): unknown[] | null {
+    try {
+      return this.#splitter.push(bytes).map(line => JSON.parse(line))
+    } catch (error) {
+      this.#fail({ kind: 'malformed', message: `the peer sent a line that is not JSON: ${String(error).slice(0, 200)}` })
+      return null
+    }
+  }
+
+  #watch (milliseconds: number, awaited: string): void {
+    if (this.#timer) clearTimeout(this.#timer)
+    this.#timer = setTimeout(() => this.#failLost(`no byte within ${milliseconds} ms while waiting for ${awaited}`), milliseconds)
+  }
+
+  #failLost (message: string): void {
+    this.#fail({ kind: this.#connected ? 'lost' : 'notSent', message: `${this.#client.address}: ${message}` })
+  }
+
+  #close (): void {
+    if (this.#timer) clearTimeout(this.#timer)
+    this.#fail = () => {}
+    const request = this.#request
+    if (request === null) return
+    if (this.#answered) destroyUnlessEnded(request)
+    else request.destroy()
+  }
+}
+
+/** Leaves an answered call's connection to the pool, unless its stream does not end. */
+function destroyUnlessEnded (request: http.ClientRequest): void {
+  const timer = setTimeout(() => request.destroy(), STREAM_END_MS)
+  timer.unref()
+  request.once('close', () => clearTimeout(timer))
+}
+
+function isNotification (message: unknown): message is RpcNotification {
+  return typeof message === 'object' && message !== null && 'method' in message
+}
+
+function toResult (response: JSONRPCResponse): Result<unknown, RpcError> {
+  if (response.error) return Result.err({ kind: 'rejected', code: response.error.code, message: response.error.message })
+  return Result.ok(response.result)
+}
+
+function toLost (error: Error): Result<unknown, RpcError> {
+  return Result.err({ kind: 'lost', message: error.message })
+}
--- /dev/null
+++ b/src/protocol/rpcServer.ts
@@ -0,0 +1,115 @@
+import { timingSafeEqual } from 'node:crypto'
+
+import { JSONRPCServer } from 'json-rpc-2.0'
+
+import { hashText } from '../base/identifiers'
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { RpcNotification } from './rpcClient'
+
+const MAX_BODY_BYTES = 8 * 1024 * 1024
+
+/** What a method handler gets of the call it serves. */
+export interface RpcCall {
+  /** Sends notifications to the caller, in one write. */
+  notify (notifications: RpcNotification[]): void
+  /** Whether the caller takes data slower than it is sent. */
+  isCongested (): boolean
+  /** Fires when the caller's connection is closed before the response. */
+  readonly closed: AbortSignal
+}
+
+/** Serves one JSON-RPC method; what it returns is the result. */
+export type RpcMethod = (params: unknown, call: RpcCall) => Promise<unknown>
+
+/**
+ * Answers the JSON-RPC calls of peer processes that show the fleet's secret.
+ *
+ * @example
+ * const rpc = new RpcServer({ fleetSecret })
+ * rpc.register('getLoad', async () => readLoad())
+ * http.createServer((request, response) => rpc.handle(request, response))
+ */
+export class RpcServer {
+  readonly #secretDigest: Buffer
+  readonly #server = new JSONRPCServer<RpcCall>()
+
+  constructor (options: { fleetSecret: string }) {
+    this.#secretDigest = Buffer.from(hashText(`Bearer ${options.fleetSecret}`))
+    this.#server.mapErrorToJSONRPCErrorResponse = (id, error) =>
+      ({ jsonrpc: '2.0', id, error: { code: -32000, message: String(error?.message ?? error).slice(0, 500) } })
+  }
+
+  /** Adds a method; `handler` checks its parameters itself and throws an error that says what is wrong. */
+  register (method: string, handler: RpcMethod): void {
+    this.#server.addMethod(method, handler)
+  }
+
+  /** Whether the request shows the fleet's secret. */
+  isAuthorized (request: IncomingMessage): boolean {
+    const digest = Buffer.from(hashText(request.headers.authorization ?? ''))
+    return timingSafeEqual(digest, this.#secretDigest)
+  }
+
+  /** Answers one HTTP request. */
+  handle (request: IncomingMessage, response: ServerResponse): void {
+    if (!this.isAuthorized(request)) {
+      response.writeHead(401, { connection: 'close' }).end()
+      return
+    }
+    readBody(request, body => this.#answer(body, response), () => {
+      response.writeHead(413, { connection: 'close' }).end()
+    })
+  }
+
+  #answer (body: string, response: ServerResponse): void {
+    response.socket?.setNoDelay(true)
+    response.writeHead(200, { 'content-type': 'application/x-ndjson' })
+    const call = new StreamedCall(response)
+    Promise.resolve(this.#server.receiveJSON(body, call)).then(answer => {
+      if (!response.destroyed) response.end(`${JSON.stringify(answer)}\n`)
+    }, () => response.destroy())
+  }
+}
+
+/** The call's side that writes to the HTTP response. */
+class StreamedCall implements RpcCall {
+  readonly #response: ServerResponse
+  readonly #closed = new AbortController()
+
+  constructor (response: ServerResponse) {
+    this.#response = response
+    response.on('close', () => {
+      if (!response.writableFinished) this.#closed.abort()
+    })
+    response.on('error', () => this.#closed.abort())
+  }
+
+  get closed (): AbortSignal {
+    return this.#closed.signal
+  }
+
+  notify (notifications: RpcNotification[]): void {
+    if (this.#response.destroyed || this.#response.writableEnded) return
+    const lines = notifications.map(message => JSON.stringify({ jsonrpc: '2.0', method: message.method, params: message.params }))
+    this.#response.write(`${lines.join('\n')}\n`)
+  }
+
+  isCongested (): boolean {
+    return this.#response.writableNeedDrain
+  }
+}
+
+function readBody (request: IncomingMessage, handleBody: (body: string) => void, refuseBody: () => void): void {
+  const parts: Buffer[] = []
+  let size = 0
+  request.on('data', (part: Buffer) => {
+    size += part.length
+    if (size <= MAX_BODY_BYTES) parts.push(part)
+  })
+  request.on('end', () => {
+    if (size > MAX_BODY_BYTES) refuseBody()
+    else handleBody(Buffer.concat(parts).toString('utf8'))
+  })
+  request.on('error', () => {})
+}
