--- /dev/null
+++ b/src/sidecar/attempt.ts
@@ -0,0 +1,146 @@
+import { createHash } from 'node:crypto'
+
+import type { AttemptNotification, AttemptOutcome, SidecarStamp, SubmitAttempt, SubmitResult } from '../protocol/attemptMessages'
+
+/** Where an attempt stands; it only ever moves forward in this order. */
+export type AttemptPhase = 'queued' | 'claiming' | 'running' | 'ended'
+
+/** Takes what an attempt has to say, for as long as it is attached. */
+export interface AttemptListener {
+  /** Takes notifications in order. */
+  notify (notifications: AttemptNotification[]): void
+  /** Takes the last message. */
+  finish (result: SubmitResult): void
+}
+
+export interface AttemptOptions {
+  params: SubmitAttempt
+  receivedAtMs: number
+  /** Reads the sidecar's present stamp. */
+  getStamp: () => SidecarStamp
+}
+
+/** One attempt to run one request at this sidecar's endpoint, with all the text it has produced. */
+export class Attempt {
+  readonly params: SubmitAttempt
+  readonly receivedAtMs: number
+  readonly #getStamp: () => SidecarStamp
+  readonly #abort = new AbortController()
+  readonly #digest = createHash('sha256')
+  readonly #chunks: string[] = []
+  #phase: AttemptPhase = 'queued'
+  #outcome: AttemptOutcome | null = null
+  #listener: AttemptListener | null = null
+  #lastSentAtMs = 0
+
+  constructor (options: AttemptOptions) {
+    this.params = options.params
+    this.receivedAtMs = options.receivedAtMs
+    this.#getStamp = options.getStamp
+  }
+
+  get id (): string {
+    return this.params.attemptId
+  }
+
+  get phase (): AttemptPhase {
+    return this.#phase
+  }
+
+  get outcome (): AttemptOutcome | null {
+    return this.#outcome
+  }
+
+  /** Fires when the attempt is to be given up. */
+  get signal (): AbortSignal {
+    return this.#abort.signal
+  }
+
+  get chunkCount (): number {
+    return this.#chunks.length
+  }
+
+  /** Milliseconds on the sidecar's clock when the listener was last sent something. */
+  get lastSentAtMs (): number {
+    return this.#lastSentAtMs
+  }
+
+  isAttached (): boolean {
+    return this.#listener !== null
+  }
+
+  /** Makes `listener` the one that is told, starting with the chunks from `fromIndex` on. */
+  attach (listener: AttemptListener, fromIndex: number, nowMs: number): void {
+    this.#listener = listener
+    this.#notify([{ method: 'accepted', params: { attemptId: this.id, stamp: this.#getStamp() } }], nowMs)
+    if (this.#phase === 'running') this.#notify([this.#createStarted()], nowMs)
+    const missed = this.#chunks.slice(fromIndex).map((text, offset) => this.#createChunk(fromIndex + offset, text))
+    if (missed.length > 0) this.#notify(missed, nowMs)
+    if (this.#outcome) this.#finish(this.#outcome)
+  }
+
+  /** Stops telling `listener`, if it still is the one attached. */
+  detach (listener: AttemptListener): void {
+    if (this.#listener === listener) this.#listener = null
+  }
+
+  markClaiming (): void {
+    this.#phase = 'claiming'
+  }
+
+  markRunning (nowMs: number): void {
+    this.#phase = 'running'
+    this.#notify([this.#createStarted()], nowMs)
+  }
+
+  /** Adds chunks in the order in which the endpoint produced them. */
+  addChunks (texts: string[], nowMs: number): void {
+    const first = this.#chunks.length
+    for (const text of texts) {
+      this.#chunks.push(text)
+      this.#digest.update(text)
+    }
+    this.#notify(texts.map((text, offset) => this.#createChunk(first + offset, text)), nowMs)
+  }
+
+  sendHeartbeat (nowMs: number): void {
+    this.#notify([{ method: 'heartbeat', params: { attemptId: this.id } }], nowMs)
+  }
+
+  /** Ends the attempt as completed, over the chunks added so far. */
+  complete (status: number, contentType: string): void {
+    const digest = this.#digest.digest('hex')
+    this.end({ kind: 'completed', chunkCount: this.#chunks.length, digest, status, contentType })
+  }
+
+  /** Ends the attempt; a second call has no effect. */
+  end (outcome: AttemptOutcome): void {
+    if (this.#outcome) return
+    this.#phase = 'ended'
+    this.#outcome = outcome
+    this.#finish(outcome)
+  }
+
+  /** Asks whoever runs the attempt to give it up. */
+  cancel (reason: string): void {
+    this.#abort.abort(new Error(reason))
+  }
+
+  #createStarted (): AttemptNotification {
+    return { method: 'started', params: { attemptId: this.id } }
+  }
+
+  #createChunk (position: number, text: string): AttemptNotification {
+    return { method: 'chunk', params: { attemptId: this.id, index: position, text } }
+  }
+
+  #notify (notifications: AttemptNotification[], nowMs: number): void {
+    if (this.#listener === null) return
+    this.#lastSentAtMs = nowMs
+    this.#listener.notify(notifications)
+  }
+
+  #finish (outcome: AttemptOutcome): void {
+    this.#listener?.finish({ outcome, stamp: this.#getStamp() })
+  }
+}
--- /dev/null
+++ b/src/sidecar/endpoint/endpointMonitor.ts
@@ -0,0 +1,113 @@
+import http from 'node:http'
+
+import { z } from 'zod'
+
+const HEALTH_PATH = '/health'
+const MAX_HEALTH_BYTES = 10_000
+
+const healthSchema = z.object({ bootId: z.string().max(200) })
+
+export interface EndpointMonitorOptions {
+  address: string
+  intervalMs: number
+  timeoutMs: number
+  /** Called when the endpoint is found to have crashed or restarted; not when it is merely slow to answer. */
+  onCrash: () => void
+  /** Called when the endpoint answers again, or for the first time. */
+  onUp: () => void
+}
+
+/**
+ * Watches one endpoint's health over connections of their own, and tells a crash of the
+ * endpoint from the loss of one connection.
+ */
+export class EndpointMonitor {
+  readonly #options: EndpointMonitorOptions
+  #bootId: string | null = null
+  #state: HealthAnswer['kind'] | null = null
+  #timer: NodeJS.Timeout | null = null
+  #check: Promise<void> | null = null
+
+  constructor (options: EndpointMonitorOptions) {
+    this.#options = options
+  }
+
+  isUp (): boolean {
+    return this.#state === 'up'
+  }
+
+  get bootId (): string | null {
+    return this.#bootId
+  }
+
+  async start (): Promise<void> {
+    await this.checkNow()
+    this.#timer = setInterval(() => { this.checkNow().catch(() => {}) }, this.#options.intervalMs)
+  }
+
+  stop (): void {
+    if (this.#timer) clearInterval(this.#timer)
+  }
+
+  /** Asks the endpoint now; calls made while one waits share the answer. */
+  async checkNow (): Promise<void> {
+    this.#check ??= this.#runCheck().finally(() => { this.#check = null })
+    await this.#check
+  }
+
+  /**
+   * Whether the endpoint has crashed since it answered with `bootId`; asks it anew.
+   *
+   * @example
+   * const bootId = monitor.bootId
+   * // ... a connection breaks ...
+   * if (await monitor.hasCrashedSince(bootId)) countCrash()
+   */
+  async hasCrashedSince (bootId: string | null): Promise<boolean> {
+    if (this.#check) await this.#check
+    await this.checkNow()
+    return this.#state === 'down' || this.#bootId !== bootId
+  }
+
+  async #runCheck (): Promise<void> {
+    const answer = await readHealth(this.#options)
+    const previous = this.#state
+    const isRestarted = answer.kind === 'up' && this.#bootId !== null && answer.bootId !== this.#bootId
+    this.#state = answer.kind
+    if (answer.kind === 'up') this.#bootId = answer.bootId
+    if (isRestarted ? previous !== 'down' : previous !== 'down' && previous !== null && answer.kind === 'down') this.#options.onCrash()
+    if (answer.kind === 'up' && (previous !== 'up' || isRestarted)) this.#options.onUp()
+  }
+}
+
+/** An answer of the endpoint's health path: `down` refused the connection, `silent` gave no answer. */
+type HealthAnswer = { kind: 'up', bootId: string } | { kind: 'down' } | { kind: 'silent' }
+
+async function readHealth (options: EndpointMonitorOptions): Promise<HealthAnswer> {
+  return await new Promise(resolve => {
+    const [host, port] = options.address.split(':')
+    const request = http.get({ host, port: Number(port), path: HEALTH_PATH, agent: false }, response => {
+      let text = ''
+      response.on('data', (bytes: Buffer) => {
+        if (text.length < MAX_HEALTH_BYTES) text += bytes.toString('utf8')
+      })
+      response.on('end', () => resolve(response.statusCode === 200 ? parseHealth(text) : { kind: 'silent' }))
+      response.on('error', () => resolve({ kind: 'down' }))
+    })
+    const timer = setTimeout(() => {
+      resolve({ kind: 'silent' })
+      request.destroy()
+    }, options.timeoutMs)
+    request.on('error', () => resolve({ kind: 'down' }))
+    request.on('close', () => clearTimeout(timer))
+  })
+}
+
+function parseHealth (text: string): HealthAnswer {
+  try {
+    const health = healthSchema.safeParse(JSON.parse(text))
+    return health.success ? { kind: 'up', bootId: health.data.bootId } : { kind: 'silent' }
+  } catch {
+    return { kind: 'silent' }
+  }
+}
