Load process settings from a YAML file, flags and the environment

Cause: gateway and sidecar need checked settings with every finding in one report. Ruled out: the secret in a file or flag; files are copied and flags show in process lists.

--- /dev/null
+++ b/src/config/loadProcessSettings.ts
@@ -0,0 +1,129 @@
+import { readFileSync } from 'node:fs'
+
+import { Result } from 'true-myth'
+
+import { gatewaySettingsSchema, parseListenAddress, sidecarSettingsSchema } from './processSettingsSchema'
+import { buildSchemaFindings } from './schemaFindings'
+import { buildPlainValue, findKeyPlace, findNode, findPlace, parseSource } from './sourceTree'
+
+import type { z } from 'zod'
+
+import type { Finding, Place } from './finding'
+import type { CommonSettings, GatewaySettings, SidecarSettings } from './processSettings'
+import type { ParsedSource, SourceMap } from './sourceTree'
+
+/** Environment variable that carries the fleet's secret. */
+export const SECRET_VARIABLE = 'TANAGERWICK_FLEET_SECRET'
+
+/** Settings as flags of the command line gave them; an absent flag leaves the file's value. */
+export interface SettingFlags {
+  /** Path of the YAML file with the same keys. */
+  settings?: string
+  id?: string
+  listen?: string
+  domain?: string
+  platform?: string
+  peers?: string
+  logLevel?: string
+  endpointName?: string
+  endpointAddress?: string
+}
+
+type Environment = Record<string, string | undefined>
+
+const MAX_FILE_BYTES = 65_536
+
+/**
+ * Loads a gateway's settings from an optional YAML file, the flags, which win, and the secret
+ * from the environment. All findings come in one list.
+ *
+ * @example
+ * const settings = loadGatewaySettings({ settings: 'gateway.yaml', listen: '127.0.0.1:0' }, process.env)
+ * if (settings.isErr) process.stderr.write(formatFindings(settings.error))
+ */
+export function loadGatewaySettings (flags: SettingFlags, environment: Environment): Result<GatewaySettings, Finding[]> {
+  return loadSettings(gatewaySettingsSchema, flags, environment).map(input => ({ role: 'gateway', ...buildCommonSettings(input) }))
+}
+
+/**
+ * Loads a sidecar's settings, as `loadGatewaySettings` does a gateway's.
+ *
+ * @example
+ * const settings = loadSidecarSettings({ settings: 'sidecar.yaml', endpointName: 'engine-1' }, process.env)
+ */
+export function loadSidecarSettings (flags: SettingFlags, environment: Environment): Result<SidecarSettings, Finding[]> {
+  return loadSettings(sidecarSettingsSchema, flags, environment).map(input => ({
+    role: 'sidecar',
+    ...buildCommonSettings(input),
+    endpointName: input.endpointName,
+    endpointAddress: input.endpointAddress
+  }))
+}
+
+function loadSettings<Schema extends z.ZodType> (schema: Schema, flags: SettingFlags, environment: Environment): Result<z.infer<Schema>, Finding[]> {
+  const { root, findings } = readSettingsFile(flags.settings)
+  const inputs = listInputs(flags, environment)
+  const parsed = schema.safeParse({ ...buildPlainValue(root) as object, ...inputs })
+  if (findings.length > 0) return Result.err(findings)
+  if (!parsed.success) return Result.err(buildSchemaFindings(schema, parsed.error, (path, isKey) => findInputPlace(root, inputs, path, isKey)))
+  return Result.ok(parsed.data)
+}
+
+function readSettingsFile (file: string | undefined): ParsedSource {
+  if (file === undefined) return { root: createEmptyMap(), findings: [] }
+  try {
+    const content = readFileSync(file)
+    if (content.length <= MAX_FILE_BYTES) return refuseSecret(parseSource(file, content.toString('utf8')))
+    return createUnreadable(file, `is larger than ${MAX_FILE_BYTES} bytes`)
+  } catch (error) {
+    return createUnreadable(file, `cannot be read: ${(error as Error).message}`)
+  }
+}
+
+/** A secret in a file ends up in copies of that file; it is taken from the environment only. */
+function refuseSecret (source: ParsedSource): ParsedSource {
+  if (findNode(source.root, ['fleetSecret']) === undefined) return source
+  const place = findKeyPlace(source.root, ['fleetSecret'])
+  const finding = { place, path: 'fleetSecret', message: 'must not stand in a file', advice: `Put it into the environment variable ${SECRET_VARIABLE}.` }
+  return { root: source.root, findings: [...source.findings, finding] }
+}
+
+function createUnreadable (file: string, message: string): ParsedSource {
+  const place: Place = { kind: 'file', file, line: 1, column: 1 }
+  return { root: createEmptyMap(), findings: [{ place, path: '', message, advice: 'Name a readable YAML file by --settings, or leave the flag out.' }] }
+}
+
+function createEmptyMap (): SourceMap {
+  return { kind: 'map', place: { kind: 'input', name: 'flags' }, entries: new Map() }
+}
+
+function listInputs (flags: SettingFlags, environment: Environment): Record<string, string> {
+  const { id, listen, domain, platform, peers, logLevel, endpointName, endpointAddress } = flags
+  const given = { id, listen, domain, platform, peers, logLevel, endpointName, endpointAddress, fleetSecret: environment[SECRET_VARIABLE] }
+  return Object.fromEntries(Object.entries(given).filter((entry): entry is [string, string] => entry[1] !== undefined))
+}
+
+function findInputPlace (root: SourceMap, inputs: Record<string, string>, path: readonly PropertyKey[], isKey: boolean): Place {
+  const key = String(path[0])
+  if (key === 'fleetSecret') return { kind: 'input', name: SECRET_VARIABLE }
+  if (key in inputs || !root.entries.has(key)) return { kind: 'input', name: `--${formatFlag(key)}` }
+  return isKey ? findKeyPlace(root, path) : findPlace(root, path)
+}
+
+function formatFlag (key: string): string {
+  return key.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)
+}
+
+function buildCommonSettings (input: z.infer<typeof gatewaySettingsSchema>): CommonSettings {
+  const listen = parseListenAddress(input.listen)
+  if (listen === null) throw new Error('a checked listen address must parse')
+  return {
+    id: input.id,
+    listen,
+    domain: input.domain,
+    platformUrl: input.platform.replace(/\/+$/, ''),
+    peers: input.peers,
+    fleetSecret: input.fleetSecret,
+    logLevel: input.logLevel
+  }
+}
--- /dev/null
+++ b/src/config/processSettingsSchema.ts
@@ -0,0 +1,54 @@
+import { isIP } from 'node:net'
+
+import { z } from 'zod'
+
+import type { ListenAddress } from './processSettings'
+
+const MAX_PORT = 65_535
+const MIN_SECRET_CHARS = 8
+const MAX_NAME_CHARS = 100
+const ADDRESS_FORM = /^(?:\[([^\]]+)\]|([^:]+)):(\d{1,5})$/
+
+const nameSchema = z.string().regex(/^[A-Za-z0-9][A-Za-z0-9._-]*$/, 'is not a usable name').max(MAX_NAME_CHARS)
+const addressSchema = z.string().refine(text => parseListenAddress(text) !== null, 'is not an IP number and a port')
+const peerListSchema = z.preprocess(parseWords, z.array(addressSchema))
+
+const commonShape = {
+  id: nameSchema.describe('a name of letters, digits, dots and dashes that no other instance has'),
+  listen: addressSchema.describe('the IP number and port to listen at, such as 127.0.0.1:7100; port 0 lets the system choose'),
+  domain: nameSchema.describe('the failure domain of this instance, such as pl-central-a'),
+  platform: z.url({ protocol: /^https?$/, error: 'is not an http URL' }).describe('the base URL of the object service, such as http://127.0.0.1:7000'),
+  peers: peerListSchema.default([]).describe('addresses such as 127.0.0.1:7100, as a list or separated by commas'),
+  logLevel: z.enum(['debug', 'info', 'warn', 'error', 'silent']).default('info').describe('debug, info, warn, error or silent'),
+  fleetSecret: z.string().min(MIN_SECRET_CHARS, `is shorter than ${MIN_SECRET_CHARS} characters`)
+    .describe('the fleet\'s secret in the environment variable TANAGERWICK_FLEET_SECRET; no file or flag carries it')
+}
+
+/** What a gateway's settings file and flags must give. */
+export const gatewaySettingsSchema = z.strictObject(commonShape)
+
+/** What a sidecar's settings file and flags must give. */
+export const sidecarSettingsSchema = z.strictObject({
+  ...commonShape,
+  endpointName: nameSchema.describe('the name of the endpoint in the configuration'),
+  endpointAddress: addressSchema.describe('the IP number and port at which the endpoint serves, such as 127.0.0.1:8000')
+})
+
+/**
+ * Parses `IP:PORT`, with an IPv6 number in square brackets; `null` if it has another form.
+ *
+ * @example
+ * parseListenAddress('127.0.0.1:7100') // { host: '127.0.0.1', port: 7100 }
+ */
+export function parseListenAddress (text: string): ListenAddress | null {
+  const match = ADDRESS_FORM.exec(text)
+  const host = match?.[1] ?? match?.[2] ?? ''
+  const port = Number(match?.[3])
+  if (isIP(host) === 0 || port > MAX_PORT) return null
+  return { host, port }
+}
+
+function parseWords (value: unknown): unknown {
+  if (typeof value !== 'string') return value
+  return value.split(',').map(word => word.trim()).filter(word => word !== '')
+}
--- /dev/null
+++ b/src/config/schemaFindings.ts
@@ -0,0 +1,68 @@
+import { z } from 'zod'
+
+import type { Finding, Place } from './finding'
+
+/** Finds where an input was written; `isKey` asks for the place of the key at the path's end. */
+export type PlaceFinder = (path: readonly PropertyKey[], isKey: boolean) => Place
+
+/**
+ * Builds the findings for what `schema` has against a value. The advice is the description of
+ * the part of the schema that failed, so that each key is described once.
+ *
+ * @example
+ * const parsed = schema.safeParse(value)
+ * if (!parsed.success) return buildSchemaFindings(schema, parsed.error, finder)
+ */
+export function buildSchemaFindings (schema: z.ZodType, error: z.ZodError, finder: PlaceFinder): Finding[] {
+  return error.issues.flatMap(issue => buildIssueFindings(schema, issue, finder))
+}
+
+function buildIssueFindings (schema: z.ZodType, issue: z.core.$ZodIssue, finder: PlaceFinder): Finding[] {
+  if (issue.code === 'unrecognized_keys') return issue.keys.map(key => buildUnknownKeyFinding(schema, [...issue.path, key], finder))
+  const description = findSchema(schema, issue.path)?.description
+  return [{
+    place: finder(issue.path, issue.code === 'invalid_key'),
+    path: formatPath(issue.path),
+    message: describeIssue(issue),
+    advice: description === undefined ? 'Give a value of that form.' : `Give ${description}.`
+  }]
+}
+
+function buildUnknownKeyFinding (schema: z.ZodType, path: PropertyKey[], finder: PlaceFinder): Finding {
+  const owner = findSchema(schema, path.slice(0, -1))
+  const known = owner instanceof z.ZodObject ? Object.keys(owner.shape) : []
+  return {
+    place: finder(path, true),
+    path: formatPath(path),
+    message: 'is not a known key',
+    advice: `Known keys here: ${known.join(', ')}.`
+  }
+}
+
+function describeIssue (issue: z.core.$ZodIssue): string {
+  if (issue.code === 'invalid_key') return 'is not a usable name'
+  if (issue.code === 'invalid_type' && issue.input === undefined && /received undefined/.test(issue.message)) return 'is missing'
+  return issue.message.replace(/^Invalid input: /, '').replace(/^Too (small|big): /, '')
+}
+
+function formatPath (path: readonly PropertyKey[]): string {
+  return path.map(String).join('.')
+}
+
+/** Finds the schema of the value at `path`, through optional values and defaults. */
+function findSchema (root: z.ZodType, path: readonly PropertyKey[]): z.ZodType | undefined {
+  let schema: z.ZodType | undefined = root
+  for (const key of path) {
+    const bare: unknown = schema && resolveSchema(schema)
+    if (bare instanceof z.ZodObject) schema = bare.shape[String(key)]
+    else if (bare instanceof z.ZodRecord) schema = bare.valueType as z.ZodType
+    else if (bare instanceof z.ZodArray) schema = bare.element as z.ZodType
+    else return schema
+  }
+  return schema && (schema.description === undefined ? resolveSchema(schema) : schema)
+}
+
+function resolveSchema (schema: z.ZodType): z.ZodType {
+  if (schema instanceof z.ZodOptional || schema instanceof z.ZodDefault) return resolveSchema(schema.unwrap() as z.ZodType)
+  return schema
+}
