Add a stand-in of the platform's object service

Cause: every later part needs the object service to talk to, with its limits and its faults, in-process and as a process of its own.

Ruled out: a single latency knob. A slow call, a hung call, a refused call and a write that takes effect without an answer are met by different code in the product, so each is a fault of its own.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -4,13 +4,18 @@
 
 mkdirSync('dist', { recursive: true })
 
-await build({
-  entryPoints: ['src/cli/main.ts'],
-  outfile: 'dist/tanagerwick.cjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'cjs',
-  legalComments: 'none',
-  logLevel: 'warning'
-})
+await bundle('src/cli/main.ts', 'dist/tanagerwick.cjs')
+await bundle('standins/main.ts', 'dist/standin.cjs')
+
+async function bundle (entryPoint, outfile) {
+  await build({
+    entryPoints: [entryPoint],
+    outfile,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    legalComments: 'none',
+    logLevel: 'warning'
+  })
+}
--- /dev/null
+++ b/standins/platform/laggingList.ts
@@ -0,0 +1,40 @@
+import type { Clock } from '../../src/base/clock'
+
+interface Entry<T> {
+  setAtMs: number
+  value: T
+}
+
+export interface LaggingListOptions {
+  lagMs: number
+  clock: Clock
+}
+
+/** A value that its readers see as it was some time ago. */
+export class LaggingList<T> {
+  readonly #options: LaggingListOptions
+  #entries: Array<Entry<T>>
+  #frozen: { value: T } | null = null
+
+  constructor (initial: T, options: LaggingListOptions) {
+    this.#options = options
+    this.#entries = [{ setAtMs: -Infinity, value: initial }]
+  }
+
+  /** The value as its readers see it. */
+  get (): T {
+    if (this.#frozen !== null) return this.#frozen.value
+    const seenUntilMs = this.#options.clock.getMonotonicMs() - this.#options.lagMs
+    return this.#entries.findLast(entry => entry.setAtMs <= seenUntilMs)!.value
+  }
+
+  set (value: T): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    const seen = this.#entries.findLastIndex(entry => entry.setAtMs <= nowMs - this.#options.lagMs)
+    this.#entries = [...this.#entries.slice(seen), { setAtMs: nowMs, value }]
+  }
+
+  setFrozen (frozen: boolean): void {
+    this.#frozen = frozen ? { value: this.get() } : null
+  }
+}
