--- a/src/protocol/rpcServer.ts
+++ b/src/protocol/rpcServer.ts
@@ -32,7 +32,7 @@
  */
 export class RpcServer {
   readonly #secretDigest: Buffer
-  readonly #server = new JSONRPCServer<RpcCall>()
+  readonly #server = new JSONRPCServer<RpcCall>({ errorListener: () => {} })
 
   constructor (options: { fleetSecret: string }) {
     this.#secretDigest = Buffer.from(hashText(`Bearer ${options.fleetSecret}`))
--- a/src/sidecar/attempt.ts
+++ b/src/sidecar/attempt.ts
@@ -32,6 +32,7 @@
   #outcome: AttemptOutcome | null = null
   #listener: AttemptListener | null = null
   #lastSentAtMs = 0
+  #detachedAtMs = 0
 
   constructor (options: AttemptOptions) {
     this.params = options.params
@@ -65,10 +66,20 @@
     return this.#lastSentAtMs
   }
 
+  /** Milliseconds left until the caller's deadline. */
+  getRemainingMs (nowMs: number): number {
+    return Math.max(0, this.params.remainingMs - (nowMs - this.receivedAtMs))
+  }
+
   isAttached (): boolean {
     return this.#listener !== null
   }
 
+  /** Time at which the last listener left; meaningful while none is attached. */
+  get detachedAtMs (): number {
+    return this.#detachedAtMs
+  }
+
   /** Makes `listener` the one that is told, starting with the chunks from `fromIndex` on. */
   attach (listener: AttemptListener, fromIndex: number, nowMs: number): void {
     this.#listener = listener
@@ -80,8 +91,10 @@
   }
 
   /** Stops telling `listener`, if it still is the one attached. */
-  detach (listener: AttemptListener): void {
-    if (this.#listener === listener) this.#listener = null
+  detach (listener: AttemptListener, nowMs: number): void {
+    if (this.#listener !== listener) return
+    this.#listener = null
+    this.#detachedAtMs = nowMs
   }
 
   markClaiming (): void {
--- /dev/null
+++ b/src/sidecar/attemptKeeper.ts
@@ -0,0 +1,50 @@
+import type { Clock } from '../base/clock'
+import type { Attempt } from './attempt'
+import type { AttemptRegistry } from './attemptRegistry'
+import type { Dispatcher } from './dispatcher'
+
+export interface AttemptKeeperOptions {
+  clock: Clock
+  registry: AttemptRegistry
+  dispatcher: Dispatcher
+  /** Milliseconds without a message after which an attached gateway gets a heartbeat. */
+  heartbeatMs: number
+  /** Milliseconds an idempotent attempt goes on without an attached gateway. */
+  detachedMs: number
+}
+
+const CHECKS_PER_HEARTBEAT = 4
+
+/** Sends heartbeats, gives up attempts that no gateway listens to, and forgets old ones. */
+export class AttemptKeeper {
+  readonly #options: AttemptKeeperOptions
+  #timer: NodeJS.Timeout | null = null
+
+  constructor (options: AttemptKeeperOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => this.checkAttempts(), this.#options.heartbeatMs / CHECKS_PER_HEARTBEAT)
+  }
+
+  stop (): void {
+    if (this.#timer) clearInterval(this.#timer)
+  }
+
+  /** Looks once through the open attempts. */
+  checkAttempts (): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    for (const attempt of this.#options.registry.listOpen()) this.#checkAttempt(attempt, nowMs)
+    this.#options.registry.removeExpired(nowMs)
+  }
+
+  #checkAttempt (attempt: Attempt, nowMs: number): void {
+    const { heartbeatMs, detachedMs, dispatcher } = this.#options
+    if (attempt.isAttached()) {
+      if (nowMs - attempt.lastSentAtMs >= heartbeatMs) attempt.sendHeartbeat(nowMs)
+    } else if (nowMs - attempt.detachedAtMs >= detachedMs) {
+      dispatcher.cancel(attempt.id)
+    }
+  }
+}
--- /dev/null
+++ b/src/sidecar/attemptRunner.ts
@@ -0,0 +1,161 @@
+import { Progress } from '../base/progress'
+import { createNotRun } from './dispatcher'
+
+import type { Clock } from '../base/clock'
+import type { AttemptOutcome } from '../protocol/attemptMessages'
+import type { Attempt } from './attempt'
+import type { ClaimGate, GrantedClaim } from './claimGate'
+import type { EndpointMonitor } from './endpoint/endpointMonitor'
+import type { EndpointClient, EndpointEnd } from './endpoint/endpointRun'
+
+const CLAIM_TIMEOUT_MS = 800
+const CHAT_SILENCE_MS = 4000
+const UNAVAILABLE_RETRY_MS = 1000
+const HTTP_TOO_MANY = 429
+const HTTP_UNAVAILABLE = 503
+
+/** Told of what the runs at the endpoint showed. */
+export interface RunObserver {
+  recordTokenInterval (milliseconds: number): void
+  /** The endpoint crashed while this attempt ran. */
+  recordCrash (attempt: Attempt): void
+}
+
+export interface AttemptRunnerOptions {
+  clock: Clock
+  endpoint: EndpointClient
+  monitor: EndpointMonitor
+  claims: ClaimGate
+  observer: RunObserver
+}
+
+/** Takes a dispatched attempt through claim, run and outcome. */
+export class AttemptRunner {
+  readonly #options: AttemptRunnerOptions
+
+  constructor (options: AttemptRunnerOptions) {
+    this.#options = options
+  }
+
+  /** Runs `attempt` to its end; never rejects. */
+  async run (attempt: Attempt): Promise<void> {
+    try {
+      if (shouldClaim(attempt)) await this.#runClaimed(attempt)
+      else await this.#runAtEndpoint(attempt)
+    } catch (error) {
+      attempt.end({ kind: 'mayHaveRun', reason: 'answerLost', retryAfterMs: 0 })
+      throw error
+    }
+  }
+
+  async #runClaimed (attempt: Attempt): Promise<void> {
+    attempt.markClaiming()
+    const progress = new Progress({
+      title: `claiming the idempotency key of attempt ${attempt.id}`,
+      timeoutMs: Math.min(CLAIM_TIMEOUT_MS, attempt.getRemainingMs(this.#options.clock.getMonotonicMs())),
+      clock: this.#options.clock
+    })
+    const decision = await this.#options.claims.claim(attempt.params, progress)
+    switch (decision.kind) {
+      case 'refused': return attempt.end(decision.outcome)
+      case 'answered': {
+        const { status, contentType, text } = decision.answer
+        attempt.addChunks([text], this.#options.clock.getMonotonicMs())
+        return attempt.complete(status, contentType)
+      }
+      case 'granted': return await this.#runGranted(attempt, decision.claim)
+      default: decision satisfies never
+    }
+  }
+
+  async #runGranted (attempt: Attempt, claim: GrantedClaim): Promise<void> {
+    if (attempt.signal.aborted) {
+      attempt.end(createNotRun('cancelled', 0))
+      return await claim.release()
+    }
+    const texts: string[] = []
+    const outcome = await this.#runAtEndpoint(attempt, texts)
+    if (outcome.kind === 'notRun') return await claim.release()
+    if (outcome.kind === 'completed') {
+      await claim.complete({ status: outcome.status, contentType: outcome.contentType, text: texts.join('') })
+    }
+  }
+
+  async #runAtEndpoint (attempt: Attempt, texts?: string[]): Promise<AttemptOutcome> {
+    const { clock, endpoint, monitor } = this.#options
+    const { params } = attempt
+    const remainingMs = attempt.getRemainingMs(clock.getMonotonicMs())
+    const bootId = monitor.bootId
+    const intervals = new TokenIntervals()
+    attempt.markRunning(clock.getMonotonicMs())
+    const deadline = setTimeout(() => attempt.cancel('the deadline passed'), remainingMs)
+    const end = await endpoint.run({
+      attemptId: attempt.id,
+      tier: params.tier,
+      idempotencyKey: params.idempotencyKey,
+      target: params.target,
+      silenceMs: params.target.kind === 'chat' ? CHAT_SILENCE_MS : remainingMs,
+      signal: canCancel(attempt) ? attempt.signal : new AbortController().signal,
+      onTexts: read => {
+        const nowMs = clock.getMonotonicMs()
+        attempt.addChunks(read, nowMs)
+        texts?.push(...read)
+        intervals.record(read.length, nowMs, interval => this.#options.observer.recordTokenInterval(interval))
+      }
+    })
+    clearTimeout(deadline)
+    const outcome = await this.#decideOutcome(attempt, end, bootId)
+    if (outcome.kind === 'completed') attempt.complete(outcome.status, outcome.contentType)
+    else attempt.end(outcome)
+    return attempt.outcome ?? outcome
+  }
+
+  async #decideOutcome (attempt: Attempt, end: EndpointEnd, bootId: string | null): Promise<AttemptOutcome> {
+    switch (end.kind) {
+      case 'completed': return { kind: 'completed', status: end.status, contentType: end.contentType, chunkCount: 0, digest: '' }
+      case 'notStarted':
+        this.#options.monitor.checkNow().catch(() => {})
+        return createNotRun('endpointUnavailable', UNAVAILABLE_RETRY_MS)
+      case 'cancelled': return createFailed(attempt.getRemainingMs(this.#options.clock.getMonotonicMs()) > 0 ? 'cancelled' : 'deadlinePassed', 'the attempt was cancelled')
+      case 'rejected':
+        if (end.status === HTTP_TOO_MANY || end.status === HTTP_UNAVAILABLE) return createNotRun('endpointUnavailable', UNAVAILABLE_RETRY_MS)
+        return createFailed('endpointError', `the endpoint answered ${end.status}: ${end.message}`)
+      case 'silent':
+        if (!attempt.params.idempotent) return { kind: 'mayHaveRun', reason: 'endpointSilent', retryAfterMs: UNAVAILABLE_RETRY_MS }
+        return createFailed('endpointError', end.message)
+      case 'broken': return await this.#decideBroken(attempt, end.message, bootId)
+      default: return end satisfies never
+    }
+  }
+
+  async #decideBroken (attempt: Attempt, message: string, bootId: string | null): Promise<AttemptOutcome> {
+    const hasCrashed = await this.#options.monitor.hasCrashedSince(bootId)
+    if (hasCrashed) this.#options.observer.recordCrash(attempt)
+    if (!attempt.params.idempotent) return { kind: 'mayHaveRun', reason: 'answerLost', retryAfterMs: UNAVAILABLE_RETRY_MS }
+    return createFailed(hasCrashed ? 'endpointCrashed' : 'endpointError', message)
+  }
+}
+
+/** Whether the attempt's key must be claimed before the start. */
+function shouldClaim (attempt: Attempt): boolean {
+  return !attempt.params.idempotent && attempt.params.idempotencyKey !== undefined
+}
+
+/** A call that may run once only is never cut short: its answer is worth keeping. */
+function canCancel (attempt: Attempt): boolean {
+  return attempt.params.idempotent
+}
+
+function createFailed (reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed', message: string): AttemptOutcome {
+  return { kind: 'failedAfterStart', reason, message: message.slice(0, 500) }
+}
+
+/** Measures the time between tokens of one stream. */
+class TokenIntervals {
+  #previousMs: number | null = null
+
+  record (count: number, nowMs: number, report: (milliseconds: number) => void): void {
+    if (this.#previousMs !== null) report((nowMs - this.#previousMs) / count)
+    this.#previousMs = nowMs
+  }
+}
--- /dev/null
+++ b/src/sidecar/claimGate.ts
@@ -0,0 +1,29 @@
+import type { Progress } from '../base/progress'
+import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
+
+/** An answer kept with a claim, for a caller that sends its request again. */
+export interface StoredAnswer {
+  status: number
+  contentType: string
+  /** The answer's bytes as Latin-1 text. */
+  text: string
+}
+
+/** Decision of the at-most-once gate on one attempt. */
+export type ClaimDecision =
+  | { kind: 'granted', claim: GrantedClaim }
+  | { kind: 'answered', answer: StoredAnswer }
+  | { kind: 'refused', outcome: AttemptOutcome }
+
+/** A claim held by this sidecar for one attempt. */
+export interface GrantedClaim {
+  /** Keeps the answer for callers that send the request again. */
+  complete (answer: StoredAnswer): Promise<void>
+  /** Gives the key free: the attempt was not run. */
+  release (): Promise<void>
+}
+
+/** Claims an attempt's idempotency key durably before it may start. */
+export interface ClaimGate {
+  claim (params: SubmitAttempt, progress: Progress): Promise<ClaimDecision>
+}
--- /dev/null
+++ b/src/sidecar/dispatcher.ts
@@ -0,0 +1,238 @@
+import * as csp from 'js-csp'
+
+import { RequestQueue } from '../policy/requestQueue'
+
+import type { Clock } from '../base/clock'
+import type { AttemptOutcome, EndpointLoad, NotRunReason } from '../protocol/attemptMessages'
+import type { QueueEntry, TakenEntry } from '../policy/requestQueue'
+import type { Attempt } from './attempt'
+
+const COMMAND_BUFFER = 4096
+const MAX_TIMER_MS = 1000
+const INITIAL_RELEASE_INTERVAL_MS = 200
+const TOKEN_INTERVAL_SMOOTHING = 0.1
+
+type DispatcherCommand =
+  | { kind: 'submit', attempt: Attempt }
+  | { kind: 'cancel', attemptId: string }
+  | { kind: 'released', attempt: Attempt, ranForMs: number }
+  | { kind: 'checkQueue' }
+
+/** What the dispatcher asks about an attempt before it is queued and again before it is started. */
+export type AdmissionCheck = (attempt: Attempt) => AttemptOutcome | null
+
+/** How an attempt came to be started; `share` starts may go before a higher tier. */
+export type StartRule = TakenEntry['by']
+
+export interface DispatcherOptions {
+  clock: Clock
+  maxQueued: number
+  /** Requests that may run at once now. */
+  getSlots: () => number
+  /** Guaranteed fraction of starts of a class. */
+  getShare: (className: string) => number
+  /** Returns the outcome that refuses the attempt, or null when it may go on. */
+  checkAdmission: AdmissionCheck
+  /** Runs a started attempt to its end; never rejects. */
+  run: (attempt: Attempt, rule: StartRule) => Promise<void>
+}
+
+/**
+ * Owns the queue and the slots of one endpoint. All changes pass through one channel and one
+ * process, so that an attempt is started, withdrawn or displaced exactly once.
+ */
+export class Dispatcher {
+  readonly #options: DispatcherOptions
+  readonly #queue: RequestQueue
+  readonly #commands = csp.chan<DispatcherCommand>(csp.buffers.fixed(COMMAND_BUFFER))
+  readonly #waiting = new Map<string, Attempt>()
+  readonly #running = new Set<Attempt>()
+  #tokenIntervalMs = 0
+  #isDraining = false
+  #notifyIdle: (() => void) | null = null
+
+  constructor (options: DispatcherOptions) {
+    this.#options = options
+    this.#queue = new RequestQueue({
+      maxQueued: options.maxQueued,
+      initialReleaseIntervalMs: INITIAL_RELEASE_INTERVAL_MS
+    })
+    csp.spawn(this.#serveCommands())
+  }
+
+  /** Hands in an attempt; it ends as not run, or is run later. */
+  submit (attempt: Attempt): void {
+    csp.putAsync(this.#commands, { kind: 'submit', attempt })
+  }
+
+  /** Gives an attempt up: out of the queue when it waits there, cancelled when it runs. */
+  cancel (attemptId: string): void {
+    csp.putAsync(this.#commands, { kind: 'cancel', attemptId })
+  }
+
+  /** Looks again at what waits, after slots or admission changed. */
+  notifyChanged (): void {
+    csp.putAsync(this.#commands, { kind: 'checkQueue' })
+  }
+
+  /** Records the milliseconds between tokens that the endpoint shows. */
+  recordTokenInterval (milliseconds: number): void {
+    this.#tokenIntervalMs += TOKEN_INTERVAL_SMOOTHING * (milliseconds - this.#tokenIntervalMs)
+  }
+
+  /** Refuses what waits and all that comes; settles when nothing runs any more. */
+  async drain (): Promise<void> {
+    this.#isDraining = true
+    this.notifyChanged()
+    if (this.#running.size === 0 && this.#waiting.size === 0) return
+    await new Promise<void>(resolve => { this.#notifyIdle = resolve })
+  }
+
+  listRunning (): Attempt[] {
+    return [...this.#running]
+  }
+
+  getLoad (): EndpointLoad {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    return {
+      running: this.#running.size,
+      slots: Math.max(1, this.#options.getSlots()),
+      queuedByTier: this.#queue.countByTier(),
+      waitMsByTier: this.#queue.estimateWaitMsByTier(nowMs),
+      tokenIntervalMs: this.#tokenIntervalMs,
+      draining: this.#isDraining
+    }
+  }
+
+  * #serveCommands (): Generator<unknown, void, any> {
+    for (;;) {
+      const timer = csp.timeout(this.#getTimerMs())
+      const result: csp.AltsResult<DispatcherCommand | null> = yield csp.alts([this.#commands, timer], { priority: true })
+      const nowMs = this.#options.clock.getMonotonicMs()
+      if (result.channel === this.#commands && result.value !== null) this.#handle(result.value, nowMs)
+      this.#checkQueue(nowMs)
+    }
+  }
+
+  #handle (command: DispatcherCommand, nowMs: number): void {
+    switch (command.kind) {
+      case 'submit': return this.#admit(command.attempt, nowMs)
+      case 'cancel': return this.#cancel(command.attemptId)
+      case 'released': return this.#release(command.attempt, command.ranForMs, nowMs)
+      case 'checkQueue': return
+      default: command satisfies never
+    }
+  }
+
+  #admit (attempt: Attempt, nowMs: number): void {
+    const refusal = this.#isDraining ? createNotRun('draining', 0) : this.#options.checkAdmission(attempt)
+    if (refusal) return attempt.end(refusal)
+    this.#setSlots(nowMs)
+    const decision = this.#queue.offer(this.#createEntry(attempt, nowMs), nowMs)
+    switch (decision.kind) {
+      case 'refused': return attempt.end(createNotRun(decision.reason, decision.retryAfterMs))
+      case 'queued':
+        this.#waiting.set(attempt.id, attempt)
+        for (const entry of decision.displaced) this.#endWaiting(entry, 'displaced', nowMs)
+        return
+      default: decision satisfies never
+    }
+  }
+
+  #cancel (attemptId: string): void {
+    if (this.#queue.remove(attemptId)) {
+      this.#takeWaiting(attemptId)?.end(createNotRun('cancelled', 0))
+      return
+    }
+    for (const attempt of this.#running) {
+      if (attempt.id === attemptId) attempt.cancel('the gateway cancelled the attempt')
+    }
+  }
+
+  #release (attempt: Attempt, ranForMs: number, nowMs: number): void {
+    this.#running.delete(attempt)
+    this.#queue.recordRelease({
+      tier: attempt.params.tier,
+      workspace: attempt.params.workspace,
+      ranForMs,
+      outputTokens: attempt.chunkCount
+    }, nowMs)
+  }
+
+  #checkQueue (nowMs: number): void {
+    this.#setSlots(nowMs)
+    for (const entry of this.#queue.takeExpired(nowMs)) this.#endWaiting(entry, 'cannotMeetDeadline', nowMs)
+    if (this.#isDraining) this.#refuseWaiting()
+    else this.#startWaiting(nowMs)
+    if (this.#isDraining && this.#running.size === 0) this.#notifyIdle?.()
+  }
+
+  #startWaiting (nowMs: number): void {
+    while (this.#running.size < this.#options.getSlots()) {
+      const taken = this.#queue.takeNext(nowMs)
+      if (taken === null) return
+      const attempt = this.#takeWaiting(taken.entry.id)
+      if (attempt === undefined) continue
+      const refusal = this.#options.checkAdmission(attempt)
+      if (refusal) attempt.end(refusal)
+      else this.#start(attempt, taken.by, nowMs)
+      this.#setSlots(nowMs)
+    }
+  }
+
+  #start (attempt: Attempt, rule: StartRule, nowMs: number): void {
+    this.#running.add(attempt)
+    this.#options.run(attempt, rule).finally(() => {
+      const ranForMs = this.#options.clock.getMonotonicMs() - nowMs
+      csp.putAsync(this.#commands, { kind: 'released', attempt, ranForMs })
+    })
+  }
+
+  #refuseWaiting (): void {
+    for (const attempt of this.#waiting.values()) {
+      this.#queue.remove(attempt.id)
+      attempt.end(createNotRun('draining', 0))
+    }
+    this.#waiting.clear()
+  }
+
+  #endWaiting (entry: QueueEntry, reason: NotRunReason, nowMs: number): void {
+    const retryAfterMs = this.#queue.estimateWaitMsByTier(nowMs)[entry.tier - 1] ?? 0
+    this.#takeWaiting(entry.id)?.end(createNotRun(reason, retryAfterMs))
+  }
+
+  #takeWaiting (attemptId: string): Attempt | undefined {
+    const attempt = this.#waiting.get(attemptId)
+    this.#waiting.delete(attemptId)
+    return attempt
+  }
+
+  #setSlots (nowMs: number): void {
+    this.#queue.setSlots({ running: this.#running.size, limit: this.#options.getSlots() }, nowMs)
+  }
+
+  #getTimerMs (): number {
+    const nextMs = this.#queue.getNextExpiryMs()
+    if (nextMs === undefined) return MAX_TIMER_MS
+    return Math.min(MAX_TIMER_MS, Math.max(1, nextMs - this.#options.clock.getMonotonicMs()))
+  }
+
+  #createEntry (attempt: Attempt, nowMs: number): QueueEntry {
+    const { params } = attempt
+    return {
+      id: attempt.id,
+      tier: params.tier,
+      className: params.className,
+      workspace: params.workspace,
+      enqueuedAtMs: nowMs,
+      startByMs: nowMs + attempt.getRemainingMs(nowMs),
+      firstTokenDueMs: nowMs + params.firstTokenRemainingMs,
+      share: this.#options.getShare(params.className)
+    }
+  }
+}
+
+/** Creates the outcome of an attempt that did not run. */
+export function createNotRun (reason: NotRunReason, retryAfterMs: number): AttemptOutcome {
+  return { kind: 'notRun', reason, retryAfterMs: Math.ceil(retryAfterMs) }
+}
