Add the callers' side of the gateway

Cause: the gateway needs an HTTP face that authenticates, classifies and checks requests before the relay sees them, and that ends no process on bad input.

Change: CallerServer with limits on header, body and their times; workspace lookup by key digest; class by header or workspace; loose check of the chat form; calls of plain services with paths that an endpoint cannot read another way than the route marking did; answers as stream, whole completion or plain service answer, with back pressure, hang-up signal and errors that say whether the request was run. A stream that fails after its start is cut without its end marker.

Ruled out: writing an error into a connection whose answer has begun (a garbled follow-up request would corrupt the stream before it), and closing the connection at once on a body that is too large (the caller would see a reset in place of its refusal).

--- /dev/null
+++ b/src/gateway/answerBase.ts
@@ -0,0 +1,76 @@
+import { writeError } from './responseWriter'
+
+import type { ServerResponse } from 'node:http'
+import type { CallerAnswer, Completion } from './callerAnswer'
+import type { Refusal } from './errorBody'
+
+/** What every form of answer needs to know of its request. */
+export interface AnswerOptions {
+  requestId: string
+  response: ServerResponse
+}
+
+/** State that the forms of an answer share: hang-up, begin, end and errors before the start. */
+export abstract class AnswerBase implements CallerAnswer {
+  protected readonly response: ServerResponse
+  protected readonly requestId: string
+  readonly #hangUp = new AbortController()
+  #hasBegun = false
+  #hasEnded = false
+
+  constructor (options: AnswerOptions) {
+    this.response = options.response
+    this.requestId = options.requestId
+    this.response.once('close', () => this.#handleClose())
+    this.response.on('error', () => this.#handleClose())
+  }
+
+  get signal (): AbortSignal {
+    return this.#hangUp.signal
+  }
+
+  get hasBegun (): boolean {
+    return this.#hasBegun
+  }
+
+  get hasEnded (): boolean {
+    return this.#hasEnded
+  }
+
+  begin (): void {
+    if (this.#hasBegun || this.#hasEnded) return
+    this.#hasBegun = this.sendBeginning()
+  }
+
+  abstract writeText (text: string): Promise<void> | undefined
+
+  complete (completion: Completion): void {
+    if (this.#hasEnded) return
+    this.begin()
+    this.#hasEnded = true
+    this.sendEnd(completion)
+  }
+
+  refuse (refusal: Refusal): void {
+    this.fail(refusal)
+  }
+
+  fail (refusal: Refusal): void {
+    if (this.#hasEnded) return
+    this.#hasEnded = true
+    if (this.#hasBegun) this.sendFailure(refusal)
+    else writeError(this.response, this.requestId, refusal)
+  }
+
+  /** Sends what comes before the text and tells whether the caller has now received something. */
+  protected abstract sendBeginning (): boolean
+  protected abstract sendEnd (completion: Completion): void
+  /** Sends an error after the beginning was sent. */
+  protected abstract sendFailure (refusal: Refusal): void
+
+  #handleClose (): void {
+    if (this.#hasEnded) return
+    this.#hasEnded = true
+    this.#hangUp.abort(new Error('the caller hung up'))
+  }
+}
--- /dev/null
+++ b/src/gateway/authenticator.ts
@@ -0,0 +1,48 @@
+import { createHash, timingSafeEqual } from 'node:crypto'
+
+import { err, ok } from 'true-myth/result'
+
+import type { Result } from 'true-myth'
+import type { FleetConfig, Workspace } from '../config/fleetConfig'
+import type { Refusal } from './errorBody'
+
+const MAX_KEY_CHARACTERS = 512
+const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
+
+interface KeyHolder {
+  digest: Buffer
+  workspace: Workspace
+}
+
+/** Finds the workspace of a bearer key; only digests of keys are held. */
+export class Authenticator {
+  readonly #holders = new Map<string, KeyHolder>()
+
+  constructor (config: FleetConfig) {
+    for (const workspace of config.workspaces.values()) {
+      for (const digest of workspace.keyDigests) {
+        this.#holders.set(digest.toLowerCase(), { digest: Buffer.from(digest, 'hex'), workspace })
+      }
+    }
+  }
+
+  /**
+   * Finds the workspace that an `Authorization` header names.
+   *
+   * @example
+   * authenticator.findWorkspace('Bearer key-of-a-workspace')
+   */
+  findWorkspace (authorization: string | undefined): Result<Workspace, Refusal> {
+    const key = BEARER.exec(authorization ?? '')?.[1]
+    if (key === undefined) return err(createRefusal("Send the workspace's key as 'Authorization: Bearer KEY'."))
+    if (key.length > MAX_KEY_CHARACTERS) return err(createRefusal('The key is longer than any key of a workspace.'))
+    const digest = createHash('sha256').update(key).digest()
+    const holder = this.#holders.get(digest.toString('hex'))
+    if (holder === undefined || !timingSafeEqual(holder.digest, digest)) return err(createRefusal('The key belongs to no workspace.'))
+    return ok(holder.workspace)
+  }
+}
+
+function createRefusal (message: string): Refusal {
+  return { code: 'invalid_api_key', message, execution: 'not_run' }
+}
--- /dev/null
+++ b/src/gateway/bufferedAnswer.ts
@@ -0,0 +1,30 @@
+import { AnswerBase } from './answerBase'
+
+const MAX_ANSWER_CHARACTERS = 16 * 1024 * 1024
+
+/** An answer that is sent only once it is whole; it holds the text until then, up to a limit. */
+export abstract class BufferedAnswer extends AnswerBase {
+  readonly #parts: string[] = []
+  #length = 0
+
+  override writeText (text: string): undefined {
+    if (this.hasEnded) return
+    this.#length += text.length
+    if (this.#length > MAX_ANSWER_CHARACTERS) {
+      this.fail({ code: 'answer_too_large', message: 'The endpoint sent an answer larger than this form can carry.', execution: 'may_have_run' })
+      return
+    }
+    this.#parts.push(text)
+  }
+
+  protected override sendBeginning (): boolean {
+    return false
+  }
+
+  /** Never called: nothing is sent before the end. */
+  protected override sendFailure (): void {}
+
+  protected getText (): string {
+    return this.#parts.join('')
+  }
+}
--- /dev/null
+++ b/src/gateway/callerServer.ts
@@ -0,0 +1,262 @@
+import { createServer } from 'node:http'
+
+import { systemClock } from '../base/clock'
+import { createId } from '../base/identifiers'
+import { Progress } from '../base/progress'
+import { Authenticator } from './authenticator'
+import { readBody } from './bodyReader'
+import { chooseClass, CLASS_HEADER } from './classifier'
+import { buildCallerRequest, createAnswer } from './requestBuilder'
+import { writeError, writeJson } from './responseWriter'
+import { SERVICES_PREFIX } from './servicePath'
+import { writeSocketError } from './socketError'
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { Clock } from '../base/clock'
+import type { FleetConfig, Workspace } from '../config/fleetConfig'
+import type { ListenAddress } from '../config/processSettings'
+import type { CallerAnswer } from './callerAnswer'
+import type { CallerRequest } from './callerRequest'
+import type { Refusal } from './errorBody'
+import type { AdmitRequest, RequestRelay } from './requestRelay'
+
+/** Bounds on what one caller may make the process hold or wait for. */
+export interface CallerLimits {
+  maxHeaderBytes: number
+  maxBodyBytes: number
+  /** Milliseconds within which a request's header must have arrived. */
+  headerTimeoutMs: number
+  /** Milliseconds within which a whole request must have arrived. */
+  requestTimeoutMs: number
+  /** Milliseconds for which an idle connection is kept. */
+  keepAliveMs: number
+  maxConnections: number
+}
+
+/** Handler of a path that is not the callers'. */
+export type RouteHandler = (request: IncomingMessage, response: ServerResponse) => void
+
+export interface CallerServerOptions {
+  /** Returns the configuration in force, or null before the first was adopted. */
+  getConfig: () => FleetConfig | null
+  relay: RequestRelay
+  admit: AdmitRequest
+  /** Handlers by exact path, such as `/rpc`, `/metrics` and `/state`. */
+  handlers: Record<string, RouteHandler>
+  /** Wraps the answer of an admitted request, for example to measure it. */
+  observe?: (request: CallerRequest, answer: CallerAnswer) => CallerAnswer
+  /** Told of an error that no request should cause. */
+  reportError?: (error: unknown) => void
+  limits?: Partial<CallerLimits>
+  clock?: Clock
+}
+
+const DEFAULT_LIMITS: CallerLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 4 * 1024 * 1024,
+  headerTimeoutMs: 5_000,
+  requestTimeoutMs: 15_000,
+  keepAliveMs: 65_000,
+  maxConnections: 8_192
+}
+const CHECK_INTERVAL_MS = 250
+const CHAT_PATH = '/v1/chat/completions'
+const MODELS_PATH = '/v1/models'
+const CONFIG_RETRY_AFTER_MS = 1_000
+const DRAIN_RETRY_AFTER_MS = 1_000
+
+/**
+ * The callers' side of a gateway: HTTP in, checked requests out to the relay.
+ *
+ * @example
+ * const server = new CallerServer({ getConfig, relay, admit, handlers: {} })
+ * const { port } = await server.listen({ host: '127.0.0.1', port: 0 })
+ */
+export class CallerServer {
+  readonly #options: CallerServerOptions
+  readonly #limits: CallerLimits
+  readonly #clock: Clock
+  readonly #server: Server
+  readonly #inFlight = new Set<ServerResponse>()
+  readonly #responses = new WeakMap<Duplex, ServerResponse>()
+  #authenticator: { config: FleetConfig, value: Authenticator } | null = null
+  #isDraining = false
+  #notifyIdle: (() => void) | null = null
+
+  constructor (options: CallerServerOptions) {
+    this.#options = options
+    this.#limits = { ...DEFAULT_LIMITS, ...options.limits }
+    this.#clock = options.clock ?? systemClock
+    this.#server = this.#createServer()
+  }
+
+  /** Number of requests whose answer has not ended. */
+  countInFlight (): number {
+    return this.#inFlight.size
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @throws the system's error when the address is taken or not of this machine
+   */
+  async listen (address: ListenAddress): Promise<ListenAddress> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(address.port, address.host, () => {
+        this.#server.off('error', reject)
+        resolve()
+      })
+    })
+    const { address: host, port } = this.#server.address() as AddressInfo
+    return { host, port }
+  }
+
+  /**
+   * Refuses new requests of callers, lets those in flight finish, then closes the server.
+   * Handlers such as `/rpc` answer until then.
+   *
+   * @throws TimeoutError when `progress` runs out before the last answer has ended
+   */
+  async drain (progress: Progress): Promise<void> {
+    this.#isDraining = true
+    for (const response of this.#inFlight) response.shouldKeepAlive = false
+    if (this.#inFlight.size > 0) {
+      const idle = new Promise<void>(resolve => { this.#notifyIdle = resolve })
+      await progress.wait(`${this.#inFlight.size} requests in flight to finish`, idle)
+    }
+    this.#server.close()
+    this.#server.closeIdleConnections()
+  }
+
+  /** Closes the server and each of its connections at once. */
+  close (): void {
+    this.#isDraining = true
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  #createServer (): Server {
+    const server = createServer({
+      maxHeaderSize: this.#limits.maxHeaderBytes,
+      headersTimeout: this.#limits.headerTimeoutMs,
+      requestTimeout: this.#limits.requestTimeoutMs,
+      keepAliveTimeout: this.#limits.keepAliveMs,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      noDelay: true
+    })
+    server.maxConnections = this.#limits.maxConnections
+    server.on('request', (request, response) => this.#handleRequest(request, response))
+    server.on('clientError', (error, socket) => writeSocketError(error, socket, this.#responses.get(socket)))
+    server.on('error', error => this.#options.reportError?.(error))
+    return server
+  }
+
+  #handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    response.on('error', () => {})
+    request.on('error', () => {})
+    this.#responses.set(request.socket, response)
+    response.once('close', () => this.#responses.delete(request.socket))
+    const requestId = createId('req')
+    this.#dispatch(requestId, request, response).catch((error: unknown) => {
+      this.#options.reportError?.(error)
+      writeError(response, requestId, { code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' })
+    })
+  }
+
+  async #dispatch (requestId: string, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = getPath(request)
+    const handler = Object.hasOwn(this.#options.handlers, path) ? this.#options.handlers[path] : undefined
+    if (handler !== undefined) return handler(request, response)
+    const refusal = checkRoute(path, request.method ?? '')
+    if (refusal !== null) return writeError(response, requestId, refusal)
+    if (this.#isDraining) response.setHeader('connection', 'close')
+    if (this.#isDraining) return writeError(response, requestId, { code: 'draining', message: 'This gateway is leaving.', execution: 'not_run', retryAfterMs: DRAIN_RETRY_AFTER_MS })
+    const config = this.#options.getConfig()
+    if (config === null) return writeError(response, requestId, { code: 'configuration_missing', message: 'This gateway has no configuration yet.', execution: 'not_run', retryAfterMs: CONFIG_RETRY_AFTER_MS })
+    const workspace = this.#getAuthenticator(config).findWorkspace(request.headers.authorization)
+    if (workspace.isErr) return writeError(response, requestId, workspace.error)
+    if (path === MODELS_PATH) return writeJson(response, requestId, 200, buildModelList(config))
+    await this.#serve({ requestId, request, response, config, workspace: workspace.value })
+  }
+
+  async #serve (call: Call): Promise<void> {
+    const { requestId, request, response, config, workspace } = call
+    const arrivedAtMs = this.#clock.getMonotonicMs()
+    const serviceClass = chooseClass(config, workspace, request.headers[CLASS_HEADER] as string | undefined)
+    if (serviceClass.isErr) return writeError(response, requestId, serviceClass.error)
+    const admission = this.#options.admit(workspace)
+    if (admission.kind === 'refused') return writeError(response, requestId, admission.refusal)
+    this.#track(response, admission.release)
+    const body = await readBody(request, this.#limits.maxBodyBytes)
+    if (body.isErr) return body.error.kind === 'refused' ? writeError(response, requestId, body.error.refusal) : undefined
+    const built = buildCallerRequest({ requestId, request, body: body.value, config, workspace, serviceClass: serviceClass.value, arrivedAtMs })
+    if (built.isErr) return writeError(response, requestId, built.error)
+    await this.#relay(built.value, response)
+  }
+
+  async #relay (callerRequest: CallerRequest, response: ServerResponse): Promise<void> {
+    const base = createAnswer(callerRequest, response, this.#clock)
+    const answer = this.#options.observe?.(callerRequest, base) ?? base
+    const elapsedMs = this.#clock.getMonotonicMs() - callerRequest.arrivedAtMs
+    const progress = new Progress({
+      title: `answering ${callerRequest.requestId}`,
+      timeoutMs: callerRequest.serviceClass.deadlineMs - elapsedMs,
+      signal: answer.signal,
+      clock: this.#clock
+    })
+    try {
+      await this.#options.relay.relay(callerRequest, answer, progress)
+    } catch (error) {
+      this.#options.reportError?.(error)
+    }
+    answer.fail({ code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' })
+  }
+
+  #track (response: ServerResponse, release: () => void): void {
+    this.#inFlight.add(response)
+    response.once('close', () => {
+      this.#inFlight.delete(response)
+      release()
+      if (this.#inFlight.size === 0) this.#notifyIdle?.()
+    })
+  }
+
+  #getAuthenticator (config: FleetConfig): Authenticator {
+    if (this.#authenticator?.config !== config) this.#authenticator = { config, value: new Authenticator(config) }
+    return this.#authenticator.value
+  }
+}
+
+interface Call {
+  requestId: string
+  request: IncomingMessage
+  response: ServerResponse
+  config: FleetConfig
+  workspace: Workspace
+}
+
+function getPath (request: IncomingMessage): string {
+  const url = request.url ?? '/'
+  const queryAt = url.indexOf('?')
+  return queryAt === -1 ? url : url.slice(0, queryAt)
+}
+
+function checkRoute (path: string, method: string): Refusal | null {
+  if (path === CHAT_PATH) return checkMethod(method, 'POST')
+  if (path === MODELS_PATH) return checkMethod(method, 'GET')
+  if (path.startsWith(SERVICES_PREFIX)) return null
+  return { code: 'not_found', message: `Nothing is served at '${path.slice(0, 100)}'.`, execution: 'not_run' }
+}
+
+function checkMethod (method: string, expected: string): Refusal | null {
+  if (method === expected) return null
+  return { code: 'method_not_allowed', message: `Use ${expected} here.`, execution: 'not_run' }
+}
+
+function buildModelList (config: FleetConfig): unknown {
+  const data = [...config.models].sort().map(id => ({ id, object: 'model', created: 0, owned_by: 'tanagerwick' }))
+  return { object: 'list', data }
+}
