--- /dev/null
+++ b/src/base/labelSets.ts
@@ -0,0 +1,55 @@
+/** Names and values that tell the series of one metric apart. */
+export type Labels = Readonly<Record<string, string>>
+
+const MAX_LABEL_SETS = 200
+const MAX_VALUE_CHARACTERS = 100
+const OTHER = 'other'
+
+/** Holds one item for each set of labels, up to a bound; later sets share one item. */
+export class LabelSets<T> {
+  readonly #create: () => T
+  readonly #items = new Map<string, { labels: Labels, item: T }>()
+
+  constructor (create: () => T) {
+    this.#create = create
+  }
+
+  /** Returns the item of `labels` and creates it when it is new. */
+  take (labels: Labels): T {
+    const found = this.#items.get(getKey(labels))
+    if (found !== undefined) return found.item
+    const kept = this.#items.size < MAX_LABEL_SETS ? labels : getOtherLabels(labels)
+    const key = getKey(kept)
+    const entry = this.#items.get(key) ?? { labels: kept, item: this.#create() }
+    this.#items.set(key, entry)
+    return entry.item
+  }
+
+  list (): Array<{ labels: Labels, item: T }> {
+    return [...this.#items.values()]
+  }
+}
+
+/**
+ * Formats labels for the Prometheus text format.
+ *
+ * @example
+ * formatLabels({ class: 'panel' }) // '{class="panel"}'
+ */
+export function formatLabels (labels: Labels): string {
+  const parts = Object.entries(labels).map(([name, value]) => `${name}="${formatValue(value)}"`)
+  return parts.length === 0 ? '' : `{${parts.join(',')}}`
+}
+
+function getKey (labels: Labels): string {
+  return Object.values(labels).join('\0')
+}
+
+function getOtherLabels (labels: Labels): Labels {
+  return Object.fromEntries(Object.keys(labels).map(name => [name, OTHER]))
+}
+
+function formatValue (value: string): string {
+  const cut = value.slice(0, MAX_VALUE_CHARACTERS)
+  return cut.replace(/\\/g, '\\\\').replace(/"/g, '\\"').replace(/\n/g, '\\n')
+}
