Add the state command and usage errors of the command line

Cause: operators read a process's state from their desk; a wrong command line should have its own exit code.

Change: `tanagerwick state ADDRESS [--json]`; exit codes in a module of their own, so that commands do not import the program's entry; usage errors exit with 2.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,23 +1,29 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
+import { stateCommand } from './commands/state'
+import { EXIT_CODES } from './exitCodes'
 import { VERSION } from './version'
 
-/** Exit codes of the command line; docs/OPERATIONS.md lists them. */
-export const EXIT_CODES = { ok: 0, findings: 1, usage: 2, unavailable: 3, conflict: 4 } as const
+/** A command line that names no command, or one with wrong flags. */
+class UsageError extends Error {
+  override name = 'UsageError'
+}
 
 /** Runs the command line with `argv`, the words after the program's name. */
 export async function runMain (argv: string[]): Promise<void> {
   await yargs(argv)
     .scriptName('tanagerwick')
     .version(VERSION)
+    .command(stateCommand)
     .strict()
     .demandCommand(1, 'Name a command; --help lists them.')
+    .fail((message, error) => { throw error ?? new UsageError(message) })
     .help()
     .parseAsync()
 }
 
 runMain(hideBin(process.argv)).catch((error: Error) => {
   process.stderr.write(`${error.message}\n`)
-  process.exitCode = EXIT_CODES.unavailable
+  process.exitCode = error instanceof UsageError ? EXIT_CODES.usage : EXIT_CODES.unavailable
 })
