Add the gateway's relay: offers, attempts, lost streams, resumption

Cause: a caller's request must end in one whole answer or one truthful refusal whatever an endpoint or connection does. Ruled out: re-sending after any error; an attempt is re-offered only when it is known not to have run or is idempotent. Change: attempt session with fencing and attaching, assembly that checks order, count and digest, offer rounds over the ranked endpoints. Not run end to end yet.

--- /dev/null
+++ b/src/gateway/attemptSession.ts
@@ -0,0 +1,188 @@
+import * as csp from 'js-csp'
+
+import { Progress } from '../base/progress'
+
+import type { AttemptNotification, AttemptOutcome, NotRunReason, SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
+import type { AnswerAssembly } from './answerAssembly'
+import type { AttemptEvent } from './attemptEvent'
+import type { SidecarPeer } from './sidecarPeer'
+
+/** How an attempt ended as far as the gateway can find out. */
+export type AttemptEnd =
+  | { kind: 'completed', status: number, contentType: string }
+  | { kind: 'notRun', reason: NotRunReason | 'unreachable', retryAfterMs: number }
+  | { kind: 'mayHaveRun', reason: string, retryAfterMs: number }
+  | { kind: 'failed', reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed' | 'malformed', message: string, crashCount: number }
+
+/** Told of what an attempt shows on its way. */
+export interface AttemptObserver {
+  recordStamp (stamp: SidecarStamp): void
+  recordAccepted (stamp: SidecarStamp): void
+  recordStarted (): void
+  recordChunks (count: number): void
+  /** The stream was lost and is looked for on a new connection. */
+  recordLost (message: string): void
+}
+
+export interface AttemptSessionOptions {
+  peer: SidecarPeer
+  params: SubmitAttempt
+  assembly: AnswerAssembly
+  observer: AttemptObserver
+  progress: Progress
+  /** Epoch under which the sidecar was known before the attempt was sent. */
+  expectedEpoch: string
+}
+
+const CANCEL_TIMEOUT_MS = 2000
+const MAX_ATTACHES = 4
+const FENCE_TRIES = 3
+
+/** Runs one attempt at one sidecar to an end that can be relied on. */
+export class AttemptSession {
+  readonly #options: AttemptSessionOptions
+  #knownEpoch: string
+  #hasSeenAccepted = false
+
+  constructor (options: AttemptSessionOptions) {
+    this.#options = options
+    this.#knownEpoch = options.expectedEpoch
+  }
+
+  /** Resolves with the attempt's end; never rejects. */
+  async run (): Promise<AttemptEnd> {
+    const { peer, params, assembly, progress } = this.#options
+    assembly.beginAttempt()
+    let events = peer.submit(params, progress)
+    for (let attaches = 0; ; attaches++) {
+      const end = await runProcess(this.#serveEvents(events))
+      if (end.kind !== 'lost') return end
+      if (progress.signal.aborted) return await this.#release()
+      this.#options.observer.recordLost(end.message)
+      const settled = await this.#resolveLost()
+      if (settled !== null) return settled
+      if (attaches === MAX_ATTACHES) return await this.#release()
+      events = peer.attach(params.attemptId, assembly.attemptChunkCount, progress)
+    }
+  }
+
+  * #serveEvents (events: csp.Channel<AttemptEvent>): Generator<unknown, AttemptEnd | LostEnd, any> {
+    for (;;) {
+      const event: AttemptEvent | null = yield csp.take(events)
+      if (event === null) return { kind: 'lost', message: 'the stream of events was closed' }
+      switch (event.kind) {
+        case 'ended': return this.#finish(event)
+        case 'notifications': {
+          const fault = this.#handleNotifications(event.notifications)
+          if (fault !== null) return { kind: 'failed', reason: 'malformed', message: fault, crashCount: 0 }
+          const full = this.#options.assembly.flush()
+          if (full) yield csp.take(toChannel(full))
+          break
+        }
+        default: event satisfies never
+      }
+    }
+  }
+
+  #handleNotifications (notifications: AttemptNotification[]): string | null {
+    let chunkCount = 0
+    for (const notification of notifications) {
+      if (notification.params.attemptId !== this.#options.params.attemptId) return 'the sidecar sent a message of another attempt'
+      switch (notification.method) {
+        case 'accepted':
+          this.#recordAccepted(notification.params.stamp)
+          break
+        case 'started':
+          this.#options.observer.recordStarted()
+          break
+        case 'chunk': {
+          const fault = this.#options.assembly.addChunk(notification.params.index, notification.params.text)
+          if (fault !== null) return `the sidecar's chunks are not whole: ${fault}`
+          chunkCount += 1
+          break
+        }
+        case 'heartbeat':
+          break
+        default: notification satisfies never
+      }
+    }
+    if (chunkCount > 0) this.#options.observer.recordChunks(chunkCount)
+    return null
+  }
+
+  #recordAccepted (stamp: SidecarStamp): void {
+    this.#knownEpoch = stamp.sidecarEpoch
+    if (this.#hasSeenAccepted) this.#options.observer.recordStamp(stamp)
+    else this.#options.observer.recordAccepted(stamp)
+    this.#hasSeenAccepted = true
+  }
+
+  #finish (event: Extract<AttemptEvent, { kind: 'ended' }>): AttemptEnd | LostEnd {
+    if (event.result.isErr) return this.#finishWithError(event.result.error)
+    const { outcome, stamp } = event.result.value
+    this.#options.observer.recordStamp(stamp)
+    return this.#toEnd(outcome)
+  }
+
+  #finishWithError (error: { kind: string, message: string }): AttemptEnd | LostEnd {
+    if (error.kind === 'notSent' && !this.#hasSeenAccepted) return { kind: 'notRun', reason: 'unreachable', retryAfterMs: 0 }
+    return { kind: 'lost', message: error.message }
+  }
+
+  #toEnd (outcome: AttemptOutcome): AttemptEnd {
+    switch (outcome.kind) {
+      case 'completed': {
+        const fault = this.#options.assembly.finishAttempt(outcome.chunkCount, outcome.digest)
+        if (fault !== null) return { kind: 'failed', reason: 'malformed', message: `the answer is not whole: ${fault}`, crashCount: 0 }
+        this.#options.assembly.flush()?.catch(() => {})
+        return { kind: 'completed', status: outcome.status, contentType: outcome.contentType }
+      }
+      case 'notRun': return { kind: 'notRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+      case 'mayHaveRun': return { kind: 'mayHaveRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+      case 'failedAfterStart': return { kind: 'failed', reason: outcome.reason, message: outcome.message, crashCount: outcome.crashCount }
+      default: return outcome satisfies never
+    }
+  }
+
+  /** Finds out what became of a lost attempt; null when it goes on and can be attached to. */
+  async #resolveLost (): Promise<AttemptEnd | null> {
+    const { peer, params, progress, observer } = this.#options
+    for (let tries = 0; tries < FENCE_TRIES; tries++) {
+      const answer = await peer.fenceAttempt(params.attemptId, progress)
+      if (answer.isErr) continue
+      observer.recordStamp(answer.value.stamp)
+      if (answer.value.state !== 'unknown') return null
+      return this.#decideUnknown(answer.value.stamp.sidecarEpoch)
+    }
+    return { kind: 'mayHaveRun', reason: 'the sidecar could not be asked what became of the attempt', retryAfterMs: 0 }
+  }
+
+  /** A sidecar that was replaced meanwhile cannot say what its predecessor ran. */
+  #decideUnknown (epoch: string): AttemptEnd {
+    if (this.#knownEpoch !== epoch) {
+      return { kind: 'mayHaveRun', reason: 'the sidecar was replaced while the attempt was open', retryAfterMs: 0 }
+    }
+    return { kind: 'notRun', reason: 'fenced', retryAfterMs: 0 }
+  }
+
+  /** Gives the attempt up: the caller left, its deadline passed, or its stream is lost time and again. */
+  async #release (): Promise<AttemptEnd> {
+    const { peer, params } = this.#options
+    const progress = new Progress({ title: `cancelling attempt ${params.attemptId}`, timeoutMs: CANCEL_TIMEOUT_MS })
+    peer.cancelAttempt(params.attemptId, progress).catch(() => {})
+    return { kind: 'mayHaveRun', reason: 'the attempt was given up', retryAfterMs: 0 }
+  }
+}
+
+/** The connection broke; the attempt may go on. */
+interface LostEnd { kind: 'lost', message: string }
+
+async function runProcess<R> (process: Generator<unknown, R, any>): Promise<R> {
+  return await new Promise(resolve => csp.takeAsync(csp.spawn(process), value => resolve(value as R)))
+}
+
+function toChannel (promise: Promise<void>): csp.Channel<boolean> {
+  const done = csp.chan<boolean>(1)
+  promise.finally(() => csp.putAsync(done, true)).catch(() => {})
+  return done
+}
--- a/src/gateway/errorBody.ts
+++ b/src/gateway/errorBody.ts
@@ -10,7 +10,7 @@
   | 'invalid_api_key' | 'class_not_allowed'
   | 'not_found' | 'model_not_found' | 'service_not_found' | 'method_not_allowed'
   | 'request_timeout' | 'already_in_progress' | 'body_too_large' | 'headers_too_large'
-  | 'request_crashes_endpoints' | 'rate_limited' | 'too_many_concurrent'
+  | 'request_crashes_endpoints' | 'idempotency_key_reused' | 'rate_limited' | 'too_many_concurrent'
   | 'overloaded' | 'draining' | 'endpoint_unavailable' | 'model_not_placed'
   | 'claim_store_unavailable' | 'configuration_missing'
   | 'internal_error' | 'endpoint_failed' | 'answer_lost' | 'answer_too_large' | 'deadline_exceeded'
@@ -46,6 +46,7 @@
   body_too_large: 413,
   headers_too_large: 431,
   request_crashes_endpoints: 422,
+  idempotency_key_reused: 422,
   rate_limited: 429,
   too_many_concurrent: 429,
   overloaded: 503,
--- /dev/null
+++ b/src/gateway/fleetRelay.ts
@@ -0,0 +1,275 @@
+import { AnswerAssembly } from './answerAssembly'
+import { AttemptSession } from './attemptSession'
+import { OfferLog } from './offerLog'
+
+import type { Clock } from '../base/clock'
+import type { Progress } from '../base/progress'
+import type { AttemptTarget, SubmitAttempt } from '../protocol/attemptMessages'
+import type { AttemptEnd, AttemptObserver } from './attemptSession'
+import type { CallerAnswer } from './callerAnswer'
+import type { CallerRequest } from './callerRequest'
+import type { Refusal } from './errorBody'
+import type { FleetView, OfferTarget } from './fleetView'
+import type { RelayObserver } from './relayEvents'
+import type { RequestRelay } from './requestRelay'
+
+/** Who this gateway is, as it tells its sidecars. */
+export interface GatewayIdentity {
+  gatewayId: string
+  gatewayEpoch: string
+  gatewayAddress: string
+}
+
+export interface FleetRelayOptions {
+  clock: Clock
+  view: FleetView
+  observer: RelayObserver
+  getIdentity: () => GatewayIdentity
+  getConfigGeneration: () => number
+  /** Takes one retry from the class's budget; false when none is left. */
+  takeRetry: (className: string) => boolean
+  /** Told of the generation that a sidecar has in force. */
+  onGeneration: (generation: number, address: string) => void
+  /** Endpoint crashes known under a fingerprint. */
+  getCrashCount: (fingerprint: string) => number
+  /** Takes over the crashes that a sidecar counted under a fingerprint. */
+  adoptCrashCount: (fingerprint: string, crashCount: number) => void
+}
+
+const DEADLINE_MARGIN_MS = 50
+const MAX_ROUNDS = 3
+const MIN_RETRY_AFTER_MS = 500
+
+/**
+ * Offers a caller's request to the endpoints in order of preference, goes on with another
+ * attempt where that is safe, and ends the caller's answer exactly once.
+ */
+export class FleetRelay implements RequestRelay {
+  readonly #options: FleetRelayOptions
+
+  constructor (options: FleetRelayOptions) {
+    this.#options = options
+  }
+
+  async relay (request: CallerRequest, answer: CallerAnswer, progress: Progress): Promise<void> {
+    const run = new RelayRun(this.#options, request, answer, progress)
+    await run.run()
+  }
+}
+
+/** The relaying of one request. */
+class RelayRun {
+  readonly #options: FleetRelayOptions
+  readonly #request: CallerRequest
+  readonly #answer: CallerAnswer
+  readonly #progress: Progress
+  readonly #assembly: AnswerAssembly
+  readonly #offers = new OfferLog()
+  #attemptNumber = 0
+  #mayHaveRun = false
+
+  constructor (options: FleetRelayOptions, request: CallerRequest, answer: CallerAnswer, progress: Progress) {
+    this.#options = options
+    this.#request = request
+    this.#answer = answer
+    this.#progress = progress
+    this.#assembly = new AnswerAssembly(answer, { mode: request.target.kind === 'chat' ? 'resumed' : 'whole' })
+  }
+
+  async run (): Promise<void> {
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      const isDone = await this.#offerRound()
+      if (isDone || this.#answer.hasEnded) return
+      if (this.#progress.signal.aborted) break
+      if (!this.#offers.shouldOfferAgain()) break
+    }
+    this.#refuse(this.#createRefusal())
+  }
+
+  /** Offers the request to each endpoint once; true when the answer has been ended. */
+  async #offerRound (): Promise<boolean> {
+    this.#offers.beginRound()
+    for (const target of this.#options.view.rankTargets(this.#request)) {
+      if (this.#progress.signal.aborted) return false
+      const end = await this.#runAttempt(target)
+      const next = this.#decideNext(target, end)
+      if (next === 'done') return true
+      if (next === 'newRound') return false
+    }
+    return false
+  }
+
+  async #runAttempt (target: OfferTarget): Promise<AttemptEnd> {
+    const { clock, view, observer } = this.#options
+    this.#attemptNumber += 1
+    const params = this.#createParams()
+    observer.recordAttempt(this.#request, params.attemptId, target.endpointName)
+    view.table.recordSent(target.endpointName, params.tier)
+    const watch = new AttemptWatch(this.#options, this.#request, params, target)
+    const session = new AttemptSession({
+      peer: target.peer,
+      params,
+      assembly: this.#assembly,
+      observer: watch,
+      progress: this.#progress,
+      expectedEpoch: target.epoch
+    })
+    const end = await session.run()
+    watch.recordEnd(end, clock.getMonotonicMs())
+    return end
+  }
+
+  #decideNext (target: OfferTarget, end: AttemptEnd): 'done' | 'nextEndpoint' | 'newRound' {
+    switch (end.kind) {
+      case 'completed':
+        this.#answer.complete({ status: end.status, contentType: end.contentType })
+        return 'done'
+      case 'notRun':
+        this.#offers.recordNotRun(end.reason, end.retryAfterMs)
+        return this.#isFinal(end.reason) ? this.#refuse(this.#createRefusal()) : 'nextEndpoint'
+      case 'mayHaveRun':
+      case 'failed':
+        return this.#decideAfterStart(target, end)
+      default: return end satisfies never
+    }
+  }
+
+  #decideAfterStart (target: OfferTarget, end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): 'done' | 'newRound' {
+    this.#mayHaveRun = true
+    if (this.#progress.signal.aborted) return this.#refuse(this.#createRefusal())
+    if (!this.#request.idempotent) return this.#refuse(createLostRefusal(end))
+    if (end.kind === 'failed') this.#options.adoptCrashCount(this.#request.fingerprint, end.crashCount)
+    if (!this.#options.takeRetry(this.#request.serviceClass.name)) return this.#refuse(createLostRefusal(end))
+    this.#options.observer.recordRetry(this.#request, this.#getAttemptId(), `${target.endpointName}: ${end.reason}`)
+    this.#offers.requireRound()
+    return 'newRound'
+  }
+
+  /** Whether other endpoints would answer the same. */
+  #isFinal (reason: string): boolean {
+    return reason === 'poison' || reason === 'alreadyInProgress' || reason === 'keyReused'
+  }
+
+  #createRefusal (): Refusal {
+    if (this.#progress.signal.aborted) return this.#createDeadlineRefusal()
+    if (this.#offers.count === 0) return this.#createUnplacedRefusal()
+    return this.#offers.createRefusal(this.#mayHaveRun, MIN_RETRY_AFTER_MS)
+  }
+
+  #createDeadlineRefusal (): Refusal {
+    const execution = this.#mayHaveRun ? 'may_have_run' : 'not_run'
+    return { code: 'deadline_exceeded', message: 'The class\'s deadline passed before the answer was whole.', execution, retryAfterMs: MIN_RETRY_AFTER_MS }
+  }
+
+  #createUnplacedRefusal (): Refusal {
+    const isPlaced = this.#options.view.isPlaced(this.#request)
+    const message = isPlaced ? 'Every endpoint that serves this is leaving or down.' : 'No endpoint serves this at present.'
+    return { code: isPlaced ? 'endpoint_unavailable' : 'model_not_placed', message, execution: 'not_run', retryAfterMs: MIN_RETRY_AFTER_MS }
+  }
+
+  #refuse (refusal: Refusal): 'done' {
+    this.#options.observer.recordShed(this.#request, refusal.code)
+    if (this.#answer.hasBegun) this.#answer.fail(refusal)
+    else this.#answer.refuse(refusal)
+    return 'done'
+  }
+
+  #createParams (): SubmitAttempt {
+    const request = this.#request
+    const elapsedMs = this.#options.clock.getMonotonicMs() - request.arrivedAtMs
+    return {
+      ...this.#options.getIdentity(),
+      requestId: request.requestId,
+      attemptId: this.#getAttemptId(),
+      attemptNumber: this.#attemptNumber,
+      configGeneration: this.#options.getConfigGeneration(),
+      workspace: request.workspace.name,
+      className: request.serviceClass.name,
+      tier: request.serviceClass.tier,
+      remainingMs: Math.max(0, request.serviceClass.deadlineMs - elapsedMs - DEADLINE_MARGIN_MS),
+      firstTokenRemainingMs: request.serviceClass.firstTokenTargetMs - elapsedMs,
+      idempotent: request.idempotent,
+      idempotencyKey: request.idempotencyKey,
+      fingerprint: request.fingerprint,
+      crashCount: this.#options.getCrashCount(request.fingerprint),
+      target: this.#createTarget()
+    }
+  }
+
+  #createTarget (): AttemptTarget {
+    const { target } = this.#request
+    if (target.kind !== 'chat' || this.#assembly.chunkCount === 0) return target
+    return { ...target, resume: { text: this.#assembly.text, chunkCount: this.#assembly.chunkCount } }
+  }
+
+  #getAttemptId (): string {
+    return `${this.#request.requestId}.${this.#attemptNumber}`
+  }
+}
+
+/** Passes what one attempt shows on to the view and the observers. */
+class AttemptWatch implements AttemptObserver {
+  readonly #options: FleetRelayOptions
+  readonly #request: CallerRequest
+  readonly #params: SubmitAttempt
+  readonly #target: OfferTarget
+  #isReported = false
+  #startedAtMs: number | null = null
+  #hasChunks = false
+
+  constructor (options: FleetRelayOptions, request: CallerRequest, params: SubmitAttempt, target: OfferTarget) {
+    this.#options = options
+    this.#request = request
+    this.#params = params
+    this.#target = target
+  }
+
+  recordAccepted (stamp: Parameters<AttemptObserver['recordAccepted']>[0]): void {
+    this.recordStamp(stamp)
+  }
+
+  recordStamp (stamp: Parameters<AttemptObserver['recordStamp']>[0]): void {
+    const { view, clock, onGeneration } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    if (this.#isReported) view.table.recordLoad(this.#target.endpointName, stamp.load, nowMs)
+    else view.table.recordReport(this.#target.endpointName, this.#params.tier, stamp.load, nowMs)
+    this.#isReported = true
+    onGeneration(stamp.configGeneration, this.#target.peer.address)
+  }
+
+  recordStarted (): void {
+    this.#startedAtMs ??= this.#options.clock.getMonotonicMs()
+  }
+
+  recordChunks (): void {
+    if (this.#hasChunks || this.#startedAtMs === null) return
+    this.#hasChunks = true
+    const elapsedMs = this.#options.clock.getMonotonicMs() - this.#startedAtMs
+    this.#options.view.table.recordFirstToken(this.#target.endpointName, elapsedMs)
+  }
+
+  recordLost (message: string): void {
+    this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
+  }
+
+  recordEnd (end: AttemptEnd, nowMs: number): void {
+    const { table } = this.#options.view
+    const name = this.#target.endpointName
+    if (!this.#isReported) table.recordReport(name, this.#params.tier, null, nowMs)
+    switch (end.kind) {
+      case 'completed': return table.recordAnswer(name, nowMs - (this.#startedAtMs ?? nowMs))
+      case 'notRun':
+        this.#options.observer.recordNotRun(this.#request, this.#params.attemptId, end.reason)
+        if (end.reason === 'unreachable' || end.reason === 'endpointUnavailable') return table.recordFailure(name, nowMs)
+        return
+      case 'mayHaveRun':
+      case 'failed': return table.recordFailure(name, nowMs)
+      default: end satisfies never
+    }
+  }
+}
+
+function createLostRefusal (end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): Refusal {
+  if (end.kind === 'mayHaveRun') return { code: 'answer_lost', message: `The request may have run: ${end.reason}.`, execution: 'may_have_run', retryAfterMs: end.retryAfterMs }
+  return { code: 'endpoint_failed', message: `The endpoint failed after the start: ${end.message}`, execution: 'may_have_run' }
+}
--- /dev/null
+++ b/src/gateway/fleetView.ts
@@ -0,0 +1,126 @@
+import { DEFAULT_CHOOSER_OPTIONS, rankEndpoints } from '../policy/endpointChooser'
+import { EndpointTable } from '../policy/endpointTable'
+import { SidecarPeer } from './sidecarPeer'
+
+import type { Clock } from '../base/clock'
+import type { FleetConfig } from '../config/fleetConfig'
+import type { SidecarRecord } from '../platform/membershipRecords'
+import type { AttemptTarget } from '../protocol/attemptMessages'
+import type { CallerRequest } from './callerRequest'
+import type { PeerPatience } from './sidecarPeer'
+
+/** One endpoint that a request may be offered to. */
+export interface OfferTarget {
+  endpointName: string
+  peer: SidecarPeer
+  /** Epoch of the sidecar's registration. */
+  epoch: string
+}
+
+export interface FleetViewOptions {
+  clock: Clock
+  localDomain: string
+  fleetSecret: string
+  patience: PeerPatience
+  random: () => number
+}
+
+interface Member {
+  record: SidecarRecord
+  peer: SidecarPeer
+}
+
+const MAX_PREFIX_CHARACTERS = 512
+
+/** A gateway's view of the fleet: registered sidecars joined with placements and measured load. */
+export class FleetView {
+  readonly table = new EndpointTable()
+  readonly #options: FleetViewOptions
+  readonly #members = new Map<string, Member>()
+  #config: FleetConfig | null = null
+
+  constructor (options: FleetViewOptions) {
+    this.#options = options
+  }
+
+  /** Takes over a new configuration. */
+  setConfig (config: FleetConfig): void {
+    this.#config = config
+    this.#updatePlacements()
+  }
+
+  /** Takes over a new list of sidecars, one an endpoint. */
+  setSidecars (records: readonly SidecarRecord[]): void {
+    const kept = new Set(records.map(record => record.endpointName))
+    for (const [name, member] of this.#members) {
+      if (kept.has(name)) continue
+      member.peer.close()
+      this.#members.delete(name)
+    }
+    for (const record of records) this.#setMember(record)
+    this.#updatePlacements()
+  }
+
+  /** Orders the endpoints that may serve `request`, the best first. */
+  * rankTargets (request: CallerRequest): Generator<OfferTarget, void, void> {
+    const target = toTargetName(request.target)
+    const choice = {
+      tier: request.serviceClass.tier,
+      betweenTokensTargetMs: request.serviceClass.betweenTokensTargetMs,
+      affinity: this.table.findAffinity(target, toPrefix(request))
+    }
+    const options = { ...DEFAULT_CHOOSER_OPTIONS, localDomain: this.#options.localDomain }
+    const views = this.table.getViews(target)
+    for (const view of rankEndpoints(choice, views, this.#options.clock.getMonotonicMs(), this.#options.random, options)) {
+      const member = this.#members.get(view.name)
+      if (member !== undefined) yield { endpointName: view.name, peer: member.peer, epoch: member.record.epoch }
+    }
+  }
+
+  /** Whether any registered endpoint serves the request's target. */
+  isPlaced (request: CallerRequest): boolean {
+    return this.table.getViews(toTargetName(request.target)).length > 0
+  }
+
+  close (): void {
+    for (const member of this.#members.values()) member.peer.close()
+  }
+
+  #setMember (record: SidecarRecord): void {
+    const known = this.#members.get(record.endpointName)
+    if (known?.peer.address === record.address) {
+      known.record = record
+      return
+    }
+    known?.peer.close()
+    const { fleetSecret, patience } = this.#options
+    this.#members.set(record.endpointName, { record, peer: new SidecarPeer({ address: record.address, fleetSecret, patience }) })
+  }
+
+  #updatePlacements (): void {
+    const config = this.#config
+    if (config === null) return
+    const placements = [...this.#members.values()].flatMap(({ record }) => {
+      const endpoint = config.endpoints.get(record.endpointName)
+      if (endpoint === undefined) return []
+      const targets = endpoint.kind === 'engine' ? endpoint.models : [`service:${endpoint.service}`]
+      return [{ name: record.endpointName, domain: record.domain, targets }]
+    })
+    this.table.setPlacements(placements)
+    for (const { record } of this.#members.values()) {
+      if (record.leaving) this.table.recordDraining(record.endpointName, true)
+    }
+  }
+}
+
+function toTargetName (target: AttemptTarget): string {
+  return target.kind === 'chat' ? target.model : `service:${target.service}`
+}
+
+/** The part of a prompt by which endpoints with a warm cache are found; requests of one workspace share it. */
+function toPrefix (request: CallerRequest): string {
+  if (request.target.kind !== 'chat') return request.workspace.name
+  const messages = request.target.body.messages
+  const first = Array.isArray(messages) ? messages[0] : undefined
+  return request.workspace.name + JSON.stringify(first ?? '').slice(0, MAX_PREFIX_CHARACTERS)
+}
--- /dev/null
+++ b/src/gateway/offerLog.ts
@@ -0,0 +1,85 @@
+import type { NotRunReason } from '../protocol/attemptMessages'
+import type { ErrorCode, Refusal } from './errorBody'
+
+type Reason = NotRunReason | 'unreachable'
+
+const CODE_BY_REASON: Record<Reason, ErrorCode> = {
+  queueFull: 'overloaded',
+  displaced: 'overloaded',
+  cannotMeetDeadline: 'overloaded',
+  draining: 'endpoint_unavailable',
+  poison: 'request_crashes_endpoints',
+  claimStoreUnavailable: 'claim_store_unavailable',
+  endpointUnavailable: 'endpoint_unavailable',
+  modelNotPlaced: 'model_not_placed',
+  cancelled: 'endpoint_unavailable',
+  fenced: 'endpoint_unavailable',
+  alreadyInProgress: 'already_in_progress',
+  keyReused: 'idempotency_key_reused',
+  configurationMissing: 'configuration_missing',
+  unreachable: 'endpoint_unavailable'
+}
+
+const MESSAGE_BY_CODE: Partial<Record<ErrorCode, string>> = {
+  overloaded: 'No endpoint can start this request in time.',
+  request_crashes_endpoints: 'Endpoints crashed while they ran this request; it is not run again.',
+  claim_store_unavailable: 'The idempotency key could not be claimed.',
+  idempotency_key_reused: 'The idempotency key stands for another request.',
+  already_in_progress: 'A request with this idempotency key is in progress.',
+  model_not_placed: 'No endpoint serves this at present.'
+}
+
+const FINAL_CODES: ErrorCode[] = ['request_crashes_endpoints', 'idempotency_key_reused']
+
+const DEFAULT_MESSAGE = 'No endpoint could take this request.'
+
+/** What the endpoints answered to the offers of one request, and what that means for its caller. */
+export class OfferLog {
+  #reasons: Reason[] = []
+  #minRetryAfterMs = Infinity
+  #shouldOfferAgain = false
+  #count = 0
+
+  /** Offers answered so far, over all rounds. */
+  get count (): number {
+    return this.#count
+  }
+
+  /** Whether an offer of the present round must be followed by another round. */
+  shouldOfferAgain (): boolean {
+    return this.#shouldOfferAgain
+  }
+
+  beginRound (): void {
+    this.#reasons = []
+    this.#minRetryAfterMs = Infinity
+    this.#shouldOfferAgain = false
+  }
+
+  requireRound (): void {
+    this.#count += 1
+    this.#shouldOfferAgain = true
+  }
+
+  recordNotRun (reason: Reason, retryAfterMs: number): void {
+    this.#count += 1
+    this.#reasons.push(reason)
+    if (retryAfterMs > 0) this.#minRetryAfterMs = Math.min(this.#minRetryAfterMs, retryAfterMs)
+  }
+
+  /** Creates the refusal that tells the caller why, and when to come back. */
+  createRefusal (mayHaveRun: boolean, minRetryAfterMs: number): Refusal {
+    const code = this.#chooseCode()
+    const retryAfterMs = Number.isFinite(this.#minRetryAfterMs) ? Math.max(minRetryAfterMs, this.#minRetryAfterMs) : minRetryAfterMs
+    const execution = mayHaveRun || code === 'already_in_progress' ? 'may_have_run' : 'not_run'
+    const refusal: Refusal = { code, message: MESSAGE_BY_CODE[code] ?? DEFAULT_MESSAGE, execution }
+    return FINAL_CODES.includes(code) ? refusal : { ...refusal, retryAfterMs }
+  }
+
+  /** A reason that holds everywhere goes before one that held at a single endpoint. */
+  #chooseCode (): ErrorCode {
+    const codes = this.#reasons.map(reason => CODE_BY_REASON[reason])
+    const order: ErrorCode[] = ['request_crashes_endpoints', 'idempotency_key_reused', 'already_in_progress', 'claim_store_unavailable', 'overloaded', 'model_not_placed', 'configuration_missing']
+    return order.find(code => codes.includes(code)) ?? 'endpoint_unavailable'
+  }
+}
--- /dev/null
+++ b/src/gateway/sidecarPeer.ts
@@ -0,0 +1,88 @@
+import * as csp from 'js-csp'
+import { Result } from 'true-myth'
+import { z } from 'zod'
+
+import { attemptNotificationSchema, attemptStateSchema, submitResultSchema } from '../protocol/attemptMessages'
+import { RpcClient } from '../protocol/rpcClient'
+
+import type { Progress } from '../base/progress'
+import type { AttemptState, SubmitAttempt } from '../protocol/attemptMessages'
+import type { RpcCallOptions, RpcNotification } from '../protocol/rpcClient'
+import type { RpcError } from '../protocol/rpcError'
+import type { AttemptEvent } from './attemptEvent'
+
+const EVENT_BUFFER = 8
+
+/** How long a gateway waits for a sidecar before it takes the connection for lost. */
+export interface PeerPatience {
+  /** Milliseconds until an attempt must be accepted or refused. */
+  firstMessageMs: number
+  /** Milliseconds of silence between two messages. */
+  silenceMs: number
+}
+
+export interface SidecarPeerOptions {
+  address: string
+  fleetSecret: string
+  patience: PeerPatience
+}
+
+/** One sidecar as a gateway calls it; every message is checked here before it goes further. */
+export class SidecarPeer {
+  readonly #client: RpcClient
+  readonly #patience: PeerPatience
+
+  constructor (options: SidecarPeerOptions) {
+    this.#client = new RpcClient(options)
+    this.#patience = options.patience
+  }
+
+  get address (): string {
+    return this.#client.address
+  }
+
+  /** Sends an attempt; its events come on the channel returned. */
+  submit (params: SubmitAttempt, progress: Progress): csp.Channel<AttemptEvent> {
+    return this.#openStream('submitAttempt', params, { progress, ...this.#patience })
+  }
+
+  /** Listens again, on a new connection, to an attempt whose stream was lost. */
+  attach (attemptId: string, fromIndex: number, progress: Progress): csp.Channel<AttemptEvent> {
+    return this.#openStream('attachAttempt', { attemptId, fromIndex }, { progress, ...this.#patience, newConnection: true })
+  }
+
+  /** Asks on a new connection what became of an attempt; one that never arrived is refused from then on. */
+  async fenceAttempt (attemptId: string, progress: Progress): Promise<Result<AttemptState, RpcError>> {
+    const options = { progress, ...this.#patience, newConnection: true }
+    const answer = await this.#client.call('getAttempt', { attemptId, fence: true }, options)
+    return answer.andThen(value => checkMessage(attemptStateSchema, value))
+  }
+
+  /** Asks the sidecar to give an attempt up; there is nothing to do when that fails. */
+  async cancelAttempt (attemptId: string, progress: Progress): Promise<void> {
+    await this.#client.call('cancelAttempt', { attemptId }, { progress, ...this.#patience })
+  }
+
+  close (): void {
+    this.#client.close()
+  }
+
+  #openStream (method: string, params: object, options: RpcCallOptions): csp.Channel<AttemptEvent> {
+    const events = csp.chan<AttemptEvent>(EVENT_BUFFER)
+    const takeNotifications = async (raw: RpcNotification[]) => {
+      const notifications = raw.map(message => attemptNotificationSchema.parse(message))
+      await new Promise<void>(resolve => csp.putAsync(events, { kind: 'notifications', notifications }, () => resolve()))
+    }
+    this.#client.call(method, params, { ...options, onNotifications: takeNotifications }).then(answer => {
+      const result = answer.andThen(value => checkMessage(submitResultSchema, value))
+      csp.putAsync(events, { kind: 'ended', result })
+    }, () => {})
+    return events
+  }
+}
+
+function checkMessage<T> (schema: z.ZodType<T>, value: unknown): Result<T, RpcError> {
+  const parsed = schema.safeParse(value)
+  if (parsed.success) return Result.ok(parsed.data)
+  return Result.err({ kind: 'malformed', message: `the sidecar's answer is not valid: ${z.prettifyError(parsed.error).slice(0, 300)}` })
+}
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -81,7 +81,7 @@
 /** Why a request was not run. */
 export const notRunReasonSchema = z.enum([
   'queueFull', 'displaced', 'cannotMeetDeadline', 'draining', 'poison', 'claimStoreUnavailable',
-  'endpointUnavailable', 'modelNotPlaced', 'cancelled', 'fenced', 'alreadyInProgress', 'configurationMissing'
+  'endpointUnavailable', 'modelNotPlaced', 'cancelled', 'fenced', 'alreadyInProgress', 'keyReused', 'configurationMissing'
 ])
 export type NotRunReason = z.infer<typeof notRunReasonSchema>
 
@@ -110,7 +110,9 @@
 const failedAfterStartSchema = z.object({
   kind: z.literal('failedAfterStart'),
   reason: z.enum(['endpointCrashed', 'endpointError', 'cancelled', 'deadlinePassed']),
-  message: z.string().max(500)
+  message: z.string().max(500),
+  /** Endpoint crashes counted against the fingerprint so far. */
+  crashCount: z.number().int().nonnegative()
 })
 
 /** How an attempt ended; exactly one of these ends every attempt. */
--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -17,8 +17,8 @@
 /** Told of what the runs at the endpoint showed. */
 export interface RunObserver {
   recordTokenInterval (milliseconds: number): void
-  /** The endpoint crashed while this attempt ran. */
-  recordCrash (attempt: Attempt): void
+  /** Gets the endpoint crashes counted against the attempt's fingerprint. */
+  getCrashCount (attempt: Attempt): number
 }
 
 export interface AttemptRunnerOptions {
@@ -130,9 +130,8 @@
 
   async #decideBroken (attempt: Attempt, message: string, bootId: string | null): Promise<AttemptOutcome> {
     const hasCrashed = await this.#options.monitor.hasCrashedSince(bootId)
-    if (hasCrashed) this.#options.observer.recordCrash(attempt)
     if (!attempt.params.idempotent) return { kind: 'mayHaveRun', reason: 'answerLost', retryAfterMs: UNAVAILABLE_RETRY_MS }
-    return createFailed(hasCrashed ? 'endpointCrashed' : 'endpointError', message)
+    return createFailed(hasCrashed ? 'endpointCrashed' : 'endpointError', message, this.#options.observer.getCrashCount(attempt))
   }
 }
 
@@ -146,8 +145,8 @@
   return attempt.params.idempotent
 }
 
-function createFailed (reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed', message: string): AttemptOutcome {
-  return { kind: 'failedAfterStart', reason, message: message.slice(0, 500) }
+function createFailed (reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed', message: string, crashCount = 0): AttemptOutcome {
+  return { kind: 'failedAfterStart', reason, message: message.slice(0, 500), crashCount }
 }
 
 /** Measures the time between tokens of one stream. */
--- /dev/null
+++ b/src/sidecar/platformClaimGate.ts
@@ -0,0 +1,80 @@
+import { Progress } from '../base/progress'
+import { isClaimFresh } from '../platform/claimStore'
+import { createNotRun } from './dispatcher'
+
+import type { Clock } from '../base/clock'
+import type { Claim, ClaimOutcome, ClaimStore } from '../platform/claimStore'
+import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
+import type { ClaimDecision, ClaimGate, StoredAnswer } from './claimGate'
+
+const SETTLE_TIMEOUT_MS = 2000
+const IN_PROGRESS_RETRY_MS = 1000
+
+export interface PlatformClaimGateOptions {
+  store: ClaimStore
+  clock: Clock
+  /** This process: its id and epoch. */
+  holder: string
+}
+
+/** The at-most-once gate over claims kept at the platform. */
+export class PlatformClaimGate implements ClaimGate {
+  readonly #options: PlatformClaimGateOptions
+
+  constructor (options: PlatformClaimGateOptions) {
+    this.#options = options
+  }
+
+  async claim (params: SubmitAttempt, progress: Progress): Promise<ClaimDecision> {
+    const outcome = await this.#options.store.claim({
+      workspace: params.workspace,
+      key: params.idempotencyKey ?? params.requestId,
+      requestDigest: params.fingerprint,
+      attemptId: params.attemptId,
+      holder: this.#options.holder
+    }, progress)
+    return this.#toDecision(await this.#verifyFresh(outcome, progress))
+  }
+
+  /** A process that was paused between asking and now must not rely on what it was granted. */
+  async #verifyFresh (outcome: ClaimOutcome, progress: Progress): Promise<ClaimOutcome> {
+    if (outcome.kind !== 'granted' || isClaimFresh(outcome.claim, this.#options.clock)) return outcome
+    return await this.#options.store.verify(outcome.claim, progress)
+  }
+
+  #toDecision (outcome: ClaimOutcome): ClaimDecision {
+    switch (outcome.kind) {
+      case 'granted': return { kind: 'granted', claim: this.#createGrant(outcome.claim) }
+      case 'completed': return outcome.answer === null ? refuse({ kind: 'mayHaveRun', reason: 'claimedElsewhere', retryAfterMs: 0 }) : toAnswered(outcome.answer)
+      case 'inProgress': return refuse(createNotRun('alreadyInProgress', IN_PROGRESS_RETRY_MS))
+      case 'mayHaveRun': return refuse({ kind: 'mayHaveRun', reason: 'claimedElsewhere', retryAfterMs: 0 })
+      case 'keyReused': return refuse(createNotRun('keyReused', 0))
+      case 'unavailable': return refuse(createNotRun('claimStoreUnavailable', outcome.retryAfterMs))
+      default: return outcome satisfies never
+    }
+  }
+
+  #createGrant (claim: Claim): { complete (answer: StoredAnswer): Promise<void>, release (): Promise<void> } {
+    const { store } = this.#options
+    return {
+      complete: async ({ status, contentType, text }) => {
+        await store.complete(claim, { status, contentType, body: text }, createSettleProgress())
+      },
+      release: async () => {
+        await store.release(claim, createSettleProgress())
+      }
+    }
+  }
+}
+
+function refuse (outcome: AttemptOutcome): ClaimDecision {
+  return { kind: 'refused', outcome }
+}
+
+function toAnswered (answer: { status: number, contentType: string, body: string }): ClaimDecision {
+  return { kind: 'answered', answer: { status: answer.status, contentType: answer.contentType, text: answer.body } }
+}
+
+function createSettleProgress (): Progress {
+  return new Progress({ title: 'storing how a claimed request ended', timeoutMs: SETTLE_TIMEOUT_MS })
+}
