Read, merge and check a configuration folder with places for each finding

Cause: operators edit small files side by side; a finding must name file, line, column and what to do, and all must come at once. Ruled out: YAML aliases (a short file could grow without bound) and merging with a library that forgets where a value came from. A file with a syntax fault was first merged in its place: what could be read of it replaced sound values and hid their findings, so broken files now come first in the merge and only define names. Change: folder reader, layer merge, one schema (strict for folders, lenient for parts of other versions), cross-checks that also run on the sound entries of a faulty folder, and the compiler to FleetConfig.

--- /dev/null
+++ b/src/config/compileFleetConfig.ts
@@ -0,0 +1,57 @@
+import type { Endpoint, FleetConfig, PlainService, ServiceClass, Workspace } from './fleetConfig'
+import type { FleetTree } from './fleetSchema'
+
+/** The sections of a configuration as lists, from one part or from a whole tree. */
+export interface CompiledEntries {
+  classes: ServiceClass[]
+  workspaces: Workspace[]
+  services: PlainService[]
+  endpoints: Endpoint[]
+}
+
+/**
+ * Compiles a checked tree to the form that decisions read.
+ *
+ * @example
+ * const config = compileFleetConfig(tree, 12)
+ * config.classes.get('quote')?.tier // 1
+ */
+export function compileFleetConfig (tree: FleetTree, generation: number): FleetConfig {
+  return buildFleetConfig([compileEntries(tree)], tree.settings, generation)
+}
+
+/** Compiles the entries of a tree that may be a part of a whole one. */
+export function compileEntries (tree: FleetTree): CompiledEntries {
+  return {
+    classes: listNamed(tree.classes),
+    workspaces: listNamed(tree.workspaces),
+    services: listNamed(tree.services),
+    endpoints: listNamed(tree.endpoints).map(endpoint => ({ ...endpoint, service: endpoint.service ?? null }))
+  }
+}
+
+/** Builds one configuration from compiled parts, whose entries are shared and not copied. */
+export function buildFleetConfig (parts: CompiledEntries[], settings: FleetTree['settings'], generation: number): FleetConfig {
+  const endpoints = buildMap(parts.map(part => part.endpoints))
+  return {
+    generation,
+    classes: buildMap(parts.map(part => part.classes)),
+    workspaces: buildMap(parts.map(part => part.workspaces)),
+    services: buildMap(parts.map(part => part.services)),
+    endpoints,
+    models: new Set([...endpoints.values()].flatMap(endpoint => endpoint.models)),
+    settings
+  }
+}
+
+function listNamed<Entry extends object> (section: Record<string, Entry>): Array<Entry & { name: string }> {
+  return Object.entries(section).map(([name, entry]) => ({ name, ...entry }))
+}
+
+function buildMap<Entry extends { name: string }> (lists: Entry[][]): Map<string, Entry> {
+  const map = new Map<string, Entry>()
+  for (const list of lists) {
+    for (const entry of list) map.set(entry.name, entry)
+  }
+  return map
+}
--- /dev/null
+++ b/src/config/crossChecks.ts
@@ -0,0 +1,131 @@
+import { findKeyPlace, findNode, findPlace } from './sourceTree'
+
+import type { Finding } from './finding'
+import type { FleetTree } from './fleetSchema'
+import type { SourceMap } from './sourceTree'
+
+type Path = Array<string | number>
+
+const MAX_NAMES_SHOWN = 20
+
+/**
+ * Checks what no single key shows: names that nothing defines, keys given twice, sums and orders.
+ * A name counts as defined when `root` has it, also if its entry is faulty and absent from `tree`.
+ *
+ * @example
+ * const findings = checkReferences(tree, root)
+ */
+export function checkReferences (tree: FleetTree, root: SourceMap): Finding[] {
+  const report = new CrossCheck(tree, root)
+  return report.run()
+}
+
+class CrossCheck {
+  readonly #tree: FleetTree
+  readonly #root: SourceMap
+  readonly #findings: Finding[] = []
+
+  constructor (tree: FleetTree, root: SourceMap) {
+    this.#tree = tree
+    this.#root = root
+  }
+
+  run (): Finding[] {
+    this.#checkClasses()
+    this.#checkWorkspaces()
+    this.#checkKeyDigests()
+    this.#checkServices()
+    this.#checkEndpoints()
+    return this.#findings
+  }
+
+  #checkClasses (): void {
+    const classes = Object.entries(this.#tree.classes)
+    if (this.#listDefined('classes').length === 0) this.#add(['classes'], 'names no class', 'Define at least one class.')
+    for (const [name, { firstTokenTargetMs, deadlineMs }] of classes) {
+      if (firstTokenTargetMs <= deadlineMs) continue
+      this.#add(['classes', name, 'firstTokenTargetMs'], `is above deadlineMs, ${deadlineMs}`, 'Give a target within the deadline.')
+    }
+    const sum = classes.reduce((total, [, { share }]) => total + share, 0)
+    if (sum <= 1 + Number.EPSILON * classes.length) return
+    this.#add(['classes'], `the shares of all classes sum up to ${sum.toFixed(3)}`, 'Lower them to a sum of at most 1.')
+  }
+
+  #checkWorkspaces (): void {
+    for (const [name, { classes, defaultClass }] of Object.entries(this.#tree.workspaces)) {
+      const path = ['workspaces', name]
+      classes.forEach((className, index) => this.#checkName([...path, 'classes', index], className, 'classes'))
+      this.#checkRepeats([...path, 'classes'], classes)
+      if (classes.includes(defaultClass)) continue
+      this.#add([...path, 'defaultClass'], `'${defaultClass}' is not among the workspace's classes`, `Choose one of: ${classes.join(', ')}.`)
+    }
+  }
+
+  #checkKeyDigests (): void {
+    const owners = new Map<string, string>()
+    for (const [name, { keyDigests }] of Object.entries(this.#tree.workspaces)) {
+      keyDigests.forEach((digest, index) => {
+        const owner = owners.get(digest)
+        if (owner !== undefined) this.#add(['workspaces', name, 'keyDigests', index], `is a key of workspace '${owner}' already`, 'Give each workspace its own keys, each once.')
+        owners.set(digest, owner ?? name)
+      })
+    }
+  }
+
+  #checkServices (): void {
+    for (const [name, { routes }] of Object.entries(this.#tree.services)) {
+      routes.forEach((route, index) => {
+        const earlier = routes.slice(0, index).find(other => other.method === route.method && isWithin(route.path, other.path))
+        if (earlier === undefined) return
+        this.#add(['services', name, 'routes', index], `is never reached, for ${earlier.method} ${earlier.path} stands before it`, 'Put the longer path first, or remove one.')
+      })
+    }
+  }
+
+  #checkEndpoints (): void {
+    for (const [name, endpoint] of Object.entries(this.#tree.endpoints)) {
+      const path = ['endpoints', name]
+      switch (endpoint.kind) {
+        case 'engine':
+          if (endpoint.service !== undefined) this.#add([...path, 'service'], 'an engine runs no plain service', 'Remove it, or set kind to service.')
+          this.#checkRepeats([...path, 'models'], endpoint.models)
+          break
+        case 'service':
+          if (endpoint.models.length > 0) this.#add([...path, 'models'], 'a plain service serves no model', 'Remove it, or set kind to engine.')
+          if (endpoint.service === undefined) this.#add(path, 'names no service', 'Add the key service with a name under services.')
+          else this.#checkName([...path, 'service'], endpoint.service, 'services')
+          break
+      }
+    }
+  }
+
+  #checkName (path: Path, name: string, section: 'classes' | 'services'): void {
+    if (this.#isDefined(section, name)) return
+    const known = this.#listDefined(section).slice(0, MAX_NAMES_SHOWN).join(', ')
+    this.#add(path, `'${name}' is not defined under ${section}`, `Define it, or use one of: ${known || 'none is defined'}.`)
+  }
+
+  #isDefined (section: 'classes' | 'services', name: string): boolean {
+    return findNode(this.#root, [section, name]) !== undefined
+  }
+
+  #listDefined (section: 'classes' | 'services'): string[] {
+    const node = findNode(this.#root, [section])
+    return node?.kind === 'map' ? [...node.entries.keys()] : []
+  }
+
+  #checkRepeats (path: Path, names: string[]): void {
+    names.forEach((name, index) => {
+      if (names.indexOf(name) < index) this.#add([...path, index], `'${name}' is listed twice`, 'List it once.')
+    })
+  }
+
+  #add (path: Path, message: string, advice: string): void {
+    const place = path.length <= 2 ? findKeyPlace(this.#root, path) : findPlace(this.#root, path)
+    this.#findings.push({ place, path: path.join('.'), message, advice })
+  }
+}
+
+function isWithin (path: string, prefix: string): boolean {
+  return path === prefix || path.startsWith(prefix.endsWith('/') ? prefix : `${prefix}/`)
+}
--- /dev/null
+++ b/src/config/folderReader.ts
@@ -0,0 +1,73 @@
+import { readdirSync, readFileSync, statSync } from 'node:fs'
+import path from 'node:path'
+
+import { parseSource } from './sourceTree'
+
+import type { Finding } from './finding'
+import type { ParsedSource, SourceMap } from './sourceTree'
+
+/** The trees of a folder's files, in the order in which they are to be merged. */
+export interface FolderContent {
+  layers: SourceMap[]
+  findings: Finding[]
+}
+
+const MAX_FILE_BYTES = 8 * 1_048_576
+const FILE_FORM = /^[^.].*\.ya?ml$/
+
+/**
+ * Reads the `.yaml` and `.yml` files of a folder in the order of their names, by code unit.
+ * Other files, hidden ones and folders below are left out.
+ *
+ * @example
+ * const { layers, findings } = readFolder('examples/wonsowicz')
+ */
+export function readFolder (folder: string): FolderContent {
+  const files = listFiles(folder)
+  if (!Array.isArray(files)) return { layers: [], findings: [files] }
+  const sources = files.map(file => readFile(path.join(folder, file)))
+  return { layers: orderLayers(sources), findings: sources.flatMap(source => source.findings) }
+}
+
+/**
+ * Puts the trees of broken files first: what could be read of them still defines names, and does
+ * not override the whole files, so that one slip brings few findings elsewhere.
+ */
+function orderLayers (sources: ParsedSource[]): SourceMap[] {
+  const broken = sources.filter(source => !source.isWhole)
+  const whole = sources.filter(source => source.isWhole)
+  return [...broken.map(source => selectMaps(source.root)), ...whole.map(source => source.root)]
+}
+
+function selectMaps (root: SourceMap): SourceMap {
+  return { ...root, entries: new Map([...root.entries].filter(([, entry]) => entry.node.kind === 'map')) }
+}
+
+function listFiles (folder: string): string[] | Finding {
+  try {
+    const files = readdirSync(folder).filter(file => FILE_FORM.test(file)).sort()
+    if (files.length > 0) return files
+    return createFinding(folder, 'holds no .yaml file', 'Name the folder with the configuration\'s files.')
+  } catch (error) {
+    return createFinding(folder, `cannot be read: ${(error as Error).message}`, 'Name the folder with the configuration\'s files.')
+  }
+}
+
+function readFile (file: string): ParsedSource {
+  try {
+    const size = statSync(file).size
+    if (size > MAX_FILE_BYTES) return createFailure(file, `is larger than ${MAX_FILE_BYTES} bytes`, 'Split it into several files.')
+    return parseSource(file, new TextDecoder('utf-8', { fatal: true }).decode(readFileSync(file)))
+  } catch (error) {
+    return createFailure(file, `cannot be read as text: ${(error as Error).message}`, 'Write a readable file in UTF-8.')
+  }
+}
+
+function createFailure (file: string, message: string, advice: string): ParsedSource {
+  const finding = createFinding(file, message, advice)
+  return { root: { kind: 'map', place: finding.place, entries: new Map() }, findings: [finding], isWhole: false }
+}
+
+function createFinding (file: string, message: string, advice: string): Finding {
+  return { place: { kind: 'file', file, line: 1, column: 1 }, path: '', message, advice }
+}
--- /dev/null
+++ b/src/config/loadFleetFolder.ts
@@ -0,0 +1,65 @@
+import { Result } from 'true-myth'
+
+import { checkReferences } from './crossChecks'
+import { fleetTreeSchema } from './fleetSchema'
+import { readFolder } from './folderReader'
+import { mergeLayers } from './layerMerge'
+import { buildSchemaFindings } from './schemaFindings'
+import { buildPlainValue, findKeyPlace, findPlace } from './sourceTree'
+
+import type { z } from 'zod'
+
+import type { Finding } from './finding'
+import type { FleetTree } from './fleetSchema'
+import type { PlaceFinder } from './schemaFindings'
+import type { SourceMap } from './sourceTree'
+
+/** Levels from the root to one class, workspace, service, endpoint or setting. */
+const ENTRY_DEPTH = 2
+
+/**
+ * Loads and checks an operator's folder. All findings come in one report: of reading, of the
+ * schema, and of names and sums in the entries that have their form.
+ *
+ * @example
+ * const tree = loadFleetFolder('examples/wonsowicz')
+ * if (tree.isErr) process.stderr.write(formatFindings(tree.error))
+ */
+export function loadFleetFolder (folder: string): Result<FleetTree, Finding[]> {
+  const { layers, findings } = readFolder(folder)
+  if (layers.length === 0) return Result.err(findings)
+  const checked = checkTree(mergeLayers(layers))
+  if (checked.isErr) return Result.err([...findings, ...checked.error])
+  return findings.length > 0 ? Result.err(findings) : checked
+}
+
+/** Checks a merged tree against the schema and its references. */
+export function checkTree (root: SourceMap): Result<FleetTree, Finding[]> {
+  const parsed = fleetTreeSchema.safeParse(buildPlainValue(root))
+  if (parsed.success) return buildResult(parsed.data, checkReferences(parsed.data, root))
+  const findIssuePlace: PlaceFinder = (path, isKey) => isKey ? findKeyPlace(root, path) : findPlace(root, path)
+  const findings = buildSchemaFindings(fleetTreeSchema, parsed.error, findIssuePlace)
+  const sound = fleetTreeSchema.safeParse(buildSoundValue(root, parsed.error.issues))
+  return Result.err(sound.success ? [...findings, ...checkReferences(sound.data, root)] : findings)
+}
+
+function buildResult (tree: FleetTree, findings: Finding[]): Result<FleetTree, Finding[]> {
+  return findings.length > 0 ? Result.err(findings) : Result.ok(tree)
+}
+
+/** Builds the plain value without its unknown keys and without each entry that has another fault. */
+function buildSoundValue (root: SourceMap, issues: z.core.$ZodIssue[]): unknown {
+  const value = buildPlainValue(root)
+  for (const issue of issues) {
+    if (issue.code === 'unrecognized_keys') issue.keys.forEach(key => removeKey(value, [...issue.path, key]))
+    else removeKey(value, issue.path.slice(0, ENTRY_DEPTH))
+  }
+  return value
+}
+
+function removeKey (value: unknown, path: PropertyKey[]): void {
+  let owner = value as Record<PropertyKey, unknown> | undefined
+  for (const key of path.slice(0, -1)) owner = owner?.[key] as Record<PropertyKey, unknown> | undefined
+  const last = path.at(-1)
+  if (owner !== undefined && last !== undefined) delete owner[last]
+}
--- a/src/config/loadProcessSettings.ts
+++ b/src/config/loadProcessSettings.ts
@@ -70,7 +70,7 @@
 }
 
 function readSettingsFile (file: string | undefined): ParsedSource {
-  if (file === undefined) return { root: createEmptyMap(), findings: [] }
+  if (file === undefined) return { root: createEmptyMap(), findings: [], isWhole: true }
   try {
     const content = readFileSync(file)
     if (content.length <= MAX_FILE_BYTES) return refuseSecret(parseSource(file, content.toString('utf8')))
@@ -85,12 +85,12 @@
   if (findNode(source.root, ['fleetSecret']) === undefined) return source
   const place = findKeyPlace(source.root, ['fleetSecret'])
   const finding = { place, path: 'fleetSecret', message: 'must not stand in a file', advice: `Put it into the environment variable ${SECRET_VARIABLE}.` }
-  return { root: source.root, findings: [...source.findings, finding] }
+  return { ...source, findings: [...source.findings, finding] }
 }
 
 function createUnreadable (file: string, message: string): ParsedSource {
   const place: Place = { kind: 'file', file, line: 1, column: 1 }
-  return { root: createEmptyMap(), findings: [{ place, path: '', message, advice: 'Name a readable YAML file by --settings, or leave the flag out.' }] }
+  return { root: createEmptyMap(), findings: [{ place, path: '', message, advice: 'Name a readable YAML file by --settings, or leave the flag out.' }], isWhole: false }
 }
 
 function createEmptyMap (): SourceMap {
--- a/src/config/schemaFindings.ts
+++ b/src/config/schemaFindings.ts
@@ -19,7 +19,7 @@
 
 function buildIssueFindings (schema: z.ZodType, issue: z.core.$ZodIssue, finder: PlaceFinder): Finding[] {
   if (issue.code === 'unrecognized_keys') return issue.keys.map(key => buildUnknownKeyFinding(schema, [...issue.path, key], finder))
-  const description = findSchema(schema, issue.path)?.description
+  const { description } = findSchema(schema, issue.path)
   return [{
     place: finder(issue.path, issue.code === 'invalid_key'),
     path: formatPath(issue.path),
@@ -29,7 +29,7 @@
 }
 
 function buildUnknownKeyFinding (schema: z.ZodType, path: PropertyKey[], finder: PlaceFinder): Finding {
-  const owner = findSchema(schema, path.slice(0, -1))
+  const owner = findSchema(schema, path.slice(0, -1)).bare
   const known = owner instanceof z.ZodObject ? Object.keys(owner.shape) : []
   return {
     place: finder(path, true),
@@ -49,20 +49,26 @@
   return path.map(String).join('.')
 }
 
-/** Finds the schema of the value at `path`, through optional values and defaults. */
-function findSchema (root: z.ZodType, path: readonly PropertyKey[]): z.ZodType | undefined {
+/** Finds the schema of the value at `path`, with the description that stands nearest to it. */
+function findSchema (root: z.ZodType, path: readonly PropertyKey[]): { bare: z.ZodType | undefined, description: string | undefined } {
   let schema: z.ZodType | undefined = root
+  let description = root.description
   for (const key of path) {
-    const bare: unknown = schema && resolveSchema(schema)
-    if (bare instanceof z.ZodObject) schema = bare.shape[String(key)]
-    else if (bare instanceof z.ZodRecord) schema = bare.valueType as z.ZodType
-    else if (bare instanceof z.ZodArray) schema = bare.element as z.ZodType
-    else return schema
+    schema = schema && findChildSchema(resolveSchema(schema), key)
+    description = schema?.description ?? description
   }
-  return schema && (schema.description === undefined ? resolveSchema(schema) : schema)
+  const bare = schema && resolveSchema(schema)
+  return { bare, description: bare?.description ?? description }
+}
+
+function findChildSchema (schema: z.ZodType, key: PropertyKey): z.ZodType | undefined {
+  if (schema instanceof z.ZodObject) return schema.shape[String(key)]
+  if (schema instanceof z.ZodRecord) return schema.valueType as z.ZodType
+  if (schema instanceof z.ZodArray) return schema.element as z.ZodType
+  return undefined
 }
 
 function resolveSchema (schema: z.ZodType): z.ZodType {
-  if (schema instanceof z.ZodOptional || schema instanceof z.ZodDefault) return resolveSchema(schema.unwrap() as z.ZodType)
+  if (schema instanceof z.ZodOptional || schema instanceof z.ZodDefault || schema instanceof z.ZodPrefault) return resolveSchema(schema.unwrap() as z.ZodType)
   return schema
 }
--- a/src/config/sourceTree.ts
+++ b/src/config/sourceTree.ts
@@ -1,6 +1,6 @@
 import { isAlias, isMap, isScalar, isSeq, LineCounter, parseDocument } from 'yaml'
 
-import type { ParsedNode } from 'yaml'
+import type { ParsedNode, YAMLError } from 'yaml'
 
 import type { Finding, Place } from './finding'
 
@@ -27,9 +27,12 @@
 export interface ParsedSource {
   root: SourceMap
   findings: Finding[]
+  /** Whether the tree says all that the file says. */
+  isWhole: boolean
 }
 
 const MAX_DEPTH_LEVELS = 20
+const MAX_SYNTAX_FINDINGS = 20
 
 /**
  * Parses the text of one YAML file into a tree that knows the place of each value.
@@ -87,6 +90,7 @@
   readonly #file: string
   readonly #lines = new LineCounter()
   readonly #findings: Finding[] = []
+  #isWhole = true
 
   constructor (file: string) {
     this.#file = file
@@ -94,20 +98,21 @@
 
   read (text: string): ParsedSource {
     const root = this.#parse(text)
-    return { root, findings: this.#findings }
+    return { root, findings: this.#findings, isWhole: this.#isWhole }
   }
 
   #parse (text: string): SourceMap {
     const empty: SourceMap = { kind: 'map', place: this.#findPlace(0), entries: new Map() }
     try {
       const document = parseDocument(text, { lineCounter: this.#lines, prettyErrors: false, uniqueKeys: true })
-      for (const fault of [...document.errors, ...document.warnings]) this.#addFinding(fault.pos[0], '', fault.message, 'Mend the YAML at this place.')
+      this.#addFaults([...document.errors, ...document.warnings])
       if (document.contents === null) return empty
       const node = this.#buildNode(document.contents as ParsedNode, [])
       if (node.kind === 'map') return node
       if (node.kind === 'null') return empty
       this.#addFinding(0, '', 'the file holds no map of keys', 'Write keys such as "classes:" at the start of a line.')
     } catch (error) {
+      this.#isWhole = false
       this.#addFinding(0, '', `the file cannot be read as YAML: ${(error as Error).message}`, 'Write plain YAML with little nesting.')
     }
     return empty
@@ -142,6 +147,7 @@
         this.#addFinding(offset, path.join('.'), 'has a key that is no name', 'Write a word as the key.')
         continue
       }
+      if (entries.has(name)) continue
       const keyPlace = this.#findPlace(offset)
       const node = this.#buildNode(value, [...path, name])
       entries.set(name, { keyPlace, node: value === null ? { ...node, place: keyPlace } : node })
@@ -149,6 +155,18 @@
     return entries
   }
 
+  /** One slip in the text makes the parser report many faults; the first ones tell enough. */
+  #addFaults (faults: YAMLError[]): void {
+    const seen = new Set<string>()
+    for (const { pos, code, message } of faults) {
+      if (code !== 'DUPLICATE_KEY') this.#isWhole = false
+      const text = `${pos[0]} ${message}`
+      if (seen.has(text) || seen.size >= MAX_SYNTAX_FINDINGS) continue
+      seen.add(text)
+      this.#addFinding(pos[0], '', message, 'Mend the YAML at this place.')
+    }
+  }
+
   #findPlace (offset: number): Place {
     const position = this.#lines.linePos(offset)
     return { kind: 'file', file: this.#file, line: Math.max(1, position.line), column: Math.max(1, position.col) }
