Add a stand-in of a model engine

Cause: queueing, resuming, cancelling, fencing and crash handling need an engine whose answers can be checked byte for byte and whose faults can be set.

Ruled out: random answers with a recorded text; a function of the request lets a caller check an answer without asking the engine. Emulating a frozen connection by stopping the whole engine was ruled out too, since new connections must work: the sockets that are open are corked instead.

--- /dev/null
+++ b/standins/engine/continuousBatch.ts
@@ -0,0 +1,101 @@
+/** One request in an engine's batch. */
+export interface Generation {
+  priority: number
+  /** Prompt tokens that are still to be read before the first token. */
+  prefillTokens: number
+  /** Texts still to come, in order. */
+  chunks: string[]
+  handleStart: () => void
+  handleChunk: (text: string) => void
+  handleEnd: () => void
+}
+
+export interface BatchOptions {
+  slots: number
+  /** Milliseconds of a step with an empty batch. */
+  stepMs: number
+  /** Milliseconds that each generating request adds to a step. */
+  stepMsPerRequest: number
+  /** Milliseconds that each prompt token read adds to a step. */
+  prefillMsPerToken: number
+  /** Prompt tokens that are read in one step. */
+  prefillTokensPerStep: number
+}
+
+/** A step that has begun: how long it takes and who gets a token at its end. */
+export interface BatchStep {
+  durationMs: number
+  generating: Generation[]
+}
+
+/** Continuous batching: requests join and leave between steps, the most urgent first. */
+export class ContinuousBatch {
+  readonly #options: BatchOptions
+  readonly #running = new Set<Generation>()
+  #waiting: Generation[] = []
+
+  constructor (options: BatchOptions) {
+    this.#options = options
+  }
+
+  get running (): number {
+    return this.#running.size
+  }
+
+  get waiting (): number {
+    return this.#waiting.length
+  }
+
+  add (generation: Generation): void {
+    this.#waiting.push(generation)
+    this.#waiting.sort((left, right) => left.priority - right.priority)
+  }
+
+  remove (generation: Generation): void {
+    this.#running.delete(generation)
+    this.#waiting = this.#waiting.filter(other => other !== generation)
+  }
+
+  /** Admits what fits and begins the next step; null when there is nothing to run. */
+  beginStep (): BatchStep | null {
+    this.#admitWaiting()
+    if (this.#running.size === 0) return null
+    const prefilled = this.#runPrefill()
+    const generating = [...this.#running].filter(generation => generation.prefillTokens === 0)
+    const { stepMs, stepMsPerRequest, prefillMsPerToken } = this.#options
+    return { durationMs: stepMs + stepMsPerRequest * generating.length + prefillMsPerToken * prefilled, generating }
+  }
+
+  /** Ends `step`: each request that generated in it and was not removed meanwhile gets its token. */
+  finishStep (step: BatchStep): void {
+    for (const generation of step.generating) {
+      if (this.#running.has(generation)) this.#emitToken(generation)
+    }
+  }
+
+  #admitWaiting (): void {
+    while (this.#running.size < this.#options.slots && this.#waiting.length > 0) {
+      const generation = this.#waiting.shift()!
+      this.#running.add(generation)
+      generation.handleStart()
+    }
+  }
+
+  #runPrefill (): number {
+    let left = this.#options.prefillTokensPerStep
+    for (const generation of this.#running) {
+      const tokens = Math.min(left, generation.prefillTokens)
+      generation.prefillTokens -= tokens
+      left -= tokens
+    }
+    return this.#options.prefillTokensPerStep - left
+  }
+
+  #emitToken (generation: Generation): void {
+    const text = generation.chunks.shift()
+    if (text !== undefined) generation.handleChunk(text)
+    if (generation.chunks.length > 0) return
+    this.#running.delete(generation)
+    generation.handleEnd()
+  }
+}
--- /dev/null
+++ b/standins/engine/prefixCache.ts
@@ -0,0 +1,45 @@
+import { hashText } from '../../src/base/identifiers'
+
+const BLOCK_TOKENS = 16
+
+/** Tokens of a prompt, one a word. */
+export function countTokens (prompt: string): number {
+  return prompt.split(/\s+/).length
+}
+
+/** Least recently used cache of prompt prefixes, in blocks of tokens, within limited memory. */
+export class PrefixCache {
+  readonly #maxBlocks: number
+  readonly #blocks = new Set<string>()
+
+  constructor (maxTokens: number) {
+    this.#maxBlocks = Math.floor(maxTokens / BLOCK_TOKENS)
+  }
+
+  /** Counts the leading tokens of `prompt` that are in the cache, then keeps all of its prefix. */
+  putPrompt (prompt: string): number {
+    const blocks = listBlocks(prompt)
+    const missing = blocks.findIndex(block => !this.#blocks.has(block))
+    for (const block of blocks) this.#putBlock(block)
+    return (missing === -1 ? blocks.length : missing) * BLOCK_TOKENS
+  }
+
+  #putBlock (block: string): void {
+    this.#blocks.delete(block)
+    this.#blocks.add(block)
+    if (this.#blocks.size <= this.#maxBlocks) return
+    const [oldest] = this.#blocks
+    this.#blocks.delete(oldest!)
+  }
+}
+
+function listBlocks (prompt: string): string[] {
+  const words = prompt.split(/\s+/)
+  const blocks: string[] = []
+  let previous = ''
+  for (let end = BLOCK_TOKENS; end <= words.length; end += BLOCK_TOKENS) {
+    previous = hashText(previous + words.slice(end - BLOCK_TOKENS, end).join(' '))
+    blocks.push(previous)
+  }
+  return blocks
+}
--- a/standins/platform/platformServer.ts
+++ b/standins/platform/platformServer.ts
@@ -2,7 +2,7 @@
 
 import { systemClock } from '../../src/base/clock'
 import { HttpError, HttpServer, readJson, sendJson } from '../shared/httpServer'
-import { LaggingList } from './laggingList'
+import { LaggingValue } from '../shared/laggingValue'
 import { ObjectStore, getKey, getVersion } from './objectStore'
 import { NO_PLATFORM_FAULTS, listedInstancesSchema, platformFaultsSchema } from './platformFaults'
 import { TokenBucket } from './tokenBucket'
@@ -62,7 +62,7 @@
   readonly #store: ObjectStore
   readonly #reads: TokenBucket
   readonly #writes: TokenBucket
-  readonly #instances: LaggingList<ListedInstance[]>
+  readonly #instances: LaggingValue<ListedInstance[]>
   readonly #watches = new Set<WaitingWatch>()
   readonly #counters = createCounters()
   #faults = NO_PLATFORM_FAULTS
@@ -74,7 +74,7 @@
     this.#store = new ObjectStore({ historyLength: options.historyLength ?? 10_000 })
     this.#reads = new TokenBucket({ ratePerSecond: readsPerSecond, burst: Math.max(1, readsPerSecond), clock: systemClock })
     this.#writes = new TokenBucket({ ratePerSecond: writesPerSecond, burst: Math.max(1, writesPerSecond), clock: systemClock })
-    this.#instances = new LaggingList([], { lagMs: options.instancesLagMs ?? 1000, clock: systemClock })
+    this.#instances = new LaggingValue([], { lagMs: options.instancesLagMs ?? 1000, clock: systemClock })
     this.#http = new HttpServer((request, response) => this.#handle(request, response), options)
   }
 
--- /dev/null
+++ b/standins/shared/endpointHost.ts
@@ -0,0 +1,113 @@
+import { createId } from '../../src/base/identifiers'
+import { HttpError, HttpServer, readJson, sendJson } from './httpServer'
+
+import type { ListenOptions } from './httpServer'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { z } from 'zod'
+
+const DEFAULT_RESTART_MS = 1500
+
+export interface EndpointHostOptions extends ListenOptions {
+  /** Name of the endpoint in records. */
+  name: string
+  /** Milliseconds from a crash until the endpoint listens again. */
+  restartMs?: number
+}
+
+/** What one kind of endpoint does behind its host. */
+export interface EndpointBehavior<Faults extends object> {
+  faultsSchema: z.ZodType<Faults>
+  handle (path: string, request: IncomingMessage, response: ServerResponse): Promise<void>
+  /** Everything that the endpoint recorded, across crashes. */
+  getRecord (): unknown
+  setFaults (change: Faults): void
+  /** Drops all that a crash loses. */
+  handleCrash (): void
+}
+
+/** Faults that every endpoint stand-in has; both happen once, when set. */
+export interface HostFaults {
+  crash?: boolean
+  freeze?: boolean
+}
+
+/** Process of one endpoint: its server, its boots and the faults that every endpoint shares. */
+export class EndpointHost<Faults extends HostFaults> {
+  readonly name: string
+  readonly #http: HttpServer
+  readonly #behavior: EndpointBehavior<Faults>
+  readonly #restartMs: number
+  #bootId = createId('boot')
+  #restart: NodeJS.Timeout | undefined
+  #isDown = true
+
+  constructor (behavior: EndpointBehavior<Faults>, options: EndpointHostOptions) {
+    this.name = options.name
+    this.#behavior = behavior
+    this.#restartMs = options.restartMs ?? DEFAULT_RESTART_MS
+    this.#http = new HttpServer((request, response) => this.#handle(request, response), options)
+  }
+
+  get address (): string {
+    return this.#http.address
+  }
+
+  get url (): string {
+    return this.#http.url
+  }
+
+  get bootId (): string {
+    return this.#bootId
+  }
+
+  isSilent (request: IncomingMessage): boolean {
+    return this.#http.isSilent(request)
+  }
+
+  async open (): Promise<void> {
+    await this.#http.open()
+    this.#isDown = false
+  }
+
+  async close (): Promise<void> {
+    clearTimeout(this.#restart)
+    this.#behavior.handleCrash()
+    if (!this.#isDown) await this.#http.close()
+    this.#isDown = true
+  }
+
+  /** Destroys all connections and state; a new boot listens after the restart delay. */
+  async killAndRestart (): Promise<void> {
+    if (this.#isDown) return
+    this.#isDown = true
+    this.#behavior.handleCrash()
+    await this.#http.close()
+    this.#bootId = createId('boot')
+    this.#restart = setTimeout(() => { this.open().catch(() => {}) }, this.#restartMs)
+  }
+
+  async setFaults (change: Faults, spared?: Socket): Promise<void> {
+    this.#behavior.setFaults(change)
+    if (change.freeze) this.#http.setConnectionsSilent(spared)
+    if (change.crash) await this.killAndRestart()
+  }
+
+  async #handle (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const path = request.url ?? '/'
+    switch (path) {
+      case '/health': return sendJson(response, 200, { bootId: this.#bootId })
+      case '/control/record': return sendJson(response, 200, this.#behavior.getRecord())
+      case '/control/faults': return await this.#handleFaults(request, response)
+      default: return await this.#behavior.handle(path, request, response)
+    }
+  }
+
+  async #handleFaults (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const change = this.#behavior.faultsSchema.safeParse(await readJson(request))
+    if (!change.success) throw new HttpError(400, change.error.message)
+    sendJson(response, 200, {})
+    await new Promise(resolve => response.on('close', resolve))
+    await this.setFaults(change.data, request.socket)
+  }
+}
--- a/standins/shared/httpServer.ts
+++ b/standins/shared/httpServer.ts
@@ -65,9 +65,10 @@
     for (const socket of this.#sockets) socket.destroy()
   }
 
-  /** Makes every open connection silent for good; connections opened later work. */
-  setConnectionsSilent (): void {
+  /** Makes every open connection but `spared` silent for good; connections opened later work. */
+  setConnectionsSilent (spared?: Socket): void {
     for (const socket of this.#sockets) {
+      if (socket === spared) continue
       socket.cork()
       this.#silent.add(socket)
     }
--- a/standins/platform/laggingList.ts
+++ b/standins/shared/laggingValue.ts
@@ -5,18 +5,18 @@
   value: T
 }
 
-export interface LaggingListOptions {
+export interface LaggingValueOptions {
   lagMs: number
   clock: Clock
 }
 
 /** A value that its readers see as it was some time ago. */
-export class LaggingList<T> {
-  readonly #options: LaggingListOptions
+export class LaggingValue<T> {
+  readonly #options: LaggingValueOptions
   #entries: Array<Entry<T>>
   #frozen: { value: T } | null = null
 
-  constructor (initial: T, options: LaggingListOptions) {
+  constructor (initial: T, options: LaggingValueOptions) {
     this.#options = options
     this.#entries = [{ setAtMs: -Infinity, value: initial }]
   }
