Add a stand-in of a plain service

Cause: at-most-once work needs a service that records each execution, apart from what its caller was told.

--- a/standins/main.ts
+++ b/standins/main.ts
@@ -3,6 +3,7 @@
 
 import { startEngine } from './engine/engineServer'
 import { startPlatform } from './platform/platformServer'
+import { startService } from './service/serviceServer'
 import { parseListen, reportListening } from './shared/listenOption'
 
 const LISTEN = { type: 'string', default: '127.0.0.1:0', describe: 'HOST:PORT; port 0 lets the system choose' } as const
@@ -56,6 +57,21 @@
       reportListening(name, engine.host.address)
     }
   })
+  .command('service', 'one or more plain services', {
+    ...ENDPOINT_OPTIONS,
+    'service-ms': { type: 'number', default: 50 }
+  }, async argv => {
+    for (const [position, name] of argv.name.entries()) {
+      const service = await startService({
+        ...parseListen(argv.listen[position] ?? '127.0.0.1:0'),
+        name,
+        slots: argv.slots,
+        restartMs: argv.restartMs,
+        serviceMs: argv.serviceMs
+      })
+      reportListening(name, service.host.address)
+    }
+  })
   .parseAsync()
   .catch((error: Error) => {
     process.stderr.write(`${error.message}\n`)
