--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -42,6 +42,14 @@
   outputTokens: number
 }
 
+/** How many requests run, and how many may run at once. */
+export interface SlotCounts {
+  running: number
+  limit: number
+  /** Limit for one more request of each tier to start, where some slots are reserved; element 0 is tier 1. */
+  limitByTier?: number[]
+}
+
 /** Settings of a `RequestQueue`. */
 export interface RequestQueueOptions {
   /** Entries held at most. */
@@ -80,8 +88,9 @@
   /** Fraction of starts that go before the requests of each tier; element 0 is tier 1. */
   readonly #startsBefore = new Array<number>(MAX_TIER).fill(0)
   #expired: QueueEntry[] = []
-  #freeSlots = 0
-  #slots = 1
+  #running = 0
+  #limit = 1
+  #limitByTier: number[] | undefined
   #meanTokens = 1
   #sequence = 0
 
@@ -110,11 +119,15 @@
     return this.#byStartBy.getFirst()?.entry.startByMs
   }
 
-  /** Sets how many requests run and how many may run at once; call it before `offer` whenever either changed. */
-  setSlots (slots: { running: number, limit: number }, nowMs: number): void {
-    this.#slots = Math.max(1, slots.limit)
-    this.#freeSlots = Math.max(0, slots.limit - slots.running)
-    if (this.#freeSlots > 0) this.#rate.recordIdle(nowMs)
+  /**
+   * Sets how many requests run and how many may run at once; call it before `offer` and
+   * `takeNext` whenever either changed. Starts are counted by the queue itself.
+   */
+  setSlots (slots: SlotCounts, nowMs: number): void {
+    this.#limit = Math.max(1, slots.limit)
+    this.#limitByTier = slots.limitByTier
+    this.#running = slots.running
+    if (slots.running < slots.limit) this.#rate.recordIdle(nowMs)
   }
 
   /**
@@ -139,13 +152,12 @@
     return { kind: 'queued', displaced }
   }
 
-  /** Takes the entry to start now, or null when none can start in time. */
+  /** Takes the entry to start now, or null when none is queued or only ones for which no slot is open. */
   takeNext (nowMs: number): TakenEntry | null {
     this.#expire(nowMs)
-    const owed = this.#shares.findOwedClass()
     const byTier = this.#findNextByTier()
-    if (byTier === undefined) return null
-    const byShare = owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
+    if (byTier === undefined || !this.#isSlotOpen(byTier.entry.tier)) return null
+    const byShare = this.#findNextByShare()
     const taken = byShare ?? byTier
     const by = byShare === undefined || byShare.entry.tier === byTier.entry.tier ? 'tier' : 'share'
     this.#remove(taken)
@@ -171,7 +183,7 @@
 
   /** Records that a running request ended. */
   recordRelease (released: ReleasedSlot, nowMs: number): void {
-    this.#rate.recordRelease(released.ranForMs, this.#slots, nowMs)
+    this.#rate.recordRelease(released.ranForMs, this.#limit, nowMs)
     const surplus = released.outputTokens / Math.max(1, this.#meanTokens) - 1
     this.#getTier(released.tier).recordService(released.workspace, Math.max(-1, surplus))
     this.#meanTokens += TOKEN_SMOOTHING * (released.outputTokens - this.#meanTokens)
@@ -185,6 +197,20 @@
     return this.#tiers.find(tier => tier.size > 0)?.getNext()
   }
 
+  #findNextByShare (): QueuedRequest | undefined {
+    const owed = this.#shares.findOwedClass()
+    const next = owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
+    return next !== undefined && this.#isSlotOpen(next.entry.tier) ? next : undefined
+  }
+
+  #isSlotOpen (tier: Tier): boolean {
+    return this.#limitByTier === undefined || this.#running < this.#getLimit(tier)
+  }
+
+  #getLimit (tier: Tier): number {
+    return this.#limitByTier?.[tier - MIN_TIER] ?? this.#limit
+  }
+
   #add (entry: QueueEntry): void {
     const request: QueuedRequest = { entry, sequence: this.#sequence++ }
     this.#requests.set(entry.id, request)
@@ -212,7 +238,7 @@
   }
 
   #recordStart (entry: QueueEntry, by: 'tier' | 'share'): void {
-    this.#freeSlots = Math.max(0, this.#freeSlots - 1)
+    this.#running += 1
     this.#shares.recordStart(entry.className, by)
     this.#getTier(entry.tier).recordService(entry.workspace, 1)
     for (let tier = MIN_TIER; tier <= MAX_TIER; tier++) {
@@ -251,7 +277,7 @@
   #estimateTierWaitMs (tier: Tier, aheadInTier: number, nowMs: number, deviations: number): number {
     let ahead = aheadInTier
     for (let higher = MIN_TIER; higher < tier; higher++) ahead += this.#getTier(higher).size
-    const releases = ahead + 1 - this.#freeSlots
+    const releases = ahead + 1 + this.#running - this.#getLimit(tier)
     const freeFraction = Math.max(MIN_FREE_FRACTION, 1 - (this.#startsBefore[tier - MIN_TIER] as number))
     return this.#rate.estimateWaitMs(releases / freeFraction, nowMs, deviations)
   }
--- /dev/null
+++ b/src/policy/slotLimiter.ts
@@ -0,0 +1,78 @@
+import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
+
+import type { Tier } from '../protocol/serviceLevels'
+
+/** Settings of a `SlotLimiter`. */
+export interface SlotLimiterOptions {
+  /** Requests the endpoint can run at once. */
+  slots: number
+  /** Milliseconds between tokens to keep. */
+  targetIntervalMs: number
+  /** Least urgent tier that may use the reserved slots. */
+  reservedTier: Tier
+  /** Fraction, 0 to 1, of the slots that is reserved. */
+  reservedFraction: number
+}
+
+const INTERVAL_SMOOTHING = 0.2
+const ADJUST_EVERY_MS = 500
+const DECREASE_FACTOR = 0.85
+const INCREASE_BELOW = 0.9
+
+/**
+ * Decides how many requests run at once on an engine, so that the time between tokens keeps to
+ * its target: one more while tokens come well in time, a sixth fewer when they come late. A few
+ * slots stay reserved for the most urgent tiers, which then seldom wait for a release.
+ *
+ * @example
+ * const limiter = new SlotLimiter({ slots: 16, targetIntervalMs: 53, reservedTier: 2, reservedFraction: 0.1 })
+ * limiter.recordTokenInterval(80, 16, nowMs)
+ * limiter.getLimitByTier() // [16, 16, 14, 14, 14, 14]
+ */
+export class SlotLimiter {
+  readonly #options: SlotLimiterOptions
+  #limit: number
+  #intervalMs = 0
+  #adjustedAtMs: number | undefined
+
+  constructor (options: SlotLimiterOptions) {
+    this.#options = options
+    this.#limit = options.slots
+  }
+
+  /** Gets how many requests of any tier may run at once. */
+  getLimit (): number {
+    return Math.floor(this.#limit)
+  }
+
+  /** Gets the smoothed milliseconds between tokens; 0 before the first. */
+  getTokenIntervalMs (): number {
+    return this.#intervalMs
+  }
+
+  /** Gets how many requests may run at once for one more of each tier to start; element 0 is tier 1. */
+  getLimitByTier (): number[] {
+    const limit = this.getLimit()
+    const unreserved = Math.max(1, limit - this.#countReserved(limit))
+    return Array.from({ length: MAX_TIER }, (_, index) => index + MIN_TIER <= this.#options.reservedTier ? limit : unreserved)
+  }
+
+  /** Records the time between two tokens of one answer, measured while `running` requests ran. */
+  recordTokenInterval (intervalMs: number, running: number, nowMs: number): void {
+    this.#intervalMs = this.#intervalMs === 0 ? intervalMs : this.#intervalMs + INTERVAL_SMOOTHING * (intervalMs - this.#intervalMs)
+    this.#adjustedAtMs ??= nowMs
+    if (nowMs - this.#adjustedAtMs < ADJUST_EVERY_MS) return
+    this.#adjustedAtMs = nowMs
+    this.#update(running)
+  }
+
+  #update (running: number): void {
+    const { slots, targetIntervalMs } = this.#options
+    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * DECREASE_FACTOR)
+    else if (this.#intervalMs < INCREASE_BELOW * targetIntervalMs && running >= this.#limit - 1) this.#limit = Math.min(slots, this.#limit + 1)
+  }
+
+  #countReserved (limit: number): number {
+    return Math.min(limit - 1, Math.ceil(limit * this.#options.reservedFraction))
+  }
+}
