Add the frame of the benches

Cause: benches need one command, tables with bounds, processes to start and stop, and callers that measure streams.

--- /dev/null
+++ b/bench/shared/streamLoad.ts
@@ -0,0 +1,147 @@
+import { Agent, request } from 'node:http'
+
+import { build } from 'hdr-histogram-js'
+
+import type { Histogram } from 'hdr-histogram-js'
+import type { IncomingMessage } from 'node:http'
+
+const US_PER_MS = 1000
+const MAX_RECORDED_US = 60_000_000
+const EVENT_END = '\n\n'
+const CONTENT = /"content":"(?!")/
+
+export interface StreamLoadOptions {
+  /** Addresses asked in turn. */
+  addresses: string[]
+  headers: Record<string, string>
+  /** Streams held open at once; each that ends is replaced. */
+  streams: number
+  /** Milliseconds over which the first streams are started. */
+  rampMs: number
+  /** Body of the n-th request. */
+  buildBody: (sequence: number) => string
+}
+
+/** What the callers of one load saw in a window of time. */
+export interface StreamWindow {
+  seconds: number
+  requests: number
+  tokens: number
+  failures: number
+  firstToken: Histogram
+  betweenTokens: Histogram
+}
+
+/** Callers that hold a number of streams open and measure what arrives. */
+export class StreamLoad {
+  readonly #options: StreamLoadOptions
+  readonly #agent = new Agent({ keepAlive: true, maxSockets: Infinity })
+  readonly #calls = new Set<{ destroy: () => void }>()
+  #sequence = 0
+  #isStopped = false
+  #window = createWindow()
+  #windowStartMs = performance.now()
+  #lastFailure = ''
+
+  constructor (options: StreamLoadOptions) {
+    this.#options = options
+  }
+
+  /** Opens the streams, spread over the ramp. */
+  start (): void {
+    const { streams, rampMs } = this.#options
+    for (let index = 0; index < streams; index++) setTimeout(() => this.#send(), rampMs * index / streams)
+  }
+
+  /** Begins a new window of measurement. */
+  reset (): void {
+    this.#window = createWindow()
+    this.#windowStartMs = performance.now()
+  }
+
+  /** Returns what was seen since the window began. */
+  readWindow (): StreamWindow {
+    return { ...this.#window, seconds: (performance.now() - this.#windowStartMs) / 1000 }
+  }
+
+  getLastFailure (): string {
+    return this.#lastFailure
+  }
+
+  stop (): void {
+    this.#isStopped = true
+    for (const call of this.#calls) call.destroy()
+    this.#agent.destroy()
+  }
+
+  #send (): void {
+    if (this.#isStopped) return
+    const sequence = this.#sequence++
+    const body = this.#options.buildBody(sequence)
+    const address = this.#options.addresses[sequence % this.#options.addresses.length]!
+    const sentAtMs = performance.now()
+    const call = request(`http://${address}/v1/chat/completions`, {
+      method: 'POST',
+      agent: this.#agent,
+      headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...this.#options.headers }
+    })
+    this.#calls.add(call)
+    this.#window.requests++
+    call.on('response', response => this.#readStream(response, sentAtMs))
+    call.on('error', error => this.#fail(error.message))
+    call.on('close', () => {
+      this.#calls.delete(call)
+      this.#send()
+    })
+    call.end(body)
+  }
+
+  #readStream (response: IncomingMessage, sentAtMs: number): void {
+    let rest = ''
+    let lastMs: number | null = null
+    let isWhole = false
+    response.setEncoding('utf8')
+    response.on('data', (part: string) => {
+      const nowMs = performance.now()
+      const events = (rest + part).split(EVENT_END)
+      rest = events.pop()!
+      for (const event of events) {
+        if (event === 'data: [DONE]') isWhole = true
+        if (!CONTENT.test(event)) continue
+        this.#recordToken(nowMs, sentAtMs, lastMs)
+        lastMs = nowMs
+      }
+    })
+    response.on('error', () => {})
+    response.on('close', () => { if (!isWhole) this.#fail(`${response.statusCode} ${rest}`) })
+  }
+
+  #recordToken (nowMs: number, sentAtMs: number, lastMs: number | null): void {
+    this.#window.tokens++
+    if (lastMs === null) recordMs(this.#window.firstToken, nowMs - sentAtMs)
+    else recordMs(this.#window.betweenTokens, nowMs - lastMs)
+  }
+
+  #fail (reason: string): void {
+    if (this.#isStopped) return
+    this.#window.failures++
+    this.#lastFailure = reason.slice(0, 300)
+  }
+}
+
+/** Reads a percentile in milliseconds. */
+export function readPercentileMs (histogram: Histogram, percentile: number): number {
+  return histogram.getValueAtPercentile(percentile) / US_PER_MS
+}
+
+function recordMs (histogram: Histogram, milliseconds: number): void {
+  histogram.recordValue(Math.min(MAX_RECORDED_US, Math.round(milliseconds * US_PER_MS)))
+}
+
+function createWindow (): StreamWindow {
+  return { seconds: 0, requests: 0, tokens: 0, failures: 0, firstToken: createHistogram(), betweenTokens: createHistogram() }
+}
+
+function createHistogram (): Histogram {
+  return build({ bitBucketSize: 32, lowestDiscernibleValue: 1, highestTrackableValue: MAX_RECORDED_US, numberOfSignificantValueDigits: 3, useWebAssembly: false })
+}
