Wire the sidecar process

Cause: queue, claims, poison guard and endpoint clients had no owner. Change: SidecarProcess with drain, state dump and metrics. Ruled out: ending attempts through their listeners, which leaked attempts without one; the attempt itself tells its end. Not run end to end yet.

--- a/src/base/httpListener.ts
+++ b/src/base/httpListener.ts
@@ -48,6 +48,13 @@
     return `${host}:${port}`
   }
 
+  /** Accepts nothing new; settles when the answers in flight are sent. */
+  async drain (): Promise<void> {
+    const closed = new Promise<void>(resolve => this.#server.close(() => resolve()))
+    this.#server.closeIdleConnections()
+    await closed
+  }
+
   /** Closes the server and its connections. */
   close (): void {
     this.#server.close()
--- a/src/sidecar/attempt.ts
+++ b/src/sidecar/attempt.ts
@@ -18,6 +18,8 @@
   receivedAtMs: number
   /** Reads the sidecar's present stamp. */
   getStamp: () => SidecarStamp
+  /** Called once, when the attempt has ended. */
+  onEnd: (attempt: Attempt) => void
 }
 
 /** One attempt to run one request at this sidecar's endpoint, with all the text it has produced. */
@@ -25,6 +27,7 @@
   readonly params: SubmitAttempt
   readonly receivedAtMs: number
   readonly #getStamp: () => SidecarStamp
+  readonly #onEnd: (attempt: Attempt) => void
   readonly #abort = new AbortController()
   readonly #digest = createHash('sha256')
   readonly #chunks: string[] = []
@@ -38,6 +41,7 @@
     this.params = options.params
     this.receivedAtMs = options.receivedAtMs
     this.#getStamp = options.getStamp
+    this.#onEnd = options.onEnd
   }
 
   get id (): string {
@@ -131,6 +135,7 @@
     if (this.#outcome) return
     this.#phase = 'ended'
     this.#outcome = outcome
+    this.#onEnd(this)
     this.#finish(outcome)
   }
 
--- /dev/null
+++ b/src/sidecar/endpointGuard.ts
@@ -0,0 +1,93 @@
+import { PoisonTracker } from '../policy/poisonTracker'
+import { createNotRun } from './dispatcher'
+
+import type { Clock } from '../base/clock'
+import type { Endpoint, FleetConfig } from '../config/fleetConfig'
+import type { AttemptOutcome, AttemptTarget, SubmitAttempt } from '../protocol/attemptMessages'
+import type { Attempt } from './attempt'
+
+const UP_RETRY_MS = 1000
+const CONFINED_RETRY_MS = 500
+const DEFAULT_CRASH_LIMIT = 3
+const POISON_EXPIRY_MS = 3_600_000
+const MAX_FINGERPRINTS = 10_000
+
+export interface EndpointGuardOptions {
+  clock: Clock
+  endpointName: string
+  getConfig: () => FleetConfig | null
+  isEndpointUp: () => boolean
+  isLeaving: () => boolean
+  listRunning: () => Attempt[]
+}
+
+/** Decides which attempts may not run at this endpoint, whatever the queue says. */
+export class EndpointGuard {
+  readonly #options: EndpointGuardOptions
+  readonly #limits = { crashLimit: DEFAULT_CRASH_LIMIT, expiryMs: POISON_EXPIRY_MS, maxFingerprints: MAX_FINGERPRINTS }
+  readonly #tracker = new PoisonTracker(this.#limits)
+
+  constructor (options: EndpointGuardOptions) {
+    this.#options = options
+  }
+
+  /** Returns the outcome that refuses the attempt, or null when it may run here. */
+  checkAdmission (attempt: Attempt): AttemptOutcome | null {
+    const { getConfig, isEndpointUp, isLeaving } = this.#options
+    const config = getConfig()
+    if (config === null) return createNotRun('configurationMissing', UP_RETRY_MS)
+    if (isLeaving()) return createNotRun('draining', 0)
+    if (!isPlaced(this.#findEndpoint(config), attempt.params.target)) return createNotRun('modelNotPlaced', UP_RETRY_MS)
+    if (!isEndpointUp()) return createNotRun('endpointUnavailable', UP_RETRY_MS)
+    return this.#checkPoison(attempt.params)
+  }
+
+  /** Requests that the endpoint may run at once by configuration. */
+  getConfiguredSlots (): number {
+    const config = this.#options.getConfig()
+    return config === null ? 1 : this.#findEndpoint(config)?.slots ?? 1
+  }
+
+  /** Takes over what the gateway knows of the attempt's fingerprint. */
+  adoptCrashCount (fingerprint: string, crashCount: number): void {
+    this.#tracker.adoptCrashCount(fingerprint, crashCount, this.#getNowMs())
+  }
+
+  getCrashCount (fingerprint: string): number {
+    return this.#tracker.getCrashCount(fingerprint, this.#getNowMs())
+  }
+
+  /** Counts a crash of the endpoint; returns the fingerprints it was counted against. */
+  recordCrash (): string[] {
+    return this.#tracker.recordCrash(this.#listRunningFingerprints(), this.#getNowMs())
+  }
+
+  /** Takes over the fleet's crash limit; counts are kept. */
+  setCrashLimit (crashLimit: number): void {
+    this.#limits.crashLimit = crashLimit
+  }
+
+  #checkPoison (params: SubmitAttempt): AttemptOutcome | null {
+    const nowMs = this.#getNowMs()
+    if (this.#tracker.getVerdict(params.fingerprint, nowMs) === 'refused') return createNotRun('poison', 0)
+    if (this.#tracker.canStartBeside(params.fingerprint, this.#listRunningFingerprints(), nowMs)) return null
+    return createNotRun('queueFull', CONFINED_RETRY_MS)
+  }
+
+  #listRunningFingerprints (): string[] {
+    return this.#options.listRunning().filter(attempt => attempt.phase === 'running').map(attempt => attempt.params.fingerprint)
+  }
+
+  #findEndpoint (config: FleetConfig): Endpoint | undefined {
+    return config.endpoints.get(this.#options.endpointName)
+  }
+
+  #getNowMs (): number {
+    return this.#options.clock.getMonotonicMs()
+  }
+}
+
+function isPlaced (endpoint: Endpoint | undefined, target: AttemptTarget): boolean {
+  if (endpoint === undefined) return false
+  return target.kind === 'chat' ? endpoint.models.includes(target.model) : endpoint.service === target.service
+}
--- /dev/null
+++ b/src/sidecar/sidecarProcess.ts
@@ -0,0 +1,206 @@
+import { createMetricsHandler, createStateHandler, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
+import { systemClock } from '../base/clock'
+import { HttpListener } from '../base/httpListener'
+import { createId } from '../base/identifiers'
+import { Metrics } from '../base/metrics'
+import { Progress } from '../base/progress'
+import { StateDump } from '../base/stateDump'
+import { Registration } from '../platform/registration'
+import { ClaimStore } from '../platform/claimStore'
+import { RPC_PATH } from '../protocol/attemptMessages'
+import { RpcServer } from '../protocol/rpcServer'
+import { AttemptKeeper } from './attemptKeeper'
+import { AttemptRegistry } from './attemptRegistry'
+import { AttemptRunner } from './attemptRunner'
+import { Dispatcher } from './dispatcher'
+import { EndpointGuard } from './endpointGuard'
+import { EndpointMonitor } from './endpoint/endpointMonitor'
+import { EngineClient } from './endpoint/engineClient'
+import { ServiceClient } from './endpoint/serviceClient'
+import { PlatformClaimGate } from './platformClaimGate'
+import { SidecarRpc } from './sidecarRpc'
+
+import type { Logger } from 'tslog'
+import type { ConfigSource } from '../config/configSource'
+import type { SidecarSettings } from '../config/processSettings'
+import type { ObjectService } from '../platform/objectService'
+import type { SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
+import type { Attempt } from './attempt'
+import type { EndpointClient } from './endpoint/endpointRun'
+
+const MAX_QUEUED = 1000
+const ENDED_RETENTION_MS = 15_000
+const HEARTBEAT_MS = 1000
+const DETACHED_MS = 3000
+const HEALTH_INTERVAL_MS = 500
+const HEALTH_TIMEOUT_MS = 1500
+const LEAVE_TIMEOUT_MS = 2000
+
+export interface SidecarProcessOptions {
+  settings: SidecarSettings
+  service: ObjectService
+  config: ConfigSource
+  rpc: RpcServer
+  logger: Logger<unknown>
+}
+
+/** One sidecar: everything between its RPC methods and its endpoint. */
+export class SidecarProcess {
+  readonly #options: SidecarProcessOptions
+  readonly #epoch = createId('epoch')
+  readonly #metrics = new Metrics()
+  readonly #dump = new StateDump()
+  readonly #registry = new AttemptRegistry({ retentionMs: ENDED_RETENTION_MS })
+  readonly #monitor: EndpointMonitor
+  readonly #guard: EndpointGuard
+  readonly #dispatcher: Dispatcher
+  readonly #keeper: AttemptKeeper
+  readonly #claims: ClaimStore
+  readonly #listener: HttpListener
+  readonly #outcomes = this.#metrics.createCounter('attempts_total', 'Attempts by class and how they ended.')
+  readonly #starts = this.#metrics.createCounter('starts_total', 'Starts by class and the rule that chose them.')
+  #registration: Registration | null = null
+  #isLeaving = false
+
+  constructor (options: SidecarProcessOptions) {
+    this.#options = options
+    const { settings, service, config } = options
+    this.#monitor = new EndpointMonitor({
+      address: settings.endpointAddress,
+      intervalMs: HEALTH_INTERVAL_MS,
+      timeoutMs: HEALTH_TIMEOUT_MS,
+      onCrash: () => this.#handleCrash(),
+      onUp: () => this.#dispatcher.notifyChanged()
+    })
+    this.#guard = new EndpointGuard({
+      clock: systemClock,
+      endpointName: settings.endpointName,
+      getConfig: () => config.getCurrent(),
+      isEndpointUp: () => this.#monitor.isUp(),
+      isLeaving: () => this.#isLeaving,
+      listRunning: () => this.#dispatcher.listRunning()
+    })
+    this.#claims = new ClaimStore({ service })
+    const runner = this.#createRunner()
+    this.#dispatcher = new Dispatcher({
+      clock: systemClock,
+      maxQueued: MAX_QUEUED,
+      getSlots: () => this.#guard.getConfiguredSlots(),
+      getShare: className => config.getCurrent()?.classes.get(className)?.share ?? 0,
+      checkAdmission: attempt => this.#guard.checkAdmission(attempt),
+      run: async (attempt, rule) => {
+        this.#starts.add({ class: attempt.params.className, rule })
+        options.logger.debug({ ...toFields(attempt), event: 'started', rule, tier: attempt.params.tier })
+        await runner.run(attempt)
+      }
+    })
+    this.#keeper = new AttemptKeeper({
+      clock: systemClock,
+      registry: this.#registry,
+      dispatcher: this.#dispatcher,
+      heartbeatMs: HEARTBEAT_MS,
+      detachedMs: DETACHED_MS
+    })
+    this.#listener = this.#createListener()
+  }
+
+  /** Starts to serve; returns the `host:port` in use. */
+  async start (): Promise<string> {
+    const { settings, service, config } = this.#options
+    config.watch(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
+    await this.#monitor.start()
+    this.#keeper.start()
+    const address = await this.#listener.listen(settings.listen)
+    this.#registration = new Registration({
+      service,
+      instance: { instanceId: settings.id, epoch: this.#epoch, address, domain: settings.domain, endpointName: settings.endpointName }
+    })
+    this.#registration.start()
+    return address
+  }
+
+  /** Refuses new work, lets what runs finish, and leaves the fleet. */
+  async drain (): Promise<void> {
+    this.#isLeaving = true
+    const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
+    await this.#dispatcher.drain()
+    await leaving
+    this.#keeper.stop()
+    this.#monitor.stop()
+    await this.#claims.stop(new Progress({ title: 'storing the ends of claimed requests', timeoutMs: LEAVE_TIMEOUT_MS }))
+    await this.#listener.drain()
+  }
+
+  #createRunner (): AttemptRunner {
+    const { settings, config } = this.#options
+    const clients = { engine: new EngineClient({ address: settings.endpointAddress }), service: new ServiceClient({ address: settings.endpointAddress }) }
+    const endpoint: EndpointClient = {
+      run: async options => await (options.target.kind === 'chat' ? clients.engine : clients.service).run(options),
+      close: () => Object.values(clients).forEach(client => client.close())
+    }
+    const claims = new PlatformClaimGate({ store: this.#claims, clock: systemClock, holder: `${settings.id}/${this.#epoch}` })
+    const observer = {
+      recordTokenInterval: (milliseconds: number) => this.#dispatcher.recordTokenInterval(milliseconds),
+      getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
+    }
+    this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
+    return new AttemptRunner({ clock: systemClock, endpoint, monitor: this.#monitor, claims, observer })
+  }
+
+  #createListener (): HttpListener {
+    const { rpc, settings } = this.#options
+    const methods = new SidecarRpc({
+      clock: systemClock,
+      registry: this.#registry,
+      dispatcher: this.#dispatcher,
+      getStamp: () => this.#getStamp(),
+      onSubmit: params => this.#handleSubmit(params),
+      onEnd: attempt => this.#handleEnd(attempt)
+    })
+    methods.registerMethods(rpc)
+    this.#dump.register('sidecar', () => ({ id: settings.id, epoch: this.#epoch, endpoint: settings.endpointName, isUp: this.#monitor.isUp(), bootId: this.#monitor.bootId, isLeaving: this.#isLeaving }))
+    this.#dump.register('load', () => this.#dispatcher.getLoad())
+    this.#dump.register('attempts', () => this.#registry.listOpen().map(attempt => ({ ...toFields(attempt), phase: attempt.phase, tier: attempt.params.tier, chunkCount: attempt.chunkCount })))
+    this.#dump.register('claims', () => this.#claims.getStatus())
+    return new HttpListener({
+      handlers: {
+        [RPC_PATH]: (request, response) => rpc.handle(request, response),
+        [METRICS_PATH]: createMetricsHandler(this.#metrics),
+        [STATE_PATH]: createStateHandler(this.#dump, request => rpc.isAuthorized(request))
+      }
+    })
+  }
+
+  #getStamp (): SidecarStamp {
+    return {
+      sidecarId: this.#options.settings.id,
+      sidecarEpoch: this.#epoch,
+      configGeneration: this.#options.config.getCurrent()?.generation ?? 0,
+      load: this.#dispatcher.getLoad()
+    }
+  }
+
+  #handleSubmit (params: SubmitAttempt): void {
+    this.#options.config.notifyGeneration(params.configGeneration, params.gatewayAddress)
+    this.#guard.adoptCrashCount(params.fingerprint, params.crashCount)
+  }
+
+  #handleEnd (attempt: Attempt): void {
+    const { outcome, params } = attempt
+    if (outcome === null) return
+    this.#registry.markEnded(attempt, systemClock.getMonotonicMs())
+    const reason = 'reason' in outcome ? outcome.reason : ''
+    this.#outcomes.add({ class: params.className, outcome: outcome.kind, reason })
+    this.#options.logger.info({ ...toFields(attempt), event: 'ended', outcome: outcome.kind, reason, chunks: attempt.chunkCount, tier: params.tier })
+  }
+
+  #handleCrash (): void {
+    const blamed = this.#guard.recordCrash()
+    this.#options.logger.warn({ event: 'endpointCrashed', endpoint: this.#options.settings.endpointName, running: this.#dispatcher.listRunning().length, blamed: blamed.length })
+  }
+}
+
+function toFields (attempt: Attempt): { requestId: string, attemptId: string, workspace: string, className: string } {
+  const { requestId, attemptId, workspace, className } = attempt.params
+  return { requestId, attemptId, workspace, className }
+}
--- a/src/sidecar/sidecarRpc.ts
+++ b/src/sidecar/sidecarRpc.ts
@@ -42,11 +42,11 @@
   }
 
   async #submit (params: SubmitAttempt, call: RpcCall): Promise<SubmitResult> {
-    const { registry, dispatcher, clock, getStamp } = this.#options
+    const { registry, dispatcher, clock, getStamp, onEnd } = this.#options
     this.#options.onSubmit(params)
     if (registry.isFenced(params.attemptId)) return { outcome: createNotRun('fenced', 0), stamp: getStamp() }
     if (registry.find(params.attemptId)) return { outcome: createNotRun('alreadyInProgress', 0), stamp: getStamp() }
-    const attempt = new Attempt({ params, receivedAtMs: clock.getMonotonicMs(), getStamp })
+    const attempt = new Attempt({ params, receivedAtMs: clock.getMonotonicMs(), getStamp, onEnd })
     registry.add(attempt)
     const result = this.#listen(attempt, call, 0)
     dispatcher.submit(attempt)
@@ -60,14 +60,11 @@
   }
 
   async #listen (attempt: Attempt, call: RpcCall, fromIndex: number): Promise<SubmitResult> {
-    const { clock, onEnd } = this.#options
+    const { clock } = this.#options
     return await new Promise(resolve => {
       const listener: AttemptListener = {
         notify: (notifications: AttemptNotification[]) => call.notify(notifications),
-        finish: result => {
-          onEnd(attempt)
-          resolve(result)
-        }
+        finish: result => resolve(result)
       }
       call.closed.addEventListener('abort', () => attempt.detach(listener, clock.getMonotonicMs()), { once: true })
       attempt.attach(listener, fromIndex, clock.getMonotonicMs())
