--- /dev/null
+++ b/standins/player/chatStreamReader.ts
@@ -0,0 +1,54 @@
+import { createParser } from 'eventsource-parser'
+
+const END_OF_STREAM = '[DONE]'
+
+/** Error that a gateway reports inside a stream that has begun. */
+export interface StreamError {
+  code: string
+  execution: string
+}
+
+/** Reads a chat completion stream as a caller does; the stream may be cut anywhere. */
+export class ChatStreamReader {
+  readonly #decoder = new TextDecoder()
+  readonly #parser = createParser({ onEvent: event => this.#handleData(event.data) })
+  readonly #handleText: () => void
+  #text = ''
+  #isWhole = false
+  #error: StreamError | null = null
+
+  /** `handleText` is called for each event that carries text. */
+  constructor (handleText: () => void) {
+    this.#handleText = handleText
+  }
+
+  get text (): string {
+    return this.#text
+  }
+
+  /** Whether the stream's last event arrived. */
+  get isWhole (): boolean {
+    return this.#isWhole
+  }
+
+  get error (): StreamError | null {
+    return this.#error
+  }
+
+  push (bytes: Uint8Array): void {
+    this.#parser.feed(this.#decoder.decode(bytes, { stream: true }))
+  }
+
+  #handleData (data: string): void {
+    if (data === END_OF_STREAM) {
+      this.#isWhole = true
+      return
+    }
+    const body = JSON.parse(data)
+    if (body.error !== undefined) this.#error = { code: body.error.code, execution: body.error.execution }
+    const content = body.choices?.[0]?.delta?.content ?? ''
+    if (content === '') return
+    this.#text += content
+    this.#handleText()
+  }
+}
--- a/tests/standins/engine.spec.ts
+++ b/tests/standins/engine.spec.ts
@@ -2,7 +2,7 @@
 
 import { startEngine } from '../../standins/engine/engineServer'
 import { generateAnswer } from '../../standins/engine/generateAnswer'
-import { SseReader } from '../../standins/shared/sseReader'
+import { ChatStreamReader } from '../../standins/player/chatStreamReader'
 
 import type { EngineOptions, EngineServer } from '../../standins/engine/engineServer'
 
@@ -59,15 +59,15 @@
   it('should leave open connections silent after a freeze while new ones work', async () => {
     await withEngine({}, async engine => {
       const frozen = await sendChat(engine, makeLongBody())
-      let received = ''
-      receiveAll(frozen, text => { received += text }).catch(() => {})
-      await waitFor(() => received.length > 0)
+      let received = 0
+      readAll(frozen, () => { received += 1 }).catch(() => {})
+      await waitFor(() => received > 0)
       await engine.host.setFaults({ freeze: true })
       const run = engine.getRecord().runs[0]!
       const tokensAtFreeze = run.tokens
       expect((await readAnswer(engine, makeBody('another', 16))).isWhole).to.equal(true)
       await waitFor(() => run.tokens > tokensAtFreeze + 20)
-      expect(new SseReader().takeItems(received).length).to.be.at.most(tokensAtFreeze)
+      expect(received).to.be.at.most(tokensAtFreeze)
       expect(run.state).to.equal('running')
     })
   })
@@ -111,13 +111,14 @@
 
 async function readAnswer (engine: EngineServer, body: object, priority = 1): Promise<{ text: string, isWhole: boolean }> {
   const response = await sendChat(engine, body, undefined, priority)
-  const items = new SseReader().takeItems(await response.text())
-  const text = items.map(item => item.kind === 'event' ? item.event.content : '').join('')
-  return { text, isWhole: items.at(-1)?.kind === 'done' }
+  const reader = new ChatStreamReader(() => {})
+  for await (const part of response.body!) reader.push(part)
+  return { text: reader.text, isWhole: reader.isWhole }
 }
 
-async function receiveAll (response: Response, receive: (text: string) => void): Promise<void> {
-  for await (const part of response.body!) receive(Buffer.from(part).toString('utf8'))
+async function readAll (response: Response, handleText: () => void): Promise<void> {
+  const reader = new ChatStreamReader(handleText)
+  for await (const part of response.body!) reader.push(part)
 }
 
 async function sendOrder (engine: EngineServer, fencingNumber: number): Promise<Response> {
