--- a/src/platform/backgroundTask.ts
+++ b/src/platform/backgroundTask.ts
@@ -1,4 +1,4 @@
-import csp from 'js-csp'
+import * as csp from 'js-csp'
 
 import { openTimer, receiveValue, toChannel } from './channels'
 
--- a/src/platform/httpObjectService.ts
+++ b/src/platform/httpObjectService.ts
@@ -45,7 +45,7 @@
 type HttpAnswer = Extract<HttpCallResult, { kind: 'answered' }>
 
 /** Largest value of one object in bytes. */
-export const MAX_VALUE_BYTES = 1_048_576
+export const MAX_VALUE_BYTES = 1_000_000
 const MAX_OBJECT_ANSWER_BYTES = 2 * MAX_VALUE_BYTES
 const MAX_LIST_ANSWER_BYTES = 64 * MAX_VALUE_BYTES
 const DEFAULT_CALLS_PER_SECOND = 50
@@ -53,7 +53,7 @@
 const DEFAULT_CALL_TIMEOUT_MS = 3_000
 const MAX_BUDGET_WAIT_MS = 1_000
 const DEFAULT_RETRY_AFTER_MS = 1_000
-/** A caller's shorter timeout says nothing of the service. */
+/** A caller's shorter timeout says nothing of the service, nor does one silent watch. */
 const MIN_TELLING_TIMEOUT_MS = 500
 const WATCH_GRACE_MS = 2_000
 const PROBE_KEY = 'status/probe'
@@ -184,7 +184,7 @@
         this.#circuit.recordFailure()
         return result
       case 'timedOut':
-        if (call.timeoutMs >= MIN_TELLING_TIMEOUT_MS) this.#circuit.recordFailure()
+        if (kind !== 'watch' && call.timeoutMs >= MIN_TELLING_TIMEOUT_MS) this.#circuit.recordFailure()
         return result
       case 'aborted':
         return result
--- /dev/null
+++ b/tests/platform/claimStore.spec.ts
@@ -0,0 +1,93 @@
+import { expect } from 'chai'
+
+import { ClaimStore, isClaimFresh } from '../../src/platform/claimStore'
+import { MemoryObjectService } from '../fakes/memoryObjectService'
+import { FaultyObjectService } from './faultyObjectService'
+import { createClaimRequest, createFakeTime, createProgress, expectGranted } from './platformFixtures'
+
+import type { FakeTime } from './platformFixtures'
+
+const ANSWER = { status: 200, contentType: 'application/json', body: '{"booked":7}' }
+
+describe('ClaimStore', () => {
+  let time: FakeTime
+  beforeEach(() => { time = createFakeTime() })
+  afterEach(() => { time.close() })
+
+  it('should answer unavailable at once and write nothing while the service is down', async () => {
+    const service = new MemoryObjectService()
+    service.setFaults({ outage: true })
+    const outcome = await new ClaimStore({ service }).claim(createClaimRequest(), createProgress())
+    expect(outcome.kind).to.equal('unavailable')
+    expect([service.calls.put, service.store.objects.size]).to.deep.equal([1, 0])
+  })
+
+  it('should grant a claim whose answer was lost, once', async () => {
+    const service = new MemoryObjectService()
+    service.setFaults({ lostAnswers: 1 })
+    const store = new ClaimStore({ service })
+    expectGranted(await store.claim(createClaimRequest(), createProgress()))
+    const second = await store.claim(createClaimRequest({ attemptId: 'attempt-2' }), createProgress())
+    expect(second).to.deep.equal({ kind: 'inProgress', holder: 'sidecar-1/epoch-1' })
+  })
+
+  it('should release in the background a claim that took effect unseen', async () => {
+    const service = new FaultyObjectService()
+    const store = new ClaimStore({ service })
+    service.fates.push('answerLost')
+    const get = service.get.bind(service)
+    service.get = async (key, progress) => {
+      service.setFaults({ outage: true })
+      return await get(key, progress)
+    }
+    const outcome = await store.claim(createClaimRequest(), createProgress())
+    expect(outcome.kind).to.equal('unavailable')
+    service.get = get
+    service.setFaults({ outage: false })
+    await time.advance(30_000)
+    const other = new ClaimStore({ service: new MemoryObjectService(service.store) })
+    expectGranted(await other.claim(createClaimRequest({ holder: 'sidecar-2/epoch-1' }), createProgress()))
+  })
+
+  it('should keep a write that lands after the read-back from claiming the key', async () => {
+    const service = new FaultyObjectService()
+    const store = new ClaimStore({ service })
+    service.fates.push('delayed', 'refused')
+    const outcome = await store.claim(createClaimRequest(), createProgress())
+    expect(outcome.kind).to.equal('unavailable')
+    await time.advance(30_000)
+    await service.applyDelayed(createProgress())
+    const other = new ClaimStore({ service: new MemoryObjectService(service.store) })
+    expectGranted(await other.claim(createClaimRequest({ holder: 'sidecar-2/epoch-1' }), createProgress()))
+  })
+
+  it('should grant one of two claims that race', async () => {
+    const service = new MemoryObjectService()
+    const stores = [1, 2].map(() => new ClaimStore({ service: new FaultyObjectService(service.store) }))
+    const outcomes = await Promise.all(stores.map(async (store, index) => {
+      return await store.claim(createClaimRequest({ attemptId: `attempt-${index}` }), createProgress())
+    }))
+    expect(outcomes.map(outcome => outcome.kind).sort()).to.deep.equal(['granted', 'inProgress'])
+  })
+
+  it('should return the stored answer to the same request and refuse the key for another', async () => {
+    const store = new ClaimStore({ service: new MemoryObjectService() })
+    const claim = expectGranted(await store.claim(createClaimRequest(), createProgress()))
+    await store.complete(claim, ANSWER, createProgress())
+    expect(await store.claim(createClaimRequest(), createProgress())).to.deep.equal({ kind: 'completed', answer: ANSWER })
+    expect((await store.claim(createClaimRequest({ requestDigest: 'other' }), createProgress())).kind).to.equal('keyReused')
+    expect((await store.claim(createClaimRequest({ workspace: 'order-desk' }), createProgress())).kind).to.equal('granted')
+  })
+
+  it('should call a claim stale after a pause and refuse it once it was removed', async () => {
+    const service = new MemoryObjectService()
+    const store = new ClaimStore({ service })
+    const claim = expectGranted(await store.claim(createClaimRequest(), createProgress()))
+    expect(isClaimFresh(claim, time.clock)).to.equal(true)
+    time.pause(60_000)
+    expect(isClaimFresh(claim, time.clock)).to.equal(false)
+    expect((await store.verify(claim, createProgress())).kind).to.equal('granted')
+    service.store.delete(claim.objectKey)
+    expect((await store.verify(claim, createProgress())).kind).to.equal('mayHaveRun')
+  })
+})
--- /dev/null
+++ b/tests/platform/platformFixtures.ts
@@ -0,0 +1,53 @@
+import FakeTimers from '@sinonjs/fake-timers'
+
+import { Progress } from '../../src/base/progress'
+
+import type { Clock } from '../../src/base/clock'
+import type { ClaimOutcome, ClaimRequest, Claim } from '../../src/platform/claimStore'
+
+/** Time that moves only when told to, for timers and clocks alike. */
+export interface FakeTime {
+  clock: Clock
+  /** Moves time forward and lets everything due run. */
+  advance (milliseconds: number): Promise<void>
+  /** Moves time forward as for a paused process: timers run late, once, at the end. */
+  pause (milliseconds: number): void
+  /** Lets everything that needs no time run. */
+  drain (): Promise<void>
+  close (): void
+}
+
+const DRAIN_TURNS = 30
+
+export function createFakeTime (): FakeTime {
+  const timers = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
+  const clock = { getMonotonicMs: () => performance.now(), getWallMs: () => Date.now() }
+  const drain = async () => {
+    for (let turn = 0; turn < DRAIN_TURNS; turn += 1) await new Promise(resolve => setImmediate(resolve))
+  }
+  return {
+    clock,
+    drain,
+    advance: async milliseconds => {
+      await drain()
+      await timers.tickAsync(milliseconds)
+      await drain()
+    },
+    pause: milliseconds => { timers.jump(milliseconds) },
+    close: () => { timers.uninstall() }
+  }
+}
+
+export function createProgress (timeoutMs = 60_000): Progress {
+  return new Progress({ title: 'testing', timeoutMs })
+}
+
+export function createClaimRequest (fields: Partial<ClaimRequest> = {}): ClaimRequest {
+  return { workspace: 'archive', key: 'key-1', requestDigest: 'digest-1', attemptId: 'attempt-1', holder: 'sidecar-1/epoch-1', ...fields }
+}
+
+/** The claim of a granted outcome. */
+export function expectGranted (outcome: ClaimOutcome): Claim {
+  if (outcome.kind !== 'granted') throw new Error(`expected a granted claim, got ${JSON.stringify(outcome)}`)
+  return outcome.claim
+}
