--- /dev/null
+++ b/src/platform/partStore.ts
@@ -0,0 +1,85 @@
+import { Result } from 'true-myth'
+
+import { hashPart } from '../config/configParts'
+import { PARTS_PREFIX } from './keys'
+import { retryRateLimited, runBounded } from './retryCall'
+
+import type { Progress } from '../base/progress'
+import type { ConfigPart } from '../config/configParts'
+import type { ObjectService, ObjectServiceError, StoredObject, WriteCondition } from './objectService'
+
+const MAX_CALLS_AT_ONCE = 8
+const MAX_WRITE_TRIES = 6
+
+/**
+ * Fetches parts by their digests. What is absent, unreadable or does not match its digest is
+ * missing in the answer.
+ *
+ * @example
+ * const texts = await fetchParts(service, assembler.listMissing(manifest), progress)
+ */
+export async function fetchParts (service: ObjectService, digests: string[], progress: Progress): Promise<Map<string, string>> {
+  const texts = new Map<string, string>()
+  await runBounded(digests, MAX_CALLS_AT_ONCE, async digest => {
+    const object = await retryRateLimited(() => service.get(getPartKey(digest), progress), progress)
+    const text = object.isOk ? getRightText(object.value, digest) : null
+    if (text === null) progress.log(`part ${digest} could not be read`)
+    else texts.set(digest, text)
+  })
+  return texts
+}
+
+/**
+ * Writes parts. A part that is there already is written anew, which raises its version: whoever
+ * is about to delete it as no longer used has named the version that it must have.
+ */
+export async function putParts (service: ObjectService, parts: ConfigPart[], progress: Progress): Promise<Result<null, ObjectServiceError>> {
+  const results = await runBounded(parts, MAX_CALLS_AT_ONCE, part => putPart(service, part, progress))
+  return results.find(result => result.isErr) ?? Result.ok(null)
+}
+
+/** Reads the version of each part that exists, to delete just that version later. */
+export async function fetchVersions (service: ObjectService, digests: string[], progress: Progress): Promise<Map<string, number>> {
+  const versions = new Map<string, number>()
+  await runBounded(digests, MAX_CALLS_AT_ONCE, async digest => {
+    const object = await service.get(getPartKey(digest), progress)
+    if (object.isOk && object.value !== null) versions.set(digest, object.value.version)
+  })
+  return versions
+}
+
+/** Deletes parts that still have the given versions; a failure leaves the part, which does no harm. */
+export async function deleteParts (service: ObjectService, versions: Map<string, number>, progress: Progress): Promise<void> {
+  await runBounded([...versions], MAX_CALLS_AT_ONCE, async ([digest, version]) => {
+    const result = await service.delete(getPartKey(digest), version, progress)
+    if (result.isErr) progress.log(`part ${digest} was left in the store: ${result.error.kind}`)
+  })
+}
+
+async function putPart (service: ObjectService, part: ConfigPart, progress: Progress): Promise<Result<null, ObjectServiceError>> {
+  const key = getPartKey(part.digest)
+  let condition: WriteCondition = { kind: 'absent' }
+  let failure: ObjectServiceError = { kind: 'unavailable', message: `part ${part.name} was not written` }
+  for (let tries = 0; tries < MAX_WRITE_TRIES && !progress.signal.aborted; tries++) {
+    const requires = condition
+    const result = await retryRateLimited(() => service.put(key, part.text, requires, progress), progress)
+    if (result.isOk) return Result.ok(null)
+    failure = result.error
+    if (failure.kind === 'conflict') condition = buildCondition(failure.current)
+    else if (failure.kind !== 'unknownOutcome') break
+  }
+  return Result.err(failure)
+}
+
+function buildCondition (current: StoredObject | null): WriteCondition {
+  return current === null ? { kind: 'absent' } : { kind: 'version', version: current.version }
+}
+
+function getRightText (object: StoredObject | null, digest: string): string | null {
+  const value = object?.value
+  return typeof value === 'string' && hashPart(value) === digest ? value : null
+}
+
+function getPartKey (digest: string): string {
+  return `${PARTS_PREFIX}${digest}`
+}
