Add the command line's gateway and sidecar, and failure tests over processes

Cause: the whole path and its failures had to be shown through separate processes. Found by the tests, each failing first: the stream's end came before its response was taken (rpcClient), a fenced attempt was not offered again though its sidecar was free, silence counted while this side held back reads, and the engine stand-in's freeze was undone by the end of an answer. Ruled out for the first: a longer wait; the response now counts once parsed.

--- /dev/null
+++ b/src/cli/commands/gateway.ts
@@ -0,0 +1,17 @@
+import { loadGatewaySettings } from '../../config/loadProcessSettings'
+import { GatewayProcess } from '../../gateway/gatewayProcess'
+import { addGatewayOptions } from '../processOptions'
+import { runProcess } from '../processRunner'
+
+import type { CommandModule } from 'yargs'
+import type { SettingFlags } from '../../config/loadProcessSettings'
+
+/** `tanagerwick gateway`: serves callers until SIGTERM, then drains. */
+export const gatewayCommand: CommandModule<object, SettingFlags> = {
+  command: 'gateway',
+  describe: 'Serve callers on an entry instance',
+  builder: addGatewayOptions,
+  handler: async flags => {
+    await runProcess(loadGatewaySettings(flags, process.env), parts => new GatewayProcess(parts))
+  }
+}
--- /dev/null
+++ b/src/cli/commands/sidecar.ts
@@ -0,0 +1,17 @@
+import { loadSidecarSettings } from '../../config/loadProcessSettings'
+import { SidecarProcess } from '../../sidecar/sidecarProcess'
+import { addSidecarOptions } from '../processOptions'
+import { runProcess } from '../processRunner'
+
+import type { CommandModule } from 'yargs'
+import type { SettingFlags } from '../../config/loadProcessSettings'
+
+/** `tanagerwick sidecar`: stands before one endpoint until SIGTERM, then drains. */
+export const sidecarCommand: CommandModule<object, SettingFlags> = {
+  command: 'sidecar',
+  describe: 'Serve one endpoint, beside which it runs',
+  builder: addSidecarOptions,
+  handler: async flags => {
+    await runProcess(loadSidecarSettings(flags, process.env), parts => new SidecarProcess(parts))
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,8 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
+import { gatewayCommand } from './commands/gateway'
+import { sidecarCommand } from './commands/sidecar'
 import { stateCommand } from './commands/state'
 import { EXIT_CODES } from './exitCodes'
 import { VERSION } from './version'
@@ -15,6 +17,8 @@
   await yargs(argv)
     .scriptName('tanagerwick')
     .version(VERSION)
+    .command(gatewayCommand)
+    .command(sidecarCommand)
     .command(stateCommand)
     .strict()
     .demandCommand(1, 'Name a command; --help lists them.')
--- /dev/null
+++ b/src/cli/processRunner.ts
@@ -0,0 +1,85 @@
+import { systemClock } from '../base/clock'
+import { createLogger } from '../base/logger'
+import { formatFindings } from '../config/finding'
+import { ConfigFollower } from '../platform/configFollower'
+import { HttpObjectService } from '../platform/httpObjectService'
+import { createConfigAnswer, GET_CONFIG_METHOD, getConfigSchema, OFFER_CONFIG_METHOD, offerConfigSchema, RpcPeerConfigSource } from '../platform/peerConfig'
+import { RpcServer } from '../protocol/rpcServer'
+import { EXIT_CODES } from './exitCodes'
+import { callPeer } from './peerCaller'
+
+import type { Result } from 'true-myth'
+import type { Logger } from 'tslog'
+import type { Finding } from '../config/finding'
+import type { CommonSettings } from '../config/processSettings'
+
+/** What every process of the fleet is built from. */
+export interface ProcessParts<S extends CommonSettings> {
+  settings: S
+  service: HttpObjectService
+  config: ConfigFollower
+  rpc: RpcServer
+  logger: Logger<unknown>
+}
+
+/** A process of the fleet, as the command line runs it. */
+export interface RunnableProcess {
+  /** Starts to serve; resolves with the `host:port` in use. */
+  start (): Promise<string>
+  /** Lets what is in flight finish, then stops. */
+  drain (): Promise<void>
+}
+
+/** Runs a process until a signal asks it to stop, then drains it. */
+export async function runProcess<S extends CommonSettings> (loaded: Result<S, Finding[]>, create: (parts: ProcessParts<S>) => RunnableProcess): Promise<void> {
+  if (loaded.isErr) {
+    process.stderr.write(`${formatFindings(loaded.error)}\n`)
+    process.exitCode = EXIT_CODES.findings
+    return
+  }
+  const parts = buildParts(loaded.value)
+  const { logger, config } = parts
+  const runnable = create(parts)
+  installSignals(runnable, parts)
+  config.start()
+  const address = await runnable.start()
+  logger.info({ event: 'ready', listening: address, id: parts.settings.id })
+}
+
+function buildParts<S extends CommonSettings> (settings: S): ProcessParts<S> {
+  const logger = createLogger(settings.id, settings.logLevel)
+  const service = new HttpObjectService({ baseUrl: settings.platformUrl })
+  const rpc = new RpcServer({ fleetSecret: settings.fleetSecret })
+  const config = new ConfigFollower({
+    service,
+    peerSource: new RpcPeerConfigSource((address, method, params, progress) => callPeer({ address, fleetSecret: settings.fleetSecret }, method, params, progress)),
+    peers: settings.peers,
+    clock: systemClock,
+    random: Math.random,
+    logger
+  })
+  rpc.register(GET_CONFIG_METHOD, async params => createConfigAnswer(config, getConfigSchema.parse(params)))
+  rpc.register(OFFER_CONFIG_METHOD, async params => await config.receiveOffer(offerConfigSchema.parse(params)))
+  return { settings, service, config, rpc, logger }
+}
+
+function installSignals<S extends CommonSettings> (runnable: RunnableProcess, parts: ProcessParts<S>): void {
+  let isStopping = false
+  const stop = () => {
+    if (isStopping) return
+    isStopping = true
+    parts.logger.info({ event: 'draining', id: parts.settings.id })
+    runnable.drain().then(() => {
+      parts.config.stop()
+      parts.logger.info({ event: 'stopped', id: parts.settings.id })
+      process.exit(EXIT_CODES.ok)
+    }, (error: Error) => {
+      parts.logger.error({ event: 'drainFailed', message: error.message })
+      process.exit(EXIT_CODES.unavailable)
+    })
+  }
+  process.on('SIGTERM', stop)
+  process.on('SIGINT', stop)
+  process.on('uncaughtException', error => parts.logger.error({ event: 'unexpectedError', message: String(error.stack).slice(0, 1000) }))
+  process.on('unhandledRejection', error => parts.logger.error({ event: 'unexpectedError', message: String((error as Error)?.stack ?? error).slice(0, 1000) }))
+}
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -126,6 +126,7 @@
         return 'done'
       case 'notRun':
         this.#offers.recordNotRun(end.reason, end.retryAfterMs)
+        if (end.reason === 'fenced') return this.#requireRound()
         return this.#isFinal(end.reason) ? this.#refuse(this.#createRefusal()) : 'nextEndpoint'
       case 'mayHaveRun':
       case 'failed':
@@ -141,6 +142,10 @@
     if (end.kind === 'failed') this.#options.adoptCrashCount(this.#request.fingerprint, end.crashCount)
     if (!this.#options.takeRetry(this.#request.serviceClass.name)) return this.#refuse(createLostRefusal(end))
     this.#options.observer.recordRetry(this.#request, this.#getAttemptId(), `${target.endpointName}: ${end.reason}`)
+    return this.#requireRound()
+  }
+
+  #requireRound (): 'newRound' {
     this.#offers.requireRound()
     return 'newRound'
   }
--- /dev/null
+++ b/src/gateway/relayLog.ts
@@ -0,0 +1,65 @@
+import type { Logger } from 'tslog'
+import type { Counter, Metrics } from '../base/metrics'
+import type { ServiceClass } from '../config/fleetConfig'
+import type { NotRunReason } from '../protocol/attemptMessages'
+import type { CallerRequest } from './callerRequest'
+import type { RelayObserver } from './relayEvents'
+
+export interface RelayLogOptions {
+  logger: Logger<unknown>
+  metrics: Metrics
+  /** Told of the first attempt of each request. */
+  recordRequest: (serviceClass: ServiceClass) => void
+}
+
+/** Writes what becomes of callers' requests to the log and the metrics; never a prompt or a key. */
+export class RelayLog implements RelayObserver {
+  readonly #options: RelayLogOptions
+  readonly #attempts: Counter
+  readonly #retries: Counter
+  readonly #refusals: Counter
+  readonly #lostStreams: Counter
+
+  constructor (options: RelayLogOptions) {
+    this.#options = options
+    const { metrics } = options
+    this.#attempts = metrics.createCounter('offers_total', 'Offers of a request to a sidecar, by class.')
+    this.#retries = metrics.createCounter('retries_total', 'Attempts after one that had started, by class.')
+    this.#refusals = metrics.createCounter('refusals_total', 'Requests refused or failed, by class and code.')
+    this.#lostStreams = metrics.createCounter('lost_streams_total', 'Streams from sidecars that broke or went silent, by class.')
+  }
+
+  recordAttempt (request: CallerRequest, attemptId: string, endpointName: string): void {
+    this.#attempts.add(toLabels(request))
+    if (attemptId.endsWith('.1')) this.#options.recordRequest(request.serviceClass)
+    this.#options.logger.debug({ ...toFields(request, attemptId), event: 'offered', endpoint: endpointName })
+  }
+
+  recordNotRun (request: CallerRequest, attemptId: string, reason: NotRunReason | 'unreachable'): void {
+    this.#options.logger.debug({ ...toFields(request, attemptId), event: 'notRun', reason })
+  }
+
+  recordRetry (request: CallerRequest, attemptId: string, reason: string): void {
+    this.#retries.add(toLabels(request))
+    this.#options.logger.info({ ...toFields(request, attemptId), event: 'retried', reason })
+  }
+
+  recordLostStream (request: CallerRequest, attemptId: string, message: string): void {
+    this.#lostStreams.add(toLabels(request))
+    this.#options.logger.warn({ ...toFields(request, attemptId), event: 'streamLost', message })
+  }
+
+  recordShed (request: CallerRequest, code: string): void {
+    this.#refusals.add({ ...toLabels(request), code })
+    this.#options.logger.info({ ...toFields(request), event: 'refused', code, tier: request.serviceClass.tier })
+  }
+}
+
+function toLabels (request: CallerRequest): { class: string } {
+  return { class: request.serviceClass.name }
+}
+
+function toFields (request: CallerRequest, attemptId?: string): Record<string, string> {
+  const fields = { requestId: request.requestId, workspace: request.workspace.name, className: request.serviceClass.name }
+  return attemptId === undefined ? fields : { ...fields, attemptId }
+}
--- a/src/protocol/rpcClient.ts
+++ b/src/protocol/rpcClient.ts
@@ -158,8 +158,8 @@
     }
     this.#watch(this.#options.firstMessageMs, 'the first message')
     response.on('data', (bytes: Buffer) => this.#receiveBytes(response, bytes))
-    response.on('end', () => this.#failLost('the peer closed the stream before its response'))
-    response.on('error', error => this.#failLost(error.message))
+    response.on('end', () => this.#handleEnd('the peer closed the stream before its response'))
+    response.on('error', error => this.#handleEnd(error.message))
   }
 
   #receiveBytes (response: IncomingMessage, bytes: Buffer): void {
@@ -168,22 +168,23 @@
     if (messages === null) return
     const notifications = messages.filter(isNotification)
     const final = messages.find(message => !isNotification(message)) as JSONRPCResponse | undefined
+    if (final !== undefined) this.#answered = true
     const handled = notifications.length > 0 ? this.#options.onNotifications?.(notifications) : undefined
     if (handled === undefined) {
       this.#receiveFinal(final)
       return
     }
     response.pause()
+    this.#stopWatch()
     handled.then(() => {
       response.resume()
+      if (!this.#answered) this.#watch(this.#options.silenceMs, 'the next message')
       this.#receiveFinal(final)
     }, (error: Error) => this.#fail({ kind: 'malformed', message: error.message }))
   }
 
   #receiveFinal (final: JSONRPCResponse | undefined): void {
-    if (final === undefined) return
-    this.#answered = true
-    this.#rpc.receive(final)
+    if (final !== undefined) this.#rpc.receive(final)
   }
 
   #parse (bytes: Buffer): unknown[] | null {
@@ -195,17 +196,27 @@
     }
   }
 
-  #watch (milliseconds: number, awaited: string): void {
+  /** The peer's silence does not count while this side holds back the next read. */
+  #stopWatch (): void {
     if (this.#timer) clearTimeout(this.#timer)
+  }
+
+  #watch (milliseconds: number, awaited: string): void {
+    this.#stopWatch()
     this.#timer = setTimeout(() => this.#failLost(`no byte within ${milliseconds} ms while waiting for ${awaited}`), milliseconds)
   }
 
+  /** The stream's end comes before a slow reader has taken the last messages; their response counts. */
+  #handleEnd (message: string): void {
+    if (!this.#answered) this.#failLost(message)
+  }
+
   #failLost (message: string): void {
     this.#fail({ kind: this.#connected ? 'lost' : 'notSent', message: `${this.#client.address}: ${message}` })
   }
 
   #close (): void {
-    if (this.#timer) clearTimeout(this.#timer)
+    this.#stopWatch()
     this.#fail = () => {}
     const request = this.#request
     if (request === null) return
--- a/standins/shared/httpServer.ts
+++ b/standins/shared/httpServer.ts
@@ -70,6 +70,7 @@
     for (const socket of this.#sockets) {
       if (socket === spared) continue
       socket.cork()
+      socket.uncork = () => {} // the end of an HTTP answer uncorks its socket
       this.#silent.add(socket)
     }
   }
--- /dev/null
+++ b/tests/fleet/endpointFailures.spec.ts
@@ -0,0 +1,79 @@
+import { expect } from 'chai'
+
+import { findLongPrompt, LONG, waitRunning } from './answers'
+import { callService, getExpectedAnswer, sendChat } from './callers'
+import { startFleet, waitUntil } from './fleetFixture'
+
+import type { Fleet } from './fleetFixture'
+
+const CRASH_MARKER = 'crash-the-engine'
+
+describe('endpoint failures', () => {
+  let fleet: Fleet
+
+  afterEach(async () => {
+    await fleet.stop()
+  })
+
+  it('should finish a stream on another engine when its engine crashes', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    const prompt = findLongPrompt()
+    const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
+    const engine = await waitRunning(fleet.engines)
+    await engine.host.killAndRestart()
+    expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+  })
+
+  it('should finish a stream whose connection to the engine went silent', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    const prompt = findLongPrompt()
+    const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
+    const engine = await waitRunning(fleet.engines)
+    await engine.host.setFaults({ freeze: true })
+    expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+  })
+
+  it('should never pass off a cut answer as whole when no engine is left', async () => {
+    fleet = await startFleet({ engines: [{ restartMs: 60_000 }] })
+    const answer = sendChat(fleet.gateways[0]!, findLongPrompt(), LONG)
+    const engine = await waitRunning(fleet.engines)
+    await engine.host.killAndRestart()
+    expect(await answer).to.include({ isWhole: false, execution: 'may_have_run' })
+  })
+
+  it('should crash no more engines with one request than configured, and serve others', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [{ restartMs: 50 }, { restartMs: 50 }, { restartMs: 50 }], settings: { poisonCrashLimit: 2 } })
+    for (const engine of fleet.engines) await engine.host.setFaults({ crashMarker: CRASH_MARKER })
+    for (let send = 0; send < 6; send++) {
+      const result = await sendChat(fleet.gateways[send % 2]!, CRASH_MARKER)
+      expect(result.isWhole).to.equal(false)
+    }
+    const starts = fleet.engines.flatMap(engine => engine.getRecord().runs).filter(run => run.state === 'crashed')
+    expect(starts.length).to.be.at.most(2)
+    await waitUntil('the engines to be back', async () => (await sendChat(fleet.gateways[0]!, 'a harmless question')).isWhole)
+    const refused = await sendChat(fleet.gateways[1]!, CRASH_MARKER)
+    expect(refused).to.include({ status: 422, code: 'request_crashes_endpoints', execution: 'not_run' })
+    expect(refused.elapsedMs).to.be.below(1000)
+    const other = await sendChat(fleet.gateways[0]!, 'another harmless question', { workspace: 'office' })
+    expect(other.isWhole).to.equal(true)
+  })
+
+  it('should run a booking once when its answer is lost, and say that it may have run', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [{}, {}] })
+    for (const desk of fleet.desks) await desk.host.setFaults({ executeThenLoseAnswer: 1 })
+    const call = { idempotencyKey: 'booking-1', body: '{"mandrel":1}' }
+    const first = await callService(fleet.gateways[0]!, 'desk/bookings', call)
+    const second = await callService(fleet.gateways[1]!, 'desk/bookings', call)
+    expect(first).to.include({ execution: 'may_have_run' })
+    expect(second).to.include({ execution: 'may_have_run' })
+    expect(fleet.desks.flatMap(desk => desk.getRecord().executions)).to.have.length(1)
+  })
+
+  it('should repeat an idempotent call whose answer is lost', async () => {
+    fleet = await startFleet({ engines: [], services: [{}, {}] })
+    await fleet.desks[0]!.host.setFaults({ executeThenLoseAnswer: 1 })
+    await fleet.desks[1]!.host.setFaults({ executeThenLoseAnswer: 1 })
+    const result = await callService(fleet.gateways[0]!, 'desk/status', { method: 'GET' })
+    expect(result.status).to.equal(200)
+  })
+})
--- /dev/null
+++ b/tests/fleet/processFailures.spec.ts
@@ -0,0 +1,159 @@
+import { expect } from 'chai'
+
+import { Progress } from '../../src/base/progress'
+import { toSidecarKey } from '../../src/platform/membershipRecords'
+import { countExecutions, findLongPrompt, LONG, waitRunning } from './answers'
+import { callService, getExpectedAnswer, sendChat } from './callers'
+import { readState, startFleet, waitUntil } from './fleetFixture'
+import { TcpProxy } from './tcpProxy'
+
+import type { Fleet } from './fleetFixture'
+import type { FleetProcess } from './fleetProcess'
+
+const BOOKING = { idempotencyKey: 'booking-1', body: '{"mandrel":1}' }
+const SLOW_DESK = { serviceMs: 400 }
+
+describe('process failures', () => {
+  let fleet: Fleet
+
+  afterEach(async () => {
+    await fleet.stop()
+  })
+
+  it('should finish a stream when its sidecar is killed', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    const prompt = findLongPrompt()
+    const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
+    const engine = await waitRunning(fleet.engines)
+    fleet.sidecars[fleet.engines.indexOf(engine)]!.kill('SIGKILL')
+    expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+  })
+
+  it('should finish a stream when its sidecar is paused and resumed', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    const prompt = findLongPrompt()
+    const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
+    const engine = await waitRunning(fleet.engines)
+    const sidecar = fleet.sidecars[fleet.engines.indexOf(engine)]!
+    sidecar.kill('SIGSTOP')
+    const result = await answer
+    sidecar.kill('SIGCONT')
+    expect(result).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+  })
+
+  it('should go on with a stream whose connection between gateway and sidecar went silent', async () => {
+    fleet = await startFleet({ engines: [{}] })
+    const proxy = await startProxyBefore(fleet, fleet.sidecars[0]!, 'engine-1')
+    const prompt = findLongPrompt()
+    const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
+    await waitRunning(fleet.engines)
+    proxy.setSilent()
+    expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+    expect(fleet.engines[0]!.getRecord().runs, 'the same run goes on').to.have.length(1)
+    proxy.close()
+  })
+
+  it('should serve in time when the pooled connections to a sidecar went silent', async () => {
+    fleet = await startFleet({ engines: [{}] })
+    const proxy = await startProxyBefore(fleet, fleet.sidecars[0]!, 'engine-1')
+    await sendChat(fleet.gateways[0]!, 'a first question')
+    proxy.setSilent()
+    const result = await sendChat(fleet.gateways[0]!, 'a second question')
+    expect(result).to.include({ isWhole: true, text: getExpectedAnswer('a second question') })
+    expect(result.elapsedMs).to.be.below(2000)
+    proxy.close()
+  })
+
+  it('should not book twice when the sidecar is killed while it books and is replaced', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK] })
+    const booking = callService(fleet.gateways[0]!, 'desk/bookings', BOOKING)
+    await waitUntil('the booking to run', () => countExecutions(fleet.desks) === 1)
+    fleet.sidecars[0]!.kill('SIGKILL')
+    expect(await booking).to.include({ execution: 'may_have_run' })
+    await fleet.startSidecar('desk-1', fleet.desks[0]!.host.address)
+    await waitUntil('the replaced sidecar to serve', async () => (await callService(fleet.gateways[1]!, 'desk/status', { method: 'GET' })).status === 200)
+    const again = await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)
+    expect(again).to.include({ execution: 'may_have_run' })
+    expect(countBookings(fleet)).to.equal(1)
+  })
+
+  it('should not book twice when the sidecar is paused while it books and the caller comes again', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK, SLOW_DESK] })
+    const booking = callService(fleet.gateways[0]!, 'desk/bookings', BOOKING)
+    await waitUntil('the booking to run', () => countExecutions(fleet.desks) === 1)
+    const sidecar = fleet.sidecars[fleet.desks.findIndex(desk => desk.getRecord().executions.length > 0)]!
+    sidecar.kill('SIGSTOP')
+    const again = await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)
+    expect(again.execution).to.equal('may_have_run')
+    sidecar.kill('SIGCONT')
+    await booking
+    await waitUntil('the booking\'s answer to be kept', async () => (await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)).status === 200)
+    expect(countBookings(fleet)).to.equal(1)
+  })
+
+  it('should not book twice when the gateway is killed and the caller comes again through another', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK, SLOW_DESK] })
+    const booking = callService(fleet.gateways[0]!, 'desk/bookings', BOOKING).catch(() => 'lost')
+    await waitUntil('the booking to run', () => countExecutions(fleet.desks) === 1)
+    fleet.gateways[0]!.kill('SIGKILL')
+    expect(await booking).to.equal('lost')
+    await waitUntil('the kept answer', async () => (await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)).status === 200)
+    expect(countBookings(fleet)).to.equal(1)
+  })
+
+  it('should give the kept answer when the caller\'s connection went silent', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK] })
+    const proxy = await TcpProxy.start(fleet.gateways[0]!.address)
+    const lost = new AbortController()
+    const booking = fetch(`http://${proxy.address}/services/desk/bookings`, {
+      method: 'POST',
+      headers: { authorization: 'Bearer key-of-shop', 'idempotency-key': BOOKING.idempotencyKey, 'content-type': 'application/json' },
+      body: BOOKING.body,
+      signal: lost.signal
+    }).catch(() => 'lost')
+    await waitUntil('the booking to run', () => countExecutions(fleet.desks) === 1)
+    proxy.setSilent()
+    lost.abort()
+    await booking
+    await waitUntil('the kept answer', async () => (await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)).status === 200)
+    expect(countBookings(fleet)).to.equal(1)
+    proxy.close()
+  })
+
+  it('should say not run only of what did not run when the sidecar is killed under a burst', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [], services: [{ serviceMs: 60 }, { serviceMs: 60 }], slots: 2 })
+    const calls = Array.from({ length: 40 }, async (_, index) => {
+      const key = `booking-${index}`
+      return { key, result: await callService(fleet.gateways[index % 2]!, 'desk/bookings', { idempotencyKey: key, body: JSON.stringify({ mandrel: index }) }) }
+    })
+    await waitUntil('some bookings', () => countExecutions(fleet.desks) > 5)
+    fleet.sidecars[0]!.kill('SIGKILL')
+    const results = await Promise.all(calls)
+    const executed = fleet.desks.flatMap(desk => desk.getRecord().executions.map(execution => execution.idempotencyKey))
+    const runTwice = executed.filter((key, index) => executed.indexOf(key) !== index)
+    const falselyNotRun = results.filter(({ key, result }) => result.execution === 'not_run' && executed.includes(key))
+    const lostAnswers = results.filter(({ key, result }) => result.status === 200 && !executed.includes(key))
+    expect({ runTwice, falselyNotRun, lostAnswers }).to.deep.equal({ runTwice: [], falselyNotRun: [], lostAnswers: [] })
+  })
+})
+
+/** Counts executed bookings; calls for the status do not count. */
+function countBookings (fleet: Fleet): number {
+  return fleet.desks.flatMap(desk => desk.getRecord().executions).filter(execution => execution.method === 'POST').length
+}
+
+/** Registers a proxy in a sidecar's place, so that gateways reach the sidecar through it. */
+async function startProxyBefore (fleet: Fleet, sidecar: FleetProcess, endpointName: string): Promise<TcpProxy> {
+  const proxy = await TcpProxy.start(sidecar.address)
+  const progress = new Progress({ title: 'registering a proxy', timeoutMs: 5000 })
+  const key = toSidecarKey(endpointName)
+  const current = (await fleet.service.get(key, progress)).unwrapOr(null)
+  await fleet.service.put(key, { ...current?.value as object, address: proxy.address }, { kind: 'version', version: current!.version }, progress)
+  await waitUntil('the gateway to use the proxy', async () => {
+    await sendChat(fleet.gateways[0]!, 'a probe')
+    return proxy.connectionCount > 0
+  })
+  await readState(fleet.gateways[0]!)
+  for (const engine of fleet.engines) engine.getRecord().runs.length = 0
+  return proxy
+}
