--- a/standins/checker/invariantChecker.ts
+++ b/standins/checker/invariantChecker.ts
@@ -1,3 +1,4 @@
+import { isAnswered } from '../player/callerRecord'
 import { hashPlannedRequest } from '../player/plannedRequest'
 import { listStarts } from './runRecord'
 
@@ -6,13 +7,13 @@
 
 /** A promise that a run broke. */
 export type FindingKind =
-  | 'wrongAnswer' | 'lostAnswer' | 'duplicateExecution' | 'ranThoughNotRun' | 'executedThoughUnknown'
+  | 'wrongAnswer' | 'lostAnswer' | 'answeredWithoutStart' | 'duplicateExecution' | 'ranThoughNotRun' | 'unknownStart'
   | 'shedForLowerTier' | 'lateRefusal' | 'refusedWithoutReason'
 
 /** One broken promise with the request that shows it. */
 export interface Finding {
   kind: FindingKind
-  /** Identifier of the planned request. */
+  /** Identifier of the planned request, or the digest of a start that belongs to none. */
   requestId: string
   message: string
 }
@@ -37,30 +38,45 @@
  */
 export function checkRun (record: RunRecord, options: CheckOptions): Finding[] {
   const starts = listStarts(record)
-  const startsByDigest = Map.groupBy(starts, start => start.digest)
-  return record.callers.flatMap(caller => {
-    const own = startsByDigest.get(hashPlannedRequest(caller.request)) ?? []
+  const startsByDigest = buildStartsByDigest(starts)
+  const findings = record.callers.flatMap(caller => {
+    const digest = hashPlannedRequest(caller.request)
+    const own = startsByDigest.get(digest) ?? []
+    startsByDigest.delete(digest)
     return [
-      ...checkAnswers(caller, options),
+      ...checkAnswers(caller, own, options),
       ...checkExecutions(caller, own),
       ...checkRefusals(caller, record, options),
       ...checkShedding(caller, starts, record, options)
     ]
   })
+  return [...findings, ...[...startsByDigest.values()].flat().map(createUnknownStart)]
 }
 
-function checkAnswers (caller: CallerRecord, options: CheckOptions): Finding[] {
-  return caller.sends.flatMap((send, position) => {
-    const { outcome } = send
-    const place = `send ${position + 1} to gateway ${send.gateway}`
-    switch (outcome.kind) {
-      case 'answered': return outcome.isExact ? [] : [createFinding('wrongAnswer', caller, `${place}: the answer is not the one to this request`)]
-      case 'broken': return options.hadFaults ? [] : [createFinding('lostAnswer', caller, `${place}: ${outcome.message}`)]
-      case 'refused': return options.hadFaults || outcome.execution === 'not_run'
-        ? []
-        : [createFinding('lostAnswer', caller, `${place}: ${outcome.code} after it may have run, without a fault`)]
-    }
+function buildStartsByDigest (starts: EndpointStart[]): Map<string, EndpointStart[]> {
+  const byDigest = new Map<string, EndpointStart[]>()
+  for (const start of starts) byDigest.set(start.digest, [...byDigest.get(start.digest) ?? [], start])
+  return byDigest
+}
+
+function checkAnswers (caller: CallerRecord, starts: EndpointStart[], options: CheckOptions): Finding[] {
+  const findings = caller.sends.flatMap((send, position) => {
+    const fault = describeAnswerFault(send, options)
+    return fault === null ? [] : [createFinding(fault.kind, caller, `send ${position + 1} to gateway ${send.gateway}: ${fault.message}`)]
   })
+  if (isAnswered(caller) && starts.length === 0) findings.push(createFinding('answeredWithoutStart', caller, 'answered, and no endpoint recorded a start'))
+  return findings
+}
+
+function describeAnswerFault (send: SendRecord, options: CheckOptions): { kind: FindingKind, message: string } | null {
+  const { outcome } = send
+  switch (outcome.kind) {
+    case 'answered': return outcome.isExact ? null : { kind: 'wrongAnswer', message: 'the answer is not the one to this request' }
+    case 'broken': return options.hadFaults ? null : { kind: 'lostAnswer', message: outcome.message }
+    case 'refused':
+      if (options.hadFaults || outcome.execution === 'not_run') return null
+      return { kind: 'lostAnswer', message: `${outcome.code} after it may have run, without a fault` }
+  }
 }
 
 function checkExecutions (caller: CallerRecord, starts: EndpointStart[]): Finding[] {
@@ -69,29 +85,31 @@
     const places = starts.map(start => `${start.endpoint} at ${start.startedAtMs}`).join(', ')
     findings.push(createFinding('duplicateExecution', caller, `executed ${starts.length} times: ${places}`))
   }
-  for (const start of starts) findings.push(...checkStart(caller, start))
+  for (const start of starts.filter(candidate => isToldNotRun(caller, candidate))) {
+    findings.push(createFinding('ranThoughNotRun', caller, `started on ${start.endpoint} at ${start.startedAtMs}, and its caller was told that it was not run`))
+  }
   return findings
 }
 
-/** A start is against what its caller was told when every send so far was answered "not run". */
-function checkStart (caller: CallerRecord, start: EndpointStart): Finding[] {
-  const sends = caller.sends.filter(send => send.sentAtMs <= start.startedAtMs)
-  if (sends.length === 0 || !sends.every(isNotRun)) return []
-  return [createFinding('ranThoughNotRun', caller, `started on ${start.endpoint} at ${start.startedAtMs}, and its caller was told that it was not run`)]
+/** Whether `start` belongs to a send that was answered "not run", or came when every send so far was. */
+function isToldNotRun (caller: CallerRecord, start: EndpointStart): boolean {
+  const own = caller.sends.find(send => send.requestId !== null && start.attemptId?.startsWith(`${send.requestId}.`))
+  if (own !== undefined) return isNotRun(own)
+  const earlier = caller.sends.filter(send => send.sentAtMs <= start.startedAtMs)
+  return earlier.length > 0 && earlier.every(isNotRun)
 }
 
 function checkRefusals (caller: CallerRecord, record: RunRecord, options: CheckOptions): Finding[] {
-  return caller.sends.flatMap(send => {
-    const { outcome } = send
-    if (outcome.kind !== 'refused') return []
-    const findings: Finding[] = []
-    if (!EXECUTION_STATES.has(outcome.execution)) findings.push(createFinding('refusedWithoutReason', caller, `${outcome.code} does not say whether the request was run`))
-    if (outcome.execution !== 'not_run') return findings
+  const findings: Finding[] = []
+  for (const send of caller.sends) {
+    if (send.outcome.kind !== 'refused') continue
+    const { code, execution } = send.outcome
+    if (!EXECUTION_STATES.has(execution)) findings.push(createFinding('refusedWithoutReason', caller, `${code} does not say whether the request was run`))
     const { refusedAtMs, waitsSinceMs } = getRefusalTimes(send, record)
     const waitedMs = refusedAtMs - waitsSinceMs
-    if (waitedMs > options.maxRefusalMs) findings.push(createFinding('lateRefusal', caller, `${outcome.code} came ${waitedMs} ms after it could be known`))
-    return findings
-  })
+    if (execution === 'not_run' && waitedMs > options.maxRefusalMs) findings.push(createFinding('lateRefusal', caller, `${code} came ${waitedMs} ms after it could be known`))
+  }
+  return findings
 }
 
 function checkShedding (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
@@ -99,14 +117,14 @@
   return caller.sends.filter(isShed).flatMap(send => {
     const { arrivedAtMs, refusedAtMs } = getRefusalTimes(send, record)
     const favored = listStartsBetween(starts, arrivedAtMs + options.clockMarginMs, refusedAtMs - options.clockMarginMs)
-      .find(start => start.tier > tier && competes(caller, start, record) && !record.shareStarts.has(start.attemptId ?? ''))
+      .find(start => start.tier > tier && canServe(caller, start, record) && !record.shareStarts.has(start.attemptId ?? ''))
     if (favored === undefined) return []
     const message = `tier ${tier} was shed from ${arrivedAtMs} to ${refusedAtMs} while ${favored.endpoint} started tier ${favored.tier} at ${favored.startedAtMs}`
     return [createFinding('shedForLowerTier', caller, message)]
   })
 }
 
-function competes (caller: CallerRecord, start: EndpointStart, record: RunRecord): boolean {
+function canServe (caller: CallerRecord, start: EndpointStart, record: RunRecord): boolean {
   const endpoint = record.config.endpoints.get(start.endpoint)
   const { call } = caller.request
   switch (call.kind) {
@@ -157,3 +175,8 @@
 function createFinding (kind: FindingKind, caller: CallerRecord, message: string): Finding {
   return { kind, requestId: caller.request.id, message }
 }
+
+function createUnknownStart (start: EndpointStart): Finding {
+  const message = `${start.endpoint} started at ${start.startedAtMs} what no caller sent in this form (attempt ${start.attemptId})`
+  return { kind: 'unknownStart', requestId: start.digest, message }
+}
--- /dev/null
+++ b/tests/standins/invariantChecker.spec.ts
@@ -0,0 +1,118 @@
+import { expect } from 'chai'
+
+import { checkRun } from '../../standins/checker/invariantChecker'
+import { hashPlannedRequest } from '../../standins/player/plannedRequest'
+
+import type { Endpoint, ServiceClass } from '../../src/config/fleetConfig'
+import type { RunRecord } from '../../standins/checker/runRecord'
+import type { CallerRecord, SendOutcome, SendRecord } from '../../standins/player/callerRecord'
+import type { PlannedRequest } from '../../standins/player/plannedRequest'
+import type { ServiceExecution } from '../../standins/service/serviceRecord'
+
+const ANSWERED: SendOutcome = { kind: 'answered', isExact: true }
+const NOT_RUN: SendOutcome = { kind: 'refused', status: 503, code: 'overloaded', execution: 'not_run', retryAfterMs: 1000 }
+
+describe('checkRun', () => {
+  it('should find nothing in a run that keeps every promise', () => {
+    const caller = makeCaller('a', [makeSend(NOT_RUN, 0, 2, 'req-1'), makeSend(ANSWERED, 1000, 1100, 'req-2')])
+    expect(listKinds([caller], [makeExecution(caller, 1010, 'req-2.1')])).to.deep.equal([])
+  })
+
+  it('should find a wrong answer, a lost one and one that no endpoint gave', () => {
+    const wrong = makeCaller('wrong', [makeSend({ kind: 'answered', isExact: false }, 0, 10, 'req-1')])
+    const lost = makeCaller('lost', [makeSend({ kind: 'broken', message: 'reset' }, 0, 10, null)])
+    const invented = makeCaller('invented', [makeSend(ANSWERED, 0, 10, 'req-2')])
+    const kinds = listKinds([wrong, lost, invented], [makeExecution(wrong, 5, 'req-1.1')])
+    expect(kinds).to.deep.equal(['wrongAnswer', 'lostAnswer', 'answeredWithoutStart'])
+  })
+
+  it('should find a second execution of a non-idempotent request', () => {
+    const caller = makeCaller('a', [makeSend(ANSWERED, 0, 10, 'req-1')])
+    expect(listKinds([caller], [makeExecution(caller, 2, 'req-1.1'), makeExecution(caller, 4, 'req-1.2')])).to.deep.equal(['duplicateExecution'])
+  })
+
+  it('should find an execution whose caller was told that it was not run, also a later one', () => {
+    const caller = makeCaller('a', [makeSend(NOT_RUN, 0, 10, 'req-1')])
+    expect(listKinds([caller], [makeExecution(caller, 5, 'req-1.1')])).to.deep.equal(['ranThoughNotRun'])
+    expect(listKinds([caller], [makeExecution(caller, 5000, null)])).to.deep.equal(['ranThoughNotRun'])
+    const resent = makeCaller('b', [makeSend(NOT_RUN, 0, 10, 'req-1'), makeSend(ANSWERED, 20, 30, 'req-2')])
+    expect(listKinds([resent], [makeExecution(resent, 25, 'req-1.1')])).to.deep.equal(['ranThoughNotRun'])
+  })
+
+  it('should find a start that no caller asked for in this form', () => {
+    const caller = makeCaller('a', [makeSend(ANSWERED, 0, 10, 'req-1')])
+    const altered = { ...makeExecution(caller, 5, 'req-1.1'), digest: 'altered' }
+    expect(listKinds([caller], [altered])).to.deep.equal(['answeredWithoutStart', 'unknownStart'])
+  })
+
+  it('should find a higher tier shed while a lower one was started, unless by a guaranteed share', () => {
+    const shed = makeCaller('high', [makeSend(NOT_RUN, 100, 200, 'req-1')])
+    const low = makeCaller('low', [makeSend(ANSWERED, 0, 300, 'req-2')], 'low')
+    const start = { ...makeExecution(low, 150, 'req-2.1'), priority: 3 }
+    expect(listKinds([shed, low], [start])).to.deep.equal(['shedForLowerTier'])
+    expect(listKinds([shed, low], [start], new Set(['req-2.1']))).to.deep.equal([])
+    expect(listKinds([shed, low], [{ ...start, startedAtMs: 250 }])).to.deep.equal([])
+    expect(listKinds([shed, low], [{ ...start, endpoint: 'other' }])).to.deep.equal([])
+  })
+
+  it('should find a refusal that came late or does not say whether the request was run', () => {
+    const late = makeCaller('late', [makeSend(NOT_RUN, 0, 2000, 'req-1')])
+    const vague = makeCaller('vague', [makeSend({ ...NOT_RUN, execution: 'perhaps' }, 0, 1, 'req-2')])
+    expect(listKinds([late, vague], [], new Set(), true)).to.deep.equal(['lateRefusal', 'refusedWithoutReason'])
+    const decisions = new Map([['req-1', { requestId: 'req-1', arrivedAtMs: 1, leftQueueAtMs: 1995, refusedAtMs: 1999 }]])
+    expect(checkRun({ ...makeRecord([late], []), decisions }, { maxRefusalMs: 1000, clockMarginMs: 0, hadFaults: true })).to.deep.equal([])
+  })
+})
+
+function listKinds (callers: CallerRecord[], executions: ServiceExecution[], shareStarts = new Set<string>(), hadFaults = false): string[] {
+  const record = { ...makeRecord(callers, executions), shareStarts }
+  return checkRun(record, { maxRefusalMs: 1000, clockMarginMs: 0, hadFaults }).map(finding => finding.kind)
+}
+
+function makeRecord (callers: CallerRecord[], executions: ServiceExecution[]): RunRecord {
+  return {
+    config: {
+      classes: new Map([['high', makeClass('high', 1)], ['low', makeClass('low', 3)]]),
+      endpoints: new Map([['desk-1', makeEndpoint('desk-1', 'desk')], ['other', makeEndpoint('other', 'elsewhere')]])
+    },
+    callers,
+    engines: [],
+    services: [{ endpoint: 'desk-1', executions }],
+    shareStarts: new Set(),
+    decisions: new Map()
+  }
+}
+
+function makeCaller (id: string, sends: SendRecord[], className = 'high'): CallerRecord {
+  const call = { kind: 'service' as const, service: 'desk', call: { method: 'POST', path: '/bookings', body: id } }
+  const request: PlannedRequest = { id, atMs: 0, gateway: 0, workspace: 'w', apiKey: 'k', className, idempotent: false, call }
+  return { request, sends }
+}
+
+function makeSend (outcome: SendOutcome, sentAtMs: number, endedAtMs: number, requestId: string | null): SendRecord {
+  return { gateway: 0, requestId, sentAtMs, firstTokenAtMs: null, endedAtMs, tokenGapsMs: [], outcome }
+}
+
+function makeExecution (caller: CallerRecord, startedAtMs: number, attemptId: string | null): ServiceExecution {
+  return {
+    endpoint: 'desk-1',
+    bootId: 'boot-1',
+    method: 'POST',
+    path: '/bookings',
+    digest: hashPlannedRequest(caller.request),
+    idempotencyKey: null,
+    attemptId,
+    priority: 1,
+    startedAtMs,
+    endedAtMs: startedAtMs + 1,
+    state: 'answered'
+  }
+}
+
+function makeClass (name: string, tier: number): ServiceClass {
+  return { name, tier, firstTokenTargetMs: 100, betweenTokensTargetMs: 50, deadlineMs: 1000, share: 0, retryRatio: 0 }
+}
+
+function makeEndpoint (name: string, service: string): Endpoint {
+  return { name, kind: 'service', models: [], service, role: 'mixed', checksFencing: false, slots: 1 }
+}
