Add the demo: a fleet of processes, a lunch burst and its report

Cause: one line must show the whole path at work, judged by the checker.

Ruled out: a process for each endpoint stand-in; one process for each failure domain hosts its stand-ins, which keeps the demo near 20 processes.

Change: the demo starts the platform stand-in, endpoints, sidecars and gateways, applies the example folder, waits until every class is answered through every gateway, plays the burst, prints the table by class, checks the run and drains with SIGTERM.

--- /dev/null
+++ b/standins/demo/runDemo.ts
@@ -0,0 +1,155 @@
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import { compileFleetConfig } from '../../src/config/compileFleetConfig'
+import { formatFindings } from '../../src/config/finding'
+import { loadFleetFolder } from '../../src/config/loadFleetFolder'
+import { checkRun } from '../checker/invariantChecker'
+import { buildBurstPlan } from '../player/burstPlan'
+import { isAnswered } from '../player/callerRecord'
+import { CLASS_PROFILES } from '../player/deploymentProfiles'
+import { LoadPlayer } from '../player/loadPlayer'
+import { createSeededRandom } from '../shared/seededRandom'
+import { computeClassRows, formatClassTable } from './classReport'
+import { FleetProcesses, computeCapacity } from './fleetProcesses'
+
+import type { FleetConfig } from '../../src/config/fleetConfig'
+import type { Finding } from '../checker/invariantChecker'
+import type { RunRecord } from '../checker/runRecord'
+import type { CallerRecord } from '../player/callerRecord'
+import type { Deployment } from '../player/deploymentProfiles'
+import type { PlannedRequest } from '../player/plannedRequest'
+import type { LogFields } from '../shared/managedProcess'
+
+const GATEWAY_COUNT = 3
+const READY_TIMEOUT_MS = 15_000
+const READY_POLL_MS = 250
+const MAX_RESENDS = 2
+const MAX_REFUSAL_MS = 1000
+const CLOCK_MARGIN_MS = 5
+const PRINTED_FINDINGS = 20
+const DOMAINS: Record<Deployment, string[]> = {
+  wonsowicz: ['pl-central-a', 'pl-central-b', 'pl-central-c'],
+  spunform: ['qld-se-a', 'qld-se-b', 'qld-se-c', 'qld-se-d']
+}
+
+export interface DemoOptions {
+  deployment: Deployment
+  seed: number
+  durationMs: number
+  /** Tokens asked for, as a multiple of what the engines can generate meanwhile. */
+  overload: number
+}
+
+/** Runs a lunch burst against a whole fleet of processes; true when every promise was kept. */
+export async function runDemo (options: DemoOptions): Promise<boolean> {
+  const folder = `examples/${options.deployment}`
+  const config = loadConfig(folder)
+  const shareStarts = new Set<string>()
+  const fleet = new FleetProcesses({
+    config,
+    folder,
+    domains: DOMAINS[options.deployment],
+    gatewayCount: GATEWAY_COUNT,
+    handleLog: fields => recordShareStart(fields, shareStarts)
+  })
+  try {
+    await fleet.start()
+    print(`${options.deployment}: ${fleet.countProcesses()} processes on ${config.endpoints.size} endpoints, seed ${options.seed}`)
+    const probes = await waitForReady(fleet, config, options)
+    const callers = await playBurst(fleet, config, options)
+    const records = await fleet.readRecords()
+    const calls = await fleet.readPlatformCalls()
+    const faults = await fleet.drain()
+    const record: RunRecord = { config, callers: [...probes, ...callers], ...records, shareStarts, decisions: new Map() }
+    print(formatClassTable(computeClassRows({ ...record, callers }, config, options.durationMs)))
+    print(`platform calls: ${Object.entries(calls).map(([kind, count]) => `${kind} ${count}`).join(', ')}`)
+    return reportFindings(record, faults)
+  } finally {
+    fleet.kill()
+  }
+}
+
+function loadConfig (folder: string): FleetConfig {
+  const tree = loadFleetFolder(folder)
+  if (tree.isErr) throw new Error(formatFindings(tree.error))
+  return compileFleetConfig(tree.value, 1)
+}
+
+function recordShareStart (fields: LogFields, shareStarts: Set<string>): void {
+  if (fields.event === 'started' && fields.rule === 'share') shareStarts.add(String(fields.attemptId))
+}
+
+/** Waits until every class is answered through every gateway; returns the requests that showed it. */
+async function waitForReady (fleet: FleetProcesses, config: FleetConfig, options: DemoOptions): Promise<CallerRecord[]> {
+  const deadlineMs = Date.now() + READY_TIMEOUT_MS
+  const records: CallerRecord[] = []
+  for (let round = 0; ; round++) {
+    const probes = buildProbes(config, options, round)
+    const player = createPlayer(fleet, options, 0)
+    const played = await player.play(probes)
+    records.push(...played)
+    const missing = played.filter(record => !isAnswered(record))
+    if (missing.length === 0) return records
+    if (Date.now() > deadlineMs) throw new Error(`waited ${READY_TIMEOUT_MS} ms for every class to be answered; the last: ${JSON.stringify(missing[0])}`)
+    await sleep(READY_POLL_MS)
+  }
+}
+
+function buildProbes (config: FleetConfig, options: DemoOptions, round: number): PlannedRequest[] {
+  return CLASS_PROFILES[options.deployment].flatMap((profile, kind) => {
+    const random = createSeededRandom(kind)
+    return Array.from({ length: GATEWAY_COUNT }, (_, gateway) => {
+      const [request] = buildBurstPlan({ config, profiles: [profile], random, durationMs: 0, tokens: 0, gatewayCount: GATEWAY_COUNT, idPrefix: `probe-${round}-${kind}-${gateway}`, minRequests: 1 })
+      return { ...request!, gateway }
+    })
+  })
+}
+
+async function playBurst (fleet: FleetProcesses, config: FleetConfig, options: DemoOptions): Promise<CallerRecord[]> {
+  const capacity = computeCapacity(config)
+  const plan = buildBurstPlan({
+    config,
+    profiles: CLASS_PROFILES[options.deployment],
+    random: createSeededRandom(options.seed),
+    durationMs: options.durationMs,
+    tokens: options.overload * capacity * options.durationMs / 1000,
+    gatewayCount: GATEWAY_COUNT
+  })
+  print(`burst of ${plan.length} requests in ${options.durationMs / 1000} s; the engines generate ${Math.round(capacity)} tokens/s at most`)
+  const player = createPlayer(fleet, options, MAX_RESENDS)
+  const startMs = Date.now()
+  const timer = setInterval(() => printProgress(player, startMs), 2000)
+  const records = await player.play(plan)
+  clearInterval(timer)
+  printProgress(player, startMs)
+  return records
+}
+
+function createPlayer (fleet: FleetProcesses, options: DemoOptions, maxResends: number): LoadPlayer {
+  return new LoadPlayer({ gateways: fleet.gateways, random: createSeededRandom(options.seed + 1), maxResends, lastSendMs: options.durationMs })
+}
+
+function printProgress (player: LoadPlayer, startMs: number): void {
+  const { sent, answered, refused, waiting } = player.getCounts()
+  print(`${Math.round((Date.now() - startMs) / 1000)} s: sent ${sent}, answered ${answered}, refused ${refused}, in flight ${waiting}`)
+}
+
+function reportFindings (record: RunRecord, faults: string[]): boolean {
+  const findings = checkRun(record, { maxRefusalMs: MAX_REFUSAL_MS, clockMarginMs: CLOCK_MARGIN_MS, hadFaults: false })
+  for (const [kind, count] of countKinds(findings)) print(`broken: ${kind} ${count} times`)
+  for (const finding of findings.slice(0, PRINTED_FINDINGS)) print(`  ${finding.kind} ${finding.requestId}: ${finding.message}`)
+  for (const fault of faults) print(`drain: ${fault}`)
+  const isKept = findings.length === 0 && faults.length === 0
+  print(isKept ? 'every promise checked was kept; every process drained and exited with 0' : `${findings.length} findings, ${faults.length} processes that did not drain`)
+  return isKept
+}
+
+function countKinds (findings: Finding[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const { kind } of findings) counts.set(kind, (counts.get(kind) ?? 0) + 1)
+  return counts
+}
+
+function print (line: string): void {
+  process.stdout.write(`${line}\n`)
+}
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -1,25 +1,18 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
-import { startEngine } from './engine/engineServer'
+import { DEPLOYMENTS } from './player/deploymentProfiles'
+import { runDemo } from './demo/runDemo'
 import { startPlatform } from './platform/platformServer'
-import { startService } from './service/serviceServer'
+import { endpointSpecsSchema, startEndpoint } from './shared/endpointSpec'
 import { parseListen, reportListening } from './shared/listenOption'
 
-const LISTEN = { type: 'string', default: '127.0.0.1:0', describe: 'HOST:PORT; port 0 lets the system choose' } as const
-const ENDPOINT_OPTIONS = {
-  listen: { type: 'array', string: true, default: ['127.0.0.1:0'], describe: 'HOST:PORT of each endpoint' },
-  name: { type: 'array', string: true, demandOption: true, describe: 'name of each endpoint, in the order of --listen' },
-  slots: { type: 'number', default: 8 },
-  'restart-ms': { type: 'number', default: 1500 }
-} as const
-
 yargs(hideBin(process.argv))
   .scriptName('standin')
   .strict()
   .demandCommand(1)
   .command('platform', "the platform's object service", {
-    listen: LISTEN,
+    listen: { type: 'string', default: '127.0.0.1:0', describe: 'HOST:PORT; port 0 lets the system choose' },
     'reads-per-second': { type: 'number', default: 2000 },
     'writes-per-second': { type: 'number', default: 400 },
     'instances-lag-ms': { type: 'number', default: 1000 }
@@ -32,45 +25,24 @@
     })
     reportListening('platform', platform.address)
   })
-  .command('engine', 'one or more model engines', {
-    ...ENDPOINT_OPTIONS,
-    model: { type: 'array', string: true, default: [], describe: 'model that is loaded at each boot' },
-    'step-ms': { type: 'number', default: 20 },
-    'step-ms-per-request': { type: 'number', default: 1 },
-    'speed-factor': { type: 'number', default: 1 },
-    'load-lag-ms': { type: 'number', default: 500 },
-    'checks-fencing': { type: 'boolean', default: true }
+  .command('endpoints', 'model engines and plain services, any number in one process', {
+    spec: { type: 'string', demandOption: true, describe: 'JSON list, for example [{"kind":"engine","name":"engine-1","port":0}]' }
   }, async argv => {
-    for (const [position, name] of argv.name.entries()) {
-      const engine = await startEngine({
-        ...parseListen(argv.listen[position] ?? '127.0.0.1:0'),
-        name,
-        slots: argv.slots,
-        restartMs: argv.restartMs,
-        models: argv.model,
-        stepMs: argv.stepMs,
-        stepMsPerRequest: argv.stepMsPerRequest,
-        speedFactor: argv.speedFactor,
-        loadLagMs: argv.loadLagMs,
-        checksFencing: argv.checksFencing
-      })
-      reportListening(name, engine.host.address)
-    }
+    for (const spec of endpointSpecsSchema.parse(JSON.parse(argv.spec))) reportListening(spec.name, await startEndpoint(spec))
   })
-  .command('service', 'one or more plain services', {
-    ...ENDPOINT_OPTIONS,
-    'service-ms': { type: 'number', default: 50 }
+  .command('demo', 'a lunch burst against a whole fleet of processes', {
+    deployment: { choices: DEPLOYMENTS, default: DEPLOYMENTS[0] },
+    seed: { type: 'number', default: 1 },
+    seconds: { type: 'number', default: 20, describe: 'length of the burst' },
+    overload: { type: 'number', default: 2, describe: "tokens asked for, as a multiple of the engines' capacity" }
   }, async argv => {
-    for (const [position, name] of argv.name.entries()) {
-      const service = await startService({
-        ...parseListen(argv.listen[position] ?? '127.0.0.1:0'),
-        name,
-        slots: argv.slots,
-        restartMs: argv.restartMs,
-        serviceMs: argv.serviceMs
-      })
-      reportListening(name, service.host.address)
-    }
+    const isKept = await runDemo({
+      deployment: argv.deployment,
+      seed: argv.seed,
+      durationMs: argv.seconds * 1000,
+      overload: argv.overload
+    })
+    process.exitCode = isKept ? 0 : 1
   })
   .parseAsync()
   .catch((error: Error) => {
--- a/standins/player/burstPlan.ts
+++ b/standins/player/burstPlan.ts
@@ -16,7 +16,11 @@
   durationMs: number
   /** Tokens that all answers of the plan have together, at least. */
   tokens: number
+  /** Requests of the plan, at least. */
+  minRequests?: number
   gatewayCount: number
+  /** Beginning of each request's identifier. */
+  idPrefix?: string
 }
 
 /**
@@ -27,7 +31,7 @@
  */
 export function buildBurstPlan (options: BurstPlanOptions): PlannedRequest[] {
   const plan: PlannedRequest[] = []
-  for (let tokens = 0; tokens < options.tokens;) {
+  for (let tokens = 0; tokens < options.tokens || plan.length < (options.minRequests ?? 0);) {
     const request = buildRequest(plan.length, options)
     if (request.call.kind === 'chat') tokens += generateAnswer(request.call.body).length
     plan.push(request)
@@ -39,7 +43,7 @@
   const { random } = options
   const profile = sampleWeighted(options.profiles, random, candidate => candidate.weight)
   const workspace = sampleWorkspace(profile.className, options)
-  const id = `burst-${position}`
+  const id = `${options.idPrefix ?? 'burst'}-${position}`
   const idempotent = profile.call.kind === 'chat' || profile.call.idempotent
   const hasKey = !idempotent && random() >= KEYLESS_FRACTION
   return {
--- /dev/null
+++ b/standins/shared/endpointSpec.ts
@@ -0,0 +1,41 @@
+import { z } from 'zod'
+
+import { startEngine } from '../engine/engineServer'
+import { startService } from '../service/serviceServer'
+
+const listenFields = {
+  name: z.string(),
+  port: z.number().int().default(0),
+  slots: z.number().int().positive().default(8),
+  restartMs: z.number().nonnegative().default(1500)
+}
+
+/** Endpoint stand-ins that one process hosts, as `standin endpoints --spec` takes them. */
+export const endpointSpecsSchema = z.array(z.discriminatedUnion('kind', [
+  z.strictObject({
+    kind: z.literal('engine'),
+    ...listenFields,
+    models: z.array(z.string()).default([]),
+    checksFencing: z.boolean().default(true),
+    speedFactor: z.number().positive().default(1),
+    loadLagMs: z.number().nonnegative().default(500),
+    stepMs: z.number().positive().default(20),
+    stepMsPerRequest: z.number().nonnegative().default(1),
+    prefillMsPerToken: z.number().nonnegative().default(0.05)
+  }),
+  z.strictObject({
+    kind: z.literal('service'),
+    ...listenFields,
+    serviceMs: z.number().positive().default(50)
+  })
+]))
+export type EndpointSpec = z.input<typeof endpointSpecsSchema>[number]
+type CheckedSpec = z.output<typeof endpointSpecsSchema>[number]
+
+/** Starts the stand-in that `spec` describes; returns its `host:port`. */
+export async function startEndpoint (spec: CheckedSpec): Promise<string> {
+  switch (spec.kind) {
+    case 'engine': return (await startEngine(spec)).host.address
+    case 'service': return (await startService(spec)).host.address
+  }
+}
