--- /dev/null
+++ b/tests/standins/tcpRelay.spec.ts
@@ -0,0 +1,60 @@
+import { once } from 'node:events'
+import { connect, createServer } from 'node:net'
+
+import { expect } from 'chai'
+
+import { startTcpRelay } from '../../standins/network/tcpRelay'
+
+import type { AddressInfo, Socket } from 'node:net'
+import type { TcpRelay } from '../../standins/network/tcpRelay'
+
+describe('TcpRelay', () => {
+  it('should leave open connections silent in both ways while new ones work', async () => {
+    await withRelay(async (relay, accepted) => {
+      const lost = await openConnection(relay)
+      lost.write('before')
+      expect(String((await once(lost, 'data'))[0])).to.equal('before')
+      relay.setConnectionsSilent()
+      let lateEvents = 0
+      lost.on('data', () => { lateEvents += 1 })
+      accepted[0]!.on('data', () => { lateEvents += 1 })
+      accepted[0]!.on('close', () => { lateEvents += 1 })
+      lost.write('lost')
+      accepted[0]!.write('lost too')
+      const next = await openConnection(relay)
+      next.write('after')
+      expect(String((await once(next, 'data'))[0])).to.equal('after')
+      lost.destroy()
+      next.destroy()
+      await once(accepted[1]!, 'close')
+      expect(lateEvents).to.equal(0)
+    })
+  })
+})
+
+/** A relay before a server that echoes, with the connections that the server accepted. */
+async function withRelay (test: (relay: TcpRelay, accepted: Socket[]) => Promise<void>): Promise<void> {
+  const accepted: Socket[] = []
+  const server = createServer(socket => {
+    accepted.push(socket)
+    socket.on('error', () => {})
+    socket.pipe(socket)
+  })
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  const relay = await startTcpRelay(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  try {
+    await test(relay, accepted)
+  } finally {
+    await relay.close()
+    for (const socket of accepted) socket.destroy()
+    server.close()
+  }
+}
+
+async function openConnection (relay: TcpRelay): Promise<Socket> {
+  const [host, port] = relay.address.split(':')
+  const socket = connect({ host, port: Number(port) })
+  socket.on('error', () => {})
+  await once(socket, 'connect')
+  return socket
+}
