Let the checker find preempted requests and starved classes

Change: a started request that was cancelled before its deadline in a run without faults, and a class of which nothing was answered, are findings.

--- a/standins/checker/invariantChecker.ts
+++ b/standins/checker/invariantChecker.ts
@@ -8,7 +8,7 @@
 /** A promise that a run broke. */
 export type FindingKind =
   | 'wrongAnswer' | 'lostAnswer' | 'answeredWithoutStart' | 'duplicateExecution' | 'ranThoughNotRun' | 'unknownStart'
-  | 'shedForLowerTier' | 'lateRefusal' | 'refusedWithoutReason'
+  | 'preempted' | 'starvedClass' | 'shedForLowerTier' | 'lateRefusal' | 'refusedWithoutReason'
 
 /** One broken promise with the request that shows it. */
 export interface Finding {
@@ -25,6 +25,8 @@
   clockMarginMs: number
   /** Whether the run had faults, which may cut an answer whose caller is told so. */
   hadFaults: boolean
+  /** Requests of one class of which at least one must be answered. */
+  minStarvationRequests: number
 }
 
 const SHED_CODES = new Set(['overloaded', 'deadline_exceeded', 'endpoint_unavailable'])
@@ -34,7 +36,7 @@
  * Judges a run by what callers, gateways, sidecars and endpoints recorded; returns all findings.
  *
  * @example
- * const findings = checkRun(record, { maxRefusalMs: 1000, clockMarginMs: 5, hadFaults: false })
+ * const findings = checkRun(record, { maxRefusalMs: 1000, clockMarginMs: 5, hadFaults: false, minStarvationRequests: 20 })
  */
 export function checkRun (record: RunRecord, options: CheckOptions): Finding[] {
   const starts = listStarts(record)
@@ -46,11 +48,13 @@
     return [
       ...checkAnswers(caller, own, options),
       ...checkExecutions(caller, own),
+      ...checkPreemption(caller, own, record, options),
       ...checkRefusals(caller, record, options),
       ...checkShedding(caller, starts, record, options)
     ]
   })
-  return [...findings, ...[...startsByDigest.values()].flat().map(createUnknownStart)]
+  const unknown = [...startsByDigest.values()].flat().map(createUnknownStart)
+  return [...findings, ...unknown, ...checkStarvation(record, options)]
 }
 
 function buildStartsByDigest (starts: EndpointStart[]): Map<string, EndpointStart[]> {
@@ -99,6 +103,24 @@
   return earlier.length > 0 && earlier.every(isNotRun)
 }
 
+/** Callers of a run never hang up, so without a fault only a deadline may end a started request early. */
+function checkPreemption (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
+  const deadlineMs = record.config.classes.get(caller.request.className)?.deadlineMs ?? 0
+  const cut = starts.filter(start => start.state === 'cancelled' && start.endedAtMs! - start.startedAtMs < deadlineMs)
+  const early = cut.filter(start => !caller.sends.some(send => send.sentAtMs + deadlineMs - options.clockMarginMs <= start.endedAtMs!))
+  if (options.hadFaults) return []
+  return early.map(start => createFinding('preempted', caller, `cancelled on ${start.endpoint} ${start.endedAtMs! - start.startedAtMs} ms after its start`))
+}
+
+function checkStarvation (record: RunRecord, options: CheckOptions): Finding[] {
+  const classNames = new Set(record.callers.map(caller => caller.request.className))
+  return [...classNames].flatMap(className => {
+    const callers = record.callers.filter(caller => caller.request.className === className)
+    if (callers.length < options.minStarvationRequests || callers.some(isAnswered)) return []
+    return [createFinding('starvedClass', callers[0]!, `none of the ${callers.length} requests of ${className} was answered`)]
+  })
+}
+
 function checkRefusals (caller: CallerRecord, record: RunRecord, options: CheckOptions): Finding[] {
   const findings: Finding[] = []
   for (const send of caller.sends) {
--- a/standins/checker/runRecord.ts
+++ b/standins/checker/runRecord.ts
@@ -1,7 +1,7 @@
 import type { FleetConfig } from '../../src/config/fleetConfig'
-import type { EngineRecord } from '../engine/engineRecord'
+import type { EngineRecord, EngineRun } from '../engine/engineRecord'
 import type { CallerRecord } from '../player/callerRecord'
-import type { ServiceRecord } from '../service/serviceRecord'
+import type { ServiceExecution, ServiceRecord } from '../service/serviceRecord'
 
 /** When a gateway decided on a request; times are wall milliseconds. */
 export interface GatewayDecision {
@@ -31,6 +31,8 @@
   attemptId: string | null
   tier: number
   startedAtMs: number
+  endedAtMs: number | null
+  state: EngineRun['state'] | ServiceExecution['state']
 }
 
 /** Lists every start at every endpoint, in the order of time. */
--- a/standins/demo/runDemo.ts
+++ b/standins/demo/runDemo.ts
@@ -26,6 +26,7 @@
 const MAX_RESENDS = 2
 const MAX_REFUSAL_MS = 1000
 const CLOCK_MARGIN_MS = 5
+const MIN_STARVATION_REQUESTS = 20
 const PRINTED_FINDINGS = 20
 const DOMAINS: Record<Deployment, string[]> = {
   wonsowicz: ['pl-central-a', 'pl-central-b', 'pl-central-c'],
@@ -135,7 +136,7 @@
 }
 
 function reportFindings (record: RunRecord, faults: string[]): boolean {
-  const findings = checkRun(record, { maxRefusalMs: MAX_REFUSAL_MS, clockMarginMs: CLOCK_MARGIN_MS, hadFaults: false })
+  const findings = checkRun(record, { maxRefusalMs: MAX_REFUSAL_MS, clockMarginMs: CLOCK_MARGIN_MS, hadFaults: false, minStarvationRequests: MIN_STARVATION_REQUESTS })
   for (const [kind, count] of countKinds(findings)) print(`broken: ${kind} ${count} times`)
   for (const finding of findings.slice(0, PRINTED_FINDINGS)) print(`  ${finding.kind} ${finding.requestId}: ${finding.message}`)
   for (const fault of faults) print(`drain: ${fault}`)
--- a/tests/standins/invariantChecker.spec.ts
+++ b/tests/standins/invariantChecker.spec.ts
@@ -4,13 +4,16 @@
 import { hashPlannedRequest } from '../../standins/player/plannedRequest'
 
 import type { Endpoint, ServiceClass } from '../../src/config/fleetConfig'
+import type { CheckOptions } from '../../standins/checker/invariantChecker'
 import type { RunRecord } from '../../standins/checker/runRecord'
+import type { EngineRun } from '../../standins/engine/engineRecord'
 import type { CallerRecord, SendOutcome, SendRecord } from '../../standins/player/callerRecord'
 import type { PlannedRequest } from '../../standins/player/plannedRequest'
 import type { ServiceExecution } from '../../standins/service/serviceRecord'
 
 const ANSWERED: SendOutcome = { kind: 'answered', isExact: true }
 const NOT_RUN: SendOutcome = { kind: 'refused', status: 503, code: 'overloaded', execution: 'not_run', retryAfterMs: 1000 }
+const CHECK: CheckOptions = { maxRefusalMs: 1000, clockMarginMs: 0, hadFaults: false, minStarvationRequests: 3 }
 
 describe('checkRun', () => {
   it('should find nothing in a run that keeps every promise', () => {
@@ -55,18 +58,33 @@
     expect(listKinds([shed, low], [{ ...start, endpoint: 'other' }])).to.deep.equal([])
   })
 
+  it('should find a started request that was cancelled before its deadline', () => {
+    const caller = makeCaller('a', [makeSend(ANSWERED, 0, 900, 'req-1')])
+    const whole = makeExecution(caller, 500, 'req-1.2')
+    const run = makeRun({ digest: whole.digest, startedAtMs: 10, endedAtMs: 50, state: 'cancelled' })
+    const record = { ...makeRecord([caller], []), engines: [{ endpoint: 'engine-1', runs: [run], orders: [] }] }
+    expect(checkRun(record, CHECK).map(finding => finding.kind)).to.deep.equal(['preempted'])
+    const late = { ...record, engines: [{ endpoint: 'engine-1', runs: [{ ...run, endedAtMs: 1005 }], orders: [] }] }
+    expect(checkRun(late, CHECK)).to.deep.equal([])
+  })
+
+  it('should find a class of which no request was answered', () => {
+    const callers = ['a', 'b', 'c'].map(id => makeCaller(id, [makeSend(NOT_RUN, 0, 1, null)]))
+    expect(listKinds(callers, [])).to.deep.equal(['starvedClass'])
+  })
+
   it('should find a refusal that came late or does not say whether the request was run', () => {
     const late = makeCaller('late', [makeSend(NOT_RUN, 0, 2000, 'req-1')])
     const vague = makeCaller('vague', [makeSend({ ...NOT_RUN, execution: 'perhaps' }, 0, 1, 'req-2')])
     expect(listKinds([late, vague], [], new Set(), true)).to.deep.equal(['lateRefusal', 'refusedWithoutReason'])
     const decisions = new Map([['req-1', { requestId: 'req-1', arrivedAtMs: 1, leftQueueAtMs: 1995, refusedAtMs: 1999 }]])
-    expect(checkRun({ ...makeRecord([late], []), decisions }, { maxRefusalMs: 1000, clockMarginMs: 0, hadFaults: true })).to.deep.equal([])
+    expect(checkRun({ ...makeRecord([late], []), decisions }, { ...CHECK, hadFaults: true })).to.deep.equal([])
   })
 })
 
 function listKinds (callers: CallerRecord[], executions: ServiceExecution[], shareStarts = new Set<string>(), hadFaults = false): string[] {
   const record = { ...makeRecord(callers, executions), shareStarts }
-  return checkRun(record, { maxRefusalMs: 1000, clockMarginMs: 0, hadFaults }).map(finding => finding.kind)
+  return checkRun(record, { ...CHECK, hadFaults }).map(finding => finding.kind)
 }
 
 function makeRecord (callers: CallerRecord[], executions: ServiceExecution[]): RunRecord {
@@ -109,6 +127,24 @@
   }
 }
 
+function makeRun (change: Partial<EngineRun>): EngineRun {
+  return {
+    endpoint: 'engine-1',
+    bootId: 'boot-1',
+    model: 'm',
+    digest: '',
+    attemptId: 'req-1.1',
+    priority: 1,
+    arrivedAtMs: 0,
+    startedAtMs: 0,
+    endedAtMs: null,
+    resumedAt: 0,
+    tokens: 0,
+    state: 'completed',
+    ...change
+  }
+}
+
 function makeClass (name: string, tier: number): ServiceClass {
   return { name, tier, firstTokenTargetMs: 100, betweenTokensTargetMs: 50, deadlineMs: 1000, share: 0, retryRatio: 0 }
 }
