Measure the gateway's view of the sidecars at three sizes

Change: bench/capacity measures, in a process of its own per size, the heap, processor time and bytes of a poll of the instance list, a watch cycle, a changed registration and a choice, against the stand-in of the object service.

--- /dev/null
+++ b/bench/capacity/fleetSize.ts
@@ -0,0 +1,34 @@
+/** Counts of the fleet that the design is for. */
+export const FLEET = {
+  gateways: 360,
+  sidecars: 600,
+  requestsPerSecond: 7_200,
+  tokensPerSecond: 2_900_000,
+  workspaces: 13_000,
+  models: 35,
+  tiers: 6,
+  domains: 7,
+  configChangesPerDay: 2_200,
+  restartsPerDay: 60,
+  failuresPerDay: 5,
+  processes: 960
+} as const
+
+/** Bounds that control keeps to on each node. */
+export const CONTROL_BOUNDS = {
+  coreShare: 0.02,
+  memoryMb: 64,
+  bytesPerSecond: 23_000
+} as const
+
+/** Calls that the platform's object service takes each second. */
+export const PLATFORM_BOUNDS = {
+  writesPerSecond: 400,
+  readsPerSecond: 2_000
+} as const
+
+export const SECONDS_PER_DAY = 86_400
+
+/** Requests that one gateway, and one sidecar, carries each second at the peak. */
+export const GATEWAY_REQUESTS_PER_SECOND = FLEET.requestsPerSecond / FLEET.gateways
+export const SIDECAR_REQUESTS_PER_SECOND = FLEET.requestsPerSecond / FLEET.sidecars
--- /dev/null
+++ b/bench/capacity/main.ts
@@ -0,0 +1,3 @@
+import { measureControlPath } from './controlPath'
+
+await measureControlPath()
--- /dev/null
+++ b/bench/capacity/socketBytes.ts
@@ -0,0 +1,28 @@
+import { subscribe } from 'node:diagnostics_channel'
+
+import type { Socket } from 'node:net'
+
+/** Counts the bytes of all connections that this process opens; TCP and IP headers are not in it. */
+export class SocketBytes {
+  readonly #sockets = new Set<Socket>()
+  #lastTotal = -1
+
+  constructor () {
+    subscribe('net.client.socket', message => {
+      this.#sockets.add((message as { socket: Socket }).socket)
+    })
+  }
+
+  /** Bytes sent and received so far. */
+  readTotal (): number {
+    return [...this.#sockets].reduce((sum, socket) => sum + socket.bytesRead + socket.bytesWritten, 0)
+  }
+
+  /** Whether nothing was sent or received since the last call. */
+  isIdle (): boolean {
+    const total = this.readTotal()
+    const isIdle = total === this.#lastTotal
+    this.#lastTotal = total
+    return isIdle
+  }
+}
--- /dev/null
+++ b/bench/capacity/stepCost.ts
@@ -0,0 +1,39 @@
+import type { SocketBytes } from './socketBytes'
+
+const US_PER_MS = 1000
+const CHECK_PERIOD_MS = 25
+
+/** What one repetition of a step cost this process. */
+export interface StepCost {
+  processorMs: number
+  bytes: number
+}
+
+/** Measures what `count` repetitions cost, as counted by `run`, and returns the mean. */
+export async function measureSteps (sockets: SocketBytes, run: () => Promise<number>): Promise<StepCost> {
+  const processorBefore = process.cpuUsage()
+  const bytesBefore = sockets.readTotal()
+  const count = await run()
+  const used = process.cpuUsage(processorBefore)
+  return {
+    processorMs: (used.user + used.system) / US_PER_MS / count,
+    bytes: (sockets.readTotal() - bytesBefore) / count
+  }
+}
+
+/** Heap and resident megabytes after a collection. */
+export function readMemoryMb (): { heapMb: number, residentMb: number } {
+  global.gc?.()
+  global.gc?.()
+  const { heapUsed, rss } = process.memoryUsage()
+  return { heapMb: heapUsed / 1_048_576, residentMb: rss / 1_048_576 }
+}
+
+/** Waits until `check` is true; it looks seldom, since each look costs processor time that is measured. */
+export async function waitUntil (awaited: string, check: () => boolean, timeoutMs = 30_000): Promise<void> {
+  const deadlineMs = performance.now() + timeoutMs
+  while (!check()) {
+    if (performance.now() > deadlineMs) throw new Error(`timed out waiting for ${awaited}`)
+    await new Promise(resolve => setTimeout(resolve, CHECK_PERIOD_MS))
+  }
+}
