Send the list of instances only when it has changed

Cause: at 600 sidecars and 360 gateways each poll of the list moved 107 to 110 kB; at one poll in 3 s that is 36 kB/s for each gateway, above the bound of 23 kB/s for all control.

Ruled out: polling less often (an endpoint that leaves must get no new work after a few seconds) and a filter by state (the list is the platform's, and a conditional read is usual HTTP).

Change: the client shows the list's ETag and takes 304 as "unchanged"; the directory then rebuilds nothing.

Conclusion: the whole list moves only when it changes.

--- a/src/platform/httpObjectService.ts
+++ b/src/platform/httpObjectService.ts
@@ -75,6 +75,8 @@
   readonly #agent = new http.Agent({ keepAlive: true })
   readonly #bucket: TokenBucket
   readonly #circuit: ServiceCircuit
+  /** Last list of instances, so that an unchanged one is not sent again. */
+  #knownInstances: { tag: string, instances: ListedInstance[] } | null = null
 
   constructor (options: HttpObjectServiceOptions) {
     this.#baseUrl = options.baseUrl
@@ -139,9 +141,14 @@
   }
 
   async listInstances (progress: Progress): Promise<CallResult<ListedInstance[]>> {
-    const call = this.#createCall('GET', '/instances')
+    const known = this.#knownInstances
+    const call = { ...this.#createCall('GET', '/instances'), headers: known === null ? undefined : { 'if-none-match': known.tag } }
     return await this.#run('listInstances', call, progress, answer => {
-      return parseAnswer(answer, objectServiceMessages.instances).map(message => message.instances)
+      if (answer.status === 304 && known !== null) return Result.ok(known.instances)
+      const instances = parseAnswer(answer, objectServiceMessages.instances).map(message => message.instances)
+      const tag = answer.headers.etag
+      if (instances.isOk) this.#knownInstances = tag === undefined ? null : { tag, instances: instances.value }
+      return instances
     })
   }
 
@@ -211,6 +218,7 @@
 function resolveAnswer<T> (method: HttpCall['method'], answer: HttpAnswer, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
   switch (answer.status) {
     case 200:
+    case 304:
     case 404: {
       const parsed = parse(answer)
       return parsed.isErr && parsed.error.kind === 'unavailable' ? createNoAnswer(method, parsed.error.message) : parsed
--- a/src/platform/membershipDirectory.ts
+++ b/src/platform/membershipDirectory.ts
@@ -159,8 +159,10 @@
     const result = await this.#options.service.listInstances(progress)
     if (result.isErr) return this.#pollBackoff.advance()
     this.#pollBackoff.reset()
-    this.#instances = result.value
-    this.#update()
+    if (result.value !== this.#instances) {
+      this.#instances = result.value
+      this.#update()
+    }
     return spreadPeriod(this.#getPollMs(), this.#getRandom)
   }
 
--- a/src/platform/objectService.ts
+++ b/src/platform/objectService.ts
@@ -51,7 +51,8 @@
  * - `GET /objects?prefix=P` answers `{objects, revision}`
  * - `GET /watch?prefix=P&after=REVISION&timeoutMs=T` waits, then answers `{events, revision}`;
  *   410 when `after` is too old to continue from
- * - `GET /instances` answers `{instances}`, the lagging list
+ * - `GET /instances` answers `{instances}`, the lagging list, with an `ETag`; or 304 when
+ *   `If-None-Match` shows that it has not changed
  * - 429 with `Retry-After` above the rate limit, 503 during an outage
  */
 export interface ObjectService {
--- a/standins/platform/platformServer.ts
+++ b/standins/platform/platformServer.ts
@@ -1,6 +1,7 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { systemClock } from '../../src/base/clock'
+import { hashText } from '../../src/base/identifiers'
 import { HttpError, HttpServer, readJson, sendJson } from '../shared/httpServer'
 import { LaggingValue } from '../shared/laggingValue'
 import { ObjectStore, getKey, getVersion } from './objectStore'
@@ -135,7 +136,7 @@
       case 'put': return this.#handlePut(key, body, request, response)
       case 'delete': return this.#handleDelete(key, request, response)
       case 'watch': return await this.#handleWatch(url, response)
-      case 'instances': return sendJson(response, 200, { instances: this.#instances.get() })
+      case 'instances': return this.#handleInstances(request, response)
     }
   }
 
@@ -167,6 +168,13 @@
     sendJson(response, 200, { objects, revision: this.#store.revision })
   }
 
+  #handleInstances (request: IncomingMessage, response: ServerResponse): void {
+    const instances = this.#instances.get()
+    const etag = `"${hashText(JSON.stringify(instances))}"`
+    if (request.headers['if-none-match'] === etag) response.writeHead(304, { etag }).end()
+    else sendJson(response, 200, { instances }, { etag })
+  }
+
   #handlePut (key: string, value: unknown, request: IncomingMessage, response: ServerResponse): void {
     if (Buffer.byteLength(JSON.stringify(value)) > MAX_VALUE_BYTES) throw new HttpError(413, 'the value is larger than a megabyte')
     const result = this.#store.put(key, value, readCondition(request))
