Run the benches as bundles

Cause: the loader that runs TypeScript cannot import js-csp's names the way the bundler does, and its memory and processor time would count as the product's.

--- a/bench/capacity/childMeasure.ts
+++ b/bench/capacity/childMeasure.ts
@@ -3,12 +3,12 @@
 import { runCommand } from '../shared/childProcesses'
 
 /**
- * Runs a script of this folder in a process of its own, so that its memory and processor time are
+ * Runs the bundled script `script` of this folder in a process of its own, so that its memory and processor time are
  * its alone, and returns what it printed as JSON.
  */
 export async function measureInChild<T> (script: string, args: string[]): Promise<T> {
-  const path = fileURLToPath(new URL(script, import.meta.url))
-  const { code, output } = await runCommand({ args: ['--expose-gc', '--import', 'tsx', path, ...args] })
+  const path = fileURLToPath(new URL(`${script}.mjs`, import.meta.url))
+  const { code, output } = await runCommand({ args: ['--expose-gc', path, ...args] })
   if (code !== 0) throw new Error(`${script} ${args.join(' ')} ended with ${code}: ${output.slice(-2000)}`)
   return JSON.parse(output.trim().split('\n').at(-1)!) as T
 }
--- a/bench/capacity/controlPath.ts
+++ b/bench/capacity/controlPath.ts
@@ -40,7 +40,7 @@
   const platform = await startPlatform({ readsPerSecond: MANY_CALLS_PER_SECOND, writesPerSecond: MANY_CALLS_PER_SECOND, instancesLagMs: 0 })
   try {
     await putFleet(platform, peers)
-    return await measureInChild<GatewayViewCost>('gatewayView.ts', [platform.url, String(peers), String(models)])
+    return await measureInChild<GatewayViewCost>('gatewayView', [platform.url, String(peers), String(models)])
   } finally {
     await platform.close()
   }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,8 +6,8 @@
 
 /** Each bench is a script that prints its tables and exits with 1 when a bound fails. */
 const BENCHES: Record<string, string> = {
-  dataPath: 'dataPath.ts',
-  capacity: 'capacity/main.ts'
+  dataPath: 'dataPath.mjs',
+  capacity: 'capacity/main.mjs'
 }
 
 const flags = yargs(hideBin(process.argv))
@@ -26,6 +26,6 @@
 
 async function runBench (script: string): Promise<number> {
   const path = fileURLToPath(new URL(script, import.meta.url))
-  const child = spawn(process.execPath, ['--expose-gc', '--import', 'tsx', path], { stdio: 'inherit' })
+  const child = spawn(process.execPath, ['--expose-gc', path], { stdio: 'inherit' })
   return await new Promise(resolve => child.on('close', code => resolve(code ?? 1)))
 }
