Measure the decisions against a naive router on both lunch bursts

Cause: the decisions were written from argument alone; nothing showed how they do at twice capacity with a slowed, a crashing and a lying engine.

A seeded run on a virtual clock: gateways and sidecars built from the decision modules, engines with continuous batching, a lagging report every 500 ms; the naive router (round robin, first come first served, retry at once) on the same trace. bench/lunch/main.ts prints the table and fails on a missed goal.

--- /dev/null
+++ b/bench/lunch/gatewayModel.ts
@@ -0,0 +1,152 @@
+import { DEFAULT_CHOOSER_OPTIONS, rankEndpoints } from '../../src/policy/endpointChooser'
+import { EndpointTable } from '../../src/policy/endpointTable'
+import { RetryBudget } from '../../src/policy/retryBudget'
+import { finishRecord } from './requestRecord'
+import { BETWEEN_TOKENS_TARGET_MS } from './trace'
+
+import type { EndpointView } from '../../src/policy/endpointView'
+import type { EndpointLoad } from '../../src/protocol/attemptMessages'
+import type { EventQueue } from './eventQueue'
+import type { LogEntry, RequestRecord } from './requestRecord'
+import type { SidecarAttempt, SidecarModel } from './sidecarModel'
+
+/** What a gateway model is connected to. */
+export interface GatewayConnections {
+  sidecars: Map<string, SidecarModel>
+  /** Reads the load that a sidecar's messages carry now, which may lag or lie. */
+  readLoad: (name: string) => EndpointLoad
+  latencyMs: number
+  random: () => number
+  log: LogEntry[]
+}
+
+interface PendingRequest {
+  record: RequestRecord
+  order: Generator<EndpointView, void, void>
+  /** Endpoints that refused in this round. */
+  retryAfterMs: number
+  current: { name: string, id: string } | undefined
+  stopTimer: () => void
+}
+
+const TARGET = 'model'
+
+/** A gateway on the virtual clock: the product's choice of endpoints and its retry budget. */
+export class GatewayModel {
+  readonly table = new EndpointTable()
+  readonly #budget = new RetryBudget()
+  readonly #events: EventQueue
+  readonly #connections: GatewayConnections
+  #attempts = 0
+
+  constructor (events: EventQueue, connections: GatewayConnections) {
+    this.#events = events
+    this.#connections = connections
+    const placements = [...connections.sidecars.values()].map(sidecar => ({ name: sidecar.engine.spec.name, domain: sidecar.engine.spec.domain, targets: [TARGET] }))
+    this.table.setPlacements(placements)
+  }
+
+  submit (record: RequestRecord): void {
+    const { request } = record
+    this.#budget.recordRequest(request.class.name, request.class.retryRatio, this.#events.getNowMs())
+    const pending: PendingRequest = { record, order: this.#rank(record), retryAfterMs: Infinity, current: undefined, stopTimer: () => {} }
+    pending.stopTimer = this.#events.schedule(request.class.deadlineMs, () => this.#expire(pending))
+    this.#offerNext(pending)
+  }
+
+  #rank (record: RequestRecord): Generator<EndpointView, void, void> {
+    const request = { tier: record.request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
+    return rankEndpoints(request, this.table.getViews(TARGET), this.#events.getNowMs(), this.#connections.random, DEFAULT_CHOOSER_OPTIONS)
+  }
+
+  #offerNext (pending: PendingRequest): void {
+    if (pending.record.end !== undefined) return
+    const next = pending.order.next()
+    if (next.done) return this.#shed(pending)
+    const { name } = next.value
+    const sidecar = this.#connections.sidecars.get(name) as SidecarModel
+    const attempt = this.#buildAttempt(pending, name)
+    pending.current = { name, id: attempt.id }
+    pending.record.offers += 1
+    this.table.recordSent(name, pending.record.request.class.tier)
+    this.#events.schedule(this.#connections.latencyMs, () => sidecar.offer(attempt))
+  }
+
+  #buildAttempt (pending: PendingRequest, name: string): SidecarAttempt {
+    const { record } = pending
+    const { tier } = record.request.class
+    let accepted = false
+    let startedAtMs = 0
+    let firstTokenAtMs = 0
+    return {
+      id: `${record.request.id}/${this.#attempts++}`,
+      record,
+      tokens: record.request.tokens - record.deliveredTokens,
+      onAccepted: () => {
+        accepted = true
+        this.#receive(() => this.table.recordReport(name, tier, this.#connections.readLoad(name), this.#events.getNowMs()))
+      },
+      onNotRun: (reason, retryAfterMs) => this.#receive(() => {
+        if (!accepted) this.table.recordReport(name, tier, reason === 'endpointUnavailable' ? null : this.#connections.readLoad(name), this.#events.getNowMs())
+        this.#handleNotRun(pending, name, reason, retryAfterMs)
+      }),
+      onStarted: () => { startedAtMs = this.#events.getNowMs() },
+      onFirstToken: () => {
+        firstTokenAtMs = this.#events.getNowMs()
+        this.table.recordFirstToken(name, firstTokenAtMs - startedAtMs)
+        record.firstTokenAtMs ??= firstTokenAtMs + this.#connections.latencyMs
+      },
+      onEnd: (end, generated) => this.#receive(() => {
+        record.deliveredTokens += generated
+        if (end === 'completed') this.#complete(pending, name, startedAtMs)
+        else this.#retry(pending, name)
+      })
+    }
+  }
+
+  #handleNotRun (pending: PendingRequest, name: string, reason: string, retryAfterMs: number): void {
+    const nowMs = this.#events.getNowMs()
+    if (reason === 'endpointUnavailable') this.table.recordFailure(name, nowMs)
+    else this.table.recordRefusal(name, pending.record.request.class.tier, retryAfterMs, nowMs)
+    pending.retryAfterMs = Math.min(pending.retryAfterMs, retryAfterMs)
+    if (reason === 'displaced') pending.order = this.#rank(pending.record)
+    this.#offerNext(pending)
+  }
+
+  #complete (pending: PendingRequest, name: string, startedAtMs: number): void {
+    pending.stopTimer()
+    this.table.recordAnswer(name, this.#events.getNowMs() - startedAtMs)
+    this.table.recordLoad(name, this.#connections.readLoad(name), this.#events.getNowMs())
+    finishRecord(pending.record, 'completed', this.#events.getNowMs())
+  }
+
+  /** Goes on at another endpoint from the tokens delivered, as far as the class's budget allows. */
+  #retry (pending: PendingRequest, name: string): void {
+    this.table.recordFailure(name, this.#events.getNowMs())
+    if (!this.#budget.acquire(pending.record.request.class.name, this.#events.getNowMs())) {
+      pending.stopTimer()
+      return finishRecord(pending.record, 'failed', this.#events.getNowMs())
+    }
+    pending.order = this.#rank(pending.record)
+    this.#offerNext(pending)
+  }
+
+  #shed (pending: PendingRequest): void {
+    const { record } = pending
+    pending.stopTimer()
+    const nowMs = this.#events.getNowMs()
+    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, retryAfterMs: pending.retryAfterMs })
+    finishRecord(record, 'shed', nowMs)
+  }
+
+  #expire (pending: PendingRequest): void {
+    const { current, record } = pending
+    finishRecord(record, 'late', this.#events.getNowMs())
+    if (current === undefined) return
+    this.#events.schedule(this.#connections.latencyMs, () => this.#connections.sidecars.get(current.name)?.cancel(current.id))
+  }
+
+  #receive (run: () => void): void {
+    this.#events.schedule(this.#connections.latencyMs, run)
+  }
+}
--- /dev/null
+++ b/bench/lunch/measures.ts
@@ -0,0 +1,89 @@
+import { BETWEEN_TOKENS_TARGET_MS, PREFILL_UNITS } from './trace'
+
+import type { RequestRecord } from './requestRecord'
+import type { SimulationResult } from './simulation'
+
+/** Counts of one class in one run. */
+export interface ClassMeasures {
+  name: string
+  tier: number
+  requests: number
+  /** Fractions of the requests, 0 to 1. */
+  attainment: number
+  completed: number
+  shed: number
+}
+
+/** Measures of one run. */
+export interface RunMeasures {
+  classes: ClassMeasures[]
+  /** Units of answers completed in time, as a fraction of what the engines could generate. */
+  goodput: number
+  /** Units generated for answers not delivered, as a fraction of all generated. */
+  wasted: number
+  attemptsPerRequest: number
+  offersPerRequest: number
+  /** Milliseconds until 99 in 100 of the refused requests knew it. */
+  refusalMs: number
+}
+
+const RECOVERY_WINDOW_MS = 5000
+const RECOVERED_ATTAINMENT = 0.95
+
+/** Tells whether a request had its first token, its tokens and its whole answer in time. */
+export function isAttained (record: RequestRecord): boolean {
+  if (record.end !== 'completed' || record.firstTokenAtMs === undefined || record.endedAtMs === undefined) return false
+  const betweenTokensMs = (record.endedAtMs - record.firstTokenAtMs) / Math.max(1, record.request.tokens - 1)
+  const firstTokenMs = record.firstTokenAtMs - record.request.atMs
+  return firstTokenMs <= record.request.class.firstTokenTargetMs && betweenTokensMs <= BETWEEN_TOKENS_TARGET_MS + 2 / record.request.tokens
+}
+
+/** Computes the measures of a run. */
+export function computeMeasures (result: SimulationResult): RunMeasures {
+  const { records } = result
+  const spent = countAll(records, record => record.spentUnits)
+  const wasted = countAll(records, computeWastedUnits)
+  const refusals = records.filter(record => record.end === 'shed').map(record => (record.endedAtMs ?? 0) - record.request.atMs).sort((a, b) => a - b)
+  return {
+    classes: computeClasses(records),
+    goodput: (result.generatedInBurst - wasted) / result.capacityUnits,
+    wasted: wasted / spent,
+    attemptsPerRequest: countAll(records, record => record.attempts) / records.length,
+    offersPerRequest: countAll(records, record => record.offers) / records.length,
+    refusalMs: refusals[Math.floor(0.99 * refusals.length)] ?? 0
+  }
+}
+
+/** Computes the milliseconds after `atMs` until the given tiers attain their targets again, or Infinity. */
+export function computeRecoveryMs (records: RequestRecord[], tiers: number, atMs: number, untilMs: number): number {
+  for (let fromMs = atMs; fromMs + RECOVERY_WINDOW_MS <= untilMs; fromMs += 500) {
+    const window = records.filter(({ request }) => request.class.tier <= tiers && request.atMs >= fromMs && request.atMs < fromMs + RECOVERY_WINDOW_MS)
+    if (window.length > 0 && window.filter(isAttained).length / window.length >= RECOVERED_ATTAINMENT) return fromMs - atMs
+  }
+  return Infinity
+}
+
+function computeClasses (records: RequestRecord[]): ClassMeasures[] {
+  const names = [...new Set(records.map(record => record.request.class.name))]
+  const classes = names.map(name => {
+    const own = records.filter(record => record.request.class.name === name)
+    const count = (test: (record: RequestRecord) => boolean) => own.filter(test).length / own.length
+    return {
+      name,
+      tier: own[0]?.request.class.tier ?? 0,
+      requests: own.length,
+      attainment: count(isAttained),
+      completed: count(record => record.end === 'completed'),
+      shed: count(record => record.end === 'shed')
+    }
+  })
+  return classes.sort((a, b) => a.tier - b.tier)
+}
+
+function computeWastedUnits (record: RequestRecord): number {
+  return record.end === 'completed' ? Math.max(0, record.spentUnits - record.request.tokens - PREFILL_UNITS) : record.spentUnits
+}
+
+function countAll (records: RequestRecord[], compute: (record: RequestRecord) => number): number {
+  return records.reduce((total, record) => total + compute(record), 0)
+}
--- /dev/null
+++ b/bench/lunch/sidecarModel.ts
@@ -0,0 +1,189 @@
+import { DurationDistribution } from '../../src/policy/durationDistribution'
+import { RequestQueue } from '../../src/policy/requestQueue'
+import { SlotLimiter } from '../../src/policy/slotLimiter'
+import { addSpentUnits } from './requestRecord'
+import { BETWEEN_TOKENS_TARGET_MS, PREFILL_UNITS } from './trace'
+
+import type { QueueEntry } from '../../src/policy/requestQueue'
+import type { EndpointLoad } from '../../src/protocol/attemptMessages'
+import type { Engine, EngineRun } from './engine'
+import type { EventQueue } from './eventQueue'
+import type { LogEntry, RequestRecord } from './requestRecord'
+
+/** One attempt at a sidecar; the functions tell the gateway what becomes of it. */
+export interface SidecarAttempt {
+  id: string
+  record: RequestRecord
+  /** Tokens still to generate, after those delivered by earlier attempts. */
+  tokens: number
+  onAccepted: () => void
+  onNotRun: (reason: string, retryAfterMs: number) => void
+  onStarted: () => void
+  onFirstToken: () => void
+  onEnd: (end: 'completed' | 'crashed' | 'slow', generatedTokens: number) => void
+}
+
+const RESERVED_FRACTION = 0.1
+const START_BY_QUANTILE = 0.9
+const INITIAL_RUN_MS = 10_000
+const MIN_RETRY_AFTER_MS = 100
+
+/** A sidecar on the virtual clock: the product's queue and slot limiter before a modelled engine. */
+export class SidecarModel {
+  readonly engine: Engine
+  readonly queue: RequestQueue
+  readonly #events: EventQueue
+  readonly #log: LogEntry[]
+  readonly #limiter: SlotLimiter
+  readonly #attempts = new Map<string, SidecarAttempt>()
+  readonly #runs = new Map<string, EngineRun>()
+  readonly #durations = new Map<string, DurationDistribution>()
+
+  constructor (events: EventQueue, engine: Engine, log: LogEntry[]) {
+    this.#events = events
+    this.#log = log
+    this.engine = engine
+    this.queue = new RequestQueue({ maxQueued: 500, initialReleaseIntervalMs: 400 })
+    this.#limiter = new SlotLimiter({ slots: engine.spec.slots, targetIntervalMs: BETWEEN_TOKENS_TARGET_MS, reservedTier: 2, reservedFraction: RESERVED_FRACTION })
+  }
+
+  getLoad (): EndpointLoad {
+    return {
+      running: this.#runs.size,
+      slots: this.#limiter.getLimit(),
+      queuedByTier: this.queue.countByTier(),
+      waitMsByTier: this.queue.estimateWaitMsByTier(this.#events.getNowMs()),
+      tokenIntervalMs: this.#limiter.getTokenIntervalMs(),
+      draining: false
+    }
+  }
+
+  /** Measures the engine's token interval and starts what can start. */
+  update (): void {
+    const nowMs = this.#events.getNowMs()
+    if (this.#runs.size > 0) this.#limiter.recordTokenInterval(this.engine.getIntervalMs(), this.#runs.size, nowMs)
+    this.#startNext()
+  }
+
+  offer (attempt: SidecarAttempt): void {
+    const nowMs = this.#events.getNowMs()
+    const { request } = attempt.record
+    if (!this.engine.isUp()) return attempt.onNotRun('endpointUnavailable', MIN_RETRY_AFTER_MS)
+    this.#setSlots()
+    const decision = this.queue.offer(this.#buildEntry(attempt), nowMs)
+    if (decision.kind === 'refused') {
+      const lowerQueued = this.queue.countByTier().slice(request.class.tier).reduce((sum, count) => sum + count, 0)
+      this.#log.push({ kind: 'refused', atMs: nowMs, endpoint: this.engine.spec.name, request, reason: decision.reason, lowerQueued })
+      return attempt.onNotRun(decision.reason, decision.retryAfterMs)
+    }
+    this.#attempts.set(attempt.id, attempt)
+    for (const entry of decision.displaced) this.#refuseQueued(entry, 'displaced')
+    attempt.onAccepted()
+    this.#startNext()
+  }
+
+  /** Cancels an attempt, queued or running. */
+  cancel (id: string): void {
+    const attempt = this.#attempts.get(id)
+    if (attempt === undefined) return
+    this.#attempts.delete(id)
+    if (this.queue.remove(id) === undefined) this.#stopRun(id, attempt)
+    this.#startNext()
+  }
+
+  /** Tells every attempt here that the endpoint crashed; those that ran are told by their run. */
+  handleCrash (): void {
+    for (const attempt of [...this.#attempts.values()]) {
+      if (this.queue.remove(attempt.id) === undefined) continue
+      this.#attempts.delete(attempt.id)
+      attempt.onNotRun('endpointUnavailable', MIN_RETRY_AFTER_MS)
+    }
+  }
+
+  #buildEntry (attempt: SidecarAttempt): QueueEntry {
+    const { request } = attempt.record
+    const runMs = this.#openDurations(request.class.name).getQuantile(START_BY_QUANTILE, INITIAL_RUN_MS)
+    const deadlineMs = request.atMs + request.class.deadlineMs
+    return {
+      id: attempt.id,
+      tier: request.class.tier,
+      className: request.class.name,
+      workspace: request.workspace,
+      enqueuedAtMs: this.#events.getNowMs(),
+      startByMs: deadlineMs - runMs,
+      firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs,
+      share: request.class.share
+    }
+  }
+
+  #setSlots (): void {
+    const counts = { running: this.#runs.size, limit: this.#limiter.getLimit(), limitByTier: this.#limiter.getLimitByTier() }
+    this.queue.setSlots(counts, this.#events.getNowMs())
+  }
+
+  #startNext (): void {
+    const nowMs = this.#events.getNowMs()
+    for (const entry of this.queue.takeExpired(nowMs)) this.#refuseQueued(entry, 'cannotMeetDeadline')
+    while (this.engine.isUp()) {
+      this.#setSlots()
+      if (this.#runs.size >= this.#limiter.getLimit()) return
+      const taken = this.queue.takeNext(nowMs)
+      if (taken === null) return
+      const attempt = this.#attempts.get(taken.entry.id) as SidecarAttempt
+      this.#log.push({ kind: 'started', atMs: nowMs, endpoint: this.engine.spec.name, request: attempt.record.request, by: taken.by })
+      this.#start(attempt)
+    }
+  }
+
+  #start (attempt: SidecarAttempt): void {
+    const startedAtMs = this.#events.getNowMs()
+    const run: EngineRun = {
+      prefillUnits: PREFILL_UNITS,
+      tokens: attempt.tokens,
+      onFirstToken: attempt.onFirstToken,
+      onEnd: end => {
+        const generated = this.engine.countTokens(run)
+        addSpentUnits(attempt.record, this.engine, run)
+        this.#runs.delete(attempt.id)
+        this.#attempts.delete(attempt.id)
+        if (end === 'completed') this.#recordRelease(attempt, startedAtMs)
+        attempt.onEnd(end, generated)
+        this.#startNext()
+      }
+    }
+    this.#runs.set(attempt.id, run)
+    attempt.record.attempts += 1
+    attempt.onStarted()
+    this.engine.start(run)
+  }
+
+  #recordRelease (attempt: SidecarAttempt, startedAtMs: number): void {
+    const { request } = attempt.record
+    const ranForMs = this.#events.getNowMs() - startedAtMs
+    this.#openDurations(request.class.name).record(ranForMs)
+    this.queue.recordRelease({ tier: request.class.tier, workspace: request.workspace, ranForMs, outputTokens: attempt.tokens }, this.#events.getNowMs())
+  }
+
+  #refuseQueued (entry: QueueEntry, reason: 'displaced' | 'cannotMeetDeadline'): void {
+    const attempt = this.#attempts.get(entry.id) as SidecarAttempt
+    this.#attempts.delete(entry.id)
+    this.#log.push({ kind: 'displaced', atMs: this.#events.getNowMs(), endpoint: this.engine.spec.name, request: attempt.record.request })
+    attempt.onNotRun(reason, MIN_RETRY_AFTER_MS)
+  }
+
+  #stopRun (id: string, attempt: SidecarAttempt): void {
+    const run = this.#runs.get(id)
+    if (run === undefined) return
+    this.#runs.delete(id)
+    addSpentUnits(attempt.record, this.engine, run)
+    this.engine.cancel(run)
+  }
+
+  #openDurations (className: string): DurationDistribution {
+    const known = this.#durations.get(className)
+    if (known !== undefined) return known
+    const durations = new DurationDistribution()
+    this.#durations.set(className, durations)
+    return durations
+  }
+}
--- /dev/null
+++ b/bench/lunch/tanagerwickRouter.ts
@@ -0,0 +1,59 @@
+import { GatewayModel } from './gatewayModel'
+import { SidecarModel } from './sidecarModel'
+
+import type { EndpointLoad } from '../../src/protocol/attemptMessages'
+import type { Engine } from './engine'
+import type { EventQueue } from './eventQueue'
+import type { LogEntry, RequestRecord, Router } from './requestRecord'
+import type { Deployment } from './trace'
+
+/** Settings of a modelled fleet. */
+export interface FleetOptions {
+  random: () => number
+  untilMs: number
+  /** Age that load reports can reach before they are taken anew. */
+  reportLagMs: number
+  /** Endpoints whose reports always show them empty. */
+  lyingEndpoints: string[]
+}
+
+const UPDATE_EVERY_MS = 100
+
+/** The product's decisions as a fleet of gateways and sidecars on the virtual clock. */
+export class TanagerwickRouter implements Router {
+  readonly log: LogEntry[] = []
+  readonly sidecars = new Map<string, SidecarModel>()
+  readonly #gateways: GatewayModel[]
+  readonly #reports = new Map<string, EndpointLoad>()
+
+  constructor (events: EventQueue, engines: Engine[], deployment: Deployment, options: FleetOptions) {
+    for (const engine of engines) this.sidecars.set(engine.spec.name, new SidecarModel(events, engine, this.log))
+    const connections = {
+      sidecars: this.sidecars,
+      readLoad: (name: string) => this.#reports.get(name) as EndpointLoad,
+      latencyMs: deployment.latencyMs,
+      random: options.random,
+      log: this.log
+    }
+    this.#gateways = Array.from({ length: deployment.gateways }, () => new GatewayModel(events, connections))
+    this.#takeReports(options)
+    events.scheduleEvery(UPDATE_EVERY_MS, options.untilMs, () => this.sidecars.forEach(sidecar => sidecar.update()))
+    events.scheduleEvery(options.reportLagMs, options.untilMs, () => this.#takeReports(options))
+  }
+
+  submit (record: RequestRecord): void {
+    this.#gateways[record.request.gateway]?.submit(record)
+  }
+
+  handleEngineChange (engine: Engine): void {
+    if (!engine.isUp()) this.sidecars.get(engine.spec.name)?.handleCrash()
+  }
+
+  #takeReports (options: FleetOptions): void {
+    for (const [name, sidecar] of this.sidecars) {
+      const load = sidecar.getLoad()
+      const empty = { ...load, running: 0, queuedByTier: load.queuedByTier.map(() => 0), waitMsByTier: load.waitMsByTier.map(() => 0), tokenIntervalMs: 20 }
+      this.#reports.set(name, options.lyingEndpoints.includes(name) ? empty : load)
+    }
+  }
+}
--- a/tests/policy/endpointChooser.spec.ts
+++ b/tests/policy/endpointChooser.spec.ts
@@ -3,7 +3,8 @@
 
 import { DEFAULT_CHOOSER_OPTIONS, rankEndpoints } from '../../src/policy/endpointChooser'
 import { EndpointTable } from '../../src/policy/endpointTable'
-import { buildLoad, buildRandom } from './policyFixtures'
+import { createRandom } from '../../bench/lunch/random'
+import { buildLoad } from './policyFixtures'
 
 import type { ChoiceRequest } from '../../src/policy/endpointChooser'
 
@@ -18,7 +19,7 @@
 }
 
 function listOrder (table: EndpointTable, nowMs = 0, request = REQUEST): string[] {
-  const order = rankEndpoints(request, table.getViews('model'), nowMs, buildRandom(SEED), DEFAULT_CHOOSER_OPTIONS)
+  const order = rankEndpoints(request, table.getViews('model'), nowMs, createRandom(SEED), DEFAULT_CHOOSER_OPTIONS)
   return [...order].map(view => view.name)
 }
 
@@ -74,7 +75,7 @@
     let returned = 0
     for (let nowMs = 60_000; nowMs < 60_100; nowMs++) {
       table.recordLoad('engine-1', buildLoad(), nowMs)
-      const order = rankEndpoints(REQUEST, table.getViews('model'), nowMs, buildRandom(nowMs), DEFAULT_CHOOSER_OPTIONS)
+      const order = rankEndpoints(REQUEST, table.getViews('model'), nowMs, createRandom(nowMs), DEFAULT_CHOOSER_OPTIONS)
       if (order.next().value?.name === 'engine-0') returned += 1
     }
     expect(returned).to.be.within(10, 90)
--- a/tests/policy/poisonTracker.spec.ts
+++ b/tests/policy/poisonTracker.spec.ts
@@ -2,7 +2,7 @@
 import fc from 'fast-check'
 
 import { PoisonTracker } from '../../src/policy/poisonTracker'
-import { buildRandom } from './policyFixtures'
+import { createRandom } from '../../bench/lunch/random'
 
 const SEED = 20_254
 const CRASH_LIMIT = 3
@@ -41,7 +41,7 @@
   it('should refuse a poison request after the limit of crashes and never one that ran beside it', () => {
     fc.assert(fc.property(fc.integer(), seed => {
       const tracker = buildTracker()
-      const crashes = playPoison(tracker, buildRandom(seed))
+      const crashes = playPoison(tracker, createRandom(seed))
       expect(crashes).to.be.at.most(CRASH_LIMIT)
       if (crashes === CRASH_LIMIT) expect(tracker.getVerdict(POISON, 3000)).to.equal('refused')
       for (let index = 0; index < 120; index++) expect(tracker.getVerdict(`innocent-${index}`, 3000)).not.to.equal('refused')
