Displace a queued request only when its class's share cannot start it either

A request of a low tier was taken in because its class's share could start it, and displaced at once because its tier's turn could not; the gateway then offered it again.

Change: both sides now use the lesser of the two waits.

--- a/src/policy/classShares.ts
+++ b/src/policy/classShares.ts
@@ -34,11 +34,11 @@
     return first !== undefined && first.dueAt <= this.#starts ? first.name : undefined
   }
 
-  /** Estimates how many starts pass until one more queued request of the class is started by its share. */
-  estimateStartsUntilDue (className: string): number {
+  /** Estimates how many starts pass until the class's share starts one more request, not counting the last `queuedLater`. */
+  estimateStartsUntilDue (className: string, queuedLater: number): number {
     const share = this.#classes.get(className)
     if (share === undefined) return Infinity
-    return Math.max(0, share.dueAt - this.#starts) + share.queued * share.spacing + 1
+    return Math.max(0, share.dueAt - this.#starts) + (share.queued - queuedLater) * share.spacing + 1
   }
 
   /** Counts the queued requests of a class. */
--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -270,8 +270,20 @@
     const deviations = this.#hasDisplaceableBelow(entry.tier) ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
     const ahead = this.#getTier(entry.tier).countAhead(entry.workspace)
     const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
-    const startsUntilDue = entry.share > 0 ? this.#shares.estimateStartsUntilDue(entry.className) : Infinity
-    return Math.min(byTierMs, this.#rate.estimateWaitMs(startsUntilDue, nowMs, deviations))
+    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 0, nowMs, deviations))
+  }
+
+  /** Estimates the wait of the latest queued request of a tier. */
+  #estimateLatestWaitMs (entry: QueueEntry, nowMs: number): number {
+    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, 0)
+    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, 0))
+  }
+
+  /** Estimates the wait until the class's share starts one more request, not counting the last `queuedLater` of the class. */
+  #estimateShareWaitMs (entry: QueueEntry, queuedLater: number, nowMs: number, deviations: number): number {
+    if (entry.share <= 0) return Infinity
+    const starts = this.#shares.estimateStartsUntilDue(entry.className, queuedLater)
+    return this.#rate.estimateWaitMs(starts, nowMs, deviations)
   }
 
   #estimateTierWaitMs (tier: Tier, aheadInTier: number, nowMs: number, deviations: number): number {
@@ -327,8 +339,7 @@
       for (;;) {
         const victim = this.#findVictimInTier(tier)
         if (victim === undefined || victim.entry.id === entry.id) break
-        const waitMs = this.#estimateTierWaitMs(tier, this.#getTier(tier).size - 1, nowMs, 0)
-        if (nowMs + waitMs <= victim.entry.startByMs) break
+        if (nowMs + this.#estimateLatestWaitMs(victim.entry, nowMs) <= victim.entry.startByMs) break
         displaced.push(this.#shed(victim))
       }
     }
