Ask every endpoint to start in time before offering to wait longer

Change: an offer says within what time it must start. In the first round that is the first token's target; an endpoint that cannot refuses and the next is asked. Only when all refused is the request offered to wait until its deadline, where the start is expected soonest. Inside a tier, requests that can still be on time go before those that are late already, so a late backlog spoils no others.

Ruled out: trusting reports less (they lag, but most are right); one round with the target alone (sheds a top-tier request in a short spike that would be served a little late).

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -1,10 +1,11 @@
-import { DEFAULT_CHOOSER_OPTIONS, rankEndpoints } from '../../src/policy/endpointChooser'
+import { DEFAULT_CHOOSER_OPTIONS } from '../../src/policy/endpointChooser'
 import { EndpointTable } from '../../src/policy/endpointTable'
+import { OfferPlan } from '../../src/policy/offerPlan'
 import { RetryBudget } from '../../src/policy/retryBudget'
 import { finishRecord } from './requestRecord'
 import { BETWEEN_TOKENS_TARGET_MS } from './trace'
 
-import type { EndpointView } from '../../src/policy/endpointView'
+import type { PlannedOffer } from '../../src/policy/offerPlan'
 import type { EndpointLoad } from '../../src/protocol/attemptMessages'
 import type { EventQueue } from './eventQueue'
 import type { LogEntry, RequestRecord } from './requestRecord'
@@ -22,9 +23,7 @@
 
 interface PendingRequest {
   record: RequestRecord
-  order: Generator<EndpointView, void, void>
-  /** Endpoints that refused in this round. */
-  retryAfterMs: number
+  plan: OfferPlan
   current: { name: string, id: string } | undefined
   stopTimer: () => void
 }
@@ -49,31 +48,33 @@
   submit (record: RequestRecord): void {
     const { request } = record
     this.#budget.recordRequest(request.class.name, request.class.retryRatio, this.#events.getNowMs())
-    const pending: PendingRequest = { record, order: this.#rank(record), retryAfterMs: Infinity, current: undefined, stopTimer: () => {} }
+    const pending: PendingRequest = { record, plan: this.#buildPlan(record), current: undefined, stopTimer: () => {} }
     pending.stopTimer = this.#events.schedule(request.class.deadlineMs, () => this.#expire(pending))
     this.#offerNext(pending)
   }
 
-  #rank (record: RequestRecord): Generator<EndpointView, void, void> {
-    const request = { tier: record.request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
-    return rankEndpoints(request, this.table.getViews(TARGET), this.#events.getNowMs(), this.#connections.random, DEFAULT_CHOOSER_OPTIONS)
+  #buildPlan ({ request }: RequestRecord): OfferPlan {
+    const choice = { tier: request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
+    const times = { firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs, deadlineMs: request.atMs + request.class.deadlineMs }
+    return new OfferPlan(choice, times, this.table.getViews(TARGET), this.#connections.random, DEFAULT_CHOOSER_OPTIONS)
   }
 
   #offerNext (pending: PendingRequest): void {
     if (pending.record.end !== undefined) return
-    const next = pending.order.next()
-    if (next.done) return this.#shed(pending)
-    const { name } = next.value
+    const offer = pending.plan.takeNext(this.#events.getNowMs())
+    if (offer === null) return this.#shed(pending)
+    const { name } = offer.view
     const sidecar = this.#connections.sidecars.get(name) as SidecarModel
-    const attempt = this.#buildAttempt(pending, name)
+    const attempt = this.#buildAttempt(pending, offer)
     pending.current = { name, id: attempt.id }
     pending.record.offers += 1
     this.table.recordSent(name, pending.record.request.class.tier)
     this.#events.schedule(this.#connections.latencyMs, () => sidecar.offer(attempt))
   }
 
-  #buildAttempt (pending: PendingRequest, name: string): SidecarAttempt {
+  #buildAttempt (pending: PendingRequest, offer: PlannedOffer): SidecarAttempt {
     const { record } = pending
+    const { name } = offer.view
     const { tier } = record.request.class
     let accepted = false
     let startedAtMs = 0
@@ -82,13 +83,14 @@
       id: `${record.request.id}/${this.#attempts++}`,
       record,
       tokens: record.request.tokens - record.deliveredTokens,
+      startWithinMs: offer.startWithinMs,
       onAccepted: () => {
         accepted = true
         this.#receive(() => this.table.recordReport(name, tier, this.#connections.readLoad(name), this.#events.getNowMs()))
       },
       onNotRun: (reason, retryAfterMs) => this.#receive(() => {
         if (!accepted) this.table.recordReport(name, tier, reason === 'endpointUnavailable' ? null : this.#connections.readLoad(name), this.#events.getNowMs())
-        this.#handleNotRun(pending, name, reason, retryAfterMs)
+        this.#handleNotRun(pending, offer, reason, retryAfterMs)
       }),
       onStarted: () => { startedAtMs = this.#events.getNowMs() },
       onFirstToken: () => {
@@ -104,12 +106,13 @@
     }
   }
 
-  #handleNotRun (pending: PendingRequest, name: string, reason: string, retryAfterMs: number): void {
+  #handleNotRun (pending: PendingRequest, offer: PlannedOffer, reason: string, retryAfterMs: number): void {
     const nowMs = this.#events.getNowMs()
+    const { name } = offer.view
     if (reason === 'endpointUnavailable') this.table.recordFailure(name, nowMs)
     else this.table.recordRefusal(name, pending.record.request.class.tier, retryAfterMs, nowMs)
-    pending.retryAfterMs = Math.min(pending.retryAfterMs, retryAfterMs)
-    if (reason === 'displaced') pending.order = this.#rank(pending.record)
+    if (reason === 'cannotMeetDeadline') pending.plan.recordRefusal(offer, retryAfterMs, nowMs)
+    if (reason === 'displaced') pending.plan.reset()
     this.#offerNext(pending)
   }
 
@@ -127,7 +130,7 @@
       pending.stopTimer()
       return finishRecord(pending.record, 'failed', this.#events.getNowMs())
     }
-    pending.order = this.#rank(pending.record)
+    pending.plan.reset()
     this.#offerNext(pending)
   }
 
@@ -135,7 +138,7 @@
     const { record } = pending
     pending.stopTimer()
     const nowMs = this.#events.getNowMs()
-    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, retryAfterMs: pending.retryAfterMs })
+    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, retryAfterMs: pending.plan.getRetryAfterMs() })
     finishRecord(record, 'shed', nowMs)
   }
 
--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -16,6 +16,8 @@
   record: RequestRecord
   /** Tokens still to generate, after those delivered by earlier attempts. */
   tokens: number
+  /** Milliseconds within which it must start. */
+  startWithinMs: number
   onAccepted: () => void
   onNotRun: (reason: string, retryAfterMs: number) => void
   onStarted: () => void
@@ -110,7 +112,7 @@
       className: request.class.name,
       workspace: request.workspace,
       enqueuedAtMs: this.#events.getNowMs(),
-      startByMs: deadlineMs - runMs,
+      startByMs: Math.min(this.#events.getNowMs() + attempt.startWithinMs, deadlineMs - runMs),
       firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs,
       share: request.class.share
     }
--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -1,8 +1,8 @@
 import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
 import { ClassShares } from './classShares'
-import { FairTier } from './fairTier'
 import { IndexedHeap } from './indexedHeap'
 import { ReleaseRate } from './releaseRate'
+import { TierQueue } from './tierQueue'
 
 import type { Tier } from '../protocol/serviceLevels'
 import type { QueuedRequest } from './fairTier'
@@ -79,7 +79,7 @@
  */
 export class RequestQueue {
   readonly #options: RequestQueueOptions
-  readonly #tiers = Array.from({ length: MAX_TIER }, () => new FairTier())
+  readonly #tiers = Array.from({ length: MAX_TIER }, () => new TierQueue())
   readonly #requests = new Map<string, QueuedRequest>()
   readonly #byStartBy = new IndexedHeap<QueuedRequest>((a, b) => a.entry.startByMs < b.entry.startByMs)
   readonly #byClass = new Map<string, IndexedHeap<QueuedRequest>>()
@@ -139,15 +139,16 @@
    */
   offer (entry: QueueEntry, nowMs: number): OfferDecision {
     this.#shares.recordDemand(entry.className, entry.share)
-    const waitMs = this.#estimateEntryWaitMs(entry, nowMs)
+    const request: QueuedRequest = { entry, sequence: this.#sequence++ }
+    const waitMs = this.#estimateNewWaitMs(request, nowMs)
     if (nowMs + waitMs > entry.startByMs) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
     const displaced: QueueEntry[] = []
     if (this.size >= this.#options.maxQueued) {
-      const victim = this.#findVictim(entry)
+      const victim = this.#findVictim(request)
       if (victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
       displaced.push(this.#shed(victim))
     }
-    this.#add(entry)
+    this.#add(request)
     this.#shedHopeless(entry, nowMs, displaced)
     return { kind: 'queued', displaced }
   }
@@ -189,8 +190,8 @@
     this.#meanTokens += TOKEN_SMOOTHING * (released.outputTokens - this.#meanTokens)
   }
 
-  #getTier (tier: Tier): FairTier {
-    return this.#tiers[tier - MIN_TIER] as FairTier
+  #getTier (tier: Tier): TierQueue {
+    return this.#tiers[tier - MIN_TIER] as TierQueue
   }
 
   #findNextByTier (): QueuedRequest | undefined {
@@ -211,8 +212,8 @@
     return this.#limitByTier?.[tier - MIN_TIER] ?? this.#limit
   }
 
-  #add (entry: QueueEntry): void {
-    const request: QueuedRequest = { entry, sequence: this.#sequence++ }
+  #add (request: QueuedRequest): void {
+    const { entry } = request
     this.#requests.set(entry.id, request)
     this.#byStartBy.add(request)
     this.#getTier(entry.tier).add(request)
@@ -266,9 +267,10 @@
     return { kind: 'refused', reason, retryAfterMs: Math.max(leastMs, waitMs - patienceMs) }
   }
 
-  #estimateEntryWaitMs (entry: QueueEntry, nowMs: number): number {
+  #estimateNewWaitMs (request: QueuedRequest, nowMs: number): number {
+    const { entry } = request
     const deviations = this.#hasDisplaceableBelow(entry.tier) ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
-    const ahead = this.#getTier(entry.tier).countAhead(entry.workspace)
+    const ahead = this.#getTier(entry.tier).countAhead(request)
     const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
     return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 0, nowMs, deviations))
   }
@@ -301,12 +303,13 @@
     return false
   }
 
-  #findVictim (entry: QueueEntry): QueuedRequest | undefined {
-    for (let tier = MAX_TIER; tier > entry.tier; tier--) {
+  #findVictim (request: QueuedRequest): QueuedRequest | undefined {
+    const own = request.entry.tier
+    for (let tier = MAX_TIER; tier > own; tier--) {
       const victim = this.#findVictimInTier(tier)
       if (victim !== undefined) return victim
     }
-    return this.#getTier(entry.tier).hasLongerLane(entry.workspace) ? this.#findVictimInTier(entry.tier) : undefined
+    return this.#getTier(own).hasLongerLane(request) ? this.#findVictimInTier(own) : undefined
   }
 
   /** The last queued request of a class with a share is held for that share. */
--- /dev/null
+++ b/src/policy/tierQueue.ts
@@ -0,0 +1,60 @@
+import { FairTier } from './fairTier'
+
+import type { QueuedRequest } from './fairTier'
+
+/**
+ * The queued requests of one tier in two bands: those to be started in time for their first
+ * token's target, and after them those that are to be started by their deadline only.
+ */
+export class TierQueue {
+  readonly #onTime = new FairTier()
+  readonly #late = new FairTier()
+
+  /** Number of queued requests. */
+  get size (): number {
+    return this.#onTime.size + this.#late.size
+  }
+
+  /** Estimates how many requests of this tier go before `request`, which is not queued yet. */
+  countAhead (request: QueuedRequest): number {
+    const { workspace } = request.entry
+    return isLate(request) ? this.#onTime.size + this.#late.countAhead(workspace) : this.#onTime.countAhead(workspace)
+  }
+
+  /** Gets the request that goes next. */
+  getNext (): QueuedRequest | undefined {
+    return this.#onTime.getNext() ?? this.#late.getNext()
+  }
+
+  /** Gets the request to displace first: the latest of the workspace that has most queued, late ones first. */
+  getLatestOfLongest (): QueuedRequest | undefined {
+    return this.#late.getLatestOfLongest() ?? this.#onTime.getLatestOfLongest()
+  }
+
+  /** Tells whether another workspace has at least two more queued beside `request`. */
+  hasLongerLane (request: QueuedRequest): boolean {
+    return this.#getBand(request).hasLongerLane(request.entry.workspace)
+  }
+
+  add (request: QueuedRequest): void {
+    this.#getBand(request).add(request)
+  }
+
+  remove (request: QueuedRequest): void {
+    this.#getBand(request).remove(request)
+  }
+
+  /** Charges `workspace` with service received, in expected requests; negative to give some back. */
+  recordService (workspace: string, requests: number): void {
+    this.#onTime.recordService(workspace, requests)
+    this.#late.recordService(workspace, requests)
+  }
+
+  #getBand (request: QueuedRequest): FairTier {
+    return isLate(request) ? this.#late : this.#onTime
+  }
+}
+
+function isLate (request: QueuedRequest): boolean {
+  return request.entry.startByMs > request.entry.firstTokenDueMs
+}
