--- a/src/platform/backgroundTask.ts
+++ b/src/platform/backgroundTask.ts
@@ -24,7 +24,8 @@
  */
 export class BackgroundTask {
   readonly #options: BackgroundTaskOptions
-  readonly #controller = new AbortController()
+  /** Aborts the running step; each step has its own, so that what listens to it ends with it. */
+  #controller = new AbortController()
   readonly #stopped = csp.chan<never>()
   readonly #wakeups = csp.chan<true>(csp.buffers.sliding(1))
   #process: Channel<void> | null = null
@@ -35,7 +36,7 @@
 
   /** Starts the task; its first step runs after `delayMs`. A second call has no effect. */
   start (delayMs = 0): void {
-    if (this.#process !== null || this.#controller.signal.aborted) return
+    if (this.#process !== null || this.#stopped.isClosed()) return
     this.#process = csp.spawn(this.#run(delayMs))
   }
 
@@ -46,8 +47,8 @@
 
   /** Aborts the running step's signal and waits until the step has returned. */
   async stop (): Promise<void> {
-    this.#controller.abort()
     this.#stopped.close()
+    this.#controller.abort()
     if (this.#process !== null) await receiveValue(this.#process)
   }
 
@@ -63,6 +64,8 @@
   }
 
   async #runStep (): Promise<number> {
+    this.#controller = new AbortController()
+    if (this.#stopped.isClosed()) this.#controller.abort()
     try {
       return await this.#options.runStep(this.#controller.signal)
     } catch (error) {
--- a/tests/platform/platformFixtures.ts
+++ b/tests/platform/platformFixtures.ts
@@ -17,7 +17,9 @@
   close (): void
 }
 
-const DRAIN_TURNS = 30
+const DRAIN_TURNS = 20
+const MIN_SLICE_MS = 500
+const MAX_SLICES = 200
 
 export function createFakeTime (): FakeTime {
   const timers = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'Date', 'performance'] })
@@ -30,8 +32,11 @@
     drain,
     advance: async milliseconds => {
       await drain()
-      await timers.tickAsync(milliseconds)
-      await drain()
+      const slices = Math.min(MAX_SLICES, Math.ceil(milliseconds / MIN_SLICE_MS))
+      for (let slice = 0; slice < slices; slice += 1) {
+        await timers.tickAsync(milliseconds / slices)
+        await drain()
+      }
     },
     pause: milliseconds => { timers.jump(milliseconds) },
     close: () => { timers.uninstall() }
