Offer a request to start at once to a few endpoints before it may wait

Change: the first offers ask for a start at once and are refused otherwise, with the time after which the endpoint expects to start it. After four such refusals the request waits where the start is expected soonest. The wait for a late start ends at three times the target, no longer at the deadline.

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -55,7 +55,7 @@
 
   #buildPlan ({ request }: RequestRecord): OfferPlan {
     const choice = { tier: request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
-    const times = { firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs, deadlineMs: request.atMs + request.class.deadlineMs }
+    const times = { arrivedAtMs: request.atMs, firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs, deadlineMs: request.atMs + request.class.deadlineMs }
     return new OfferPlan(choice, times, this.table.getViews(TARGET), this.#connections.random, DEFAULT_CHOOSER_OPTIONS)
   }
 
--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -1,10 +1,12 @@
 import { rankEndpoints } from './endpointChooser'
+import { IndexedHeap } from './indexedHeap'
 
 import type { ChoiceRequest, ChooserOptions } from './endpointChooser'
 import type { EndpointView } from './endpointView'
 
 /** The times of a request that bound its start. */
 export interface RequestTimes {
+  arrivedAtMs: number
   firstTokenDueMs: number
   deadlineMs: number
 }
@@ -17,20 +19,26 @@
   round: OfferRound
 }
 
-/** First to start in time for the first token's target, then, refused by all, by the deadline. */
-export type OfferRound = 'onTime' | 'late'
+/** First to start at once, then in time for the first token's target, then by the deadline. */
+export type OfferRound = 'atOnce' | 'onTime' | 'late'
 
-interface LateCandidate {
+interface Refusal {
   view: EndpointView
   /** Time at which the endpoint, when it refused, expected to start the request. */
   expectedStartMs: number
 }
 
+const AT_ONCE_MS = 20
+const OFFERS_AT_ONCE = 4
+const LATE_FACTOR = 3
+const FIRST_TOKEN_MARGIN = 1.3
+
 /**
- * The order of offers for one request. Every endpoint is first asked to start it in time for the
- * first token's target; an endpoint whose load reports lie then refuses, and the next is asked.
- * Only when all refused is it offered to wait longer, at the endpoint that expects to start it
- * soonest, and to no endpoint that said it could not start it before the deadline.
+ * The order of offers for one request. It is first offered to start at once, to a few endpoints
+ * in the order of the choice; each refusal tells when the endpoint would start it. Then it is
+ * offered to wait where the start is expected soonest, if that is in time for the first token.
+ * Endpoints whose load reports lie are so found out in a few milliseconds. Only when no endpoint
+ * can start it in time is it offered to start late, within three times its target.
  *
  * @example
  * const plan = new OfferPlan(request, times, table.getViews(model), random, options)
@@ -46,8 +54,10 @@
   readonly #views: readonly EndpointView[]
   readonly #random: () => number
   readonly #options: ChooserOptions
-  #onTime: Generator<EndpointView, void, void> | undefined
-  #late: LateCandidate[] = []
+  readonly #waiting = new IndexedHeap<Refusal>((a, b) => a.expectedStartMs < b.expectedStartMs)
+  readonly #late = new IndexedHeap<Refusal>((a, b) => a.expectedStartMs < b.expectedStartMs)
+  #ranked: Generator<EndpointView, void, void> | undefined
+  #offersAtOnce = 0
   #retryAfterMs = Infinity
 
   constructor (request: ChoiceRequest, times: RequestTimes, views: readonly EndpointView[], random: () => number, options: ChooserOptions) {
@@ -65,31 +75,54 @@
 
   /** Takes the next offer to make, or null when every endpoint refused and the request is to be shed. */
   takeNext (nowMs: number): PlannedOffer | null {
-    this.#onTime ??= rankEndpoints(this.#request, this.#views, nowMs, this.#random, this.#options)
-    const next = this.#onTime.next()
-    if (!next.done) return this.#buildOnTime(next.value, nowMs)
-    const late = this.#late.shift()
-    if (late === undefined) return null
-    return { view: late.view, startWithinMs: Math.max(0, this.#times.deadlineMs - nowMs), round: 'late' }
+    if (this.#offersAtOnce < OFFERS_AT_ONCE || this.#waiting.size === 0) {
+      const view = this.#takeRanked(nowMs)
+      if (view !== undefined) return { view, startWithinMs: AT_ONCE_MS, round: 'atOnce' }
+    }
+    const waiting = takeFirst(this.#waiting)
+    if (waiting !== undefined) return { view: waiting.view, startWithinMs: this.#getOnTimeMs(waiting.view, nowMs), round: 'onTime' }
+    const late = takeFirst(this.#late)
+    return late === undefined ? null : { view: late.view, startWithinMs: this.#getLateMs(nowMs), round: 'late' }
   }
 
   /** Records that the endpoint of an offer could not start it in time and may accept after `retryAfterMs`. */
   recordRefusal (offer: PlannedOffer, retryAfterMs: number, nowMs: number): void {
     this.#retryAfterMs = Math.min(this.#retryAfterMs, retryAfterMs)
-    const expectedStartMs = nowMs + offer.startWithinMs + retryAfterMs
-    if (offer.round === 'late' || expectedStartMs > this.#times.deadlineMs) return
-    this.#late.push({ view: offer.view, expectedStartMs })
-    this.#late.sort((a, b) => a.expectedStartMs - b.expectedStartMs)
+    const { view, round, startWithinMs } = offer
+    const refusal = { view, expectedStartMs: nowMs + startWithinMs + retryAfterMs }
+    const isOnTime = refusal.expectedStartMs <= nowMs + this.#getOnTimeMs(view, nowMs)
+    if (round === 'atOnce' && isOnTime) this.#waiting.add(refusal)
+    else if (round !== 'late' && refusal.expectedStartMs <= nowMs + this.#getLateMs(nowMs)) this.#late.add(refusal)
   }
 
   /** Resets the plan after an accepted request was displaced, or its endpoint was lost, so that all are asked anew. */
   reset (): void {
-    this.#onTime = undefined
-    this.#late = []
+    this.#ranked = undefined
+    this.#offersAtOnce = 0
+    while (takeFirst(this.#waiting) !== undefined);
+    while (takeFirst(this.#late) !== undefined);
+  }
+
+  #takeRanked (nowMs: number): EndpointView | undefined {
+    this.#ranked ??= rankEndpoints(this.#request, this.#views, nowMs, this.#random, this.#options)
+    this.#offersAtOnce += 1
+    const next = this.#ranked.next()
+    return next.done ? undefined : next.value
   }
 
-  #buildOnTime (view: EndpointView, nowMs: number): PlannedOffer {
-    const startWithinMs = Math.max(0, this.#times.firstTokenDueMs - view.firstTokenMs - nowMs)
-    return { view, startWithinMs, round: 'onTime' }
+  #getOnTimeMs (view: EndpointView, nowMs: number): number {
+    return Math.max(0, this.#times.firstTokenDueMs - FIRST_TOKEN_MARGIN * view.firstTokenMs - nowMs)
   }
+
+  #getLateMs (nowMs: number): number {
+    const { arrivedAtMs, firstTokenDueMs, deadlineMs } = this.#times
+    const latestMs = Math.min(deadlineMs, arrivedAtMs + LATE_FACTOR * (firstTokenDueMs - arrivedAtMs))
+    return Math.max(0, latestMs - nowMs)
+  }
+}
+
+function takeFirst (heap: IndexedHeap<Refusal>): Refusal | undefined {
+  const first = heap.getFirst()
+  if (first !== undefined) heap.remove(first)
+  return first
 }
