Use the offer plan, the slot limiter and run durations in gateway and sidecar

Change: startWithinMs in submitAttempt, OfferPlan in the relay, EndpointSlots and duration distributions in the dispatcher; an answer that was cut renews its plan.

--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -4,6 +4,7 @@
 
 import type { Clock } from '../base/clock'
 import type { Progress } from '../base/progress'
+import type { OfferPlan, PlannedOffer } from '../policy/offerPlan'
 import type { AttemptTarget, SubmitAttempt } from '../protocol/attemptMessages'
 import type { AttemptEnd, AttemptObserver } from './attemptSession'
 import type { CallerAnswer } from './callerAnswer'
@@ -37,7 +38,7 @@
 }
 
 const DEADLINE_MARGIN_MS = 50
-const MAX_ROUNDS = 3
+const MAX_RESETS = 4
 const MIN_RETRY_AFTER_MS = 500
 
 /**
@@ -65,6 +66,8 @@
   readonly #progress: Progress
   readonly #assembly: AnswerAssembly
   readonly #offers = new OfferLog()
+  #plan: OfferPlan
+  #resets = 0
   #attemptNumber = 0
   #mayHaveRun = false
 
@@ -73,36 +76,26 @@
     this.#request = request
     this.#answer = answer
     this.#progress = progress
+    this.#plan = options.view.createPlan(request, request.arrivedAtMs)
     this.#assembly = new AnswerAssembly(answer, { mode: request.target.kind === 'chat' ? 'resumed' : 'whole' })
   }
 
   async run (): Promise<void> {
-    for (let round = 0; round < MAX_ROUNDS; round++) {
-      const isDone = await this.#offerRound()
-      if (isDone || this.#answer.hasEnded) return
-      if (this.#progress.signal.aborted) break
-      if (!this.#offers.shouldOfferAgain()) break
+    while (!this.#progress.signal.aborted && !this.#answer.hasEnded) {
+      const offer = this.#plan.takeNext(this.#options.clock.getMonotonicMs())
+      if (offer === null) break
+      const target = this.#options.view.findTarget(offer.view.name)
+      if (target === undefined) continue
+      const end = await this.#runAttempt(target, offer)
+      if (this.#decideNext(offer, end) === 'done') return
     }
     this.#refuse(this.#createRefusal())
   }
 
-  /** Offers the request to each endpoint once; true when the answer has been ended. */
-  async #offerRound (): Promise<boolean> {
-    this.#offers.beginRound()
-    for (const target of this.#options.view.rankTargets(this.#request)) {
-      if (this.#progress.signal.aborted) return false
-      const end = await this.#runAttempt(target)
-      const next = this.#decideNext(target, end)
-      if (next === 'done') return true
-      if (next === 'newRound') return false
-    }
-    return false
-  }
-
-  async #runAttempt (target: OfferTarget): Promise<AttemptEnd> {
+  async #runAttempt (target: OfferTarget, offer: PlannedOffer): Promise<AttemptEnd> {
     const { clock, view, observer } = this.#options
     this.#attemptNumber += 1
-    const params = this.#createParams()
+    const params = this.#createParams(offer)
     observer.recordAttempt(this.#request, params.attemptId, target.endpointName)
     view.table.recordSent(target.endpointName, params.tier)
     const watch = new AttemptWatch(this.#options, this.#request, params, target)
@@ -119,40 +112,60 @@
     return end
   }
 
-  #decideNext (target: OfferTarget, end: AttemptEnd): 'done' | 'nextEndpoint' | 'newRound' {
+  #decideNext (offer: PlannedOffer, end: AttemptEnd): 'done' | 'goOn' {
     switch (end.kind) {
       case 'completed':
         this.#answer.complete({ status: end.status, contentType: end.contentType })
         return 'done'
       case 'notRun':
         this.#offers.recordNotRun(end.reason, end.retryAfterMs)
-        if (end.reason === 'fenced') return this.#requireRound()
-        return this.#isFinal(end.reason) ? this.#refuse(this.#createRefusal()) : 'nextEndpoint'
+        return this.#decideNotRun(offer, end)
       case 'mayHaveRun':
       case 'failed':
-        return this.#decideAfterStart(target, end)
+        return this.#decideAfterStart(offer, end)
       default: return end satisfies never
     }
   }
 
-  #decideAfterStart (target: OfferTarget, end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): 'done' | 'newRound' {
+  #decideNotRun (offer: PlannedOffer, end: Extract<AttemptEnd, { kind: 'notRun' }>): 'done' | 'goOn' {
+    switch (end.reason) {
+      case 'poison':
+      case 'alreadyInProgress':
+      case 'keyReused':
+        return this.#refuse(this.#createRefusal())
+      case 'displaced':
+      case 'fenced':
+        return this.#resetPlan()
+      case 'cannotMeetDeadline':
+        this.#plan.recordRefusal(offer, end.retryAfterMs, this.#options.clock.getMonotonicMs())
+        return 'goOn'
+      default:
+        return 'goOn'
+    }
+  }
+
+  #decideAfterStart (offer: PlannedOffer, end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): 'done' | 'goOn' {
     this.#mayHaveRun = true
     if (this.#progress.signal.aborted) return this.#refuse(this.#createRefusal())
     if (!this.#request.idempotent) return this.#refuse(createLostRefusal(end))
     if (end.kind === 'failed') this.#options.adoptCrashCount(this.#request.fingerprint, end.crashCount)
     if (!this.#options.takeRetry(this.#request.serviceClass.name)) return this.#refuse(createLostRefusal(end))
-    this.#options.observer.recordRetry(this.#request, this.#getAttemptId(), `${target.endpointName}: ${end.reason}`)
-    return this.#requireRound()
+    this.#options.observer.recordRetry(this.#request, this.#getAttemptId(), `${offer.view.name}: ${end.reason}`)
+    return this.#renewPlan()
   }
 
-  #requireRound (): 'newRound' {
-    this.#offers.requireRound()
-    return 'newRound'
+  /** An answer that was cut may wait for its continuation as long as a new request for its start. */
+  #renewPlan (): 'goOn' {
+    this.#resets += 1
+    if (this.#resets <= MAX_RESETS) this.#plan = this.#options.view.createPlan(this.#request, this.#options.clock.getMonotonicMs())
+    return 'goOn'
   }
 
-  /** Whether other endpoints would answer the same. */
-  #isFinal (reason: string): boolean {
-    return reason === 'poison' || reason === 'alreadyInProgress' || reason === 'keyReused'
+  /** Asks every endpoint anew, a bounded number of times. */
+  #resetPlan (): 'goOn' {
+    this.#resets += 1
+    if (this.#resets <= MAX_RESETS) this.#plan.reset()
+    return 'goOn'
   }
 
   #createRefusal (): Refusal {
@@ -179,7 +192,7 @@
     return 'done'
   }
 
-  #createParams (): SubmitAttempt {
+  #createParams (offer: PlannedOffer): SubmitAttempt {
     const request = this.#request
     const elapsedMs = this.#options.clock.getMonotonicMs() - request.arrivedAtMs
     return {
@@ -192,6 +205,7 @@
       className: request.serviceClass.name,
       tier: request.serviceClass.tier,
       remainingMs: Math.max(0, request.serviceClass.deadlineMs - elapsedMs - DEADLINE_MARGIN_MS),
+      startWithinMs: offer.startWithinMs,
       firstTokenRemainingMs: request.serviceClass.firstTokenTargetMs - elapsedMs,
       idempotent: request.idempotent,
       idempotencyKey: request.idempotencyKey,
--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -1,5 +1,6 @@
-import { DEFAULT_CHOOSER_OPTIONS, rankEndpoints } from '../policy/endpointChooser'
+import { DEFAULT_CHOOSER_OPTIONS } from '../policy/endpointChooser'
 import { EndpointTable } from '../policy/endpointTable'
+import { OfferPlan } from '../policy/offerPlan'
 import { SidecarPeer } from './sidecarPeer'
 
 import type { Clock } from '../base/clock'
@@ -61,20 +62,24 @@
     this.#updatePlacements()
   }
 
-  /** Orders the endpoints that may serve `request`, the best first. */
-  * rankTargets (request: CallerRequest): Generator<OfferTarget, void, void> {
+  /** Plans the offers of `request`, whose first token target counts from `sinceMs`, to the endpoints that may serve it. */
+  createPlan (request: CallerRequest, sinceMs: number): OfferPlan {
     const target = toTargetName(request.target)
+    const { serviceClass, arrivedAtMs } = request
     const choice = {
-      tier: request.serviceClass.tier,
-      betweenTokensTargetMs: request.serviceClass.betweenTokensTargetMs,
+      tier: serviceClass.tier,
+      betweenTokensTargetMs: serviceClass.betweenTokensTargetMs,
       affinity: this.table.findAffinity(target, toPrefix(request))
     }
+    const times = { arrivedAtMs: sinceMs, firstTokenDueMs: sinceMs + serviceClass.firstTokenTargetMs, deadlineMs: arrivedAtMs + serviceClass.deadlineMs }
     const options = { ...DEFAULT_CHOOSER_OPTIONS, localDomain: this.#options.localDomain }
-    const views = this.table.getViews(target)
-    for (const view of rankEndpoints(choice, views, this.#options.clock.getMonotonicMs(), this.#options.random, options)) {
-      const member = this.#members.get(view.name)
-      if (member !== undefined) yield { endpointName: view.name, peer: member.peer, epoch: member.record.epoch }
-    }
+    return new OfferPlan(choice, times, this.table.getViews(target), this.#options.random, options)
+  }
+
+  /** Finds the sidecar of an endpoint. */
+  findTarget (endpointName: string): OfferTarget | undefined {
+    const member = this.#members.get(endpointName)
+    return member && { endpointName, peer: member.peer, epoch: member.record.epoch }
   }
 
   /** Whether any registered endpoint serves the request's target. */
--- a/src/gateway/offerLog.ts
+++ b/src/gateway/offerLog.ts
@@ -35,32 +35,15 @@
 
 /** What the endpoints answered to the offers of one request, and what that means for its caller. */
 export class OfferLog {
-  #reasons: Reason[] = []
+  readonly #reasons: Reason[] = []
   #minRetryAfterMs = Infinity
-  #shouldOfferAgain = false
   #count = 0
 
-  /** Offers answered so far, over all rounds. */
+  /** Offers answered so far. */
   get count (): number {
     return this.#count
   }
 
-  /** Whether an offer of the present round must be followed by another round. */
-  shouldOfferAgain (): boolean {
-    return this.#shouldOfferAgain
-  }
-
-  beginRound (): void {
-    this.#reasons = []
-    this.#minRetryAfterMs = Infinity
-    this.#shouldOfferAgain = false
-  }
-
-  requireRound (): void {
-    this.#count += 1
-    this.#shouldOfferAgain = true
-  }
-
   recordNotRun (reason: Reason, retryAfterMs: number): void {
     this.#count += 1
     this.#reasons.push(reason)
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -42,6 +42,8 @@
   tier: z.number().int().min(MIN_TIER).max(MAX_TIER),
   /** Milliseconds left until the caller's deadline. */
   remainingMs: z.number().nonnegative(),
+  /** Milliseconds within which the attempt must be expected to start, or be refused at once. */
+  startWithinMs: z.number().nonnegative(),
   /** Milliseconds left until the first token is late for its target. */
   firstTokenRemainingMs: z.number(),
   idempotent: z.boolean(),
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -1,16 +1,19 @@
 import * as csp from 'js-csp'
 
+import { DurationDistribution } from '../policy/durationDistribution'
 import { RequestQueue } from '../policy/requestQueue'
 
 import type { Clock } from '../base/clock'
 import type { AttemptOutcome, EndpointLoad, NotRunReason } from '../protocol/attemptMessages'
 import type { QueueEntry, TakenEntry } from '../policy/requestQueue'
 import type { Attempt } from './attempt'
+import type { EndpointSlots } from './endpointSlots'
 
 const COMMAND_BUFFER = 4096
 const MAX_TIMER_MS = 1000
 const INITIAL_RELEASE_INTERVAL_MS = 200
-const TOKEN_INTERVAL_SMOOTHING = 0.1
+const START_BY_QUANTILE = 0.9
+const INITIAL_RUN_MS = 1000
 
 type DispatcherCommand =
   | { kind: 'submit', attempt: Attempt }
@@ -27,8 +30,8 @@
 export interface DispatcherOptions {
   clock: Clock
   maxQueued: number
-  /** Requests that may run at once now. */
-  getSlots: () => number
+  /** How many requests may run at once now. */
+  slots: EndpointSlots
   /** Guaranteed fraction of starts of a class. */
   getShare: (className: string) => number
   /** Returns the outcome that refuses the attempt, or null when it may go on. */
@@ -47,7 +50,7 @@
   readonly #commands = csp.chan<DispatcherCommand>(csp.buffers.fixed(COMMAND_BUFFER))
   readonly #waiting = new Map<string, Attempt>()
   readonly #running = new Set<Attempt>()
-  #tokenIntervalMs = 0
+  readonly #durations = new Map<string, DurationDistribution>()
   #isDraining = false
   #notifyIdle: (() => void) | null = null
 
@@ -75,11 +78,6 @@
     csp.putAsync(this.#commands, { kind: 'checkQueue' })
   }
 
-  /** Records the milliseconds between tokens that the endpoint shows. */
-  recordTokenInterval (milliseconds: number): void {
-    this.#tokenIntervalMs += TOKEN_INTERVAL_SMOOTHING * (milliseconds - this.#tokenIntervalMs)
-  }
-
   /** Refuses what waits and all that comes; settles when nothing runs any more. */
   async drain (): Promise<void> {
     this.#isDraining = true
@@ -88,6 +86,10 @@
     await new Promise<void>(resolve => { this.#notifyIdle = resolve })
   }
 
+  countRunning (): number {
+    return this.#running.size
+  }
+
   listRunning (): Attempt[] {
     return [...this.#running]
   }
@@ -96,10 +98,10 @@
     const nowMs = this.#options.clock.getMonotonicMs()
     return {
       running: this.#running.size,
-      slots: Math.max(1, this.#options.getSlots()),
+      slots: this.#options.slots.getLimit(),
       queuedByTier: this.#queue.countByTier(),
       waitMsByTier: this.#queue.estimateWaitMsByTier(nowMs),
-      tokenIntervalMs: this.#tokenIntervalMs,
+      tokenIntervalMs: this.#options.slots.getTokenIntervalMs(),
       draining: this.#isDraining
     }
   }
@@ -151,6 +153,7 @@
 
   #release (attempt: Attempt, ranForMs: number, nowMs: number): void {
     this.#running.delete(attempt)
+    if (attempt.outcome?.kind === 'completed') this.#openDurations(attempt.params.className).record(ranForMs)
     this.#queue.recordRelease({
       tier: attempt.params.tier,
       workspace: attempt.params.workspace,
@@ -168,7 +171,7 @@
   }
 
   #startWaiting (nowMs: number): void {
-    while (this.#running.size < this.#options.getSlots()) {
+    while (this.#running.size < this.#options.slots.getLimit()) {
       const taken = this.#queue.takeNext(nowMs)
       if (taken === null) return
       const attempt = this.#takeWaiting(taken.entry.id)
@@ -208,7 +211,8 @@
   }
 
   #setSlots (nowMs: number): void {
-    this.#queue.setSlots({ running: this.#running.size, limit: this.#options.getSlots() }, nowMs)
+    const { slots } = this.#options
+    this.#queue.setSlots({ running: this.#running.size, limit: slots.getLimit(), limitByTier: slots.getLimitByTier() }, nowMs)
   }
 
   #getTimerMs (): number {
@@ -217,6 +221,21 @@
     return Math.min(MAX_TIMER_MS, Math.max(1, nextMs - this.#options.clock.getMonotonicMs()))
   }
 
+  /** The latest start leaves nine in ten answers of the class the time to end before the deadline. */
+  #computeStartByMs (attempt: Attempt, nowMs: number): number {
+    const runMs = this.#openDurations(attempt.params.className).getQuantile(START_BY_QUANTILE, INITIAL_RUN_MS)
+    const latestMs = nowMs + attempt.getRemainingMs(nowMs)
+    return Math.min(nowMs + attempt.params.startWithinMs, Math.max(nowMs, latestMs - runMs))
+  }
+
+  #openDurations (className: string): DurationDistribution {
+    const known = this.#durations.get(className)
+    if (known !== undefined) return known
+    const durations = new DurationDistribution()
+    this.#durations.set(className, durations)
+    return durations
+  }
+
   #createEntry (attempt: Attempt, nowMs: number): QueueEntry {
     const { params } = attempt
     return {
@@ -225,7 +244,7 @@
       className: params.className,
       workspace: params.workspace,
       enqueuedAtMs: nowMs,
-      startByMs: nowMs + attempt.getRemainingMs(nowMs),
+      startByMs: this.#computeStartByMs(attempt, nowMs),
       firstTokenDueMs: nowMs + params.firstTokenRemainingMs,
       share: this.#options.getShare(params.className)
     }
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -14,6 +14,7 @@
 import { AttemptRunner } from './attemptRunner'
 import { Dispatcher } from './dispatcher'
 import { EndpointGuard } from './endpointGuard'
+import { EndpointSlots } from './endpointSlots'
 import { EndpointMonitor } from './endpoint/endpointMonitor'
 import { EngineClient } from './endpoint/engineClient'
 import { ServiceClient } from './endpoint/serviceClient'
@@ -53,6 +54,7 @@
   readonly #registry = new AttemptRegistry({ retentionMs: ENDED_RETENTION_MS })
   readonly #monitor: EndpointMonitor
   readonly #guard: EndpointGuard
+  readonly #slots: EndpointSlots
   readonly #dispatcher: Dispatcher
   readonly #keeper: AttemptKeeper
   readonly #claims: ClaimStore
@@ -81,11 +83,16 @@
       listRunning: () => this.#dispatcher.listRunning()
     })
     this.#claims = new ClaimStore({ service })
+    this.#slots = new EndpointSlots({
+      clock: systemClock,
+      getConfiguredSlots: () => this.#guard.getConfiguredSlots(),
+      countRunning: () => this.#dispatcher.countRunning()
+    })
     const runner = this.#createRunner()
     this.#dispatcher = new Dispatcher({
       clock: systemClock,
       maxQueued: MAX_QUEUED,
-      getSlots: () => this.#guard.getConfiguredSlots(),
+      slots: this.#slots,
       getShare: className => config.getCurrent()?.classes.get(className)?.share ?? 0,
       checkAdmission: attempt => this.#guard.checkAdmission(attempt),
       run: async (attempt, rule) => {
@@ -107,7 +114,7 @@
   /** Starts to serve; returns the `host:port` in use. */
   async start (): Promise<string> {
     const { settings, service, config } = this.#options
-    config.watchConfig(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
+    config.watch(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
     await this.#monitor.start()
     this.#keeper.start()
     const address = await this.#listener.listen(settings.listen)
@@ -140,7 +147,7 @@
     }
     const claims = new PlatformClaimGate({ store: this.#claims, clock: systemClock, holder: `${settings.id}/${this.#epoch}` })
     const observer = {
-      recordTokenInterval: (milliseconds: number) => this.#dispatcher.recordTokenInterval(milliseconds),
+      recordTokenInterval: (milliseconds: number) => this.#slots.recordTokenInterval(milliseconds),
       getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
     }
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
