Follow the accepted configuration from the platform and from peers

Cause: every process needs the accepted generation within seconds, also when the store goes out right after the acceptance or before the process starts, and must never go back. Ruled out: one process that does reads and adoption in turn; a hung read would hold back what a peer brings. Uploading the list of held parts with each request to a peer; asking for the lacking parts after the manifest moves fewer bytes. PrefixWatcher for the manifest: it drops a step's outcome, which here decides between platform and peers. Change: one js-csp owner adopts whole, strictly higher generations; one process steps through the manifest's watch with jitter and bounded back-off; one takes from the peer that shows a higher generation. Peers' answers are cut to a bounded size and asked for in rounds. A publisher can hand an accepted configuration over. Waits, channels and retries are those the platform's other clients use; the doubled ones are removed. Seen to fail: old version delivered late (owner without the generation check), spread by peers (hints dropped), start during an outage (peers of the settings not asked), half-written parts (faulty parts skipped), silent watch (no deadline), parts held already (no reuse), parts in the manifest (none put there).

--- /dev/null
+++ b/src/platform/configFollower.ts
@@ -0,0 +1,270 @@
+import { alts, buffers, chan, go, offer, take } from 'js-csp'
+
+import { Backoff } from './backoff'
+import { openTimer, toChannel, waitFor } from './channels'
+import { ConfigOwner } from './configOwner'
+import { DEFAULT_FOLLOWER_TIMING } from './followerTiming'
+import { KnownPeers } from './knownPeers'
+import { ManifestWatcher } from './manifestWatcher'
+import { OperationScope } from './operationScope'
+
+import type { Channel, Process } from 'js-csp'
+import type { Logger } from 'tslog'
+
+import type { Clock } from '../base/clock'
+import type { Progress } from '../base/progress'
+import type { ConfigSource } from '../config/configSource'
+import type { FleetConfig } from '../config/fleetConfig'
+import type { Manifest } from '../config/manifest'
+import type { OwnedConfigState } from './configOwner'
+import type { FollowerTiming } from './followerTiming'
+import type { ObjectService } from './objectService'
+import type { ConfigHolder, OfferAnswer, OfferConfig, PeerConfigError, PeerConfigSource } from './peerConfig'
+
+export interface FollowerOptions {
+  service: ObjectService
+  peerSource: PeerConfigSource
+  /** `host:port` of processes to ask while the platform is out. */
+  peers: string[]
+  clock: Clock
+  /** Random numbers from 0 up to 1, for jitter and the choice of peers. */
+  getRandom: () => number
+  logger: Logger<unknown>
+  timing?: Partial<FollowerTiming>
+}
+
+/** State of a follower, for the state dump. */
+export interface FollowerState extends OwnedConfigState {
+  platformFailuresInRow: number
+  lastPlatformFailure: string | null
+}
+
+interface Hint {
+  generation: number
+  address: string
+}
+
+type PlatformOutcome =
+  | { kind: 'followed' }
+  | { kind: 'failed', message: string }
+
+const MAX_PENDING_HINTS = 4
+const MAX_HEARD_PEERS = 8
+const PEERS_ASKED_AT_START = 8
+const PEERS_ASKED_LATER = 1
+
+/**
+ * Keeps the accepted configuration of one process up to date: follows the manifest at the
+ * platform, and takes a higher generation from whichever peer shows one. A process never goes
+ * back and never runs a half configuration.
+ *
+ * @example
+ * const follower = new ConfigFollower({ service, peerSource, peers, clock, getRandom: Math.random, logger })
+ * follower.start()
+ * const config = await follower.waitForConfig(progress)
+ */
+export class ConfigFollower implements ConfigHolder, ConfigSource {
+  readonly #options: FollowerOptions
+  readonly #timing: FollowerTiming
+  readonly #owner: ConfigOwner
+  readonly #scope = new OperationScope()
+  readonly #watcher: ManifestWatcher
+  readonly #knownPeers: KnownPeers
+  readonly #hints: Channel<Hint> = chan(buffers.sliding(MAX_PENDING_HINTS))
+  readonly #stopped: Channel<never> = chan()
+  #platformFailuresInRow = 0
+  #lastPlatformFailure: string | null = null
+
+  constructor (options: FollowerOptions) {
+    const { service, getRandom, clock, logger, peers } = options
+    this.#options = options
+    this.#timing = { ...DEFAULT_FOLLOWER_TIMING, ...options.timing }
+    this.#owner = new ConfigOwner(clock, logger)
+    this.#watcher = new ManifestWatcher({ service, scope: this.#scope, timing: this.#timing, getRandom })
+    this.#knownPeers = new KnownPeers(peers, getRandom, MAX_HEARD_PEERS)
+  }
+
+  /** Starts following; a configuration comes later, see `waitForConfig`. */
+  start (): void {
+    const follower = this
+    this.#owner.start()
+    go(function * () { yield * follower.#runPlatform() })
+    go(function * () { yield * follower.#runPeers() })
+  }
+
+  /** Stops following; the configuration in force stays. */
+  stop (): void {
+    this.#scope.close()
+    this.#stopped.close()
+    this.#hints.close()
+    this.#owner.stop()
+  }
+
+  /** Gets the configuration in force; `null` before the first one. */
+  getCurrent (): FleetConfig | null {
+    return this.#owner.getConfig()
+  }
+
+  /** Gets the generation in force; 0 before the first configuration. */
+  getGeneration (): number {
+    return this.#owner.getGeneration()
+  }
+
+  getManifest (): Manifest | null {
+    return this.#owner.getManifest()
+  }
+
+  getPartText (digest: string): string | null {
+    return this.#owner.getPartText(digest)
+  }
+
+  getState (): FollowerState {
+    return {
+      ...this.#owner.getState(),
+      platformFailuresInRow: this.#platformFailuresInRow,
+      lastPlatformFailure: this.#lastPlatformFailure
+    }
+  }
+
+  /** Calls `listener` with each configuration that comes in force; returns the function that ends this. */
+  watch (listener: (config: FleetConfig) => void): () => void {
+    return this.#owner.watch(listener)
+  }
+
+  /**
+   * Waits for a configuration of at least `generation`.
+   *
+   * @throws TimeoutError when none came before the deadline of `progress`
+   */
+  async waitForConfig (progress: Progress, generation = 1): Promise<FleetConfig> {
+    let stopWatch = (): void => {}
+    const awaited = new Promise<FleetConfig>(resolve => {
+      stopWatch = this.watch(config => { if (config.generation >= generation) resolve(config) })
+      const config = this.getCurrent()
+      if (config !== null && config.generation >= generation) resolve(config)
+    })
+    try {
+      return await progress.wait(`configuration generation ${generation} from the platform or a peer`, awaited)
+    } finally {
+      stopWatch()
+    }
+  }
+
+  /** Notes that the process at `address` has `generation` in force; takes it from there if it is higher. */
+  notifyGeneration (generation: number, address: string): void {
+    if (generation <= this.getGeneration() || this.#hints.isClosed()) return
+    this.#knownPeers.add(address)
+    offer(this.#hints, { generation, address })
+  }
+
+  /** Handles an accepted configuration that its publisher hands over. */
+  async receiveOffer ({ manifest, parts }: OfferConfig): Promise<OfferAnswer> {
+    const texts = new Map(parts.map(part => [part.digest, part.text]))
+    const missing = this.#owner.listMissing(manifest).filter(digest => !texts.has(digest))
+    if (missing.length === 0) await this.#owner.submit({ manifest, texts }, 'its publisher')
+    return { generation: this.getGeneration(), missing }
+  }
+
+  * #runPlatform (): Process<void> {
+    const backoff = this.#createBackoff()
+    while (!this.#scope.signal.aborted) {
+      const outcome: PlatformOutcome = yield take(toChannel(this.#takeFromPlatform()))
+      this.#recordPlatform(outcome)
+      if (outcome.kind === 'followed') {
+        backoff.reset()
+        continue
+      }
+      this.#watcher.reset()
+      yield take(toChannel(this.#takeFromPeers()))
+      yield * this.#runPause(backoff)
+    }
+  }
+
+  * #runPeers (): Process<void> {
+    const backoff = this.#createBackoff()
+    while (true) {
+      const hint: Hint | null = yield take(this.#hints)
+      if (hint === null) return
+      if (hint.generation <= this.getGeneration()) continue
+      yield take(toChannel(this.#takeFromPeer(hint.address)))
+      if (hint.generation <= this.getGeneration()) backoff.reset()
+      else yield * this.#runPause(backoff)
+    }
+  }
+
+  /** Pauses before the next try; a stop ends the pause. */
+  * #runPause (backoff: Backoff): Process<void> {
+    const timer = openTimer(backoff.advance())
+    yield alts([this.#stopped, timer.channel])
+    timer.stop()
+  }
+
+  /** Takes the platform's next word on the manifest. */
+  async #takeFromPlatform (): Promise<PlatformOutcome> {
+    try {
+      return await this.#takeManifest()
+    } catch (error) {
+      return { kind: 'failed', message: (error as Error).message }
+    }
+  }
+
+  async #takeManifest (): Promise<PlatformOutcome> {
+    const step = await this.#watcher.take()
+    if (step.kind === 'failed') return step
+    const { manifest } = step
+    if (manifest === null || manifest.generation <= this.getGeneration()) return { kind: 'followed' }
+    const texts = await this.#fetchMissing(manifest)
+    const outcome = await this.#owner.submit({ manifest, texts }, 'the platform')
+    return outcome.kind === 'refused' ? { kind: 'failed', message: outcome.message } : { kind: 'followed' }
+  }
+
+  async #fetchMissing (manifest: Manifest): Promise<Map<string, string>> {
+    if (this.#owner.listMissing(manifest).length === 0) return new Map()
+    if (this.getCurrent() !== null) await waitFor(this.#timing.fetchSpreadMs * this.#options.getRandom(), this.#scope.signal)
+    if (manifest.generation <= this.getGeneration()) return new Map()
+    return await this.#watcher.fetchParts(this.#owner.listMissing(manifest))
+  }
+
+  async #takeFromPeers (): Promise<void> {
+    const addresses = this.#knownPeers.choose(this.getCurrent() === null ? PEERS_ASKED_AT_START : PEERS_ASKED_LATER)
+    const generation = this.getGeneration()
+    for (const address of addresses) {
+      if (this.#scope.signal.aborted || this.getGeneration() > generation) return
+      await this.#takeFromPeer(address)
+    }
+  }
+
+  async #takeFromPeer (address: string): Promise<void> {
+    const { logger } = this.#options
+    try {
+      const failure = await this.#takeBundle(address)
+      if (failure !== null) logger.debug('a peer gave no configuration', failure)
+    } catch (error) {
+      logger.debug('a peer gave no configuration', { address, message: (error as Error).message })
+    }
+  }
+
+  async #takeBundle (address: string): Promise<PeerConfigError | null> {
+    const listMissing = (manifest: Manifest) => this.#owner.listMissing(manifest)
+    const bundle = await this.#scope.run(`taking the configuration from ${address}`, this.#timing.fetchTimeoutMs,
+      progress => this.#options.peerSource.fetchConfig(address, this.getGeneration(), listMissing, progress))
+    if (bundle.isErr) return bundle.error
+    if (bundle.value !== null) await this.#owner.submit(bundle.value, `peer ${address}`)
+    return null
+  }
+
+  #recordPlatform (outcome: PlatformOutcome): void {
+    if (outcome.kind === 'followed') {
+      this.#platformFailuresInRow = 0
+      return
+    }
+    this.#platformFailuresInRow += 1
+    this.#lastPlatformFailure = outcome.message
+    if (this.#platformFailuresInRow === 1) this.#options.logger.warn('the manifest cannot be followed', { message: outcome.message })
+  }
+
+  #createBackoff (): Backoff {
+    const { minBackoffMs, maxBackoffMs } = this.#timing
+    return new Backoff({ baseMs: minBackoffMs, capMs: maxBackoffMs, getRandom: this.#options.getRandom })
+  }
+}
--- a/src/platform/configPublisher.ts
+++ b/src/platform/configPublisher.ts
@@ -6,7 +6,8 @@
 import { diffTrees } from '../config/treeDiff'
 import { MANIFEST_KEY } from './keys'
 import { deleteParts, fetchParts, fetchVersions, putParts } from './partStore'
-import { formatServiceError, retryRateLimited, waitMilliseconds } from './serviceRetry'
+import { waitFor } from './channels'
+import { describeServiceError, isRateLimited, retryCall } from './retryCall'
 
 import type { Clock } from '../base/clock'
 import type { Progress } from '../base/progress'
@@ -87,8 +88,8 @@
   }
 
   async #readBase (progress: Progress): Promise<Result<Base, PublishError>> {
-    const object = await retryRateLimited(() => this.#service.get(MANIFEST_KEY, progress), progress)
-    if (object.isErr) return Result.err({ kind: 'unavailable', message: `the manifest could not be read: ${formatServiceError(object.error)}` })
+    const object = await retryCall(() => this.#service.get(MANIFEST_KEY, progress), progress, { isRetriable: isRateLimited })
+    if (object.isErr) return Result.err({ kind: 'unavailable', message: `the manifest could not be read: ${describeServiceError(object.error)}` })
     if (object.value === null) return Result.ok({ manifest: null, condition: { kind: 'absent' } })
     const manifest = parseManifest(object.value.value)
     if (manifest === null) return Result.err({ kind: 'malformedManifest', message: `the object ${MANIFEST_KEY} holds no manifest` })
@@ -101,7 +102,7 @@
     const versions = await fetchVersions(this.#service, unused, progress)
     const fresh = selectFresh(parts, base.manifest)
     const written = await putParts(this.#service, fresh, progress)
-    if (written.isErr) return Result.err({ kind: 'unavailable', message: `the parts could not be written: ${formatServiceError(written.error)}` })
+    if (written.isErr) return Result.err({ kind: 'unavailable', message: `the parts could not be written: ${describeServiceError(written.error)}` })
     const confirmed = await this.#writeManifest(base, next, progress)
     if (confirmed.isErr) return Result.err(confirmed.error)
     await deleteParts(this.#service, versions, progress)
@@ -116,16 +117,16 @@
   async #writeManifest (base: Base, next: Manifest, progress: Progress): Promise<Result<null, PublishError>> {
     let lost: string | null = null
     while (true) {
-      const result = await retryRateLimited(() => this.#service.put(MANIFEST_KEY, next, base.condition, progress), progress)
+      const result = await retryCall(() => this.#service.put(MANIFEST_KEY, next, base.condition, progress), progress, { isRetriable: isRateLimited })
       if (result.isOk) return Result.ok(null)
       const { error } = result
       if (error.kind === 'conflict') return await this.#resolveConflict(base, next, error.current, progress)
       if (error.kind === 'unknownOutcome') lost = error.message
-      else if (lost === null) return Result.err({ kind: 'unavailable', message: `the manifest was not written: ${formatServiceError(error)}` })
+      else if (lost === null) return Result.err({ kind: 'unavailable', message: `the manifest was not written: ${describeServiceError(error)}` })
       if (progress.signal.aborted || progress.getRemainingMs() <= READ_BACK_PAUSE_MS) {
-        return Result.err({ kind: 'unknownOutcome', generation: next.generation, writeId: next.writeId, message: lost ?? formatServiceError(error) })
+        return Result.err({ kind: 'unknownOutcome', generation: next.generation, writeId: next.writeId, message: lost ?? describeServiceError(error) })
       }
-      await waitMilliseconds(READ_BACK_PAUSE_MS, progress.signal)
+      await waitFor(READ_BACK_PAUSE_MS, progress.signal)
     }
   }
 
--- /dev/null
+++ b/src/platform/manifestWatcher.ts
@@ -0,0 +1,84 @@
+import { parseManifest } from '../config/manifest'
+import { MANIFEST_KEY } from './keys'
+import { fetchParts } from './partStore'
+import { waitFor } from './channels'
+import { describeServiceError } from './retryCall'
+
+import type { Manifest } from '../config/manifest'
+import type { FollowerTiming } from './followerTiming'
+import type { ObjectService, StoredObject } from './objectService'
+import type { OperationScope } from './operationScope'
+
+/** What the platform said of the manifest: the newest one seen in this step, if any. */
+export type WatchStep =
+  | { kind: 'advanced', manifest: Manifest | null }
+  | { kind: 'failed', message: string }
+
+export interface ManifestWatcherOptions {
+  service: ObjectService
+  scope: OperationScope
+  timing: FollowerTiming
+  getRandom: () => number
+}
+
+const MIN_WATCH_FRACTION = 0.75
+
+/** Follows the manifest at the platform, a step at a time: one read first, then watches. */
+export class ManifestWatcher {
+  readonly #options: ManifestWatcherOptions
+  #revision: number | null = null
+
+  constructor (options: ManifestWatcherOptions) {
+    this.#options = options
+  }
+
+  /** Takes the next step: the manifest as it is at first and after a failure, then its next change. */
+  async take (): Promise<WatchStep> {
+    try {
+      return this.#revision === null ? await this.#readManifest() : await this.#watchManifest(this.#revision)
+    } catch (error) {
+      return this.#fail((error as Error).message)
+    }
+  }
+
+  /** Makes the next step read the manifest anew. */
+  reset (): void {
+    this.#revision = null
+  }
+
+  /** Fetches the parts with the given digests, as far as the platform gives them. */
+  async fetchParts (digests: string[]): Promise<Map<string, string>> {
+    const { service, scope, timing } = this.#options
+    if (digests.length === 0) return new Map()
+    return await scope.run('reading parts', timing.fetchTimeoutMs, progress => fetchParts(service, digests, progress))
+  }
+
+  async #readManifest (): Promise<WatchStep> {
+    const { service, scope, timing } = this.#options
+    const listed = await scope.run('reading the manifest', timing.readTimeoutMs, progress => service.list(MANIFEST_KEY, progress))
+    if (listed.isErr) return this.#fail(describeServiceError(listed.error))
+    this.#revision = listed.value.revision
+    return { kind: 'advanced', manifest: selectNewest(listed.value.objects) }
+  }
+
+  async #watchManifest (revision: number): Promise<WatchStep> {
+    const { service, scope, timing, getRandom } = this.#options
+    const waitMs = timing.watchMs * (MIN_WATCH_FRACTION + (1 - MIN_WATCH_FRACTION) * getRandom())
+    const batch = await scope.run('watching the manifest', waitMs + timing.watchGraceMs, progress => service.watch(MANIFEST_KEY, revision, waitMs, progress))
+    if (batch.isErr) return this.#fail(describeServiceError(batch.error))
+    this.#revision = batch.value.revision
+    const puts = batch.value.events.flatMap(event => event.kind === 'put' ? [event.object] : [])
+    if (puts.length > 0) await waitFor(timing.rearmSpreadMs * getRandom(), scope.signal)
+    return { kind: 'advanced', manifest: selectNewest(puts) }
+  }
+
+  #fail (message: string): WatchStep {
+    this.reset()
+    return { kind: 'failed', message }
+  }
+}
+
+function selectNewest (objects: StoredObject[]): Manifest | null {
+  const manifests = objects.filter(object => object.key === MANIFEST_KEY).flatMap(object => parseManifest(object.value) ?? [])
+  return manifests.sort((one, other) => other.generation - one.generation)[0] ?? null
+}
--- a/src/platform/partStore.ts
+++ b/src/platform/partStore.ts
@@ -2,7 +2,8 @@
 
 import { hashPart } from '../config/configParts'
 import { PARTS_PREFIX } from './keys'
-import { retryRateLimited, runBounded } from './serviceRetry'
+import { isRateLimited, retryCall } from './retryCall'
+import { runBounded } from './runBounded'
 
 import type { Progress } from '../base/progress'
 import type { ConfigPart } from '../config/configParts'
@@ -21,7 +22,7 @@
 export async function fetchParts (service: ObjectService, digests: string[], progress: Progress): Promise<Map<string, string>> {
   const texts = new Map<string, string>()
   await runBounded(digests, MAX_CALLS_AT_ONCE, async digest => {
-    const object = await retryRateLimited(() => service.get(getPartKey(digest), progress), progress)
+    const object = await retryCall(() => service.get(getPartKey(digest), progress), progress, { isRetriable: isRateLimited })
     const text = object.isOk ? getRightText(object.value, digest) : null
     if (text === null) progress.log(`part ${digest} could not be read`)
     else texts.set(digest, text)
@@ -62,7 +63,7 @@
   let failure: ObjectServiceError = { kind: 'unavailable', message: `part ${part.name} was not written` }
   for (let tries = 0; tries < MAX_WRITE_TRIES && !progress.signal.aborted; tries++) {
     const requires = condition
-    const result = await retryRateLimited(() => service.put(key, part.text, requires, progress), progress)
+    const result = await retryCall(() => service.put(key, part.text, requires, progress), progress, { isRetriable: isRateLimited })
     if (result.isOk) return Result.ok(null)
     failure = result.error
     if (failure.kind === 'conflict') condition = buildCondition(failure.current)
--- /dev/null
+++ b/src/platform/peerConfig.ts
@@ -0,0 +1,137 @@
+import { Result } from 'true-myth'
+import { z } from 'zod'
+
+import { manifestSchema } from '../config/manifest'
+
+import type { Progress } from '../base/progress'
+import type { Manifest } from '../config/manifest'
+
+/** A manifest with the texts of parts by their digests. */
+export interface ConfigBundle {
+  manifest: Manifest
+  texts: ReadonlyMap<string, string>
+}
+
+/** Calls a JSON-RPC method of the process at `address` and gives its result; rejects on failure. */
+export type PeerCaller = (address: string, method: string, params: unknown, progress: Progress) => Promise<unknown>
+
+/** What a process must know to answer its peers about the configuration. */
+export interface ConfigHolder {
+  getManifest (): Manifest | null
+  getPartText (digest: string): string | null
+}
+
+/** Where a process that is behind takes the configuration from. */
+export interface PeerConfigSource {
+  /** Fetches what is newer than `haveGeneration`; `null` when the peer has nothing newer. */
+  fetchConfig (address: string, haveGeneration: number, listMissing: (manifest: Manifest) => string[], progress: Progress): Promise<Result<ConfigBundle | null, PeerConfigError>>
+}
+
+export type PeerConfigError =
+  | { kind: 'peerUnavailable', address: string, message: string }
+  | { kind: 'malformedAnswer', address: string, message: string }
+  | { kind: 'incompleteAnswer', address: string, missingParts: number }
+
+/** JSON-RPC method by which a process asks another for the configuration. */
+export const GET_CONFIG_METHOD = 'getConfig'
+/** JSON-RPC method by which an accepted configuration is handed to a process. */
+export const OFFER_CONFIG_METHOD = 'offerConfig'
+/** Texts in one message, in UTF-16 units; one part is always allowed. */
+export const MAX_TEXT_PER_MESSAGE = 700_000
+
+const MAX_ROUNDS = 64
+const partsSchema = z.array(z.object({ digest: z.string().max(100), text: z.string() })).max(4_000)
+
+/** Parameters of `getConfig`. */
+export const getConfigSchema = z.object({
+  haveGeneration: z.number().int().nonnegative(),
+  /** Digests of parts that the answer should bring. */
+  wantParts: z.array(z.string().max(100)).max(4_000)
+})
+export type GetConfig = z.infer<typeof getConfigSchema>
+
+/** Result of `getConfig`. */
+export const configAnswerSchema = z.object({
+  generation: z.number().int().nonnegative(),
+  /** The manifest in force there, if it is newer than `haveGeneration`. */
+  manifest: manifestSchema.nullable(),
+  /** Those wanted parts that are held there, as many as one message takes. */
+  parts: partsSchema
+})
+export type ConfigAnswer = z.infer<typeof configAnswerSchema>
+
+/** Parameters of `offerConfig`. */
+export const offerConfigSchema = z.object({ manifest: manifestSchema, parts: partsSchema })
+export type OfferConfig = z.infer<typeof offerConfigSchema>
+
+/** Result of `offerConfig`: the generation in force afterwards, and the parts that were lacking. */
+export const offerAnswerSchema = z.object({ generation: z.number().int().nonnegative(), missing: z.array(z.string()) })
+export type OfferAnswer = z.infer<typeof offerAnswerSchema>
+
+/**
+ * Creates the answer to a peer's `getConfig`.
+ *
+ * @example
+ * server.addMethod(GET_CONFIG_METHOD, params => createConfigAnswer(follower, getConfigSchema.parse(params)))
+ */
+export function createConfigAnswer (holder: ConfigHolder, params: GetConfig): ConfigAnswer {
+  const manifest = holder.getManifest()
+  const generation = manifest?.generation ?? 0
+  return {
+    generation,
+    manifest: generation > params.haveGeneration ? manifest : null,
+    parts: selectParts(holder, params.wantParts)
+  }
+}
+
+/** Takes the configuration from peers by JSON-RPC. */
+export class RpcPeerConfigSource implements PeerConfigSource {
+  readonly #callPeer: PeerCaller
+
+  constructor (callPeer: PeerCaller) {
+    this.#callPeer = callPeer
+  }
+
+  async fetchConfig (address: string, haveGeneration: number, listMissing: (manifest: Manifest) => string[], progress: Progress): Promise<Result<ConfigBundle | null, PeerConfigError>> {
+    const texts = new Map<string, string>()
+    let manifest: Manifest | null = null
+    let missing: string[] = []
+    for (let round = 0; round < MAX_ROUNDS; round++) {
+      const answer = await this.#fetchAnswer(address, { haveGeneration: manifest?.generation ?? haveGeneration, wantParts: missing }, progress)
+      if (answer.isErr) return Result.err(answer.error)
+      const heldBefore = texts.size
+      for (const part of answer.value.parts) texts.set(part.digest, part.text)
+      const isNewer = answer.value.manifest !== null
+      manifest = answer.value.manifest ?? manifest
+      if (manifest === null) return Result.ok(null)
+      missing = listMissing(manifest).filter(digest => !texts.has(digest))
+      if (missing.length === 0) return Result.ok({ manifest, texts })
+      if (!isNewer && texts.size === heldBefore) break
+    }
+    return Result.err({ kind: 'incompleteAnswer', address, missingParts: missing.length })
+  }
+
+  async #fetchAnswer (address: string, params: GetConfig, progress: Progress): Promise<Result<ConfigAnswer, PeerConfigError>> {
+    try {
+      const answer = await progress.wait(`the configuration from ${address}`, this.#callPeer(address, GET_CONFIG_METHOD, params, progress))
+      const parsed = configAnswerSchema.safeParse(answer)
+      if (parsed.success) return Result.ok(parsed.data)
+      return Result.err({ kind: 'malformedAnswer', address, message: 'the answer to getConfig has another form' })
+    } catch (error) {
+      return Result.err({ kind: 'peerUnavailable', address, message: (error as Error).message })
+    }
+  }
+}
+
+function selectParts (holder: ConfigHolder, digests: string[]): ConfigAnswer['parts'] {
+  const parts: ConfigAnswer['parts'] = []
+  let size = 0
+  for (const digest of digests) {
+    const text = holder.getPartText(digest)
+    if (text === null) continue
+    size += text.length
+    if (parts.length > 0 && size > MAX_TEXT_PER_MESSAGE) break
+    parts.push({ digest, text })
+  }
+  return parts
+}
--- a/src/platform/retryCall.ts
+++ b/src/platform/retryCall.ts
@@ -12,6 +12,8 @@
   /** Longest delay between tries in milliseconds. */
   capMs?: number
   getRandom?: () => number
+  /** Which errors are worth another try; by default all that surely had no effect. */
+  isRetriable?: (error: ObjectServiceError) => boolean
 }
 
 const DEFAULT_BASE_MS = 50
@@ -37,7 +39,7 @@
   })
   while (true) {
     const result = await call()
-    if (result.isOk || !isRetriable(result.error)) return result
+    if (result.isOk || !(options.isRetriable ?? isWithoutEffect)(result.error)) return result
     const delayMs = Math.max(backoff.advance(), getRetryAfterMs(result.error))
     if (progress.signal.aborted || delayMs >= progress.getRemainingMs()) return result
     progress.log(`the object service answered ${result.error.kind}; trying again in ${Math.round(delayMs)} ms`)
@@ -60,6 +62,11 @@
   }
 }
 
-function isRetriable (error: ObjectServiceError): boolean {
+/** Whether the service only asks to come back later; for callers that have another way when it is down. */
+export function isRateLimited (error: ObjectServiceError): boolean {
+  return error.kind === 'rateLimited'
+}
+
+function isWithoutEffect (error: ObjectServiceError): boolean {
   return error.kind === 'unavailable' || error.kind === 'rateLimited'
 }
