--- /dev/null
+++ b/src/policy/offerPlan.ts
@@ -0,0 +1,128 @@
+import { rankEndpoints } from './endpointChooser'
+import { IndexedHeap } from './indexedHeap'
+
+import type { ChoiceRequest, ChooserOptions } from './endpointChooser'
+import type { EndpointView } from './endpointView'
+
+/** The times of a request that bound its start. */
+export interface RequestTimes {
+  arrivedAtMs: number
+  firstTokenDueMs: number
+  deadlineMs: number
+}
+
+/** The next endpoint to offer a request to. */
+export interface PlannedOffer {
+  view: EndpointView
+  /** Milliseconds within which the endpoint must expect to start it, or refuse it at once. */
+  startWithinMs: number
+  round: OfferRound
+}
+
+/** First to start at once, then in time for the first token's target, then by the deadline. */
+export type OfferRound = 'atOnce' | 'onTime' | 'late'
+
+interface Refusal {
+  view: EndpointView
+  /** Time at which the endpoint, when it refused, expected to start the request. */
+  expectedStartMs: number
+}
+
+const AT_ONCE_MS = 20
+const OFFERS_AT_ONCE = 4
+const LATE_FACTOR = 3
+const FIRST_TOKEN_MARGIN = 1.3
+
+/**
+ * The order of offers for one request. It is first offered to start at once, to a few endpoints
+ * in the order of the choice; each refusal tells when the endpoint would start it. Then it is
+ * offered to wait where the start is expected soonest, if that is in time for the first token.
+ * Endpoints whose load reports lie are so found out in a few milliseconds. Only when no endpoint
+ * can start it in time is it offered to start late, within three times its target.
+ *
+ * @example
+ * const plan = new OfferPlan(request, times, table.getViews(model), random, options)
+ * for (let offer = plan.takeNext(nowMs); offer !== null; offer = plan.takeNext(nowMs)) {
+ *   const refusal = await offerTo(offer.view, offer.startWithinMs)
+ *   if (refusal === null) break
+ *   plan.recordRefusal(offer, refusal.retryAfterMs, nowMs)
+ * }
+ */
+export class OfferPlan {
+  readonly #request: ChoiceRequest
+  readonly #times: RequestTimes
+  readonly #views: readonly EndpointView[]
+  readonly #random: () => number
+  readonly #options: ChooserOptions
+  readonly #waiting = new IndexedHeap<Refusal>((a, b) => a.expectedStartMs < b.expectedStartMs)
+  readonly #late = new IndexedHeap<Refusal>((a, b) => a.expectedStartMs < b.expectedStartMs)
+  #ranked: Generator<EndpointView, void, void> | undefined
+  #offersAtOnce = 0
+  #retryAfterMs = Infinity
+
+  constructor (request: ChoiceRequest, times: RequestTimes, views: readonly EndpointView[], random: () => number, options: ChooserOptions) {
+    this.#request = request
+    this.#times = times
+    this.#views = views
+    this.#random = random
+    this.#options = options
+  }
+
+  /** Gets the least milliseconds after which an endpoint that refused may accept, or Infinity when none said so. */
+  getRetryAfterMs (): number {
+    return this.#retryAfterMs
+  }
+
+  /** Takes the next offer to make, or null when every endpoint refused and the request is to be shed. */
+  takeNext (nowMs: number): PlannedOffer | null {
+    if (this.#offersAtOnce < OFFERS_AT_ONCE || this.#waiting.size === 0) {
+      const view = this.#takeRanked(nowMs)
+      if (view !== undefined) return { view, startWithinMs: AT_ONCE_MS, round: 'atOnce' }
+    }
+    const waiting = takeFirst(this.#waiting)
+    if (waiting !== undefined) return { view: waiting.view, startWithinMs: this.#getOnTimeMs(waiting.view, nowMs), round: 'onTime' }
+    const late = takeFirst(this.#late)
+    return late === undefined ? null : { view: late.view, startWithinMs: this.#getLateMs(nowMs), round: 'late' }
+  }
+
+  /** Records that the endpoint of an offer could not start it in time and may accept after `retryAfterMs`. */
+  recordRefusal (offer: PlannedOffer, retryAfterMs: number, nowMs: number): void {
+    this.#retryAfterMs = Math.min(this.#retryAfterMs, retryAfterMs)
+    const { view, round, startWithinMs } = offer
+    const refusal = { view, expectedStartMs: nowMs + startWithinMs + retryAfterMs }
+    const isOnTime = refusal.expectedStartMs <= nowMs + this.#getOnTimeMs(view, nowMs)
+    if (round === 'atOnce' && isOnTime) this.#waiting.add(refusal)
+    else if (round !== 'late' && refusal.expectedStartMs <= nowMs + this.#getLateMs(nowMs)) this.#late.add(refusal)
+  }
+
+  /** Resets the plan after an accepted request was displaced, or its endpoint was lost, so that all are asked anew. */
+  reset (): void {
+    this.#ranked = undefined
+    this.#offersAtOnce = 0
+    while (takeFirst(this.#waiting) !== undefined);
+    while (takeFirst(this.#late) !== undefined);
+  }
+
+  #takeRanked (nowMs: number): EndpointView | undefined {
+    this.#ranked ??= rankEndpoints(this.#request, this.#views, nowMs, this.#random, this.#options)
+    this.#offersAtOnce += 1
+    const next = this.#ranked.next()
+    return next.done ? undefined : next.value
+  }
+
+  #getOnTimeMs (view: EndpointView, nowMs: number): number {
+    return Math.max(0, this.#times.firstTokenDueMs - FIRST_TOKEN_MARGIN * view.firstTokenMs - nowMs)
+  }
+
+  #getLateMs (nowMs: number): number {
+    const { arrivedAtMs, firstTokenDueMs, deadlineMs } = this.#times
+    const latestMs = Math.min(deadlineMs, arrivedAtMs + LATE_FACTOR * (firstTokenDueMs - arrivedAtMs))
+    return Math.max(0, latestMs - nowMs)
+  }
+}
+
+function takeFirst (heap: IndexedHeap<Refusal>): Refusal | undefined {
+  const first = heap.getFirst()
+  if (first !== undefined) heap.remove(first)
+  return first
+}
