Fit the follower to the process start

Cause: the process start and the gateway take the follower as a ConfigSource. Change: the listener method is watchConfig as in that interface; random numbers come by the option getRandom, as everywhere in src/platform.

--- a/src/cli/processRunner.ts
+++ b/src/cli/processRunner.ts
@@ -55,7 +55,7 @@
     peerSource: new RpcPeerConfigSource((address, method, params, progress) => callPeer({ address, fleetSecret: settings.fleetSecret }, method, params, progress)),
     peers: settings.peers,
     clock: systemClock,
-    random: Math.random,
+    getRandom: Math.random,
     logger
   })
   rpc.register(GET_CONFIG_METHOD, async params => createConfigAnswer(config, getConfigSchema.parse(params)))
--- a/src/platform/configFollower.ts
+++ b/src/platform/configFollower.ts
@@ -127,7 +127,7 @@
   }
 
   /** Calls `listener` with each configuration that comes in force; returns the function that ends this. */
-  watch (listener: (config: FleetConfig) => void): () => void {
+  watchConfig (listener: (config: FleetConfig) => void): () => void {
     return this.#owner.watch(listener)
   }
 
@@ -139,7 +139,7 @@
   async waitForConfig (progress: Progress, generation = 1): Promise<FleetConfig> {
     let stopWatch = (): void => {}
     const awaited = new Promise<FleetConfig>(resolve => {
-      stopWatch = this.watch(config => { if (config.generation >= generation) resolve(config) })
+      stopWatch = this.watchConfig(config => { if (config.generation >= generation) resolve(config) })
       const config = this.getCurrent()
       if (config !== null && config.generation >= generation) resolve(config)
     })
--- a/tests/configFollower.spec.ts
+++ b/tests/configFollower.spec.ts
@@ -89,7 +89,7 @@
       await fleet.publish(buildFleetTree({ deadlineMs: 2_000 }))
       await follower.waitForConfig(createProgress(), 2)
       const seen: number[] = []
-      follower.watch(config => seen.push(config.generation))
+      follower.watchConfig(config => seen.push(config.generation))
       if (old !== undefined) service.setFaults({ injectedBatches: [{ events: [{ kind: 'put', object: old }], revision: fleet.store.revision }] })
       await waitUntil(() => service.faults.injectedBatches.length === 0)
       expect(await follower.receiveOffer(first)).to.deep.equal({ generation: 2, missing: [] })
