Add config check, diff, apply and status to the command line

Cause: operators need one report of findings, the difference to what is accepted, a clear answer whether a folder was accepted, and where it is in force. Ruled out: deleting unused parts before the configuration is handed to processes; with the store going out right after the acceptance each delete waits for its timeout. The silent log level writes nothing and no longer warns on standard error.

--- a/src/base/logger.ts
+++ b/src/base/logger.ts
@@ -11,9 +11,9 @@
 /** How much a process logs. */
 export type LogLevel = 'debug' | 'info' | 'warn' | 'error' | 'silent'
 
-const LEVEL_NUMBERS: Record<LogLevel, number> = { debug: 2, info: 3, warn: 4, error: 5, silent: 7 }
+const LEVEL_NUMBERS: Record<LogLevel, number> = { debug: 2, info: 3, warn: 4, error: 5, silent: 6 }
 
 /** Creates the structured logger of one process; one JSON object a line on standard output. */
 export function createLogger (name: string, level: LogLevel = 'info'): Logger<unknown> {
-  return new Logger({ name, minLevel: LEVEL_NUMBERS[level], type: 'json', hideLogPositionForProduction: true })
+  return new Logger({ name, minLevel: LEVEL_NUMBERS[level], type: level === 'silent' ? 'hidden' : 'json', hideLogPositionForProduction: true })
 }
--- /dev/null
+++ b/src/cli/commands/configApply.ts
@@ -0,0 +1,106 @@
+import { userInfo } from 'node:os'
+
+import { systemClock } from '../../base/clock'
+import { SECRET_VARIABLE } from '../../config/loadProcessSettings'
+import { formatChanges } from '../../config/treeDiff'
+import { ConfigPublisher } from '../../platform/configPublisher'
+import { formatOfferError, offerConfig } from '../../platform/offerConfig'
+import { runBounded } from '../../platform/runBounded'
+import { fail, loadFolderOrReport, parseAddresses, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
+import { EXIT_CODES } from '../exitCodes'
+import { callPeer } from '../peerCaller'
+
+import type { Argv, CommandModule } from 'yargs'
+import type { Progress } from '../../base/progress'
+import type { FleetTree } from '../../config/fleetSchema'
+import type { Publication, PublishError } from '../../platform/configPublisher'
+import type { ObjectService } from '../../platform/objectService'
+import type { PlatformFlags } from '../configCommandInput'
+
+interface ApplyFlags extends PlatformFlags {
+  folder: string
+  by?: string
+  baseGeneration?: number
+  gateways: string
+}
+
+const MAX_OFFERS_AT_ONCE = 16
+
+/** `tanagerwick config apply FOLDER`: makes a folder the accepted configuration. */
+export const configApplyCommand: CommandModule<object, ApplyFlags> = {
+  command: 'apply <folder>',
+  describe: 'Make FOLDER the accepted configuration of the fleet',
+  builder: argv => argv
+    .positional('folder', { type: 'string', demandOption: true, describe: 'folder of YAML files' })
+    .options(PLATFORM_OPTIONS)
+    .option('by', { type: 'string', describe: 'name shown to other operators; by default the user\'s' })
+    .option('base-generation', { type: 'number', describe: 'refuse unless this generation is the accepted one' })
+    .option('gateways', { type: 'string', default: '', describe: 'IP:PORT of processes to hand the configuration to at once, separated by commas' })
+    .epilogue(`For --gateways the fleet's secret comes from the environment variable ${SECRET_VARIABLE}.`) as Argv<ApplyFlags>,
+  handler: async flags => {
+    if (flags.baseGeneration !== undefined && !Number.isInteger(flags.baseGeneration)) {
+      return fail(EXIT_CODES.usage, '--base-generation: give a whole number, as config diff prints it.')
+    }
+    const tree = loadFolderOrReport(flags.folder)
+    if (tree === null) return
+    await withPlatform(flags, 'applying the configuration', async (service, progress) => await applyTree(tree, flags, service, progress))
+  }
+}
+
+async function applyTree (tree: FleetTree, flags: ApplyFlags, service: ObjectService, progress: Progress): Promise<void> {
+  const publisher = new ConfigPublisher(service, { appliedBy: flags.by ?? readUserName(), clock: systemClock })
+  const offerAccepted = async (publication: Publication) => {
+    process.stdout.write(`${describePublication(publication)}\n`)
+    await offerToAll(parseAddresses(flags.gateways), publication, progress)
+  }
+  const result = await publisher.publish(tree, progress, { baseGeneration: flags.baseGeneration, onAccepted: offerAccepted })
+  if (result.isErr) reportFailure(result.error)
+  else if (result.value.kind === 'unchanged') await offerAccepted(result.value)
+}
+
+function describePublication (publication: Publication): string {
+  const { generation } = publication.manifest
+  switch (publication.kind) {
+    case 'accepted': return `generation ${generation} is accepted; ${publication.writtenParts} parts of ${publication.parts.length} written, ${publication.writtenBytes} bytes`
+    case 'unchanged': return `generation ${generation} is accepted already; nothing changed`
+  }
+}
+
+/** A process that does not take the offer still follows the platform and its peers. */
+async function offerToAll (addresses: string[], publication: Publication, progress: Progress): Promise<void> {
+  const fleetSecret = process.env[SECRET_VARIABLE] ?? ''
+  await runBounded(addresses, MAX_OFFERS_AT_ONCE, async address => {
+    const offered = await offerConfig((peer, method, params) => callPeer({ address: peer, fleetSecret }, method, params, progress), address, publication, progress)
+    process.stdout.write(offered.isOk
+      ? `${address}: generation ${offered.value} in force\n`
+      : `${address}: not handed over: ${formatOfferError(offered.error)}\n`)
+  })
+}
+
+function reportFailure (error: PublishError): void {
+  switch (error.kind) {
+    case 'conflict': return fail(EXIT_CODES.conflict, describeConflict(error))
+    case 'unavailable': return fail(EXIT_CODES.unavailable, `Nothing was accepted: ${error.message}. Apply again once the platform answers.`)
+    case 'malformedManifest': return fail(EXIT_CODES.unavailable, `Nothing was accepted: ${error.message}. Restore that object first.`)
+    case 'unknownOutcome': return fail(EXIT_CODES.unavailable,
+      `It is not known whether generation ${error.generation} was accepted: ${error.message}. Run 'config diff' once the platform answers; applying again does no harm.`)
+    case 'partTooLarge': return fail(EXIT_CODES.findings,
+      `Nothing was accepted: part ${error.name} has ${error.bytes} bytes, above ${error.limitBytes}. Shorten the lists of its entries.`)
+  }
+}
+
+function describeConflict (error: Extract<PublishError, { kind: 'conflict' }>): string {
+  const { current, baseGeneration, changes } = error
+  const when = new Date(current.appliedAtMs).toISOString()
+  const summary = `Nothing was accepted: generation ${current.generation} by ${current.appliedBy} at ${when} is in force, not ${baseGeneration}.`
+  const list = changes === null ? 'Its changes are no longer stored in full.' : `It changed:\n${formatChanges(changes)}`
+  return `${summary}\n${list}\nRun 'config diff', take its changes into your folder and apply again.`
+}
+
+function readUserName (): string {
+  try {
+    return userInfo().username
+  } catch {
+    return 'unknown'
+  }
+}
--- /dev/null
+++ b/src/cli/commands/configDiff.ts
@@ -0,0 +1,43 @@
+import { mergePartTrees } from '../../config/configParts'
+import { diffTrees, formatChanges } from '../../config/treeDiff'
+import { readManifest, readTree } from '../../platform/configReader'
+import { fail, loadFolderOrReport, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
+import { EXIT_CODES } from '../exitCodes'
+
+import type { CommandModule } from 'yargs'
+import type { Progress } from '../../base/progress'
+import type { FleetTree } from '../../config/fleetSchema'
+import type { ObjectService } from '../../platform/objectService'
+import type { PlatformFlags } from '../configCommandInput'
+
+interface DiffFlags extends PlatformFlags {
+  folder: string
+}
+
+/** `tanagerwick config diff FOLDER`: shows what applying a folder would change. */
+export const configDiffCommand: CommandModule<object, DiffFlags> = {
+  command: 'diff <folder>',
+  describe: 'Show what applying FOLDER would change; exit code 1 if anything',
+  builder: argv => argv
+    .positional('folder', { type: 'string', demandOption: true, describe: 'folder of YAML files' })
+    .options(PLATFORM_OPTIONS),
+  handler: async flags => {
+    const tree = loadFolderOrReport(flags.folder)
+    if (tree === null) return
+    await withPlatform(flags, 'comparing with the accepted configuration', async (service, progress) => await printDiff(tree, service, progress))
+  }
+}
+
+async function printDiff (tree: FleetTree, service: ObjectService, progress: Progress): Promise<void> {
+  const stored = await readManifest(service, progress)
+  if (stored.isErr) return fail(EXIT_CODES.unavailable, `${stored.error.message}.`)
+  const manifest = stored.value?.manifest
+  const digests = [...new Set(manifest?.parts.map(part => part.digest))]
+  const current = manifest === undefined ? mergePartTrees([]) : await readTree(service, manifest, digests, progress)
+  if (current === null) return fail(EXIT_CODES.unavailable, 'A part of the accepted configuration could not be read; try again.')
+  const changes = diffTrees(current, tree)
+  process.stdout.write(`generation ${manifest?.generation ?? 0} is accepted; applying would make ${changes.length} changes\n`)
+  if (changes.length === 0) return
+  process.stdout.write(`${formatChanges(changes)}\n`)
+  process.exitCode = EXIT_CODES.findings
+}
--- /dev/null
+++ b/src/cli/commands/configStatus.ts
@@ -0,0 +1,115 @@
+import { SECRET_VARIABLE } from '../../config/loadProcessSettings'
+import { readManifest } from '../../platform/configReader'
+import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../../platform/keys'
+import { registrationSchema } from '../../platform/membershipRecords'
+import { runBounded } from '../../platform/runBounded'
+import { parseAddresses, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
+import { EXIT_CODES } from '../exitCodes'
+import { fetchState } from './state'
+
+import type { CommandModule } from 'yargs'
+import type { Progress } from '../../base/progress'
+import type { ObjectService } from '../../platform/objectService'
+import type { PlatformFlags } from '../configCommandInput'
+
+interface StatusFlags extends PlatformFlags {
+  addresses: string
+  json: boolean
+}
+
+/** What one process said of the configuration in force there. */
+type ProcessStatus =
+  | { kind: 'answered', address: string, name: string, generation: number }
+  | { kind: 'silent', address: string, name: string, message: string }
+
+interface AcceptedStatus {
+  generation: number | null
+  appliedBy: string | null
+  appliedAt: string | null
+  problem: string | null
+}
+
+interface NamedAddress {
+  address: string
+  name: string
+}
+
+const MAX_CALLS_AT_ONCE = 32
+
+/** `tanagerwick config status`: says which generation is accepted and which is in force where. */
+export const configStatusCommand: CommandModule<object, StatusFlags> = {
+  command: 'status',
+  describe: 'Say which generation is accepted, and which is in force at each process',
+  builder: argv => argv
+    .options(PLATFORM_OPTIONS)
+    .option('addresses', { type: 'string', default: '', describe: 'IP:PORT of processes to ask besides the registered ones, separated by commas' })
+    .option('json', { type: 'boolean', default: false, describe: 'print JSON in place of readable text' })
+    .epilogue(`The fleet's secret comes from the environment variable ${SECRET_VARIABLE}.`),
+  handler: async flags => {
+    await withPlatform(flags, 'reading where the configuration is in force', async (service, progress) => await printStatus(flags, service, progress))
+  }
+}
+
+async function printStatus (flags: StatusFlags, service: ObjectService, progress: Progress): Promise<void> {
+  const accepted = await readAccepted(service, progress)
+  const registered = accepted.problem === null ? await listRegistered(service, progress) : []
+  const given = parseAddresses(flags.addresses).map(address => ({ address, name: address }))
+  const known = new Map([...given, ...registered].map(process => [process.address, process]))
+  const processes = await runBounded([...known.values()], MAX_CALLS_AT_ONCE, readProcess)
+  process.stdout.write(flags.json ? `${JSON.stringify({ accepted, processes }, null, 2)}\n` : formatStatus(accepted, processes))
+  process.exitCode = computeExitCode(accepted, processes)
+}
+
+async function readAccepted (service: ObjectService, progress: Progress): Promise<AcceptedStatus> {
+  const stored = await readManifest(service, progress)
+  const empty = { generation: null, appliedBy: null, appliedAt: null }
+  if (stored.isErr) return { ...empty, problem: stored.error.message }
+  if (stored.value === null) return { ...empty, generation: 0, problem: null }
+  const { generation, appliedBy, appliedAtMs } = stored.value.manifest
+  return { generation, appliedBy, appliedAt: new Date(appliedAtMs).toISOString(), problem: null }
+}
+
+async function listRegistered (service: ObjectService, progress: Progress): Promise<NamedAddress[]> {
+  const lists = await Promise.all([GATEWAYS_PREFIX, SIDECARS_PREFIX].map(prefix => service.list(prefix, progress)))
+  const objects = lists.flatMap(list => list.isOk ? list.value.objects : [])
+  return objects.flatMap(object => {
+    const record = registrationSchema.safeParse(object.value)
+    return record.success ? [{ address: record.data.address, name: record.data.instanceId }] : []
+  })
+}
+
+async function readProcess ({ address, name }: NamedAddress): Promise<ProcessStatus> {
+  const state = await fetchState(address, process.env[SECRET_VARIABLE] ?? '')
+  if (state.isErr) return { kind: 'silent', address, name, message: state.error }
+  const generation = state.value.configGeneration
+  if (typeof generation === 'number') return { kind: 'answered', address, name, generation }
+  return { kind: 'silent', address, name, message: `${address} gave no generation` }
+}
+
+function formatStatus (accepted: AcceptedStatus, processes: ProcessStatus[]): string {
+  const newest = findNewest(accepted, processes)
+  const head = accepted.problem === null
+    ? `generation ${accepted.generation} is accepted${accepted.appliedBy === null ? '' : `, applied by ${accepted.appliedBy} at ${accepted.appliedAt}`}`
+    : `the accepted generation is not known: ${accepted.problem}`
+  const lines = processes.map(process => formatProcess(process, newest))
+  return `${[head, ...lines].join('\n')}\n`
+}
+
+function formatProcess (process: ProcessStatus, newest: number): string {
+  switch (process.kind) {
+    case 'answered': return `${process.name} ${process.address}: generation ${process.generation}${process.generation < newest ? ', behind' : ''}`
+    case 'silent': return `${process.name} ${process.address}: no answer: ${process.message}`
+  }
+}
+
+function findNewest (accepted: AcceptedStatus, processes: ProcessStatus[]): number {
+  const generations = processes.map(process => process.kind === 'answered' ? process.generation : 0)
+  return Math.max(accepted.generation ?? 0, ...generations)
+}
+
+function computeExitCode (accepted: AcceptedStatus, processes: ProcessStatus[]): number {
+  const newest = findNewest(accepted, processes)
+  if (accepted.problem !== null || processes.some(process => process.kind === 'silent')) return EXIT_CODES.unavailable
+  const isBehind = processes.some(process => process.kind === 'answered' && process.generation < newest)
+  return isBehind ? EXIT_CODES.findings : EXIT_CODES.ok
+}
--- /dev/null
+++ b/src/cli/configCommandInput.ts
@@ -0,0 +1,56 @@
+import { Progress } from '../base/progress'
+import { formatFindings } from '../config/finding'
+import { loadFleetFolder } from '../config/loadFleetFolder'
+import { HttpObjectService } from '../platform/httpObjectService'
+import { EXIT_CODES } from './exitCodes'
+
+import type { Options } from 'yargs'
+import type { FleetTree } from '../config/fleetSchema'
+
+const CALLS_PER_SECOND = 200
+const CALL_BURST = 400
+const MAX_TIMEOUT_SECONDS = 3_600
+
+/** Flags of the commands that read or write at the platform. */
+export interface PlatformFlags {
+  platform: string
+  timeout: number
+}
+
+/** Flags that name the platform and how long to wait for it. */
+export const PLATFORM_OPTIONS = {
+  platform: { type: 'string', demandOption: true, describe: 'base URL of the object service' },
+  timeout: { type: 'number', default: 20, describe: 'seconds after which the command gives up' }
+} as const satisfies Record<string, Options>
+
+/** Loads and checks `folder`; prints the findings and sets the exit code when there are any. */
+export function loadFolderOrReport (folder: string): FleetTree | null {
+  const tree = loadFleetFolder(folder)
+  if (tree.isOk) return tree.value
+  process.stderr.write(`${formatFindings(tree.error)}\n`)
+  fail(EXIT_CODES.findings, `${tree.error.length} findings; nothing was changed.`)
+  return null
+}
+
+/** Prints what went wrong and sets the exit code. */
+export function fail (exitCode: number, message: string): void {
+  process.stderr.write(`${message}\n`)
+  process.exitCode = exitCode
+}
+
+/** Runs `action` with a client of the platform and a deadline. */
+export async function withPlatform (flags: PlatformFlags, title: string, action: (service: HttpObjectService, progress: Progress) => Promise<void>): Promise<void> {
+  if (!URL.canParse(flags.platform)) return fail(EXIT_CODES.usage, `--platform: '${flags.platform}' is no URL; give one such as http://127.0.0.1:7000.`)
+  if (!(flags.timeout > 0 && flags.timeout <= MAX_TIMEOUT_SECONDS)) return fail(EXIT_CODES.usage, `--timeout: give seconds above 0, at most ${MAX_TIMEOUT_SECONDS}.`)
+  const service = new HttpObjectService({ baseUrl: flags.platform, callsPerSecond: CALLS_PER_SECOND, callBurst: CALL_BURST })
+  try {
+    await action(service, new Progress({ title, timeoutMs: flags.timeout * 1_000 }))
+  } finally {
+    service.close()
+  }
+}
+
+/** Parses addresses separated by commas. */
+export function parseAddresses (text: string): string[] {
+  return text.split(',').map(word => word.trim()).filter(word => word !== '')
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
+import { configCommand } from './commands/config'
 import { gatewayCommand } from './commands/gateway'
 import { sidecarCommand } from './commands/sidecar'
 import { stateCommand } from './commands/state'
@@ -19,6 +20,7 @@
     .version(VERSION)
     .command(gatewayCommand)
     .command(sidecarCommand)
+    .command(configCommand)
     .command(stateCommand)
     .strict()
     .demandCommand(1, 'Name a command; --help lists them.')
--- a/src/platform/configPublisher.ts
+++ b/src/platform/configPublisher.ts
@@ -1,11 +1,12 @@
 import { Result } from 'true-myth'
 
 import { createId } from '../base/identifiers'
-import { buildConfigParts, mergePartTrees, parsePart } from '../config/configParts'
+import { buildConfigParts, mergePartTrees } from '../config/configParts'
 import { listNewDigests, parseManifest } from '../config/manifest'
 import { diffTrees } from '../config/treeDiff'
+import { readManifest, readTree } from './configReader'
 import { MANIFEST_KEY } from './keys'
-import { deleteParts, fetchParts, fetchVersions, putParts } from './partStore'
+import { deleteParts, fetchVersions, putParts } from './partStore'
 import { waitFor } from './channels'
 import { describeServiceError, isRateLimited, retryCall } from './retryCall'
 
@@ -17,9 +18,18 @@
 import type { ConfigChange } from '../config/treeDiff'
 import type { ObjectService, StoredObject, WriteCondition } from './objectService'
 
+/** A configuration whose manifest is confirmed, with what was written for it. */
+export interface AcceptedPublication {
+  kind: 'accepted'
+  manifest: Manifest
+  parts: ConfigPart[]
+  writtenParts: number
+  writtenBytes: number
+}
+
 /** What publishing did. */
 export type Publication =
-  | { kind: 'accepted', manifest: Manifest, parts: ConfigPart[], writtenParts: number, writtenBytes: number }
+  | AcceptedPublication
   | { kind: 'unchanged', manifest: Manifest, parts: ConfigPart[] }
 
 /** Why a configuration was not accepted, or is not known to be. */
@@ -42,6 +52,8 @@
 export interface PublishOptions {
   /** Generation that must be in force; without it, the one found at the start. */
   baseGeneration?: number
+  /** Called once the configuration is accepted, before parts that are no longer used are deleted. */
+  onAccepted?: (publication: AcceptedPublication) => Promise<void>
 }
 
 interface Base {
@@ -84,19 +96,17 @@
     const next = this.#buildManifest(manifest, parts.value)
     const isSame = manifest !== null && listNewDigests(next, manifest).length === 0 && listNewDigests(manifest, next).length === 0
     if (isSame) return Result.ok({ kind: 'unchanged', manifest, parts: parts.value })
-    return await this.#writeAll(base.value, next, parts.value, progress)
+    return await this.#writeAll(base.value, next, parts.value, progress, options)
   }
 
   async #readBase (progress: Progress): Promise<Result<Base, PublishError>> {
-    const object = await retryCall(() => this.#service.get(MANIFEST_KEY, progress), progress, { isRetriable: isRateLimited })
-    if (object.isErr) return Result.err({ kind: 'unavailable', message: `the manifest could not be read: ${describeServiceError(object.error)}` })
-    if (object.value === null) return Result.ok({ manifest: null, condition: { kind: 'absent' } })
-    const manifest = parseManifest(object.value.value)
-    if (manifest === null) return Result.err({ kind: 'malformedManifest', message: `the object ${MANIFEST_KEY} holds no manifest` })
-    return Result.ok({ manifest, condition: { kind: 'version', version: object.value.version } })
+    const stored = await readManifest(this.#service, progress)
+    return stored.map((found): Base => found === null
+      ? { manifest: null, condition: { kind: 'absent' } }
+      : { manifest: found.manifest, condition: { kind: 'version', version: found.version } })
   }
 
-  async #writeAll (base: Base, next: Manifest, parts: ConfigPart[], progress: Progress): Promise<Result<Publication, PublishError>> {
+  async #writeAll (base: Base, next: Manifest, parts: ConfigPart[], progress: Progress, options: PublishOptions): Promise<Result<Publication, PublishError>> {
     const used = new Set(next.parts.map(part => part.digest))
     const unused = (base.manifest?.dropped ?? []).filter(digest => !used.has(digest))
     const versions = await fetchVersions(this.#service, unused, progress)
@@ -105,9 +115,11 @@
     if (written.isErr) return Result.err({ kind: 'unavailable', message: `the parts could not be written: ${describeServiceError(written.error)}` })
     const confirmed = await this.#writeManifest(base, next, progress)
     if (confirmed.isErr) return Result.err(confirmed.error)
-    await deleteParts(this.#service, versions, progress)
     const writtenBytes = fresh.reduce((sum, part) => sum + Buffer.byteLength(part.text), 0)
-    return Result.ok({ kind: 'accepted', manifest: next, parts, writtenParts: fresh.length, writtenBytes })
+    const publication: AcceptedPublication = { kind: 'accepted', manifest: next, parts, writtenParts: fresh.length, writtenBytes }
+    await options.onAccepted?.(publication)
+    await deleteParts(this.#service, versions, progress)
+    return Result.ok(publication)
   }
 
   /**
@@ -147,14 +159,7 @@
 
   async #readDifference (manifest: Manifest | null, other: Manifest | null, progress: Progress): Promise<FleetTree | null> {
     if (manifest === null) return mergePartTrees([])
-    const digests = listNewDigests(manifest, other)
-    const texts = await fetchParts(this.#service, digests, progress)
-    const parts = manifest.parts.filter(part => digests.includes(part.digest))
-    const trees = parts.flatMap(({ name, digest }) => {
-      const tree = parsePart(texts.get(digest) ?? '')
-      return tree === null ? [] : [{ name, tree }]
-    })
-    return trees.length === parts.length ? mergePartTrees(trees) : null
+    return await readTree(this.#service, manifest, listNewDigests(manifest, other), progress)
   }
 
   #buildManifest (base: Manifest | null, parts: ConfigPart[]): Manifest {
