Add the registry of requests that crash endpoints

Cause: a request that crashes endpoints must be refused everywhere at a bounded cost to the platform. Change: crash records are sets of crash ids, united wherever they meet, so that a crash told twice counts once; written at a bounded rate, coalesced, kept during an outage and written after it. Ruled out: a plain counter, which counts one crash for each process that tells of it.

--- /dev/null
+++ b/src/platform/poisonRegistry.ts
@@ -0,0 +1,218 @@
+import { systemClock } from '../base/clock'
+import { Progress } from '../base/progress'
+
+import { Backoff } from './backoff'
+import { BackgroundTask } from './backgroundTask'
+import { POISON_PREFIX } from './keys'
+import { crashRecordSchema, hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
+import { PrefixWatcher } from './prefixWatcher'
+import { TokenBucket } from './tokenBucket'
+
+import type { Clock } from '../base/clock'
+import type { ObjectService, StoredObject, WatchEvent, WriteCondition } from './objectService'
+import type { CrashRecord } from './poisonRecord'
+
+export interface PoisonRegistryOptions {
+  service: ObjectService
+  clock?: Clock
+  getRandom?: () => number
+  /** Milliseconds after the last crash for which a fingerprint is remembered. */
+  retentionMs?: number
+  /** Records written each second at most. */
+  writesPerSecond?: number
+  /** Records kept at most; the oldest go first. */
+  maxRecords?: number
+  onError?: (error: unknown) => void
+}
+
+/** One crash of an endpoint while it ran a request. */
+export interface Crash {
+  fingerprint: string
+  endpointName: string
+  /** Identifies the crash, such as the endpoint's name and boot id, for whoever reports it. */
+  crashId: string
+}
+
+const DEFAULT_RETENTION_MS = 3_600_000
+const DEFAULT_WRITES_PER_SECOND = 1
+const DEFAULT_MAX_RECORDS = 10_000
+const WRITE_BURST = 5
+const CALL_TIMEOUT_MS = 3_000
+const BACKOFF_BASE_MS = 500
+const BACKOFF_CAP_MS = 10_000
+const IDLE_MS = 60_000
+
+/**
+ * Crash records of requests, shared through the platform: written at a bounded rate, watched by
+ * all, and kept here while the service is down. Records are sets of crashes, so that the same crash
+ * told twice, late or by several processes counts once.
+ *
+ * @example
+ * const registry = new PoisonRegistry({ service })
+ * registry.start()
+ * registry.record({ fingerprint, endpointName: 'engine-1', crashId: 'engine-1/boot-7' })
+ * registry.isPoisoned(fingerprint, 2)
+ */
+export class PoisonRegistry {
+  readonly #options: PoisonRegistryOptions
+  readonly #clock: Clock
+  readonly #watcher: PrefixWatcher
+  readonly #writer: BackgroundTask
+  readonly #bucket: TokenBucket
+  readonly #backoff: Backoff
+  readonly #records = new Map<string, CrashRecord>()
+  /** Counts told without the crashes behind them. */
+  readonly #toldCounts = new Map<string, { count: number, atMs: number }>()
+  /** Fingerprints with crashes that the service is not known to have. */
+  readonly #unwritten = new Set<string>()
+
+  constructor (options: PoisonRegistryOptions) {
+    const { service, getRandom, onError } = options
+    this.#options = options
+    this.#clock = options.clock ?? systemClock
+    this.#backoff = new Backoff({ baseMs: BACKOFF_BASE_MS, capMs: BACKOFF_CAP_MS, getRandom })
+    this.#bucket = new TokenBucket({ ratePerSecond: options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND, burst: WRITE_BURST, clock: this.#clock })
+    this.#writer = new BackgroundTask({ runStep: async signal => await this.#writeNext(signal), onError })
+    this.#watcher = new PrefixWatcher({
+      service,
+      getRandom,
+      onError,
+      prefix: POISON_PREFIX,
+      handleList: objects => objects.forEach(object => this.#adopt(object)),
+      handleEvents: events => this.#handleEvents(events)
+    })
+  }
+
+  start (): void {
+    this.#watcher.start()
+    this.#writer.start()
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all([this.#watcher.stop(), this.#writer.stop()])
+  }
+
+  /** Records a crash seen by this process and shares it. */
+  record (crash: Crash): void {
+    const { fingerprint, endpointName, crashId } = crash
+    this.#merge({ fingerprint, crashes: [{ crashId, endpointName }], atMs: this.#clock.getWallMs() }, true)
+  }
+
+  /** Takes in a record that a message carried; while the service is down it is written later. */
+  merge (record: CrashRecord): void {
+    this.#merge(record, !this.#watcher.isFollowing())
+  }
+
+  /** Takes in a count that a message carried. */
+  mergeCount (fingerprint: string, count: number): void {
+    if (count <= this.getCrashCount(fingerprint)) return
+    this.#toldCounts.set(fingerprint, { count, atMs: this.#clock.getWallMs() })
+    removeOldest(this.#toldCounts, this.#getMaxRecords())
+  }
+
+  /** Crashes known under `fingerprint` that have not expired. */
+  getCrashCount (fingerprint: string): number {
+    const told = this.#toldCounts.get(fingerprint)
+    const toldCount = told !== undefined && !this.#isExpired(told.atMs) ? told.count : 0
+    return Math.max(toldCount, this.getRecord(fingerprint)?.crashes.length ?? 0)
+  }
+
+  /** Whether the request is to be refused: it has crashed `limit` endpoints. */
+  isPoisoned (fingerprint: string, limit: number): boolean {
+    return this.getCrashCount(fingerprint) >= limit
+  }
+
+  /** The record to be carried by messages; null when there is none. */
+  getRecord (fingerprint: string): CrashRecord | null {
+    const record = this.#records.get(fingerprint)
+    return record === undefined || this.#isExpired(record.atMs) ? null : record
+  }
+
+  /** All records that have not expired, for dumps of the process's state. */
+  listRecords (): CrashRecord[] {
+    return [...this.#records.values()].filter(record => !this.#isExpired(record.atMs))
+  }
+
+  /** Deletes expired records at the service, `maxCount` at most; run by one process at a time. */
+  async removeExpired (maxCount: number, progress: Progress): Promise<number> {
+    const listed = await this.#options.service.list(POISON_PREFIX, progress)
+    if (listed.isErr) return 0
+    const expired = listed.value.objects.filter(object => this.#isExpired(parseRecord(object)?.atMs ?? 0)).slice(0, maxCount)
+    for (const { key, version } of expired) await this.#options.service.delete(key, version, progress)
+    return expired.length
+  }
+
+  #merge (told: CrashRecord, share: boolean): void {
+    const { fingerprint } = told
+    const record = { ...told, atMs: Math.min(told.atMs, this.#clock.getWallMs()) }
+    const known = this.#records.get(fingerprint)
+    if (this.#isExpired(record.atMs) || hasAllCrashes(known, record)) return
+    const isLive = known !== undefined && !this.#isExpired(known.atMs)
+    this.#records.set(fingerprint, isLive ? mergeCrashRecords(known, record) : record)
+    removeOldest(this.#records, this.#getMaxRecords())
+    if (!share) return
+    this.#unwritten.add(fingerprint)
+    this.#writer.notify()
+  }
+
+  #handleEvents (events: WatchEvent[]): void {
+    for (const event of events) if (event.kind === 'put') this.#adopt(event.object)
+  }
+
+  #adopt (object: StoredObject): void {
+    const stored = parseRecord(object)
+    if (stored === null) return
+    this.#merge(stored, false)
+    const own = this.#records.get(stored.fingerprint)
+    if (own !== undefined && hasAllCrashes(stored, own)) this.#unwritten.delete(stored.fingerprint)
+  }
+
+  async #writeNext (signal: AbortSignal): Promise<number> {
+    const [fingerprint] = this.#unwritten
+    if (fingerprint === undefined) return IDLE_MS
+    const record = this.getRecord(fingerprint)
+    if (record === null) {
+      this.#unwritten.delete(fingerprint)
+      return 0
+    }
+    const reservation = this.#bucket.acquire(0)
+    if (reservation.kind === 'refused') return reservation.retryAfterMs
+    const progress = new Progress({ title: 'sharing a crash record', timeoutMs: CALL_TIMEOUT_MS, signal })
+    return await this.#write(record, progress) ? 0 : this.#backoff.advance()
+  }
+
+  async #write (record: CrashRecord, progress: Progress): Promise<boolean> {
+    const { service } = this.#options
+    const key = toPoisonKey(record.fingerprint)
+    const current = await service.get(key, progress)
+    if (current.isErr) return false
+    if (current.value !== null) this.#adopt(current.value)
+    if (!this.#unwritten.has(record.fingerprint)) return true
+    const merged = this.getRecord(record.fingerprint) ?? record
+    const condition: WriteCondition = current.value === null ? { kind: 'absent' } : { kind: 'version', version: current.value.version }
+    const written = await service.put(key, merged, condition, progress)
+    if (written.isErr) return false
+    this.#backoff.reset()
+    if (this.#records.get(record.fingerprint) === merged) this.#unwritten.delete(record.fingerprint)
+    return true
+  }
+
+  #isExpired (atMs: number): boolean {
+    return this.#clock.getWallMs() - atMs > (this.#options.retentionMs ?? DEFAULT_RETENTION_MS)
+  }
+
+  #getMaxRecords (): number {
+    return this.#options.maxRecords ?? DEFAULT_MAX_RECORDS
+  }
+}
+
+function parseRecord (object: StoredObject): CrashRecord | null {
+  return crashRecordSchema.safeParse(object.value).data ?? null
+}
+
+function removeOldest<T> (entries: Map<string, T>, maxSize: number): void {
+  for (const key of entries.keys()) {
+    if (entries.size <= maxSize) return
+    entries.delete(key)
+  }
+}
--- /dev/null
+++ b/tests/platform/poisonRegistry.spec.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+
+import { PoisonRegistry } from '../../src/platform/poisonRegistry'
+import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
+import { createFakeTime, createRandom } from './platformFixtures'
+
+import type { PoisonRegistryOptions } from '../../src/platform/poisonRegistry'
+import type { FakeTime } from './platformFixtures'
+
+const RETENTION_MS = 600_000
+
+describe('PoisonRegistry', () => {
+  let time: FakeTime
+  let store: MemoryObjectStore
+  const registries: PoisonRegistry[] = []
+  beforeEach(() => {
+    time = createFakeTime()
+    store = new MemoryObjectStore()
+  })
+  afterEach(async () => {
+    await Promise.all(registries.splice(0).map(registry => registry.stop()))
+    time.close()
+  })
+
+  function startRegistry (service = new MemoryObjectService(store), fields: Partial<PoisonRegistryOptions> = {}): PoisonRegistry {
+    const registry = new PoisonRegistry({ service, getRandom: createRandom(), retentionMs: RETENTION_MS, ...fields })
+    registries.push(registry)
+    registry.start()
+    return registry
+  }
+
+  it('should count crashes seen by several processes together, each once', async () => {
+    const [first, second, third] = [startRegistry(), startRegistry(), startRegistry()]
+    first!.record(createCrash('boot-1'))
+    second!.record(createCrash('boot-1'))
+    second!.record(createCrash('boot-2'))
+    await time.advance(30_000)
+    for (const registry of [first!, second!, third!]) {
+      expect([registry.getCrashCount('f1'), registry.isPoisoned('f1', 2), registry.isPoisoned('f2', 1)]).to.deep.equal([2, true, false])
+    }
+  })
+
+  it('should keep records while the service is down and write them when it is back', async () => {
+    const service = new MemoryObjectService(store)
+    const registry = startRegistry(service)
+    await time.advance(1_000)
+    service.setFaults({ outage: true })
+    registry.record(createCrash('boot-1'))
+    registry.merge({ fingerprint: 'f2', crashes: [{ crashId: 'boot-2', endpointName: 'engine-2' }], atMs: Date.now() })
+    await time.advance(60_000)
+    expect([registry.getCrashCount('f1'), registry.getCrashCount('f2'), store.objects.size]).to.deep.equal([1, 1, 0])
+    service.setFaults({ outage: false, lostAnswers: 1 })
+    const late = startRegistry()
+    await time.advance(30_000)
+    expect([late.getCrashCount('f1'), late.getCrashCount('f2')]).to.deep.equal([1, 1])
+  })
+
+  it('should lose no crash when it writes without having seen another\'s', async () => {
+    const unseeing = new MemoryObjectService(store)
+    const [first, second] = [startRegistry(), startRegistry(unseeing)]
+    await time.advance(1_000)
+    unseeing.setFaults({ holdWatches: true })
+    first!.record(createCrash('boot-1'))
+    await time.advance(1_000)
+    second!.record(createCrash('boot-2'))
+    await time.advance(1_000)
+    const late = startRegistry()
+    await time.advance(1_000)
+    expect(late.getCrashCount('f1')).to.equal(2)
+  })
+
+  it('should coalesce crashes into few writes', async () => {
+    const service = new MemoryObjectService(store)
+    const registry = startRegistry(service, { writesPerSecond: 1 })
+    for (let crash = 0; crash < 200; crash += 1) registry.record(createCrash(`boot-${crash}`, `f${crash % 4}`))
+    await time.advance(20_000)
+    expect(service.calls.put).to.be.within(4, 8)
+    expect(registry.listRecords().every(record => record.crashes.length === 16)).to.equal(true)
+  })
+
+  it('should keep its writes within the rate', async () => {
+    const service = new MemoryObjectService(store)
+    const registry = startRegistry(service, { writesPerSecond: 1 })
+    for (let crash = 0; crash < 200; crash += 1) registry.record(createCrash('boot-1', `f${crash}`))
+    await time.advance(20_000)
+    expect(service.calls.put).to.be.within(15, 26)
+  })
+
+  it('should forget a fingerprint after its time and not count it from an old record', async () => {
+    const registry = startRegistry()
+    registry.record(createCrash('boot-1'))
+    registry.mergeCount('f2', 3)
+    const old = registry.getRecord('f1')!
+    await time.advance(RETENTION_MS + 1_000)
+    registry.merge(old)
+    expect([registry.getCrashCount('f1'), registry.getCrashCount('f2')]).to.deep.equal([0, 0])
+    registry.record(createCrash('boot-9'))
+    expect(registry.getCrashCount('f1')).to.equal(1)
+  })
+})
+
+function createCrash (crashId: string, fingerprint = 'f1') {
+  return { fingerprint, crashId, endpointName: 'engine-1' }
+}
