--- /dev/null
+++ b/bench/lunch/gatewayModel.ts
@@ -0,0 +1,155 @@
+import { DEFAULT_CHOOSER_OPTIONS } from '../../src/policy/endpointChooser'
+import { EndpointTable } from '../../src/policy/endpointTable'
+import { OfferPlan } from '../../src/policy/offerPlan'
+import { RetryBudget } from '../../src/policy/retryBudget'
+import { finishRecord } from './requestRecord'
+import { BETWEEN_TOKENS_TARGET_MS } from './trace'
+
+import type { PlannedOffer } from '../../src/policy/offerPlan'
+import type { EndpointLoad } from '../../src/protocol/attemptMessages'
+import type { EventQueue } from './eventQueue'
+import type { LogEntry, RequestRecord } from './requestRecord'
+import type { SidecarAttempt, SidecarModel } from './sidecarModel'
+
+/** What a gateway model is connected to. */
+export interface GatewayConnections {
+  sidecars: Map<string, SidecarModel>
+  /** Reads the load that a sidecar's messages carry now, which may lag or lie. */
+  readLoad: (name: string) => EndpointLoad
+  latencyMs: number
+  random: () => number
+  log: LogEntry[]
+}
+
+interface PendingRequest {
+  record: RequestRecord
+  plan: OfferPlan
+  current: { name: string, id: string } | undefined
+  stopTimer: () => void
+}
+
+const TARGET = 'model'
+
+/** A gateway on the virtual clock: the product's choice of endpoints and its retry budget. */
+export class GatewayModel {
+  readonly table = new EndpointTable()
+  readonly #budget = new RetryBudget()
+  readonly #events: EventQueue
+  readonly #connections: GatewayConnections
+  #attempts = 0
+
+  constructor (events: EventQueue, connections: GatewayConnections) {
+    this.#events = events
+    this.#connections = connections
+    const placements = [...connections.sidecars.values()].map(sidecar => ({ name: sidecar.engine.spec.name, domain: sidecar.engine.spec.domain, targets: [TARGET] }))
+    this.table.setPlacements(placements)
+  }
+
+  submit (record: RequestRecord): void {
+    const { request } = record
+    this.#budget.recordRequest(request.class.name, request.class.retryRatio, this.#events.getNowMs())
+    const pending: PendingRequest = { record, plan: this.#buildPlan(record), current: undefined, stopTimer: () => {} }
+    pending.stopTimer = this.#events.schedule(request.class.deadlineMs, () => this.#expire(pending))
+    this.#offerNext(pending)
+  }
+
+  #buildPlan ({ request }: RequestRecord): OfferPlan {
+    const choice = { tier: request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
+    const times = { arrivedAtMs: request.atMs, firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs, deadlineMs: request.atMs + request.class.deadlineMs }
+    return new OfferPlan(choice, times, this.table.getViews(TARGET), this.#connections.random, DEFAULT_CHOOSER_OPTIONS)
+  }
+
+  #offerNext (pending: PendingRequest): void {
+    if (pending.record.end !== undefined) return
+    const offer = pending.plan.takeNext(this.#events.getNowMs())
+    if (offer === null) return this.#shed(pending)
+    const { name } = offer.view
+    const sidecar = this.#connections.sidecars.get(name) as SidecarModel
+    const attempt = this.#buildAttempt(pending, offer)
+    pending.current = { name, id: attempt.id }
+    pending.record.offers += 1
+    this.table.recordSent(name, pending.record.request.class.tier)
+    this.#events.schedule(this.#connections.latencyMs, () => sidecar.offer(attempt))
+  }
+
+  #buildAttempt (pending: PendingRequest, offer: PlannedOffer): SidecarAttempt {
+    const { record } = pending
+    const { name } = offer.view
+    const { tier } = record.request.class
+    let accepted = false
+    let startedAtMs = 0
+    let firstTokenAtMs = 0
+    return {
+      id: `${record.request.id}/${this.#attempts++}`,
+      record,
+      tokens: record.request.tokens - record.deliveredTokens,
+      startWithinMs: offer.startWithinMs,
+      onAccepted: () => {
+        accepted = true
+        this.#receive(() => this.table.recordReport(name, tier, this.#connections.readLoad(name), this.#events.getNowMs()))
+      },
+      onNotRun: (reason, retryAfterMs) => this.#receive(() => {
+        if (!accepted) this.table.recordReport(name, tier, reason === 'endpointUnavailable' ? null : this.#connections.readLoad(name), this.#events.getNowMs())
+        this.#handleNotRun(pending, offer, reason, retryAfterMs)
+      }),
+      onStarted: () => { startedAtMs = this.#events.getNowMs() },
+      onFirstToken: () => {
+        firstTokenAtMs = this.#events.getNowMs()
+        this.table.recordFirstToken(name, firstTokenAtMs - startedAtMs)
+        record.firstTokenAtMs ??= firstTokenAtMs + this.#connections.latencyMs
+      },
+      onEnd: (end, generated) => this.#receive(() => {
+        record.deliveredTokens += generated
+        if (end === 'completed') this.#complete(pending, name, startedAtMs)
+        else this.#retry(pending, name)
+      })
+    }
+  }
+
+  #handleNotRun (pending: PendingRequest, offer: PlannedOffer, reason: string, retryAfterMs: number): void {
+    const nowMs = this.#events.getNowMs()
+    const { name } = offer.view
+    if (reason === 'endpointUnavailable') this.table.recordFailure(name, nowMs)
+    else this.table.recordRefusal(name, pending.record.request.class.tier, retryAfterMs, nowMs)
+    if (reason === 'cannotMeetDeadline') pending.plan.recordRefusal(offer, retryAfterMs, nowMs)
+    if (reason === 'displaced') pending.plan.reset()
+    this.#offerNext(pending)
+  }
+
+  #complete (pending: PendingRequest, name: string, startedAtMs: number): void {
+    pending.stopTimer()
+    this.table.recordAnswer(name, this.#events.getNowMs() - startedAtMs)
+    this.table.recordLoad(name, this.#connections.readLoad(name), this.#events.getNowMs())
+    finishRecord(pending.record, 'completed', this.#events.getNowMs())
+  }
+
+  /** Goes on at another endpoint from the tokens delivered, as far as the class's budget allows. */
+  #retry (pending: PendingRequest, name: string): void {
+    this.table.recordFailure(name, this.#events.getNowMs())
+    if (!this.#budget.acquire(pending.record.request.class.name, this.#events.getNowMs())) {
+      pending.stopTimer()
+      return finishRecord(pending.record, 'failed', this.#events.getNowMs())
+    }
+    pending.plan.reset()
+    this.#offerNext(pending)
+  }
+
+  #shed (pending: PendingRequest): void {
+    const { record } = pending
+    pending.stopTimer()
+    const nowMs = this.#events.getNowMs()
+    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, retryAfterMs: pending.plan.getRetryAfterMs() })
+    finishRecord(record, 'shed', nowMs)
+  }
+
+  #expire (pending: PendingRequest): void {
+    const { current, record } = pending
+    finishRecord(record, 'late', this.#events.getNowMs())
+    if (current === undefined) return
+    this.#events.schedule(this.#connections.latencyMs, () => this.#connections.sidecars.get(current.name)?.cancel(current.id))
+  }
+
+  #receive (run: () => void): void {
+    this.#events.schedule(this.#connections.latencyMs, run)
+  }
+}
