Write crash records told by messages when the service does not show them

Change: every told record is due to be written after ten seconds, jittered, unless the service shows it before. Ruled out: asking the watcher whether it follows, which lags by up to one watch.

--- a/src/platform/poisonRegistry.ts
+++ b/src/platform/poisonRegistry.ts
@@ -1,7 +1,7 @@
 import { systemClock } from '../base/clock'
 import { Progress } from '../base/progress'
 
-import { Backoff } from './backoff'
+import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
 import { POISON_PREFIX } from './keys'
 import { crashRecordSchema, hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
@@ -41,6 +41,8 @@
 const BACKOFF_BASE_MS = 500
 const BACKOFF_CAP_MS = 10_000
 const IDLE_MS = 60_000
+/** Long enough for the process that saw the crash to write it, and for the watch to show it. */
+const TOLD_WRITE_DELAY_MS = 10_000
 
 /**
  * Crash records of requests, shared through the platform: written at a bounded rate, watched by
@@ -56,6 +58,7 @@
 export class PoisonRegistry {
   readonly #options: PoisonRegistryOptions
   readonly #clock: Clock
+  readonly #getRandom: () => number
   readonly #watcher: PrefixWatcher
   readonly #writer: BackgroundTask
   readonly #bucket: TokenBucket
@@ -63,13 +66,14 @@
   readonly #records = new Map<string, CrashRecord>()
   /** Counts told without the crashes behind them. */
   readonly #toldCounts = new Map<string, { count: number, atMs: number }>()
-  /** Fingerprints with crashes that the service is not known to have. */
-  readonly #unwritten = new Set<string>()
+  /** Fingerprints with crashes that the service is not known to have, and when to write them. */
+  readonly #unwritten = new Map<string, number>()
 
   constructor (options: PoisonRegistryOptions) {
     const { service, getRandom, onError } = options
     this.#options = options
     this.#clock = options.clock ?? systemClock
+    this.#getRandom = getRandom ?? Math.random
     this.#backoff = new Backoff({ baseMs: BACKOFF_BASE_MS, capMs: BACKOFF_CAP_MS, getRandom })
     this.#bucket = new TokenBucket({ ratePerSecond: options.writesPerSecond ?? DEFAULT_WRITES_PER_SECOND, burst: WRITE_BURST, clock: this.#clock })
     this.#writer = new BackgroundTask({ runStep: async signal => await this.#writeNext(signal), onError })
@@ -95,12 +99,16 @@
   /** Records a crash seen by this process and shares it. */
   record (crash: Crash): void {
     const { fingerprint, endpointName, crashId } = crash
-    this.#merge({ fingerprint, crashes: [{ crashId, endpointName }], atMs: this.#clock.getWallMs() }, true)
+    const record = { fingerprint, crashes: [{ crashId, endpointName }], atMs: this.#clock.getWallMs() }
+    if (this.#merge(record)) this.#scheduleWrite(fingerprint, 0)
   }
 
-  /** Takes in a record that a message carried; while the service is down it is written later. */
+  /**
+   * Takes in a record that a message carried. Whoever saw the crash writes it; it is written from
+   * here only if the service does not show it after a while.
+   */
   merge (record: CrashRecord): void {
-    this.#merge(record, !this.#watcher.isFollowing())
+    if (this.#merge(record)) this.#scheduleWrite(record.fingerprint, spreadPeriod(TOLD_WRITE_DELAY_MS, this.#getRandom))
   }
 
   /** Takes in a count that a message carried. */
@@ -142,16 +150,21 @@
     return expired.length
   }
 
-  #merge (told: CrashRecord, share: boolean): void {
+  /** Returns whether the record had something new. */
+  #merge (told: CrashRecord): boolean {
     const { fingerprint } = told
     const record = { ...told, atMs: Math.min(told.atMs, this.#clock.getWallMs()) }
     const known = this.#records.get(fingerprint)
-    if (this.#isExpired(record.atMs) || hasAllCrashes(known, record)) return
+    if (this.#isExpired(record.atMs) || hasAllCrashes(known, record)) return false
     const isLive = known !== undefined && !this.#isExpired(known.atMs)
     this.#records.set(fingerprint, isLive ? mergeCrashRecords(known, record) : record)
     removeOldest(this.#records, this.#getMaxRecords())
-    if (!share) return
-    this.#unwritten.add(fingerprint)
+    return true
+  }
+
+  #scheduleWrite (fingerprint: string, delayMs: number): void {
+    const dueMs = this.#clock.getMonotonicMs() + delayMs
+    this.#unwritten.set(fingerprint, Math.min(dueMs, this.#unwritten.get(fingerprint) ?? dueMs))
     this.#writer.notify()
   }
 
@@ -162,14 +175,17 @@
   #adopt (object: StoredObject): void {
     const stored = parseRecord(object)
     if (stored === null) return
-    this.#merge(stored, false)
+    this.#merge(stored)
     const own = this.#records.get(stored.fingerprint)
     if (own !== undefined && hasAllCrashes(stored, own)) this.#unwritten.delete(stored.fingerprint)
   }
 
   async #writeNext (signal: AbortSignal): Promise<number> {
-    const [fingerprint] = this.#unwritten
-    if (fingerprint === undefined) return IDLE_MS
+    const next = this.#findNextWrite()
+    if (next === null) return IDLE_MS
+    const { fingerprint, dueMs } = next
+    const waitMs = dueMs - this.#clock.getMonotonicMs()
+    if (waitMs > 0) return waitMs
     const record = this.getRecord(fingerprint)
     if (record === null) {
       this.#unwritten.delete(fingerprint)
@@ -181,6 +197,14 @@
     return await this.#write(record, progress) ? 0 : this.#backoff.advance()
   }
 
+  #findNextWrite (): { fingerprint: string, dueMs: number } | null {
+    let next: { fingerprint: string, dueMs: number } | null = null
+    for (const [fingerprint, dueMs] of this.#unwritten) {
+      if (next === null || dueMs < next.dueMs) next = { fingerprint, dueMs }
+    }
+    return next
+  }
+
   async #write (record: CrashRecord, progress: Progress): Promise<boolean> {
     const { service } = this.#options
     const key = toPoisonKey(record.fingerprint)
