--- /dev/null
+++ b/src/platform/maintenance.ts
@@ -0,0 +1,58 @@
+import { Progress } from '../base/progress'
+
+import { spreadPeriod } from './backoff'
+import { BackgroundTask } from './backgroundTask'
+
+import type { Lease } from './lease'
+
+/** Upkeep that one process of the fleet does at a time. */
+export interface MaintenanceJob {
+  title: string
+  /** Does one bounded step and resolves to the milliseconds to wait before the next. */
+  runStep (progress: Progress): Promise<number>
+}
+
+export interface MaintenanceOptions {
+  /** Lease that chooses the process; its stop is left to the caller. */
+  lease: Lease
+  jobs: MaintenanceJob[]
+  getRandom?: () => number
+  onError?: (error: unknown) => void
+}
+
+const STEP_TIMEOUT_MS = 5_000
+const NOT_HELD_POLL_MS = 10_000
+
+/**
+ * Runs upkeep jobs while this process holds the lease for it. Two processes at it by mistake do no
+ * harm, since every write of a job is conditional; the lease bounds the load.
+ *
+ * @example
+ * const maintenance = new Maintenance({ lease, jobs: [new ClaimSweeper({ service, listWorkspaces, getRetentionMs })] })
+ * maintenance.start()
+ */
+export class Maintenance {
+  readonly #options: MaintenanceOptions
+  readonly #tasks: BackgroundTask[]
+
+  constructor (options: MaintenanceOptions) {
+    this.#options = options
+    this.#tasks = options.jobs.map(job => new BackgroundTask({
+      runStep: async signal => await this.#runJob(job, signal),
+      onError: options.onError
+    }))
+  }
+
+  start (): void {
+    this.#tasks.forEach(task => task.start())
+  }
+
+  async stop (): Promise<void> {
+    await Promise.all(this.#tasks.map(task => task.stop()))
+  }
+
+  async #runJob (job: MaintenanceJob, signal: AbortSignal): Promise<number> {
+    if (!this.#options.lease.isHeld(STEP_TIMEOUT_MS)) return spreadPeriod(NOT_HELD_POLL_MS, this.#options.getRandom ?? Math.random)
+    return await job.runStep(new Progress({ title: job.title, timeoutMs: STEP_TIMEOUT_MS, signal }))
+  }
+}
