--- a/src/platform/prefixWatcher.ts
+++ b/src/platform/prefixWatcher.ts
@@ -1,8 +1,10 @@
+import { systemClock } from '../base/clock'
 import { Progress } from '../base/progress'
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
 
+import type { Clock } from '../base/clock'
 import type { ObjectService, StoredObject, WatchEvent } from './objectService'
 
 export interface PrefixWatcherOptions {
@@ -13,6 +15,7 @@
   /** Takes changes in the order in which they were made. */
   handleEvents: (events: WatchEvent[]) => void
   onError?: (error: unknown) => void
+  clock?: Clock
   getRandom?: () => number
   /** Milliseconds for which one watch waits. */
   watchMs?: number
@@ -23,8 +26,11 @@
 const WATCH_GRACE_MS = 5_000
 const BACKOFF_BASE_MS = 500
 const BACKOFF_CAP_MS = 10_000
-/** Bounds the calls that a stream of single changes makes each watcher spend. */
-const REARM_MS = 200
+/** Delay before the next watch; it doubles while changes come densely, to bound the calls. */
+const MIN_REARM_MS = 200
+const MAX_REARM_MS = 2_000
+/** A watch that ends sooner than this shows that changes come densely. */
+const DENSE_WATCH_MS = 1_000
 
 /**
  * Follows all objects below a prefix: lists them, then watches for changes, with a jittered re-arm.
@@ -33,15 +39,18 @@
  */
 export class PrefixWatcher {
   readonly #options: PrefixWatcherOptions
+  readonly #clock: Clock
   readonly #getRandom: () => number
   readonly #backoff: Backoff
   readonly #task: BackgroundTask
   /** Position to watch from; null when the next step must list. */
   #revision: number | null = null
   #lastRevision = 0
+  #rearmMs = MIN_REARM_MS
 
   constructor (options: PrefixWatcherOptions) {
     this.#options = options
+    this.#clock = options.clock ?? systemClock
     this.#getRandom = options.getRandom ?? Math.random
     this.#backoff = new Backoff({ baseMs: BACKOFF_BASE_MS, capMs: BACKOFF_CAP_MS, getRandom: this.#getRandom })
     this.#task = new BackgroundTask({ runStep: async signal => await this.#runStep(signal), onError: options.onError })
@@ -61,13 +70,16 @@
   }
 
   async #runStep (signal: AbortSignal): Promise<number> {
+    const startedMs = this.#clock.getMonotonicMs()
     const succeeded = this.#revision === null ? await this.#list(signal) : await this.#watch(this.#revision, signal)
     if (!succeeded) {
       this.#revision = null
       return this.#backoff.advance()
     }
     this.#backoff.reset()
-    return spreadPeriod(REARM_MS, this.#getRandom)
+    const isDense = this.#clock.getMonotonicMs() - startedMs < DENSE_WATCH_MS
+    this.#rearmMs = isDense ? Math.min(MAX_REARM_MS, 2 * this.#rearmMs) : MIN_REARM_MS
+    return spreadPeriod(this.#rearmMs, this.#getRandom)
   }
 
   async #list (signal: AbortSignal): Promise<boolean> {
--- a/tests/platform/membershipDirectory.spec.ts
+++ b/tests/platform/membershipDirectory.spec.ts
@@ -78,6 +78,18 @@
     expect(listAddresses(directory)).to.deep.equal([])
   })
 
+  it('should spend few calls on changes that come densely, and still show the last one', async () => {
+    await time.advance(5_000)
+    const before = service.calls.watch
+    for (let change = 0; change < 200; change += 1) {
+      service.store.put('sidecars/engine-1', { ...createInstance({ address: `127.0.0.1:${change}` }), writeId: 'write-1' })
+      await time.advance(100)
+    }
+    expect(service.calls.watch - before).to.be.below(20)
+    await time.advance(3_000)
+    expect(listAddresses(directory)).to.deep.equal(['127.0.0.1:199'])
+  })
+
   it('should mark the instances that the platform lists as leaving', async () => {
     service.store.put('sidecars/engine-1', { ...createInstance(), writeId: 'write-1' })
     service.store.instances.push({ instanceId: 'sidecar-1', role: 'sidecar', address: '127.0.0.1:1', domain: 'a', state: 'leaving' })
