--- a/src/platform/claimStore.ts
+++ b/src/platform/claimStore.ts
@@ -126,12 +126,16 @@
 
   /**
    * Reads a claim back; needed before the start when `isClaimFresh` is false, since a process that
-   * was paused may hold a claim that has been removed meanwhile.
+   * was paused may hold a claim that has been removed meanwhile. Any outcome but `granted` gives the
+   * claim up: the request must not be started, and the claim is released in the background.
    */
   async verify (claim: Claim, progress: Progress): Promise<ClaimOutcome> {
     const requestedAtMs = this.#clock.getMonotonicMs()
     const current = await this.#options.service.get(claim.objectKey, progress)
-    if (current.isErr) return { kind: 'unavailable', retryAfterMs: computeRetryAfterMs(current.error) }
+    if (current.isErr) {
+      this.#addSettlement(claim, { ...createFields(claim), state: 'released' }, { kind: 'version', version: claim.version })
+      return { kind: 'unavailable', retryAfterMs: computeRetryAfterMs(current.error) }
+    }
     const record = current.value === null ? null : parseClaimRecord(current.value)
     if (record?.state === 'claimed' && record.writeId === claim.writeId) return { kind: 'granted', claim: { ...claim, requestedAtMs } }
     return { kind: 'mayHaveRun', holder: record?.holder ?? claim.request.holder }
--- a/tests/platform/claimStore.spec.ts
+++ b/tests/platform/claimStore.spec.ts
@@ -90,4 +90,15 @@
     service.store.delete(claim.objectKey)
     expect((await store.verify(claim, createProgress())).kind).to.equal('mayHaveRun')
   })
+
+  it('should release a claim that could not be read back after a pause', async () => {
+    const service = new MemoryObjectService()
+    const store = new ClaimStore({ service, getRandom: createRandom() })
+    const claim = expectGranted(await store.claim(createClaimRequest(), createProgress()))
+    service.setFaults({ outage: true })
+    expect((await store.verify(claim, createProgress())).kind).to.equal('unavailable')
+    service.setFaults({ outage: false })
+    await time.advance(30_000)
+    expectGranted(await store.claim(createClaimRequest({ attemptId: 'attempt-2' }), createProgress()))
+  })
 })
