Estimate hopefully only for a request's last round of offers

Cause: a request above a queued lower tier was taken in on a hopeful estimate in the first rounds too; it expired in the queue and was late when it came elsewhere. A refusal in those rounds sheds nothing, so nothing is owed to it.

--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -2,7 +2,7 @@
 import { ClassShares } from './classShares'
 import { IndexedHeap } from './indexedHeap'
 import { ReleaseRate } from './releaseRate'
-import { TierQueue } from './tierQueue'
+import { TierQueue, isLate } from './tierQueue'
 
 import type { Tier } from '../protocol/serviceLevels'
 import type { QueuedRequest } from './fairTier'
@@ -269,7 +269,8 @@
 
   #estimateNewWaitMs (request: QueuedRequest, nowMs: number): number {
     const { entry } = request
-    const deviations = this.#hasDisplaceableBelow(entry.tier) ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
+    const hopeful = isLate(request) && this.#hasDisplaceableBelow(entry.tier)
+    const deviations = hopeful ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
     const ahead = this.#getTier(entry.tier).countAhead(request)
     const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
     return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 0, nowMs, deviations))
--- a/src/policy/tierQueue.ts
+++ b/src/policy/tierQueue.ts
@@ -55,6 +55,7 @@
   }
 }
 
-function isLate (request: QueuedRequest): boolean {
+/** Tells whether a request may start after its first token's target has passed. */
+export function isLate (request: QueuedRequest): boolean {
   return request.entry.startByMs > request.entry.firstTokenDueMs
 }
