--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -25,7 +25,7 @@
   onEnd: (end: 'completed' | 'crashed' | 'slow', generatedTokens: number) => void
 }
 
-const RESERVED_FRACTION = 0.1
+const RESERVED_FRACTION = 0.15
 const START_BY_QUANTILE = 0.9
 const INITIAL_RUN_MS = 10_000
 const MIN_RETRY_AFTER_MS = 100
@@ -46,7 +46,7 @@
     this.#log = log
     this.engine = engine
     this.queue = new RequestQueue({ maxQueued: 500, initialReleaseIntervalMs: 400 })
-    this.#limiter = new SlotLimiter({ slots: engine.spec.slots, targetIntervalMs: BETWEEN_TOKENS_TARGET_MS, reservedTier: 2, reservedFraction: RESERVED_FRACTION })
+    this.#limiter = new SlotLimiter({ slots: engine.spec.slots, targetIntervalMs: BETWEEN_TOKENS_TARGET_MS, reservedTier: 4, reservedFraction: RESERVED_FRACTION })
   }
 
   getLoad (): EndpointLoad {
--- a/src/policy/slotLimiter.ts
+++ b/src/policy/slotLimiter.ts
@@ -8,7 +8,7 @@
   slots: number
   /** Milliseconds between tokens to keep. */
   targetIntervalMs: number
-  /** Least urgent tier that may use the reserved slots. */
+  /** Least urgent tier that may use any of the reserved slots. */
   reservedTier: Tier
   /** Fraction, 0 to 1, of the slots that is reserved. */
   reservedFraction: number
@@ -22,12 +22,13 @@
 /**
  * Decides how many requests run at once on an engine, so that the time between tokens keeps to
  * its target: one more while tokens come well in time, a sixth fewer when they come late. A few
- * slots stay reserved for the most urgent tiers, which then seldom wait for a release.
+ * slots stay reserved for the more urgent tiers, more of them the more urgent the tier, so that
+ * these seldom wait for a release.
  *
  * @example
  * const limiter = new SlotLimiter({ slots: 16, targetIntervalMs: 53, reservedTier: 2, reservedFraction: 0.1 })
  * limiter.recordTokenInterval(80, 16, nowMs)
- * limiter.getLimitByTier() // [16, 16, 14, 14, 14, 14]
+ * limiter.getLimitByTier() // [16, 15, 14, 14, 14, 14]
  */
 export class SlotLimiter {
   readonly #options: SlotLimiterOptions
@@ -53,8 +54,7 @@
   /** Gets how many requests may run at once for one more of each tier to start; element 0 is tier 1. */
   getLimitByTier (): number[] {
     const limit = this.getLimit()
-    const unreserved = Math.max(1, limit - this.#countReserved(limit))
-    return Array.from({ length: MAX_TIER }, (_, index) => index + MIN_TIER <= this.#options.reservedTier ? limit : unreserved)
+    return Array.from({ length: MAX_TIER }, (_, index) => limit - this.#countReserved(limit, index + MIN_TIER))
   }
 
   /** Records the time between two tokens of one answer, measured while `running` requests ran. */
@@ -72,7 +72,10 @@
     else if (this.#intervalMs < INCREASE_BELOW * targetIntervalMs && running >= this.#limit - 1) this.#limit = Math.min(slots, this.#limit + 1)
   }
 
-  #countReserved (limit: number): number {
-    return Math.min(limit - 1, Math.ceil(limit * this.#options.reservedFraction))
+  /** The reserve grows tier by tier down to the reserved tier, and is whole for those below. */
+  #countReserved (limit: number, tier: Tier): number {
+    const { reservedTier, reservedFraction } = this.#options
+    const step = Math.min(tier - MIN_TIER, reservedTier) / reservedTier
+    return Math.min(limit - 1, Math.ceil(limit * reservedFraction * step))
   }
 }
