Shrink an engine's slot limit by as much as its tokens are late

Cause: an engine a little over the token target lost 15 in 100 of its slots at once and, within the band where the limit stays, did not take them back.

--- a/src/policy/slotLimiter.ts
+++ b/src/policy/slotLimiter.ts
@@ -16,12 +16,13 @@
 
 const INTERVAL_SMOOTHING = 0.2
 const ADJUST_EVERY_MS = 500
-const DECREASE_FACTOR = 0.85
+const MIN_DECREASE = 0.85
+const DECREASE_MARGIN = 0.98
 const INCREASE_BELOW = 0.9
 
 /**
  * Decides how many requests run at once on an engine, so that the time between tokens keeps to
- * its target: one more while tokens come well in time, a sixth fewer when they come late. A few
+ * its target: one more while tokens come well in time, fewer by as much as they come late, at most by a sixth. A few
  * slots stay reserved for the more urgent tiers, more of them the more urgent the tier, so that
  * these seldom wait for a release.
  *
@@ -68,10 +69,14 @@
 
   #update (running: number): void {
     const { slots, targetIntervalMs } = this.#options
-    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * DECREASE_FACTOR)
+    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * this.#computeDecrease())
     else if (this.#intervalMs < INCREASE_BELOW * targetIntervalMs && running >= this.#limit - 1) this.#limit = Math.min(slots, this.#limit + 1)
   }
 
+  #computeDecrease (): number {
+    return Math.max(MIN_DECREASE, DECREASE_MARGIN * this.#options.targetIntervalMs / this.#intervalMs)
+  }
+
   /** The reserve grows tier by tier down to the reserved tier, and is whole for those below. */
   #countReserved (limit: number, tier: Tier): number {
     const { reservedTier, reservedFraction } = this.#options
