--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -269,7 +269,7 @@
 
   #estimateNewWaitMs (request: QueuedRequest, nowMs: number): number {
     const { entry } = request
-    const hopeful = isLate(request) && this.#hasDisplaceableBelow(entry.tier)
+    const hopeful = isLate(request) && this.#hasQueuedBelow(entry.tier)
     const deviations = hopeful ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
     const ahead = this.#getTier(entry.tier).countAhead(request)
     const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
@@ -297,9 +297,9 @@
     return this.#rate.estimateWaitMs(releases / freeFraction, nowMs, deviations)
   }
 
-  #hasDisplaceableBelow (tier: Tier): boolean {
+  #hasQueuedBelow (tier: Tier): boolean {
     for (let lower = MAX_TIER; lower > tier; lower--) {
-      if (this.#findVictimInTier(lower) !== undefined) return true
+      if (this.#getTier(lower).size > 0) return true
     }
     return false
   }
