--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -112,7 +112,7 @@
     if (reason === 'endpointUnavailable') this.table.recordFailure(name, nowMs)
     else this.table.recordRefusal(name, pending.record.request.class.tier, retryAfterMs, nowMs)
     if (reason === 'cannotMeetDeadline') pending.plan.recordRefusal(offer, retryAfterMs, nowMs)
-    if (reason === 'displaced') pending.plan.reset()
+    if (reason === 'displaced') pending.plan.recordDisplaced(nowMs)
     this.#offerNext(pending)
   }
 
--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -95,7 +95,15 @@
     else if (round !== 'late' && refusal.expectedStartMs <= nowMs + this.#getLateMs(nowMs)) this.#late.add(refusal)
   }
 
-  /** Resets the plan after an accepted request was displaced, or its endpoint was lost, so that all are asked anew. */
+  /**
+   * Records that the request was displaced from the queue of the endpoint that had taken it. While
+   * it can be on time all are asked anew; later it goes on where a late start was expected.
+   */
+  recordDisplaced (nowMs: number): void {
+    if (nowMs < this.#times.firstTokenDueMs) this.reset()
+  }
+
+  /** Resets the plan after the endpoint that ran the request was lost, so that all are asked anew. */
   reset (): void {
     this.#ranked = undefined
     this.#offersAtOnce = 0
