Wait for a late start up to one and a half times the target

Cause: requests that could not be on time kept coming back until three times their target; in a lasting overload they only took the place of newer ones, were refused at last, and each round cost eight offers.

--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -30,7 +30,7 @@
 
 const AT_ONCE_MS = 20
 const OFFERS_AT_ONCE = 4
-const LATE_FACTOR = 3
+const LATE_FACTOR = 1.5
 const FIRST_TOKEN_MARGIN = 1.3
 
 /**
@@ -38,7 +38,7 @@
  * in the order of the choice; each refusal tells when the endpoint would start it. Then it is
  * offered to wait where the start is expected soonest, if that is in time for the first token.
  * Endpoints whose load reports lie are so found out in a few milliseconds. Only when no endpoint
- * can start it in time is it offered to start late, within three times its target.
+ * can start it in time is it offered to start late, within one and a half times its target.
  *
  * @example
  * const plan = new OfferPlan(request, times, table.getViews(model), random, options)
