Renew a request's times when it goes on after a crash

Cause: a request cut by a crash was offered with the first token's due time of its arrival, long past; it came after every on-time one and was shed in mid answer, so its caller got nothing and what it had generated was wasted.

Change: its times run anew from the loss, as if it came now, and a late start may wait until its deadline.

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -84,6 +84,7 @@
       record,
       tokens: record.request.tokens - record.deliveredTokens,
       startWithinMs: offer.startWithinMs,
+      firstTokenWithinMs: offer.firstTokenWithinMs,
       onAccepted: () => {
         accepted = true
         this.#receive(() => this.table.recordReport(name, tier, this.#connections.readLoad(name), this.#events.getNowMs()))
@@ -130,7 +131,7 @@
       pending.stopTimer()
       return finishRecord(pending.record, 'failed', this.#events.getNowMs())
     }
-    pending.plan.reset()
+    pending.plan.recordLost(this.#events.getNowMs())
     this.#offerNext(pending)
   }
 
--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -18,6 +18,7 @@
   tokens: number
   /** Milliseconds within which it must start. */
   startWithinMs: number
+  firstTokenWithinMs: number
   onAccepted: () => void
   onNotRun: (reason: string, retryAfterMs: number) => void
   onStarted: () => void
@@ -113,7 +114,7 @@
       workspace: request.workspace,
       enqueuedAtMs: this.#events.getNowMs(),
       startByMs: Math.min(this.#events.getNowMs() + attempt.startWithinMs, deadlineMs - runMs),
-      firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs,
+      firstTokenDueMs: this.#events.getNowMs() + attempt.firstTokenWithinMs,
       share: request.class.share
     }
   }
--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -16,6 +16,8 @@
   view: EndpointView
   /** Milliseconds within which the endpoint must expect to start it, or refuse it at once. */
   startWithinMs: number
+  /** Milliseconds until its first token, or after a loss its next one, is late. */
+  firstTokenWithinMs: number
   round: OfferRound
 }
 
@@ -50,7 +52,8 @@
  */
 export class OfferPlan {
   readonly #request: ChoiceRequest
-  readonly #times: RequestTimes
+  #times: RequestTimes
+  #latestStartMs: number
   readonly #views: readonly EndpointView[]
   readonly #random: () => number
   readonly #options: ChooserOptions
@@ -63,6 +66,7 @@
   constructor (request: ChoiceRequest, times: RequestTimes, views: readonly EndpointView[], random: () => number, options: ChooserOptions) {
     this.#request = request
     this.#times = times
+    this.#latestStartMs = computeLatestStartMs(times)
     this.#views = views
     this.#random = random
     this.#options = options
@@ -77,12 +81,12 @@
   takeNext (nowMs: number): PlannedOffer | null {
     if (this.#offersAtOnce < OFFERS_AT_ONCE || this.#waiting.size === 0) {
       const view = this.#takeRanked(nowMs)
-      if (view !== undefined) return { view, startWithinMs: AT_ONCE_MS, round: 'atOnce' }
+      if (view !== undefined) return this.#buildOffer(view, AT_ONCE_MS, 'atOnce', nowMs)
     }
     const waiting = takeFirst(this.#waiting)
-    if (waiting !== undefined) return { view: waiting.view, startWithinMs: this.#getOnTimeMs(waiting.view, nowMs), round: 'onTime' }
+    if (waiting !== undefined) return this.#buildOffer(waiting.view, this.#getOnTimeMs(waiting.view, nowMs), 'onTime', nowMs)
     const late = takeFirst(this.#late)
-    return late === undefined ? null : { view: late.view, startWithinMs: this.#getLateMs(nowMs), round: 'late' }
+    return late === undefined ? null : this.#buildOffer(late.view, this.#getLateMs(nowMs), 'late', nowMs)
   }
 
   /** Records that the endpoint of an offer could not start it in time and may accept after `retryAfterMs`. */
@@ -100,17 +104,31 @@
    * it can be on time all are asked anew; later it goes on where a late start was expected.
    */
   recordDisplaced (nowMs: number): void {
-    if (nowMs < this.#times.firstTokenDueMs) this.reset()
+    if (nowMs < this.#times.firstTokenDueMs) this.#reset()
   }
 
-  /** Resets the plan after the endpoint that ran the request was lost, so that all are asked anew. */
-  reset (): void {
+  /**
+   * Records that the endpoint that ran the request was lost. All are asked anew to go on with the
+   * answer, in time for its next token as if the request came now, and if need be until its deadline.
+   */
+  recordLost (nowMs: number): void {
+    const { arrivedAtMs, firstTokenDueMs, deadlineMs } = this.#times
+    this.#times = { arrivedAtMs: nowMs, firstTokenDueMs: nowMs + firstTokenDueMs - arrivedAtMs, deadlineMs }
+    this.#latestStartMs = deadlineMs
+    this.#reset()
+  }
+
+  #reset (): void {
     this.#ranked = undefined
     this.#offersAtOnce = 0
     while (takeFirst(this.#waiting) !== undefined);
     while (takeFirst(this.#late) !== undefined);
   }
 
+  #buildOffer (view: EndpointView, startWithinMs: number, round: OfferRound, nowMs: number): PlannedOffer {
+    return { view, startWithinMs, firstTokenWithinMs: this.#times.firstTokenDueMs - nowMs, round }
+  }
+
   #takeRanked (nowMs: number): EndpointView | undefined {
     this.#ranked ??= rankEndpoints(this.#request, this.#views, nowMs, this.#random, this.#options)
     this.#offersAtOnce += 1
@@ -123,12 +141,15 @@
   }
 
   #getLateMs (nowMs: number): number {
-    const { arrivedAtMs, firstTokenDueMs, deadlineMs } = this.#times
-    const latestMs = Math.min(deadlineMs, arrivedAtMs + LATE_FACTOR * (firstTokenDueMs - arrivedAtMs))
-    return Math.max(0, latestMs - nowMs)
+    return Math.max(0, this.#latestStartMs - nowMs)
   }
 }
 
+function computeLatestStartMs (times: RequestTimes): number {
+  const targetMs = times.firstTokenDueMs - times.arrivedAtMs
+  return Math.min(times.deadlineMs, times.arrivedAtMs + LATE_FACTOR * targetMs)
+}
+
 function takeFirst (heap: IndexedHeap<Refusal>): Refusal | undefined {
   const first = heap.getFirst()
   if (first !== undefined) heap.remove(first)
