--- a/src/policy/slotLimiter.ts
+++ b/src/policy/slotLimiter.ts
@@ -8,7 +8,7 @@
   slots: number
   /** Milliseconds between tokens to keep. */
   targetIntervalMs: number
-  /** Least urgent tier that may use any of the reserved slots. */
+  /** Least urgent tier that may use reserved slots. */
   reservedTier: Tier
   /** Fraction, 0 to 1, of the slots that is reserved. */
   reservedFraction: number
@@ -18,13 +18,14 @@
 const ADJUST_EVERY_MS = 500
 const MIN_DECREASE = 0.85
 const DECREASE_MARGIN = 0.98
+const URGENT_PART = 0.25
 const INCREASE_BELOW = 0.9
 
 /**
  * Decides how many requests run at once on an engine, so that the time between tokens keeps to
  * its target: one more while tokens come well in time, fewer by as much as they come late, at most by a sixth. A few
- * slots stay reserved for the more urgent tiers, more of them the more urgent the tier, so that
- * these seldom wait for a release.
+ * slots stay reserved for the urgent tiers, and the last of them for tier 1, so that these seldom
+ * wait for a release.
  *
  * @example
  * const limiter = new SlotLimiter({ slots: 16, targetIntervalMs: 53, reservedTier: 2, reservedFraction: 0.1 })
@@ -77,10 +78,11 @@
     return Math.max(MIN_DECREASE, DECREASE_MARGIN * this.#options.targetIntervalMs / this.#intervalMs)
   }
 
-  /** The reserve grows tier by tier down to the reserved tier, and is whole for those below. */
+  /** Tier 1 finds every slot open, the other urgent tiers a part of the reserve closed, all others the whole. */
   #countReserved (limit: number, tier: Tier): number {
     const { reservedTier, reservedFraction } = this.#options
-    const step = Math.min(tier - MIN_TIER, reservedTier) / reservedTier
-    return Math.min(limit - 1, Math.ceil(limit * reservedFraction * step))
+    if (tier === MIN_TIER) return 0
+    const reserved = Math.ceil(limit * reservedFraction)
+    return Math.min(limit - 1, tier <= reservedTier ? Math.ceil(reserved * URGENT_PART) : reserved)
   }
 }
