Move streams off an engine that became slow while others have a slot for their tier

Change: a resumable stream whose tokens take over two and a half times their target is cancelled and continued from its text where a slot is open for its tier, as after a crash and from the same retry budget.

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -2,9 +2,11 @@
 import { EndpointTable } from '../../src/policy/endpointTable'
 import { OfferPlan } from '../../src/policy/offerPlan'
 import { RetryBudget } from '../../src/policy/retryBudget'
+import { shouldMoveStream } from '../../src/policy/slowStream'
 import { finishRecord } from './requestRecord'
 import { BETWEEN_TOKENS_TARGET_MS } from './trace'
 
+import type { EndpointView } from '../../src/policy/endpointView'
 import type { PlannedOffer } from '../../src/policy/offerPlan'
 import type { EndpointLoad } from '../../src/protocol/attemptMessages'
 import type { EventQueue } from './eventQueue'
@@ -24,7 +26,7 @@
 interface PendingRequest {
   record: RequestRecord
   plan: OfferPlan
-  current: { name: string, id: string } | undefined
+  current: { name: string, id: string, running: boolean } | undefined
   stopTimer: () => void
 }
 
@@ -34,6 +36,7 @@
 export class GatewayModel {
   readonly table = new EndpointTable()
   readonly #budget = new RetryBudget()
+  readonly #pending = new Set<PendingRequest>()
   readonly #events: EventQueue
   readonly #connections: GatewayConnections
   #attempts = 0
@@ -50,9 +53,30 @@
     this.#budget.recordRequest(request.class.name, request.class.retryRatio, this.#events.getNowMs())
     const pending: PendingRequest = { record, plan: this.#buildPlan(record), current: undefined, stopTimer: () => {} }
     pending.stopTimer = this.#events.schedule(request.class.deadlineMs, () => this.#expire(pending))
+    this.#pending.add(pending)
     this.#offerNext(pending)
   }
 
+  /** Moves streams away from engines that became slow, the most urgent first, while others have room. */
+  update (): void {
+    const nowMs = this.#events.getNowMs()
+    for (const pending of this.#pending) if (pending.record.end !== undefined) this.#pending.delete(pending)
+    const byTier = [...this.#pending].sort((a, b) => a.record.request.class.tier - b.record.request.class.tier)
+    for (const pending of byTier) this.#routeIfSlow(pending, nowMs)
+  }
+
+  #routeIfSlow (pending: PendingRequest, nowMs: number): void {
+    const { current, record } = pending
+    if (current === undefined || !current.running) return
+    const { tier, name } = record.request.class
+    const view = this.table.getView(current.name) as EndpointView
+    const tokenIntervalMs = this.#connections.readLoad(current.name).tokenIntervalMs
+    const stream = { view, tier, resumable: true, tokenIntervalMs, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS }
+    if (!shouldMoveStream(stream, this.table.getViews(TARGET), nowMs) || !this.#budget.acquire(name, nowMs)) return
+    current.running = false
+    this.#events.schedule(this.#connections.latencyMs, () => this.#connections.sidecars.get(current.name)?.endSlow(current.id))
+  }
+
   #buildPlan ({ request }: RequestRecord): OfferPlan {
     const choice = { tier: request.class.tier, betweenTokensTargetMs: BETWEEN_TOKENS_TARGET_MS, affinity: [] }
     const times = { arrivedAtMs: request.atMs, firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs, deadlineMs: request.atMs + request.class.deadlineMs }
@@ -66,7 +90,7 @@
     const { name } = offer.view
     const sidecar = this.#connections.sidecars.get(name) as SidecarModel
     const attempt = this.#buildAttempt(pending, offer)
-    pending.current = { name, id: attempt.id }
+    pending.current = { name, id: attempt.id, running: false }
     pending.record.offers += 1
     this.table.recordSent(name, pending.record.request.class.tier)
     this.#events.schedule(this.#connections.latencyMs, () => sidecar.offer(attempt))
@@ -93,7 +117,10 @@
         if (!accepted) this.table.recordReport(name, tier, reason === 'endpointUnavailable' ? null : this.#connections.readLoad(name), this.#events.getNowMs())
         this.#handleNotRun(pending, offer, reason, retryAfterMs)
       }),
-      onStarted: () => { startedAtMs = this.#events.getNowMs() },
+      onStarted: () => {
+        startedAtMs = this.#events.getNowMs()
+        if (pending.current !== undefined) pending.current.running = true
+      },
       onFirstToken: () => {
         firstTokenAtMs = this.#events.getNowMs()
         this.table.recordFirstToken(name, firstTokenAtMs - startedAtMs)
@@ -101,8 +128,10 @@
       },
       onEnd: (end, generated) => this.#receive(() => {
         record.deliveredTokens += generated
-        if (end === 'completed') this.#complete(pending, name, startedAtMs)
-        else this.#retry(pending, name)
+        if (end === 'completed') return this.#complete(pending, name, startedAtMs)
+        if (end === 'crashed') return this.#retry(pending, name)
+        pending.plan.recordLost(this.#events.getNowMs())
+        this.#offerNext(pending)
       })
     }
   }
--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -94,6 +94,18 @@
     this.#startNext()
   }
 
+  /** Ends a run that its gateway moves elsewhere, and tells how far it came. */
+  endSlow (id: string): void {
+    const attempt = this.#attempts.get(id)
+    const run = this.#runs.get(id)
+    if (attempt === undefined || run === undefined) return
+    const generated = this.engine.countTokens(run)
+    this.#attempts.delete(id)
+    this.#stopRun(id, attempt)
+    attempt.onEnd('slow', generated)
+    this.#startNext()
+  }
+
   /** Tells every attempt here that the endpoint crashed; those that ran are told by their run. */
   handleCrash (): void {
     for (const attempt of [...this.#attempts.values()]) {
--- a/bench/lunch/tanagerwickRouter.ts
+++ b/bench/lunch/tanagerwickRouter.ts
@@ -38,7 +38,10 @@
     this.#gateways = Array.from({ length: deployment.gateways }, () => new GatewayModel(events, connections))
     this.#takeReports(options)
     events.scheduleEvery(UPDATE_EVERY_MS, options.untilMs, () => this.sidecars.forEach(sidecar => sidecar.update()))
-    events.scheduleEvery(options.reportLagMs, options.untilMs, () => this.#takeReports(options))
+    events.scheduleEvery(options.reportLagMs, options.untilMs, () => {
+      this.#takeReports(options)
+      this.#gateways.forEach(gateway => gateway.update())
+    })
   }
 
   submit (record: RequestRecord): void {
