Judge shedding by the moments of the decisions themselves

Cause: an engine records a start at its next step, up to tens of milliseconds after its sidecar decided it, and a caller learns of a refusal after its gateway decided it; both would accuse a sound run.

Change: the checker takes the times from the processes' log lines (offered, notRun, refused, started) where they are known.

--- a/standins/checker/invariantChecker.ts
+++ b/standins/checker/invariantChecker.ts
@@ -30,6 +30,8 @@
 }
 
 const SHED_CODES = new Set(['overloaded', 'deadline_exceeded', 'endpoint_unavailable'])
+/** Part of its deadline for which a request that is not run may wait. */
+const LATE_FRACTION = 0.9
 const EXECUTION_STATES = new Set(['not_run', 'may_have_run'])
 
 /**
@@ -127,9 +129,12 @@
     if (send.outcome.kind !== 'refused') continue
     const { code, execution } = send.outcome
     if (!EXECUTION_STATES.has(execution)) findings.push(createFinding('refusedWithoutReason', caller, `${code} does not say whether the request was run`))
-    const { refusedAtMs, waitsSinceMs } = getRefusalTimes(send, record)
+    if (execution !== 'not_run') continue
+    const { arrivedAtMs, refusedAtMs, waitsSinceMs } = getRefusalTimes(send, record)
     const waitedMs = refusedAtMs - waitsSinceMs
-    if (execution === 'not_run' && waitedMs > options.maxRefusalMs) findings.push(createFinding('lateRefusal', caller, `${code} came ${waitedMs} ms after it could be known`))
+    const deadlineMs = record.config.classes.get(caller.request.className)?.deadlineMs ?? Infinity
+    if (waitedMs > options.maxRefusalMs) findings.push(createFinding('lateRefusal', caller, `${code} came ${waitedMs} ms after it could be known`))
+    else if (refusedAtMs - arrivedAtMs > LATE_FRACTION * deadlineMs) findings.push(createFinding('lateRefusal', caller, `${code} came ${refusedAtMs - arrivedAtMs} ms after arrival, at its deadline`))
   }
   return findings
 }
@@ -139,9 +144,9 @@
   return caller.sends.filter(isShed).flatMap(send => {
     const { arrivedAtMs, refusedAtMs } = getRefusalTimes(send, record)
     const favored = listStartsBetween(starts, arrivedAtMs + options.clockMarginMs, refusedAtMs - options.clockMarginMs)
-      .find(start => start.tier > tier && canServe(caller, start, record) && !record.shareStarts.has(start.attemptId ?? ''))
+      .find(start => start.tier > tier && !start.byShare && canServe(caller, start, record))
     if (favored === undefined) return []
-    const message = `tier ${tier} was shed from ${arrivedAtMs} to ${refusedAtMs} while ${favored.endpoint} started tier ${favored.tier} at ${favored.startedAtMs}`
+    const message = `tier ${tier} was shed from ${arrivedAtMs} to ${refusedAtMs} while ${favored.endpoint} decided to start tier ${favored.tier} at ${favored.decidedAtMs}`
     return [createFinding('shedForLowerTier', caller, message)]
   })
 }
@@ -156,7 +161,7 @@
 }
 
 function getRefusalTimes (send: SendRecord, record: RunRecord): { arrivedAtMs: number, waitsSinceMs: number, refusedAtMs: number } {
-  const decision = record.decisions.get(send.requestId ?? '')
+  const decision = record.refusalDecisions.get(send.requestId ?? '')
   const arrivedAtMs = decision?.arrivedAtMs ?? send.sentAtMs
   return {
     arrivedAtMs,
@@ -165,11 +170,11 @@
   }
 }
 
-/** Starts strictly between two times, of `starts` in the order of time. */
+/** Starts decided strictly between two times, of `starts` in the order of their decisions. */
 function listStartsBetween (starts: EndpointStart[], afterMs: number, beforeMs: number): EndpointStart[] {
   const found: EndpointStart[] = []
   for (let position = findFirstAfter(starts, afterMs); position < starts.length; position++) {
-    if (starts[position]!.startedAtMs >= beforeMs) break
+    if (starts[position]!.decidedAtMs >= beforeMs) break
     found.push(starts[position]!)
   }
   return found
@@ -180,7 +185,7 @@
   let high = starts.length
   while (low < high) {
     const middle = (low + high) >> 1
-    if (starts[middle]!.startedAtMs > afterMs) high = middle
+    if (starts[middle]!.decidedAtMs > afterMs) high = middle
     else low = middle + 1
   }
   return low
--- a/standins/checker/runRecord.ts
+++ b/standins/checker/runRecord.ts
@@ -3,25 +3,31 @@
 import type { CallerRecord } from '../player/callerRecord'
 import type { ServiceExecution, ServiceRecord } from '../service/serviceRecord'
 
-/** When a gateway decided on a request; times are wall milliseconds. */
-export interface GatewayDecision {
-  requestId: string
+/** When a gateway refused a request; times are wall milliseconds. */
+export interface RefusalDecision {
+  /** When the gateway first offered the request to a sidecar. */
   arrivedAtMs: number
-  /** When the request, or a queue entry of it, was last known to wait for its turn. */
+  /** When the last sidecar that had queued the request gave it back. */
   leftQueueAtMs: number | null
   refusedAtMs: number
 }
 
+/** When a sidecar decided to start an attempt, and whether a guaranteed share chose it. */
+export interface StartDecision {
+  startedAtMs: number
+  byShare: boolean
+}
+
 /** Everything that one run left behind, gathered from each kind of process. */
 export interface RunRecord {
   config: Pick<FleetConfig, 'classes' | 'endpoints'>
   callers: CallerRecord[]
   engines: EngineRecord[]
   services: ServiceRecord[]
-  /** Attempts that a sidecar started by a class's guaranteed share. */
-  shareStarts: ReadonlySet<string>
+  /** Decisions of sidecars by attempt identifier, where known. */
+  startDecisions: ReadonlyMap<string, StartDecision>
   /** Decisions of gateways by their request identifier, where known. */
-  decisions: ReadonlyMap<string, GatewayDecision>
+  refusalDecisions: ReadonlyMap<string, RefusalDecision>
 }
 
 /** One start at an endpoint, of an engine or a plain service alike. */
@@ -31,15 +37,21 @@
   attemptId: string | null
   tier: number
   startedAtMs: number
+  /** When its sidecar decided to start it; where that is unknown, when the endpoint started it. */
+  decidedAtMs: number
+  byShare: boolean
   endedAtMs: number | null
   state: EngineRun['state'] | ServiceExecution['state']
 }
 
-/** Lists every start at every endpoint, in the order of time. */
+/** Lists every start at every endpoint, in the order of the decisions. */
 export function listStarts (record: RunRecord): EndpointStart[] {
-  const engineStarts = record.engines.flatMap(engine => engine.runs.flatMap(run =>
-    run.startedAtMs === null ? [] : [{ ...run, tier: run.priority, startedAtMs: run.startedAtMs }]))
-  const serviceStarts = record.services.flatMap(service =>
-    service.executions.map(execution => ({ ...execution, tier: execution.priority })))
-  return [...engineStarts, ...serviceStarts].sort((left, right) => left.startedAtMs - right.startedAtMs)
+  const runs = record.engines.flatMap(engine => engine.runs.flatMap(run =>
+    run.startedAtMs === null ? [] : [{ ...run, startedAtMs: run.startedAtMs }]))
+  const executions = record.services.flatMap(service => service.executions)
+  const starts = [...runs, ...executions].map(start => {
+    const decision = record.startDecisions.get(start.attemptId ?? '')
+    return { ...start, tier: start.priority, decidedAtMs: decision?.startedAtMs ?? start.startedAtMs, byShare: decision?.byShare ?? false }
+  })
+  return starts.sort((left, right) => left.decidedAtMs - right.decidedAtMs)
 }
--- a/standins/demo/fleetProcesses.ts
+++ b/standins/demo/fleetProcesses.ts
@@ -132,7 +132,7 @@
   #startGateway (position: number): ManagedProcess {
     const domain = this.#options.domains[position % this.#options.domains.length]!
     const id = `gateway-${position + 1}`
-    return this.#startProduct(id, ['gateway', '--id', id, '--listen', '127.0.0.1:0', '--domain', domain, '--platform', this.#platformUrl])
+    return this.#startProduct(id, ['gateway', '--id', id, '--listen', '127.0.0.1:0', '--domain', domain, '--platform', this.#platformUrl, '--log-level', 'debug'])
   }
 
   async #sendInstances (sidecars: ManagedProcess[], gateways: ManagedProcess[]): Promise<void> {
--- a/standins/demo/runDemo.ts
+++ b/standins/demo/runDemo.ts
@@ -3,6 +3,7 @@
 import { compileFleetConfig } from '../../src/config/compileFleetConfig'
 import { formatFindings } from '../../src/config/finding'
 import { loadFleetFolder } from '../../src/config/loadFleetFolder'
+import { DecisionLog } from '../checker/decisionLog'
 import { checkRun } from '../checker/invariantChecker'
 import { buildBurstPlan } from '../player/burstPlan'
 import { isAnswered } from '../player/callerRecord'
@@ -18,7 +19,6 @@
 import type { CallerRecord } from '../player/callerRecord'
 import type { Deployment } from '../player/deploymentProfiles'
 import type { PlannedRequest } from '../player/plannedRequest'
-import type { LogFields } from '../shared/managedProcess'
 
 const GATEWAY_COUNT = 3
 const READY_TIMEOUT_MS = 15_000
@@ -45,13 +45,13 @@
 export async function runDemo (options: DemoOptions): Promise<boolean> {
   const folder = `examples/${options.deployment}`
   const config = loadConfig(folder)
-  const shareStarts = new Set<string>()
+  const decisions = new DecisionLog()
   const fleet = new FleetProcesses({
     config,
     folder,
     domains: DOMAINS[options.deployment],
     gatewayCount: GATEWAY_COUNT,
-    handleLog: fields => recordShareStart(fields, shareStarts)
+    handleLog: fields => decisions.record(fields)
   })
   try {
     await fleet.start()
@@ -61,7 +61,7 @@
     const records = await fleet.readRecords()
     const calls = await fleet.readPlatformCalls()
     const faults = await fleet.drain()
-    const record: RunRecord = { config, callers: [...probes, ...callers], ...records, shareStarts, decisions: new Map() }
+    const record: RunRecord = { config, callers: [...probes, ...callers], ...records, startDecisions: decisions.starts, refusalDecisions: decisions.refusals }
     print(formatClassTable(computeClassRows({ ...record, callers }, config, options.durationMs)))
     print(`platform calls: ${Object.entries(calls).map(([kind, count]) => `${kind} ${count}`).join(', ')}`)
     return reportFindings(record, faults)
@@ -76,10 +76,6 @@
   return compileFleetConfig(tree.value, 1)
 }
 
-function recordShareStart (fields: LogFields, shareStarts: Set<string>): void {
-  if (fields.event === 'started' && fields.rule === 'share') shareStarts.add(String(fields.attemptId))
-}
-
 /** Waits until every class is answered through every gateway; returns the requests that showed it. */
 async function waitForReady (fleet: FleetProcesses, config: FleetConfig, options: DemoOptions): Promise<CallerRecord[]> {
   const deadlineMs = Date.now() + READY_TIMEOUT_MS
--- a/tests/standins/invariantChecker.spec.ts
+++ b/tests/standins/invariantChecker.spec.ts
@@ -5,7 +5,7 @@
 
 import type { Endpoint, ServiceClass } from '../../src/config/fleetConfig'
 import type { CheckOptions } from '../../standins/checker/invariantChecker'
-import type { RunRecord } from '../../standins/checker/runRecord'
+import type { RefusalDecision, RunRecord, StartDecision } from '../../standins/checker/runRecord'
 import type { EngineRun } from '../../standins/engine/engineRecord'
 import type { CallerRecord, SendOutcome, SendRecord } from '../../standins/player/callerRecord'
 import type { PlannedRequest } from '../../standins/player/plannedRequest'
@@ -53,7 +53,8 @@
     const low = makeCaller('low', [makeSend(ANSWERED, 0, 300, 'req-2')], 'low')
     const start = { ...makeExecution(low, 150, 'req-2.1'), priority: 3 }
     expect(listKinds([shed, low], [start])).to.deep.equal(['shedForLowerTier'])
-    expect(listKinds([shed, low], [start], new Set(['req-2.1']))).to.deep.equal([])
+    expect(listKinds([shed, low], [start], { 'req-2.1': { startedAtMs: 150, byShare: true } })).to.deep.equal([])
+    expect(listKinds([shed, low], [start], { 'req-2.1': { startedAtMs: 90, byShare: false } })).to.deep.equal([])
     expect(listKinds([shed, low], [{ ...start, startedAtMs: 250 }])).to.deep.equal([])
     expect(listKinds([shed, low], [{ ...start, endpoint: 'other' }])).to.deep.equal([])
   })
@@ -76,14 +77,15 @@
   it('should find a refusal that came late or does not say whether the request was run', () => {
     const late = makeCaller('late', [makeSend(NOT_RUN, 0, 2000, 'req-1')])
     const vague = makeCaller('vague', [makeSend({ ...NOT_RUN, execution: 'perhaps' }, 0, 1, 'req-2')])
-    expect(listKinds([late, vague], [], new Set(), true)).to.deep.equal(['lateRefusal', 'refusedWithoutReason'])
-    const decisions = new Map([['req-1', { requestId: 'req-1', arrivedAtMs: 1, leftQueueAtMs: 1995, refusedAtMs: 1999 }]])
-    expect(checkRun({ ...makeRecord([late], []), decisions }, { ...CHECK, hadFaults: true })).to.deep.equal([])
+    expect(listKinds([late, vague], [], {}, true)).to.deep.equal(['lateRefusal', 'refusedWithoutReason'])
+    const displaced = { arrivedAtMs: 1400, leftQueueAtMs: 1995, refusedAtMs: 1999 }
+    expect(listKinds([late], [], {}, false, { 'req-1': displaced })).to.deep.equal([])
+    expect(listKinds([late], [], {}, false, { 'req-1': { ...displaced, arrivedAtMs: 1 } })).to.deep.equal(['lateRefusal'])
   })
 })
 
-function listKinds (callers: CallerRecord[], executions: ServiceExecution[], shareStarts = new Set<string>(), hadFaults = false): string[] {
-  const record = { ...makeRecord(callers, executions), shareStarts }
+function listKinds (callers: CallerRecord[], executions: ServiceExecution[], decisions: Record<string, StartDecision> = {}, hadFaults = false, refusals: Record<string, RefusalDecision> = {}): string[] {
+  const record = { ...makeRecord(callers, executions), startDecisions: new Map(Object.entries(decisions)), refusalDecisions: new Map(Object.entries(refusals)) }
   return checkRun(record, { ...CHECK, hadFaults }).map(finding => finding.kind)
 }
 
@@ -96,8 +98,8 @@
     callers,
     engines: [],
     services: [{ endpoint: 'desk-1', executions }],
-    shareStarts: new Set(),
-    decisions: new Map()
+    startDecisions: new Map(),
+    refusalDecisions: new Map()
   }
 }
 
