Keep the demo's logs on request, and tell a cut at the deadline from a loss

Cause: a trial of the whole path on a scratch copy showed callers that gave up before their class's deadline, cuts at the deadline judged as losses, and no way to look at the processes' logs.

--- a/standins/demo/fleetProcesses.ts
+++ b/standins/demo/fleetProcesses.ts
@@ -1,3 +1,5 @@
+import path from 'node:path'
+
 import { ManagedProcess } from '../shared/managedProcess'
 
 import type { Endpoint, FleetConfig } from '../../src/config/fleetConfig'
@@ -23,6 +25,8 @@
   folder: string
   domains: string[]
   gatewayCount: number
+  /** Folder for the log of each process; none are kept without it. */
+  logFolder?: string
   /** Called with each JSON line of the product's processes. */
   handleLog: (fields: LogFields) => void
 }
@@ -143,8 +147,13 @@
     await fetch(`${this.#platformUrl}/control/instances`, { method: 'POST', body })
   }
 
+  #getLogFile (name: string): string | undefined {
+    const { logFolder } = this.#options
+    return logFolder === undefined ? undefined : path.join(logFolder, `${name.replaceAll(' ', '-')}.log`)
+  }
+
   #startStandin (name: string, args: string[]): ManagedProcess {
-    const process = new ManagedProcess({ name, args: [STANDIN, ...args] })
+    const process = new ManagedProcess({ name, args: [STANDIN, ...args], logFile: this.#getLogFile(name) })
     this.#standins.push(process)
     return process
   }
@@ -153,6 +162,7 @@
     const process = new ManagedProcess({
       name,
       args: [PRODUCT, ...args],
+      logFile: this.#getLogFile(name),
       env: { TANAGERWICK_FLEET_SECRET: FLEET_SECRET },
       handleLog: this.#options.handleLog
     })
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -34,16 +34,19 @@
     deployment: { choices: DEPLOYMENTS, default: DEPLOYMENTS[0] },
     seed: { type: 'number', default: 1 },
     seconds: { type: 'number', default: 20, describe: 'length of the burst' },
+    logs: { type: 'string', describe: 'folder that receives the log of each process and the record of the run' },
     overload: { type: 'number', default: 2, describe: "tokens asked for, as a multiple of the engines' capacity" }
   }, async argv => {
     const isKept = await runDemo({
       deployment: argv.deployment,
       seed: argv.seed,
       durationMs: argv.seconds * 1000,
-      overload: argv.overload
+      overload: argv.overload,
+      logFolder: argv.logs
     })
     process.exitCode = isKept ? 0 : 1
   })
+  .fail((message, error) => { throw error ?? new Error(message) })
   .parseAsync()
   .catch((error: Error) => {
     process.stderr.write(`${error.message}\n`)
--- a/standins/player/callerClient.ts
+++ b/standins/player/callerClient.ts
@@ -8,16 +8,21 @@
 import type { PlannedRequest } from './plannedRequest'
 
 const MS_PER_SECOND = 1000
-const SILENCE_MS = 45_000
+
+export interface CallerClientOptions {
+  /** `host:port` of each gateway. */
+  gateways: string[]
+  /** Milliseconds without a byte after which a caller gives its connection up. */
+  silenceMs: number
+}
 
 /** Callers of several gateways, with a connection kept alive for each request at a time. */
 export class CallerClient {
   readonly #agent = new http.Agent({ keepAlive: true, noDelay: true })
-  readonly #gateways: string[]
+  readonly #options: CallerClientOptions
 
-  /** `gateways` are `host:port` addresses. */
-  constructor (gateways: string[]) {
-    this.#gateways = gateways
+  constructor (options: CallerClientOptions) {
+    this.#options = options
   }
 
   close (): void {
@@ -28,7 +33,7 @@
   async send (request: PlannedRequest, gateway: number): Promise<SendRecord> {
     const record = createSendRecord(gateway)
     try {
-      const response = await this.#open(request, this.#gateways[gateway]!)
+      const response = await this.#open(request, this.#options.gateways[gateway]!)
       record.requestId = response.headers['x-tanagerwick-request-id']?.toString() ?? null
       record.outcome = await readOutcome(request, response, record)
     } catch (error) {
@@ -41,9 +46,10 @@
   async #open (request: PlannedRequest, gateway: string): Promise<IncomingMessage> {
     const { method, path, body } = describeCall(request)
     const [host, port] = gateway.split(':')
+    const { silenceMs } = this.#options
     return await new Promise((resolve, reject) => {
       const call = http.request({ host, port, method, path, agent: this.#agent, headers: buildHeaders(request) }, resolve)
-      call.setTimeout(SILENCE_MS, () => call.destroy(new Error(`no byte from the gateway within ${SILENCE_MS} ms`)))
+      call.setTimeout(silenceMs, () => call.destroy(new Error(`no byte from the gateway within ${silenceMs} ms`)))
       call.on('error', reject)
       call.end(body)
     })
--- a/standins/player/loadPlayer.ts
+++ b/standins/player/loadPlayer.ts
@@ -3,15 +3,14 @@
 import { systemClock } from '../../src/base/clock'
 import { CallerClient } from './callerClient'
 
+import type { CallerClientOptions } from './callerClient'
 import type { CallerRecord, SendRecord } from './callerRecord'
 import type { PlannedRequest } from './plannedRequest'
 
 const RESEND_SPREAD = 0.25
 const LOST_ANSWER_RESEND_MS = 500
 
-export interface LoadPlayerOptions {
-  /** `host:port` of each gateway. */
-  gateways: string[]
+export interface LoadPlayerOptions extends CallerClientOptions {
   random: () => number
   /** Times that a caller sends one request again after a refusal or a loss. */
   maxResends: number
@@ -31,7 +30,7 @@
  * Plays a plan of requests against real gateways and records what each caller saw.
  *
  * @example
- * const player = new LoadPlayer({ gateways: ['127.0.0.1:8080'], random, maxResends: 2, lastSendMs: 20_000 })
+ * const player = new LoadPlayer({ gateways: ['127.0.0.1:8080'], silenceMs: 60_000, random, maxResends: 2, lastSendMs: 20_000 })
  * const records = await player.play(plan)
  */
 export class LoadPlayer {
@@ -42,7 +41,7 @@
 
   constructor (options: LoadPlayerOptions) {
     this.#options = options
-    this.#client = new CallerClient(options.gateways)
+    this.#client = new CallerClient(options)
   }
 
   getCounts (): PlayCounts {
--- a/standins/shared/managedProcess.ts
+++ b/standins/shared/managedProcess.ts
@@ -1,10 +1,12 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
+import { createWriteStream } from 'node:fs'
 import { createInterface } from 'node:readline'
 
 import { Progress } from '../../src/base/progress'
 
 import type { ChildProcess } from 'node:child_process'
+import type { WriteStream } from 'node:fs'
 
 const KEPT_LINES = 30
 
@@ -17,6 +19,8 @@
   /** Bundle and arguments that follow `node`. */
   args: string[]
   env?: Record<string, string>
+  /** File to which every line that the process writes is copied. */
+  logFile?: string
   /** Called with each JSON line that the process logs. */
   handleLog?: (fields: LogFields) => void
 }
@@ -28,6 +32,7 @@
   readonly #exit: Promise<number | null>
   readonly #lastLines: string[] = []
   readonly #handleLog: (fields: LogFields) => void
+  #logFile: WriteStream | null = null
   readonly #listeners: Array<(address: string) => void> = []
   readonly addresses: string[] = []
 
@@ -36,6 +41,7 @@
     this.#handleLog = options.handleLog ?? (() => {})
     this.#child = spawn(process.execPath, options.args, { env: { ...process.env, ...options.env }, stdio: ['ignore', 'pipe', 'pipe'] })
     this.#exit = once(this.#child, 'close').then(([code]) => code as number | null)
+    if (options.logFile !== undefined) this.#logFile = createWriteStream(options.logFile)
     createInterface({ input: this.#child.stdout! }).on('line', line => this.#handleLine(line))
     createInterface({ input: this.#child.stderr! }).on('line', line => this.#appendLine(line))
   }
@@ -89,6 +95,7 @@
   }
 
   #appendLine (line: string): void {
+    this.#logFile?.write(`${line}\n`)
     this.#lastLines.push(line)
     if (this.#lastLines.length > KEPT_LINES) this.#lastLines.shift()
   }
--- a/tests/standins/invariantChecker.spec.ts
+++ b/tests/standins/invariantChecker.spec.ts
@@ -29,6 +29,14 @@
     expect(kinds).to.deep.equal(['wrongAnswer', 'lostAnswer', 'answeredWithoutStart'])
   })
 
+  it('should allow an answer to be cut at its deadline, and not before', () => {
+    const cut: SendOutcome = { kind: 'refused', status: 200, code: 'deadline_exceeded', execution: 'may_have_run', retryAfterMs: null }
+    const late = makeCaller('late', [makeSend(cut, 0, 1000, 'req-1')])
+    const early = makeCaller('early', [makeSend(cut, 0, 500, 'req-2')])
+    expect(listKinds([late], [makeExecution(late, 5, 'req-1.1')])).to.deep.equal([])
+    expect(listKinds([early], [makeExecution(early, 5, 'req-2.1')])).to.deep.equal(['lostAnswer'])
+  })
+
   it('should find a second execution of a non-idempotent request', () => {
     const caller = makeCaller('a', [makeSend(ANSWERED, 0, 10, 'req-1')])
     expect(listKinds([caller], [makeExecution(caller, 2, 'req-1.1'), makeExecution(caller, 4, 'req-1.2')])).to.deep.equal(['duplicateExecution'])
