--- a/standins/checker/invariantChecker.ts
+++ b/standins/checker/invariantChecker.ts
@@ -112,7 +112,7 @@
 function checkPreemption (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
   const deadlineMs = getDeadlineMs(caller, record)
   const cut = starts.filter(start => start.state === 'cancelled' && start.endedAtMs! - start.startedAtMs < deadlineMs)
-  const early = cut.filter(start => !caller.sends.some(send => send.sentAtMs + deadlineMs - options.clockMarginMs <= start.endedAtMs!))
+  const early = cut.filter(start => !caller.sends.some(send => send.sentAtMs + LATE_FRACTION * deadlineMs <= start.endedAtMs!))
   if (options.hadFaults) return []
   return early.map(start => createFinding('preempted', caller, `cancelled on ${start.endpoint} ${start.endedAtMs! - start.startedAtMs} ms after its start`))
 }
