--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -1,3 +1,5 @@
+import { measureConfigPath } from './configPath'
 import { measureControlPath } from './controlPath'
 
+await measureConfigPath()
 await measureControlPath()
