--- /dev/null
+++ b/bench/dataPath.ts
@@ -0,0 +1,171 @@
+import { BENCH_KEY, BENCH_MODEL, startBenchFleet } from './shared/benchFleet'
+import { computeLinearFit } from './shared/linearFit'
+import { formatNumber, printMeasurements, printTable } from './shared/measuredTable'
+import { computeUsageRate, readProcessUsage, toProcessorMsPerSecond } from './shared/processUsage'
+import { readPercentileMs, StreamLoad } from './shared/streamLoad'
+
+import type { BenchFleet } from './shared/benchFleet'
+import type { Measurement } from './shared/measuredTable'
+import type { UsageRate } from './shared/processUsage'
+import type { StreamWindow } from './shared/streamLoad'
+
+/** One load on a fleet: how many streams, and how long their answers may be. */
+interface LoadShape {
+  streams: number
+  maxTokens: number
+  rampMs: number
+  warmMs: number
+  windowMs: number
+}
+
+/** What one load showed. */
+interface LoadResult {
+  via: StreamWindow
+  direct: StreamWindow
+  gateway: UsageRate
+  /** The first sidecar's usage. */
+  sidecar: UsageRate
+}
+
+const TOKEN_INTERVAL_MS = 53
+const FIRST_TOKEN_TARGET_MS = 710
+/** Added time may be a tenth of the targets. */
+const MAX_ADDED_FIRST_MS = FIRST_TOKEN_TARGET_MS / 10
+const MAX_ADDED_BETWEEN_MS = TOKEN_INTERVAL_MS / 10
+/** Mean answers of the stand-in are 0.214 of this long: 403 tokens, so that 427 streams take 20 requests a second. */
+const LONG_ANSWER_TOKENS = 1885
+const SHORT_ANSWER_TOKENS = 64
+const DIRECT_STREAMS = 48
+const DIRECT_TOKENS = 64
+const PERCENTILES = [50, 95, 99]
+const US_PER_MS = 1000
+const STREAM_COUNTS = [107, 213, 427]
+
+const isGatewayKept = await measureGateway()
+const isSidecarKept = await measureSidecar()
+process.exitCode = isGatewayKept && isSidecarKept ? 0 : 1
+
+/** One gateway before 16 engines, at three loads of long answers and one of short ones. */
+async function measureGateway (): Promise<boolean> {
+  const fleet = await startBenchFleet({ engines: 16, enginesPerProcess: 4, slots: 40, stepMs: TOKEN_INTERVAL_MS })
+  try {
+    const results: LoadResult[] = []
+    for (const streams of STREAM_COUNTS) {
+      results.push(await measureLoad(fleet, { streams, maxTokens: LONG_ANSWER_TOKENS, rampMs: 6_000, warmMs: 12_000, windowMs: streams === 427 ? 24_000 : 12_000 }))
+    }
+    const full = results.at(-1)!
+    results.push(await measureLoad(fleet, { streams: 64, maxTokens: SHORT_ANSWER_TOKENS, rampMs: 1_000, warmMs: 3_000, windowMs: 10_000 }))
+    printLoads('Gateway at four loads', results, result => result.gateway)
+    printSlopes('gateway', results, result => result.gateway)
+    return printMeasurements('Gateway: 427 streams, 8,056 tokens/s, 20 requests/s', [...listLoad(full), ...listUsage('gateway', full.gateway), ...listAdded(full)])
+  } finally {
+    await fleet.stop()
+  }
+}
+
+/** One sidecar whose engine has 256 streams. */
+async function measureSidecar (): Promise<boolean> {
+  const fleet = await startBenchFleet({ engines: 1, enginesPerProcess: 1, slots: 256, stepMs: TOKEN_INTERVAL_MS })
+  try {
+    const results: LoadResult[] = []
+    for (const streams of [64, 128, 256]) {
+      results.push(await measureLoad(fleet, { streams, maxTokens: LONG_ANSWER_TOKENS, rampMs: 4_000, warmMs: 8_000, windowMs: 10_000 }))
+    }
+    const full = results.at(-1)!
+    results.push(await measureLoad(fleet, { streams: 64, maxTokens: SHORT_ANSWER_TOKENS, rampMs: 1_000, warmMs: 3_000, windowMs: 10_000 }))
+    printLoads('Sidecar at four loads', results, result => result.sidecar)
+    printSlopes('sidecar', results, result => result.sidecar)
+    return printMeasurements('Sidecar: 256 streams, 4,834 tokens/s, all from one engine', [...listLoad(full), ...listUsage('sidecar', full.sidecar), ...listAdded(full)])
+  } finally {
+    await fleet.stop()
+  }
+}
+
+async function measureLoad (fleet: BenchFleet, shape: LoadShape): Promise<LoadResult> {
+  const via = createLoad(fleet.gateway.addresses, shape.streams, shape.maxTokens, shape.rampMs)
+  const direct = createLoad(fleet.engineAddresses, DIRECT_STREAMS, DIRECT_TOKENS, shape.rampMs)
+  via.start()
+  direct.start()
+  await new Promise(resolve => setTimeout(resolve, shape.warmMs))
+  via.reset()
+  direct.reset()
+  const pids = [fleet.gateway.pid, fleet.sidecars[0]!.pid]
+  const before = pids.map(readProcessUsage)
+  await new Promise(resolve => setTimeout(resolve, shape.windowMs))
+  const usage = pids.map((pid, index) => computeUsageRate(before[index]!, readProcessUsage(pid)))
+  const result = { via: via.readWindow(), direct: direct.readWindow(), gateway: usage[0]!, sidecar: usage[1]! }
+  via.stop()
+  direct.stop()
+  if (result.via.failures > 0) process.stdout.write(`last failure: ${via.getLastFailure()}\n`)
+  await new Promise(resolve => setTimeout(resolve, 1_000))
+  return result
+}
+
+function createLoad (addresses: string[], streams: number, maxTokens: number, rampMs: number): StreamLoad {
+  return new StreamLoad({
+    addresses,
+    streams,
+    rampMs,
+    headers: { authorization: `Bearer ${BENCH_KEY}` },
+    buildBody: sequence => JSON.stringify({
+      model: BENCH_MODEL,
+      stream: true,
+      max_tokens: maxTokens,
+      messages: [{ role: 'user', content: `request ${sequence} of ${maxTokens}` }]
+    })
+  })
+}
+
+function listLoad ({ via }: LoadResult): Measurement[] {
+  return [
+    { name: 'tokens', value: via.tokens / via.seconds, unit: '/s' },
+    { name: 'new requests', value: via.requests / via.seconds, unit: '/s' },
+    { name: 'failed requests', value: via.failures, unit: '', limit: 0 }
+  ]
+}
+
+function listUsage (name: string, usage: UsageRate): Measurement[] {
+  return [
+    { name: `${name}: processor`, value: usage.coreShare * 100, unit: '% of a core' },
+    { name: `${name}: resident memory`, value: usage.residentMb, unit: 'MB' }
+  ]
+}
+
+/** Percentiles through the product less those of the same stand-ins asked directly in the same time. */
+function listAdded ({ via, direct }: LoadResult): Measurement[] {
+  const rows: Measurement[] = []
+  for (const percentile of PERCENTILES) {
+    const value = readPercentileMs(via.firstToken, percentile) - readPercentileMs(direct.firstToken, percentile)
+    rows.push({ name: `first token: added p${percentile}`, value, unit: 'ms', limit: percentile === 95 ? MAX_ADDED_FIRST_MS : undefined })
+  }
+  for (const percentile of PERCENTILES) {
+    const value = readPercentileMs(via.betweenTokens, percentile) - readPercentileMs(direct.betweenTokens, percentile)
+    rows.push({ name: `between tokens: added p${percentile}`, value, unit: 'ms', limit: percentile === 95 ? MAX_ADDED_BETWEEN_MS : undefined })
+  }
+  return rows
+}
+
+function printLoads (title: string, results: LoadResult[], getUsage: (result: LoadResult) => UsageRate): void {
+  const headings = ['requests/s', 'tokens/s', 'core %', 'MB', 'first p95 ms', 'direct', 'between p95 ms', 'direct', 'failures']
+  printTable(title, headings, results.map(result => {
+    const { via, direct } = result
+    const usage = getUsage(result)
+    return [
+      via.requests / via.seconds, via.tokens / via.seconds, usage.coreShare * 100, usage.residentMb,
+      readPercentileMs(via.firstToken, 95), readPercentileMs(direct.firstToken, 95),
+      readPercentileMs(via.betweenTokens, 95), readPercentileMs(direct.betweenTokens, 95), via.failures
+    ].map(formatNumber)
+  }))
+}
+
+/** Fits processor time to requests and tokens over the loads. */
+function printSlopes (name: string, results: LoadResult[], getUsage: (result: LoadResult) => UsageRate): void {
+  const inputs = results.map(({ via }) => [via.requests / via.seconds, via.tokens / via.seconds])
+  const outputs = results.map(result => toProcessorMsPerSecond(getUsage(result)))
+  const [constant, perRequest, perToken] = computeLinearFit(inputs, outputs) as [number, number, number]
+  printMeasurements(`Slopes of the ${name}'s processor time`, [
+    { name: 'constant', value: constant, unit: 'ms/s' },
+    { name: 'per request', value: perRequest, unit: 'ms' },
+    { name: 'per token', value: perToken * US_PER_MS, unit: 'us' }
+  ])
+}
