--- a/bench/shared/benchFleet.ts
+++ b/bench/shared/benchFleet.ts
@@ -63,13 +63,10 @@
   while (addresses.length < options.engines) {
     const count = Math.min(options.enginesPerProcess, options.engines - addresses.length)
     const names = Array.from({ length: count }, (_, index) => `engine-${addresses.length + index}`)
-    const engine = await children.start({
-      args: [
-        STANDIN, 'engine', '--model', BENCH_MODEL, '--slots', String(options.slots * 2), '--step-ms', String(options.stepMs),
-        '--step-ms-per-request', '0', ...names.flatMap(name => ['--name', name])
-      ],
-      addressCount: count
-    })
+    const specs = names.map(name => ({
+      kind: 'engine', name, models: [BENCH_MODEL], slots: options.slots * 2, stepMs: options.stepMs, stepMsPerRequest: 0
+    }))
+    const engine = await children.start({ args: [STANDIN, 'endpoints', '--spec', JSON.stringify(specs)], addressCount: count })
     addresses.push(...engine.addresses)
   }
   return addresses
--- a/scripts/checkBinary.mjs
+++ b/scripts/checkBinary.mjs
@@ -31,7 +31,7 @@
 async function checkBinary () {
   for (const flag of ['--version', '--help']) execFileSync(BINARY, [flag], { stdio: 'ignore' })
   const platformUrl = `http://${await startChild(process.execPath, [STANDIN, 'platform'])}`
-  const engine = await startChild(process.execPath, [STANDIN, 'engine', '--name', 'engine-1', '--model', 'small', '--step-ms', '2'])
+  const engine = await startChild(process.execPath, [STANDIN, 'endpoints', '--spec', JSON.stringify([{ kind: 'engine', name: 'engine-1', models: ['small'], stepMs: 2 }])])
   writeConfig()
   execFileSync(BINARY, ['config', 'apply', folder, '--platform', platformUrl], { env: environment, stdio: ['ignore', 'ignore', 'inherit'] })
   const common = ['--listen', '127.0.0.1:0', '--domain', 'a', '--platform', platformUrl]
