--- a/src/config/configSource.ts
+++ b/src/config/configSource.ts
@@ -5,7 +5,7 @@
   /** The whole configuration in force, or null before the first. */
   getCurrent (): FleetConfig | null
   /** Calls `listener` with each configuration that comes into force; returns a function that stops this. */
-  watch (listener: (config: FleetConfig) => void): () => void
+  watchConfig (listener: (config: FleetConfig) => void): () => void
   /** Says that the process at `address` has `generation` in force. */
   notifyGeneration (generation: number, address: string): void
 }
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -66,7 +66,7 @@
   readonly #progress: Progress
   readonly #assembly: AnswerAssembly
   readonly #offers = new OfferLog()
-  #plan: OfferPlan
+  readonly #plan: OfferPlan
   #resets = 0
   #attemptNumber = 0
   #mayHaveRun = false
@@ -76,7 +76,7 @@
     this.#request = request
     this.#answer = answer
     this.#progress = progress
-    this.#plan = options.view.createPlan(request, request.arrivedAtMs)
+    this.#plan = options.view.createPlan(request)
     this.#assembly = new AnswerAssembly(answer, { mode: request.target.kind === 'chat' ? 'resumed' : 'whole' })
   }
 
@@ -134,8 +134,11 @@
       case 'keyReused':
         return this.#refuse(this.#createRefusal())
       case 'displaced':
+        if (this.#takeReset()) this.#plan.recordDisplaced(this.#options.clock.getMonotonicMs())
+        return 'goOn'
       case 'fenced':
-        return this.#resetPlan()
+        if (this.#takeReset()) this.#plan.recordLost(this.#options.clock.getMonotonicMs())
+        return 'goOn'
       case 'cannotMeetDeadline':
         this.#plan.recordRefusal(offer, end.retryAfterMs, this.#options.clock.getMonotonicMs())
         return 'goOn'
@@ -151,21 +154,14 @@
     if (end.kind === 'failed') this.#options.adoptCrashCount(this.#request.fingerprint, end.crashCount)
     if (!this.#options.takeRetry(this.#request.serviceClass.name)) return this.#refuse(createLostRefusal(end))
     this.#options.observer.recordRetry(this.#request, this.#getAttemptId(), `${offer.view.name}: ${end.reason}`)
-    return this.#renewPlan()
-  }
-
-  /** An answer that was cut may wait for its continuation as long as a new request for its start. */
-  #renewPlan (): 'goOn' {
-    this.#resets += 1
-    if (this.#resets <= MAX_RESETS) this.#plan = this.#options.view.createPlan(this.#request, this.#options.clock.getMonotonicMs())
+    if (this.#takeReset()) this.#plan.recordLost(this.#options.clock.getMonotonicMs())
     return 'goOn'
   }
 
-  /** Asks every endpoint anew, a bounded number of times. */
-  #resetPlan (): 'goOn' {
+  /** All endpoints are asked anew a bounded number of times. */
+  #takeReset (): boolean {
     this.#resets += 1
-    if (this.#resets <= MAX_RESETS) this.#plan.reset()
-    return 'goOn'
+    return this.#resets <= MAX_RESETS
   }
 
   #createRefusal (): Refusal {
@@ -206,7 +202,7 @@
       tier: request.serviceClass.tier,
       remainingMs: Math.max(0, request.serviceClass.deadlineMs - elapsedMs - DEADLINE_MARGIN_MS),
       startWithinMs: offer.startWithinMs,
-      firstTokenRemainingMs: request.serviceClass.firstTokenTargetMs - elapsedMs,
+      firstTokenRemainingMs: offer.firstTokenWithinMs,
       idempotent: request.idempotent,
       idempotencyKey: request.idempotencyKey,
       fingerprint: request.fingerprint,
--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -62,8 +62,8 @@
     this.#updatePlacements()
   }
 
-  /** Plans the offers of `request`, whose first token target counts from `sinceMs`, to the endpoints that may serve it. */
-  createPlan (request: CallerRequest, sinceMs: number): OfferPlan {
+  /** Plans the offers of `request` to the endpoints that may serve it. */
+  createPlan (request: CallerRequest): OfferPlan {
     const target = toTargetName(request.target)
     const { serviceClass, arrivedAtMs } = request
     const choice = {
@@ -71,7 +71,7 @@
       betweenTokensTargetMs: serviceClass.betweenTokensTargetMs,
       affinity: this.table.findAffinity(target, toPrefix(request))
     }
-    const times = { arrivedAtMs: sinceMs, firstTokenDueMs: sinceMs + serviceClass.firstTokenTargetMs, deadlineMs: arrivedAtMs + serviceClass.deadlineMs }
+    const times = { arrivedAtMs, firstTokenDueMs: arrivedAtMs + serviceClass.firstTokenTargetMs, deadlineMs: arrivedAtMs + serviceClass.deadlineMs }
     const options = { ...DEFAULT_CHOOSER_OPTIONS, localDomain: this.#options.localDomain }
     return new OfferPlan(choice, times, this.table.getViews(target), this.#options.random, options)
   }
--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -67,7 +67,7 @@
     })
     this.#directory = new MembershipDirectory({ service })
     this.#directory.watch(() => this.#view.setSidecars(this.#directory.listSidecars()))
-    config.watch(current => this.#adoptConfig(current))
+    config.watchConfig(current => this.#adoptConfig(current))
     this.#server = this.#createServer()
     this.#registerDumps()
   }
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -225,7 +225,7 @@
   #computeStartByMs (attempt: Attempt, nowMs: number): number {
     const runMs = this.#openDurations(attempt.params.className).getQuantile(START_BY_QUANTILE, INITIAL_RUN_MS)
     const latestMs = nowMs + attempt.getRemainingMs(nowMs)
-    return Math.min(nowMs + attempt.params.startWithinMs, Math.max(nowMs, latestMs - runMs))
+    return Math.min(nowMs + attempt.params.startWithinMs, latestMs - runMs)
   }
 
   #openDurations (className: string): DurationDistribution {
--- a/src/sidecar/endpointSlots.ts
+++ b/src/sidecar/endpointSlots.ts
@@ -3,8 +3,8 @@
 import type { Clock } from '../base/clock'
 
 const TARGET_INTERVAL_MS = 53
-const RESERVED_TIER = 2
-const RESERVED_FRACTION = 0.1
+const RESERVED_TIER = 3
+const RESERVED_FRACTION = 0.15
 
 export interface EndpointSlotsOptions {
   clock: Clock
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -114,7 +114,7 @@
   /** Starts to serve; returns the `host:port` in use. */
   async start (): Promise<string> {
     const { settings, service, config } = this.#options
-    config.watch(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
+    config.watchConfig(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
     await this.#monitor.start()
     this.#keeper.start()
     const address = await this.#listener.listen(settings.listen)
