Wire placements, crash records and upkeep; failure tests of platform and draining

Cause: orders under the lease, shared crash records and the removal of expired objects had no owner in the processes. Change: PlacementKeeper with an order sender, PoisonRegistry in both roles, Upkeep at one gateway at a time. A new sidecar assumed a release of a slot each 200 ms and refused work it could have started; it now assumes 50 ms until it has seen some. Ruled out: waiting for a first release before any refusal (an overloaded start would fill the queue).

--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -31,6 +31,8 @@
   takeRetry: (className: string) => boolean
   /** Told of the generation that a sidecar has in force. */
   onGeneration: (generation: number, address: string) => void
+  /** Whether a fingerprint has crashed as many endpoints as it may. */
+  isPoisoned: (fingerprint: string) => boolean
   /** Endpoint crashes known under a fingerprint. */
   getCrashCount: (fingerprint: string) => number
   /** Takes over the crashes that a sidecar counted under a fingerprint. */
@@ -81,6 +83,12 @@
   }
 
   async run (): Promise<void> {
+    if (this.#options.isPoisoned(this.#request.fingerprint)) this.#offers.recordNotRun('poison', 0)
+    else await this.#runOffers()
+    if (!this.#answer.hasEnded) this.#refuse(this.#createRefusal())
+  }
+
+  async #runOffers (): Promise<void> {
     while (!this.#progress.signal.aborted && !this.#answer.hasEnded) {
       const offer = this.#plan.takeNext(this.#options.clock.getMonotonicMs())
       if (offer === null) break
@@ -89,7 +97,6 @@
       const end = await this.#runAttempt(target, offer)
       if (this.#decideNext(offer, end) === 'done') return
     }
-    this.#refuse(this.#createRefusal())
   }
 
   async #runAttempt (target: OfferTarget, offer: PlannedOffer): Promise<AttemptEnd> {
--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -5,8 +5,8 @@
 import { Progress } from '../base/progress'
 import { StateDump } from '../base/stateDump'
 import { MembershipDirectory } from '../platform/membershipDirectory'
+import { PoisonRegistry } from '../platform/poisonRegistry'
 import { Registration } from '../platform/registration'
-import { PoisonTracker } from '../policy/poisonTracker'
 import { RateLimiter } from '../policy/rateLimiter'
 import { RetryBudget } from '../policy/retryBudget'
 import { RPC_PATH } from '../protocol/attemptMessages'
@@ -15,10 +15,11 @@
 import { FleetRelay } from './fleetRelay'
 import { FleetView } from './fleetView'
 import { RelayLog } from './relayLog'
+import { Upkeep } from './upkeep'
 
 import type { Logger } from 'tslog'
 import type { ConfigSource } from '../config/configSource'
-import type { FleetConfig, Workspace } from '../config/fleetConfig'
+import type { Workspace } from '../config/fleetConfig'
 import type { GatewaySettings } from '../config/processSettings'
 import type { ObjectService } from '../platform/objectService'
 import type { RpcServer } from '../protocol/rpcServer'
@@ -27,9 +28,6 @@
 const PATIENCE = { firstMessageMs: 400, silenceMs: 3000 }
 const DRAIN_TIMEOUT_MS = 600_000
 const LEAVE_TIMEOUT_MS = 2000
-const POISON_EXPIRY_MS = 3_600_000
-const MAX_FINGERPRINTS = 10_000
-const DEFAULT_CRASH_LIMIT = 3
 
 export interface GatewayProcessOptions {
   settings: GatewaySettings
@@ -50,8 +48,8 @@
   readonly #server: CallerServer
   readonly #limiter = new RateLimiter()
   readonly #budget = new RetryBudget()
-  readonly #poisonLimits = { crashLimit: DEFAULT_CRASH_LIMIT, expiryMs: POISON_EXPIRY_MS, maxFingerprints: MAX_FINGERPRINTS }
-  readonly #poison = new PoisonTracker(this.#poisonLimits)
+  readonly #crashes: PoisonRegistry
+  readonly #upkeep: Upkeep
   #address = ''
   #registration: Registration | null = null
 
@@ -66,8 +64,16 @@
       random: Math.random
     })
     this.#directory = new MembershipDirectory({ service })
+    this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
+    this.#upkeep = new Upkeep({
+      service,
+      holder: `${settings.id}/${this.#epoch}`,
+      getConfig: () => config.getCurrent(),
+      crashes: this.#crashes,
+      onError: error => this.#reportError(error)
+    })
     this.#directory.watch(() => this.#view.setSidecars(this.#directory.listSidecars()))
-    config.watchConfig(current => this.#adoptConfig(current))
+    config.watchConfig(current => this.#view.setConfig(current))
     this.#server = this.#createServer()
     this.#registerDumps()
   }
@@ -76,6 +82,8 @@
   async start (): Promise<string> {
     const { settings, service } = this.#options
     this.#directory.start()
+    this.#crashes.start()
+    this.#upkeep.start()
     const { host, port } = await this.#server.listen(settings.listen)
     this.#address = `${host}:${port}`
     this.#registration = new Registration({
@@ -90,8 +98,7 @@
   async drain (): Promise<void> {
     const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
     await this.#server.drain(new Progress({ title: 'draining the gateway', timeoutMs: DRAIN_TIMEOUT_MS }))
-    await leaving
-    await this.#directory.stop()
+    await Promise.all([leaving, this.#directory.stop(), this.#crashes.stop(), this.#upkeep.stop()])
     this.#view.close()
   }
 
@@ -122,8 +129,9 @@
       getConfigGeneration: () => config.getCurrent()?.generation ?? 0,
       takeRetry: className => this.#budget.acquire(className, systemClock.getMonotonicMs()),
       onGeneration: (generation, address) => config.notifyGeneration(generation, address),
-      getCrashCount: fingerprint => this.#poison.getCrashCount(fingerprint, systemClock.getMonotonicMs()),
-      adoptCrashCount: (fingerprint, count) => this.#poison.adoptCrashCount(fingerprint, count, systemClock.getMonotonicMs())
+      isPoisoned: fingerprint => this.#crashes.isPoisoned(fingerprint, config.getCurrent()?.settings.poisonCrashLimit ?? Infinity),
+      getCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
+      adoptCrashCount: (fingerprint, count) => this.#crashes.mergeCount(fingerprint, count)
     })
   }
 
@@ -142,9 +150,8 @@
     }
   }
 
-  #adoptConfig (config: FleetConfig): void {
-    this.#poisonLimits.crashLimit = config.settings.poisonCrashLimit
-    this.#view.setConfig(config)
+  #reportError (error: unknown): void {
+    this.#options.logger.warn({ event: 'backgroundError', message: String(error).slice(0, 500) })
   }
 
   #registerDumps (): void {
@@ -152,6 +159,7 @@
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
     this.#dump.register('gateway', () => ({ id: settings.id, epoch: this.#epoch, address: this.#address, inFlight: this.#server.countInFlight() }))
     this.#dump.register('membership', () => this.#directory.getStatus())
+    this.#dump.register('crashes', () => this.#crashes.listRecords())
     this.#dump.register('endpoints', () => this.#view.table.listViews())
   }
 }
--- /dev/null
+++ b/src/gateway/upkeep.ts
@@ -0,0 +1,62 @@
+import { Progress } from '../base/progress'
+import { ClaimSweeper } from '../platform/claimSweeper'
+import { Lease } from '../platform/lease'
+import { Maintenance } from '../platform/maintenance'
+
+import type { FleetConfig } from '../config/fleetConfig'
+import type { MaintenanceJob } from '../platform/maintenance'
+import type { ObjectService } from '../platform/objectService'
+import type { PoisonRegistry } from '../platform/poisonRegistry'
+
+const LEASE_NAME = 'upkeep'
+const LEASE_TERM_MS = 120_000
+const CRASH_SWEEP_PERIOD_MS = 600_000
+const CRASH_SWEEP_MAX = 50
+const RELEASE_TIMEOUT_MS = 2000
+const DEFAULT_RETENTION_MS = 86_400_000
+
+export interface UpkeepOptions {
+  service: ObjectService
+  /** This process: its id and epoch. */
+  holder: string
+  getConfig: () => FleetConfig | null
+  crashes: PoisonRegistry
+  onError: (error: unknown) => void
+}
+
+/** Removes expired objects from the platform, at one gateway of the fleet at a time. */
+export class Upkeep {
+  readonly #lease: Lease
+  readonly #maintenance: Maintenance
+
+  constructor (options: UpkeepOptions) {
+    const { service, holder, getConfig, crashes, onError } = options
+    this.#lease = new Lease({ service, name: LEASE_NAME, holder, termMs: LEASE_TERM_MS, onError })
+    const claims = new ClaimSweeper({
+      service,
+      listWorkspaces: () => [...getConfig()?.workspaces.keys() ?? []],
+      getRetentionMs: () => getConfig()?.settings.claimRetentionMs ?? DEFAULT_RETENTION_MS
+    })
+    this.#maintenance = new Maintenance({ lease: this.#lease, jobs: [claims, createCrashSweep(crashes)], onError })
+  }
+
+  start (): void {
+    this.#lease.start()
+    this.#maintenance.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#maintenance.stop()
+    await this.#lease.stop(new Progress({ title: 'releasing the lease for upkeep', timeoutMs: RELEASE_TIMEOUT_MS }))
+  }
+}
+
+function createCrashSweep (crashes: PoisonRegistry): MaintenanceJob {
+  return {
+    title: 'removing expired crash records',
+    runStep: async progress => {
+      await crashes.removeExpired(CRASH_SWEEP_MAX, progress)
+      return CRASH_SWEEP_PERIOD_MS
+    }
+  }
+}
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -11,7 +11,7 @@
 
 const COMMAND_BUFFER = 4096
 const MAX_TIMER_MS = 1000
-const INITIAL_RELEASE_INTERVAL_MS = 200
+const INITIAL_RELEASE_INTERVAL_MS = 50
 const START_BY_QUANTILE = 0.9
 const INITIAL_RUN_MS = 1000
 
--- a/src/sidecar/endpointGuard.ts
+++ b/src/sidecar/endpointGuard.ts
@@ -18,6 +18,10 @@
   getConfig: () => FleetConfig | null
   isEndpointUp: () => boolean
   isLeaving: () => boolean
+  /** Whether the endpoint is known not to have a model loaded. */
+  isModelMissing: (model: string) => boolean
+  /** Crashes that the fleet knows of under a fingerprint. */
+  getSharedCrashCount: (fingerprint: string) => number
   listRunning: () => Attempt[]
 }
 
@@ -37,7 +41,7 @@
     const config = getConfig()
     if (config === null) return createNotRun('configurationMissing', UP_RETRY_MS)
     if (isLeaving()) return createNotRun('draining', 0)
-    if (!isPlaced(this.#findEndpoint(config), attempt.params.target)) return createNotRun('modelNotPlaced', UP_RETRY_MS)
+    if (!this.#isServed(config, attempt.params.target)) return createNotRun('modelNotPlaced', UP_RETRY_MS)
     if (!isEndpointUp()) return createNotRun('endpointUnavailable', UP_RETRY_MS)
     return this.#checkPoison(attempt.params)
   }
@@ -67,8 +71,14 @@
     this.#limits.crashLimit = crashLimit
   }
 
+  #isServed (config: FleetConfig, target: AttemptTarget): boolean {
+    if (!isPlaced(this.#findEndpoint(config), target)) return false
+    return target.kind === 'service' || !this.#options.isModelMissing(target.model)
+  }
+
   #checkPoison (params: SubmitAttempt): AttemptOutcome | null {
     const nowMs = this.#getNowMs()
+    this.#tracker.adoptCrashCount(params.fingerprint, this.#options.getSharedCrashCount(params.fingerprint), nowMs)
     if (this.#tracker.getVerdict(params.fingerprint, nowMs) === 'refused') return createNotRun('poison', 0)
     if (this.#tracker.canStartBeside(params.fingerprint, this.#listRunningFingerprints(), nowMs)) return null
     return createNotRun('queueFull', CONFINED_RETRY_MS)
--- /dev/null
+++ b/src/sidecar/placementKeeper.ts
@@ -0,0 +1,70 @@
+import { Progress } from '../base/progress'
+import { FencedOrders } from '../platform/fencedOrders'
+import { Lease } from '../platform/lease'
+import { createOrderSender } from './endpoint/orderSender'
+
+import type { FleetConfig } from '../config/fleetConfig'
+import type { ObjectService } from '../platform/objectService'
+
+const RELEASE_TIMEOUT_MS = 2000
+
+export interface PlacementKeeperOptions {
+  service: ObjectService
+  endpointName: string
+  endpointAddress: string
+  /** This process: its id and epoch. */
+  holder: string
+  /** Whether requests run on a model, so that it must not be unloaded. */
+  isModelUsed: (model: string) => boolean
+  onError: (error: unknown) => void
+}
+
+/** Keeps the endpoint's models and role as configured, by orders under the endpoint's lease. */
+export class PlacementKeeper {
+  readonly #options: PlacementKeeperOptions
+  readonly #lease: Lease
+  readonly #orders: FencedOrders
+
+  constructor (options: PlacementKeeperOptions) {
+    this.#options = options
+    const { service, endpointName, endpointAddress, holder, onError } = options
+    this.#lease = new Lease({ service, name: `endpoint-${endpointName}`, holder, onError })
+    this.#orders = new FencedOrders({
+      lease: this.#lease,
+      sendOrder: createOrderSender(endpointAddress),
+      canUnload: model => !options.isModelUsed(model),
+      onError
+    })
+  }
+
+  start (): void {
+    this.#lease.start()
+    this.#orders.start()
+  }
+
+  setConfig (config: FleetConfig): void {
+    this.#orders.setDesired(config.endpoints.get(this.#options.endpointName) ?? null)
+  }
+
+  /** Forgets what was loaded, after the endpoint was restarted. */
+  reset (): void {
+    this.#orders.reset()
+  }
+
+  /** Whether the endpoint is known not to have `model` loaded. */
+  isModelMissing (model: string): boolean {
+    const { placement } = this.#orders.getStatus()
+    return placement !== null && !placement.models.includes(model)
+  }
+
+  /** Gives the lease up; it is left to lapse when an order may still be on its way. */
+  async stop (): Promise<void> {
+    const outcome = await this.#orders.stop()
+    if (outcome === 'uncertain') await this.#lease.detach()
+    else await this.#lease.stop(new Progress({ title: 'releasing the endpoint\'s lease', timeoutMs: RELEASE_TIMEOUT_MS }))
+  }
+
+  getStatus (): { lease: ReturnType<Lease['getStatus']>, orders: ReturnType<FencedOrders['getStatus']> } {
+    return { lease: this.#lease.getStatus(), orders: this.#orders.getStatus() }
+  }
+}
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -7,6 +7,7 @@
 import { StateDump } from '../base/stateDump'
 import { Registration } from '../platform/registration'
 import { ClaimStore } from '../platform/claimStore'
+import { PoisonRegistry } from '../platform/poisonRegistry'
 import { RPC_PATH } from '../protocol/attemptMessages'
 import { RpcServer } from '../protocol/rpcServer'
 import { AttemptKeeper } from './attemptKeeper'
@@ -18,11 +19,13 @@
 import { EndpointMonitor } from './endpoint/endpointMonitor'
 import { EngineClient } from './endpoint/engineClient'
 import { ServiceClient } from './endpoint/serviceClient'
+import { PlacementKeeper } from './placementKeeper'
 import { PlatformClaimGate } from './platformClaimGate'
 import { SidecarRpc } from './sidecarRpc'
 
 import type { Logger } from 'tslog'
 import type { ConfigSource } from '../config/configSource'
+import type { FleetConfig } from '../config/fleetConfig'
 import type { SidecarSettings } from '../config/processSettings'
 import type { ObjectService } from '../platform/objectService'
 import type { SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
@@ -58,6 +61,8 @@
   readonly #dispatcher: Dispatcher
   readonly #keeper: AttemptKeeper
   readonly #claims: ClaimStore
+  readonly #crashes: PoisonRegistry
+  readonly #placements: PlacementKeeper
   readonly #listener: HttpListener
   readonly #outcomes = this.#metrics.createCounter('attempts_total', 'Attempts by class and how they ended.')
   readonly #starts = this.#metrics.createCounter('starts_total', 'Starts by class and the rule that chose them.')
@@ -72,7 +77,7 @@
       intervalMs: HEALTH_INTERVAL_MS,
       timeoutMs: HEALTH_TIMEOUT_MS,
       onCrash: () => this.#handleCrash(),
-      onUp: () => this.#dispatcher.notifyChanged()
+      onUp: () => this.#handleUp()
     })
     this.#guard = new EndpointGuard({
       clock: systemClock,
@@ -80,9 +85,20 @@
       getConfig: () => config.getCurrent(),
       isEndpointUp: () => this.#monitor.isUp(),
       isLeaving: () => this.#isLeaving,
+      isModelMissing: model => this.#placements.isModelMissing(model),
+      getSharedCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
       listRunning: () => this.#dispatcher.listRunning()
     })
     this.#claims = new ClaimStore({ service })
+    this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
+    this.#placements = new PlacementKeeper({
+      service,
+      endpointName: settings.endpointName,
+      endpointAddress: settings.endpointAddress,
+      holder: `${settings.id}/${this.#epoch}`,
+      isModelUsed: model => this.#dispatcher.listRunning().some(attempt => attempt.params.target.kind === 'chat' && attempt.params.target.model === model),
+      onError: error => this.#reportError(error)
+    })
     this.#slots = new EndpointSlots({
       clock: systemClock,
       getConfiguredSlots: () => this.#guard.getConfiguredSlots(),
@@ -114,7 +130,9 @@
   /** Starts to serve; returns the `host:port` in use. */
   async start (): Promise<string> {
     const { settings, service, config } = this.#options
-    config.watchConfig(current => this.#guard.setCrashLimit(current.settings.poisonCrashLimit))
+    config.watchConfig(current => this.#adoptConfig(current))
+    this.#crashes.start()
+    this.#placements.start()
     await this.#monitor.start()
     this.#keeper.start()
     const address = await this.#listener.listen(settings.listen)
@@ -131,7 +149,7 @@
     this.#isLeaving = true
     const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
     await this.#dispatcher.drain()
-    await leaving
+    await Promise.all([leaving, this.#placements.stop(), this.#crashes.stop()])
     this.#keeper.stop()
     this.#monitor.stop()
     await this.#claims.stop(new Progress({ title: 'storing the ends of claimed requests', timeoutMs: LEAVE_TIMEOUT_MS }))
@@ -169,6 +187,8 @@
     this.#dump.register('load', () => this.#dispatcher.getLoad())
     this.#dump.register('attempts', () => this.#registry.listOpen().map(attempt => ({ ...toFields(attempt), phase: attempt.phase, tier: attempt.params.tier, chunkCount: attempt.chunkCount })))
     this.#dump.register('claims', () => this.#claims.getStatus())
+    this.#dump.register('placement', () => this.#placements.getStatus())
+    this.#dump.register('crashes', () => this.#crashes.listRecords())
     return new HttpListener({
       handlers: {
         [RPC_PATH]: (request, response) => rpc.handle(request, response),
@@ -201,9 +221,27 @@
     this.#options.logger.info({ ...toFields(attempt), event: 'ended', outcome: outcome.kind, reason, chunks: attempt.chunkCount, tier: params.tier })
   }
 
+  #adoptConfig (config: FleetConfig): void {
+    this.#guard.setCrashLimit(config.settings.poisonCrashLimit)
+    this.#placements.setConfig(config)
+  }
+
+  /** A restarted endpoint has lost what was loaded. */
+  #handleUp (): void {
+    this.#placements.reset()
+    this.#dispatcher.notifyChanged()
+  }
+
+  #reportError (error: unknown): void {
+    this.#options.logger.warn({ event: 'backgroundError', message: String(error).slice(0, 500) })
+  }
+
   #handleCrash (): void {
     const blamed = this.#guard.recordCrash()
-    this.#options.logger.warn({ event: 'endpointCrashed', endpoint: this.#options.settings.endpointName, running: this.#dispatcher.listRunning().length, blamed: blamed.length })
+    const { endpointName } = this.#options.settings
+    const crashId = `${endpointName}/${this.#monitor.bootId}`
+    for (const fingerprint of blamed) this.#crashes.record({ fingerprint, endpointName, crashId })
+    this.#options.logger.warn({ event: 'endpointCrashed', endpoint: endpointName, running: this.#dispatcher.listRunning().length, blamed: blamed.length })
   }
 }
 
--- /dev/null
+++ b/tests/fleet/draining.spec.ts
@@ -0,0 +1,58 @@
+import { expect } from 'chai'
+
+import { findLongPrompt, LONG, waitRunning } from './answers'
+import { getExpectedAnswer, sendChat } from './callers'
+import { readState, startFleet, waitUntil } from './fleetFixture'
+
+import type { Fleet } from './fleetFixture'
+
+const STREAM_COUNT = 6
+
+describe('draining', () => {
+  let fleet: Fleet
+
+  afterEach(async () => {
+    await fleet.stop()
+  })
+
+  it('should cut no stream when a gateway and a sidecar are stopped at once', async () => {
+    fleet = await startFleet({ gateways: 2, engines: [{}, {}] })
+    const prompts = Array.from({ length: STREAM_COUNT }, (_, index) => findLongPrompt(index))
+    const answers = Promise.all(prompts.map(async (prompt, index) => await sendChat(fleet.gateways[index % 2]!, prompt, LONG)))
+    await waitUntil('every stream to run', () => fleet.engines.flatMap(engine => engine.getRecord().runs).filter(run => run.tokens > 2).length === STREAM_COUNT)
+    const stopping = [fleet.gateways[0]!, fleet.sidecars[0]!]
+    stopping.forEach(process => process.kill('SIGTERM'))
+    const results = await answers
+    expect(results.map(result => result.isWhole)).to.deep.equal(prompts.map(() => true))
+    expect(results.map(result => result.text)).to.deep.equal(prompts.map(prompt => getExpectedAnswer(prompt, LONG)))
+    expect(fleet.engines.flatMap(engine => engine.getRecord().runs), 'no run was repeated').to.have.length(STREAM_COUNT)
+    expect(await Promise.all(stopping.map(async process => await process.waitExit()))).to.deep.equal([0, 0])
+  })
+
+  it('should give a leaving endpoint no new work though the platform is down and its list is stale', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    await fleet.platform.setFaults({ outage: 'answer503', staleList: true })
+    const long = sendChat(fleet.gateways[0]!, findLongPrompt(), LONG)
+    const leaving = await waitRunning(fleet.engines)
+    const index = fleet.engines.indexOf(leaving)
+    fleet.sidecars[index]!.kill('SIGTERM')
+    await fleet.sidecars[index]!.waitLine(line => line.event === 'draining', 5000)
+    const before = leaving.getRecord().runs.length
+    const results = await Promise.all(Array.from({ length: 10 }, async (_, number) => await sendChat(fleet.gateways[0]!, `after ${number}`)))
+    expect(results.every(result => result.isWhole)).to.equal(true)
+    expect(leaving.getRecord().runs.length).to.equal(before)
+    expect((await long).isWhole).to.equal(true)
+    expect(await fleet.sidecars[index]!.waitExit()).to.equal(0)
+  })
+
+  it('should give no new work to an instance that the platform lists as leaving', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    fleet.platform.setInstances([{ instanceId: 'sidecar-1', role: 'sidecar', address: fleet.sidecars[0]!.address, domain: 'a', state: 'leaving' }])
+    await waitUntil('the gateway to know', async () => (await readState(fleet.gateways[0]!)).endpoints.some((endpoint: any) => endpoint.draining), 8000)
+    const name = (await readState(fleet.gateways[0]!)).endpoints.find((endpoint: any) => endpoint.draining).name
+    const leaving = fleet.engines.find(engine => engine.host.name === name)!
+    const before = leaving.getRecord().runs.length
+    await Promise.all(Array.from({ length: 10 }, async (_, number) => await sendChat(fleet.gateways[0]!, `later ${number}`)))
+    expect(leaving.getRecord().runs.length).to.equal(before)
+  })
+})
--- a/tests/fleet/fleetFixture.ts
+++ b/tests/fleet/fleetFixture.ts
@@ -41,7 +41,7 @@
   sidecars: FleetProcess[]
   tree: FleetTree
   startSidecar (endpointName: string, endpointAddress: string): Promise<FleetProcess>
-  startGateway (id: string): Promise<FleetProcess>
+  startGateway (id: string, flags?: string[]): Promise<FleetProcess>
   applyConfig (tree: FleetTree): Promise<number>
   stop (): Promise<void>
 }
@@ -65,7 +65,8 @@
   let sidecarCount = 0
   const startSidecar = async (endpointName: string, endpointAddress: string) =>
     await startProcess(['sidecar', '--id', `sidecar-${++sidecarCount}`, '--listen', '127.0.0.1:0', '--endpoint-name', endpointName, '--endpoint-address', endpointAddress])
-  const startGateway = async (id: string) => await startProcess(['gateway', '--id', id, '--listen', '127.0.0.1:0'])
+  const startGateway = async (id: string, flags: string[] = []) =>
+    await startProcess(['gateway', '--id', id, '--listen', '127.0.0.1:0', ...flags])
   const applyConfig = async (next: FleetTree) => {
     const publisher = new ConfigPublisher(service, { appliedBy: 'test', clock: systemClock })
     const result = await publisher.publish(next, new Progress({ title: 'publishing', timeoutMs: 5000 }))
