Split claims, leases and the service's answers into smaller modules

Change: the interface and the judgement of held claims in claims.ts, both clocks in clockReading.ts, answers of the service in objectServiceAnswers.ts. claimStore.ts still exports isClaimFresh, Claim and ClaimOutcome for its users.

--- a/src/platform/claimLedger.ts
+++ b/src/platform/claimLedger.ts
@@ -2,19 +2,19 @@
 import { createId, hashText } from '../base/identifiers'
 
 import { toClaimKey } from './claimRecord'
+import { resolveHeldClaim } from './claims'
 import { MAX_LEDGER_ANSWER_BYTES } from './ledgerRecord'
 import { LedgerShard } from './ledgerShard'
 
 import type { Clock } from '../base/clock'
 import type { Progress } from '../base/progress'
-import type { ClaimRecord, StoredAnswer } from './claimRecord'
-import type { Claim, ClaimOutcome, ClaimRequest, Claims, SettleOutcome } from './claimStore'
+import type { StoredAnswer } from './claimRecord'
+import type { Claim, ClaimOutcome, ClaimRequest, Claims, HeldClaimOptions, SettleOutcome } from './claims'
 import type { LedgerEntry } from './ledgerRecord'
 import type { ObjectService } from './objectService'
 
-export interface ClaimLedgerOptions {
+export interface ClaimLedgerOptions extends HeldClaimOptions {
   service: ObjectService
-  clock?: Clock
   getRandom?: () => number
   /** Shards of the ledger; the same for every process that uses it. */
   shardCount?: number
@@ -24,8 +24,6 @@
   retentionMs?: number
   /** Entries that may wait in one shard. */
   maxQueued?: number
-  /** Milliseconds after which a claim without an answer counts as possibly run. */
-  inProgressMs?: number
   onError?: (error: unknown) => void
 }
 
@@ -33,7 +31,6 @@
 const DEFAULT_GATHER_MS = 50
 const DEFAULT_RETENTION_MS = 3_600_000
 const DEFAULT_MAX_QUEUED = 1_000
-const DEFAULT_IN_PROGRESS_MS = 600_000
 const RETRY_AFTER_MS = 2_000
 const HASH_DIGITS = 8
 
@@ -124,19 +121,7 @@
     const record = this.#getShard(claim.objectKey).index.find(claim.objectKey)
     if (record === undefined || record.state === 'released') return { kind: 'unavailable', retryAfterMs: RETRY_AFTER_MS }
     if (record.writeId === claim.writeId) return { kind: 'granted', claim }
-    return this.#resolveHeld(claim, record)
-  }
-
-  #resolveHeld ({ request }: Claim, record: Exclude<ClaimRecord, { state: 'released' }>): ClaimOutcome {
-    if (record.requestDigest !== request.requestDigest) return { kind: 'keyReused' }
-    switch (record.state) {
-      case 'completed': return { kind: 'completed', answer: record.answer }
-      case 'claimed': {
-        const ageMs = this.#clock.getWallMs() - record.claimedAtMs
-        const isInProgress = ageMs <= (this.#options.inProgressMs ?? DEFAULT_IN_PROGRESS_MS)
-        return { kind: isInProgress ? 'inProgress' : 'mayHaveRun', holder: record.holder }
-      }
-    }
+    return resolveHeldClaim(record, claim.request.requestDigest, { ...this.#options, clock: this.#clock })
   }
 
   async #finish (entry: LedgerEntry, progress: Progress): Promise<SettleOutcome> {
--- a/src/platform/claimStore.ts
+++ b/src/platform/claimStore.ts
@@ -5,82 +5,27 @@
 
 import { parseClaimRecord, toClaimKey } from './claimRecord'
 import { ClaimSettler } from './claimSettler'
+import { resolveHeldClaim } from './claims'
 import { getRetryAfterMs } from './retryCall'
 
 import type { Clock } from '../base/clock'
 import type { Progress } from '../base/progress'
 import type { ClaimFields, ClaimRecord, StoredAnswer } from './claimRecord'
+import type { Claim, ClaimOutcome, ClaimRequest, Claims, HeldClaimOptions, SettleOutcome } from './claims'
 import type { ObjectService, ObjectServiceError, StoredObject, WriteCondition } from './objectService'
 
-export interface ClaimRequest {
-  workspace: string
-  /** The caller's idempotency key. */
-  key: string
-  /** Digest of target and body; a key stands for one request only. */
-  requestDigest: string
-  attemptId: string
-  /** This process: its id and epoch. */
-  holder: string
-}
-
-/** The right to run one request once. */
-export interface Claim {
-  objectKey: string
-  request: ClaimRequest
-  writeId: string
-  version: number
-  /** Monotonic time in milliseconds just before the claim was asked for. */
-  requestedAtMs: number
-  claimedAtMs: number
-}
-
-/** Answer to a claim; only `granted` allows the request to be started. */
-export type ClaimOutcome =
-  | { kind: 'granted', claim: Claim }
-  /** The request has run; `answer` is null when it was too large to be kept. */
-  | { kind: 'completed', answer: StoredAnswer | null }
-  | { kind: 'inProgress', holder: string }
-  | { kind: 'mayHaveRun', holder: string }
-  /** The key stands for another request. */
-  | { kind: 'keyReused' }
-  | { kind: 'unavailable', retryAfterMs: number }
-
-/** Whether a claim's last state was stored, or is stored in the background. */
-export type SettleOutcome = { kind: 'stored' } | { kind: 'deferred' }
-
-/** At-most-once claims, however they are stored. */
-export interface Claims {
-  /** Asks for the right to run a request; never throws. While the service is down it answers at once. */
-  claim (request: ClaimRequest, progress: Progress): Promise<ClaimOutcome>
-  /** Reads a claim back after a pause; any outcome but `granted` gives the claim up. */
-  verify (claim: Claim, progress: Progress): Promise<ClaimOutcome>
-  /** Stores that the request has run, with its answer if that is small enough. */
-  complete (claim: Claim, answer: StoredAnswer, progress: Progress): Promise<SettleOutcome>
-  /** Stores that the request was not run, so that its key may be claimed again. */
-  release (claim: Claim, progress: Progress): Promise<SettleOutcome>
-  /** Claims whose last state is still to be stored. */
-  getStatus (): { pendingCount: number, droppedCount: number }
-  /** Tries to store what is pending, then stops the background work. */
-  stop (progress: Progress): Promise<void>
-}
+export { isClaimFresh } from './claims'
+export type { Claim, ClaimOutcome } from './claims'
 
-export interface ClaimStoreOptions {
+export interface ClaimStoreOptions extends HeldClaimOptions {
   service: ObjectService
-  clock?: Clock
   getRandom?: () => number
   /** Largest answer body kept, in bytes. */
   maxAnswerBytes?: number
-  /** Milliseconds after which a claim without an answer counts as possibly run. */
-  inProgressMs?: number
-  /** Whether the process that holds a claim is known to be gone. */
-  isHolderGone?: (holder: string) => boolean
   onError?: (error: unknown) => void
 }
 
-/** Milliseconds from asking for a claim within which it may be used without a read-back. */
-export const CLAIM_FRESHNESS_MS = 5_000
 const DEFAULT_MAX_ANSWER_BYTES = 16_384
-const DEFAULT_IN_PROGRESS_MS = 600_000
 const DEFAULT_RETRY_AFTER_MS = 2_000
 const MAX_WRITES = 6
 
@@ -211,21 +156,7 @@
     if (stored.writeId === attempt.writeId) return { kind: 'decided', outcome: createGrant(attempt, current.version) }
     const record = this.#settler.find(stored.writeId) ?? stored
     if (record.state === 'released') return { kind: 'claimable', condition: { kind: 'version', version: current.version } }
-    return { kind: 'decided', outcome: this.#resolveHeld(attempt, record) }
-  }
-
-  #resolveHeld ({ request }: ClaimAttempt, record: Exclude<ClaimRecord, { state: 'released' }>): ClaimOutcome {
-    if (record.requestDigest !== request.requestDigest) return { kind: 'keyReused' }
-    switch (record.state) {
-      case 'completed': return { kind: 'completed', answer: record.answer }
-      case 'claimed': return { kind: this.#isInProgress(record) ? 'inProgress' : 'mayHaveRun', holder: record.holder }
-    }
-  }
-
-  #isInProgress (record: ClaimRecord): boolean {
-    if (this.#options.isHolderGone?.(record.holder)) return false
-    const ageMs = this.#clock.getWallMs() - record.claimedAtMs
-    return ageMs <= (this.#options.inProgressMs ?? DEFAULT_IN_PROGRESS_MS)
+    return { kind: 'decided', outcome: resolveHeldClaim(record, attempt.request.requestDigest, { ...this.#options, clock: this.#clock }) }
   }
 
   #fail (attempt: ClaimAttempt, retryAfterMs: number): ClaimOutcome {
@@ -245,17 +176,6 @@
   }
 }
 
-/**
- * Whether a granted claim may be used without a read-back: not so long after it was asked for that
- * the process must have been paused.
- *
- * @example
- * if (!isClaimFresh(claim, clock)) outcome = await store.verify(claim, progress)
- */
-export function isClaimFresh (claim: Claim, clock: Clock): boolean {
-  return clock.getMonotonicMs() - claim.requestedAtMs <= CLAIM_FRESHNESS_MS
-}
-
 function createFields (claim: Pick<Claim, 'writeId' | 'request' | 'claimedAtMs'>): ClaimFields {
   const { requestDigest, attemptId, holder } = claim.request
   return { writeId: claim.writeId, requestDigest, attemptId, holder, claimedAtMs: claim.claimedAtMs }
--- /dev/null
+++ b/src/platform/clockReading.ts
@@ -0,0 +1,25 @@
+import type { Clock } from '../base/clock'
+
+/** Both clocks of a process, read together. */
+export interface ClockReading {
+  monotonicMs: number
+  wallMs: number
+}
+
+/** Reads both clocks of this process. */
+export function readClock (clock: Clock): ClockReading {
+  return { monotonicMs: clock.getMonotonicMs(), wallMs: clock.getWallMs() }
+}
+
+/**
+ * Milliseconds since `reading`, by whichever clock went further. A suspended machine stops its
+ * monotonic clock, so the wall clock is read as well; a wrong one can only make the time seem longer.
+ *
+ * @example
+ * const sentAt = readClock(clock)
+ * const elapsedMs = computeElapsedMs(sentAt, clock)
+ */
+export function computeElapsedMs (reading: ClockReading, clock: Clock): number {
+  const now = readClock(clock)
+  return Math.max(now.monotonicMs - reading.monotonicMs, now.wallMs - reading.wallMs)
+}
--- a/src/platform/httpObjectService.ts
+++ b/src/platform/httpObjectService.ts
@@ -7,13 +7,14 @@
 
 import { waitFor } from './channels'
 import { sendHttpCall } from './httpCall'
+import { createUnavailable, parseAnswer, resolveResult } from './objectServiceAnswers'
 import { objectServiceMessages } from './objectServiceMessages'
 import { ServiceCircuit } from './serviceCircuit'
 import { TokenBucket } from './tokenBucket'
 
-import type { z } from 'zod'
 import type { Clock } from '../base/clock'
 import type { HttpCall, HttpCallResult } from './httpCall'
+import type { CallResult, HttpAnswer } from './objectServiceAnswers'
 import type { ListedInstance, ObjectService, ObjectServiceError, StoredObject, WatchBatch, WriteCondition } from './objectService'
 
 export interface HttpObjectServiceOptions {
@@ -41,8 +42,6 @@
 }
 
 type CallKind = Exclude<keyof CallCounts, 'refused'>
-type CallResult<T> = Result<T, ObjectServiceError>
-type HttpAnswer = Extract<HttpCallResult, { kind: 'answered' }>
 
 /** Largest value of one object in bytes. */
 export const MAX_VALUE_BYTES = 1_000_000
@@ -52,7 +51,6 @@
 const DEFAULT_CALL_BURST = 100
 const DEFAULT_CALL_TIMEOUT_MS = 3_000
 const MAX_BUDGET_WAIT_MS = 1_000
-const DEFAULT_RETRY_AFTER_MS = 1_000
 /** A caller's shorter timeout says nothing of the service, nor does one silent watch. */
 const MIN_TELLING_TIMEOUT_MS = 500
 const WATCH_GRACE_MS = 2_000
@@ -205,63 +203,6 @@
   }
 }
 
-function resolveResult<T> (method: HttpCall['method'], result: HttpCallResult, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
-  switch (result.kind) {
-    case 'answered': return resolveAnswer(method, result, parse)
-    case 'notSent': return createUnavailable(result.message)
-    case 'noAnswer': return createNoAnswer(method, result.message)
-    case 'timedOut':
-    case 'aborted': return result.sent ? createNoAnswer(method, result.message) : createUnavailable(result.message)
-  }
-}
-
-function resolveAnswer<T> (method: HttpCall['method'], answer: HttpAnswer, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
-  switch (answer.status) {
-    case 200:
-    case 304:
-    case 404: {
-      const parsed = parse(answer)
-      return parsed.isErr && parsed.error.kind === 'unavailable' ? createNoAnswer(method, parsed.error.message) : parsed
-    }
-    case 410: return Result.err({ kind: 'conflict', current: null })
-    case 412: return parseAnswer(answer, objectServiceMessages.conflict).andThen(({ current }) => Result.err({ kind: 'conflict', current }))
-    case 429: return Result.err({ kind: 'rateLimited', retryAfterMs: parseRetryAfterMs(answer) })
-    case 503: return createUnavailable('the object service answered 503')
-    default: {
-      const message = `the object service answered ${answer.status}`
-      return answer.status >= 500 ? createNoAnswer(method, message) : createUnavailable(message)
-    }
-  }
-}
-
-function parseAnswer<S extends z.ZodType> (answer: HttpAnswer, schema: S): CallResult<z.infer<S>> {
-  const parsed = schema.safeParse(parseJson(answer.body))
-  if (parsed.success) return Result.ok(parsed.data)
-  return createUnavailable(`the object service answered ${answer.status} with a body of an unknown form`)
-}
-
-function parseJson (text: string): unknown {
-  try {
-    return JSON.parse(text)
-  } catch {
-    return undefined
-  }
-}
-
-function parseRetryAfterMs (answer: HttpAnswer): number {
-  const seconds = Number(answer.headers['retry-after'])
-  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : DEFAULT_RETRY_AFTER_MS
-}
-
-/** A read has no effect, so that a lost answer to it is no unknown outcome. */
-function createNoAnswer<T> (method: HttpCall['method'], message: string): CallResult<T> {
-  return method === 'GET' ? createUnavailable(message) : Result.err({ kind: 'unknownOutcome', message })
-}
-
-function createUnavailable<T> (message: string): CallResult<T> {
-  return Result.err({ kind: 'unavailable', message })
-}
-
 function toObjectPath (key: string): string {
   return `/objects/${key.split('/').map(encodeURIComponent).join('/')}`
 }
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -4,9 +4,11 @@
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
+import { computeElapsedMs, readClock } from './clockReading'
 import { parseLeaseRecord, toLeaseKey } from './leaseRecord'
 
 import type { Clock } from '../base/clock'
+import type { ClockReading } from './clockReading'
 import type { LeaseRecord } from './leaseRecord'
 import type { ObjectService, StoredObject, WriteCondition } from './objectService'
 
@@ -48,11 +50,6 @@
   sentAt: ClockReading
 }
 
-interface ClockReading {
-  monotonicMs: number
-  wallMs: number
-}
-
 interface PendingWrite {
   sentAt: ClockReading
   fencingNumber: number
@@ -197,7 +194,7 @@
 
   async #write (fencingNumber: number, predecessor: LeasePredecessor, condition: WriteCondition, progress: Progress): Promise<number> {
     const writeId = createId('lease')
-    const write: PendingWrite = { fencingNumber, predecessor, sentAt: this.#readClock() }
+    const write: PendingWrite = { fencingNumber, predecessor, sentAt: readClock(this.#clock) }
     const record = this.#createRecord(fencingNumber, writeId, false)
     const written = await this.#options.service.put(this.#key, record, condition, progress)
     if (written.isOk) return this.#adopt(written.value.version, write)
@@ -238,18 +235,11 @@
     return { holder: this.#options.holder, fencingNumber, termMs: this.#termMs, writeId, released }
   }
 
-  /** A suspended machine stops its monotonic clock; the wall clock can only shorten the lease. */
   #getRemainingMs (own: OwnLease): number {
-    const now = this.#readClock()
-    const elapsedMs = Math.max(now.monotonicMs - own.sentAt.monotonicMs, now.wallMs - own.sentAt.wallMs)
-    return this.#termMs - this.#clockMarginMs - elapsedMs
+    return this.#termMs - this.#clockMarginMs - computeElapsedMs(own.sentAt, this.#clock)
   }
 
   #getRenewalMs (): number {
     return spreadPeriod(this.#termMs / RENEWALS_PER_TERM, this.#getRandom)
   }
-
-  #readClock (): ClockReading {
-    return { monotonicMs: this.#clock.getMonotonicMs(), wallMs: this.#clock.getWallMs() }
-  }
 }
--- /dev/null
+++ b/src/platform/objectServiceAnswers.ts
@@ -0,0 +1,72 @@
+import { Result } from 'true-myth'
+
+import { objectServiceMessages } from './objectServiceMessages'
+
+import type { z } from 'zod'
+import type { HttpCall, HttpCallResult } from './httpCall'
+import type { ObjectServiceError } from './objectService'
+
+export type CallResult<T> = Result<T, ObjectServiceError>
+export type HttpAnswer = Extract<HttpCallResult, { kind: 'answered' }>
+
+const DEFAULT_RETRY_AFTER_MS = 1_000
+
+/** Turns the end of an HTTP call into a value or a typed error. */
+export function resolveResult<T> (method: HttpCall['method'], result: HttpCallResult, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
+  switch (result.kind) {
+    case 'answered': return resolveAnswer(method, result, parse)
+    case 'notSent': return createUnavailable(result.message)
+    case 'noAnswer': return createNoAnswer(method, result.message)
+    case 'timedOut':
+    case 'aborted': return result.sent ? createNoAnswer(method, result.message) : createUnavailable(result.message)
+  }
+}
+
+function resolveAnswer<T> (method: HttpCall['method'], answer: HttpAnswer, parse: (answer: HttpAnswer) => CallResult<T>): CallResult<T> {
+  switch (answer.status) {
+    case 200:
+    case 304:
+    case 404: {
+      const parsed = parse(answer)
+      return parsed.isErr && parsed.error.kind === 'unavailable' ? createNoAnswer(method, parsed.error.message) : parsed
+    }
+    case 410: return Result.err({ kind: 'conflict', current: null })
+    case 412: return parseAnswer(answer, objectServiceMessages.conflict).andThen(({ current }) => Result.err({ kind: 'conflict', current }))
+    case 429: return Result.err({ kind: 'rateLimited', retryAfterMs: parseRetryAfterMs(answer) })
+    case 503: return createUnavailable('the object service answered 503')
+    default: {
+      const message = `the object service answered ${answer.status}`
+      return answer.status >= 500 ? createNoAnswer(method, message) : createUnavailable(message)
+    }
+  }
+}
+
+/** Reads an answer's body by `schema`. */
+export function parseAnswer<S extends z.ZodType> (answer: HttpAnswer, schema: S): CallResult<z.infer<S>> {
+  const parsed = schema.safeParse(parseJson(answer.body))
+  if (parsed.success) return Result.ok(parsed.data)
+  return createUnavailable(`the object service answered ${answer.status} with a body of an unknown form`)
+}
+
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
+
+function parseRetryAfterMs (answer: HttpAnswer): number {
+  const seconds = Number(answer.headers['retry-after'])
+  return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : DEFAULT_RETRY_AFTER_MS
+}
+
+/** A read has no effect, so that a lost answer to it is no unknown outcome. */
+function createNoAnswer<T> (method: HttpCall['method'], message: string): CallResult<T> {
+  return method === 'GET' ? createUnavailable(message) : Result.err({ kind: 'unknownOutcome', message })
+}
+
+/** An error that says that nothing was written. */
+export function createUnavailable<T> (message: string): CallResult<T> {
+  return Result.err({ kind: 'unavailable', message })
+}
--- a/tests/platform/claimLedger.spec.ts
+++ b/tests/platform/claimLedger.spec.ts
@@ -4,7 +4,7 @@
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom, expectGranted } from './platformFixtures'
 
-import type { ClaimOutcome } from '../../src/platform/claimStore'
+import type { ClaimOutcome } from '../../src/platform/claims'
 import type { FakeTime } from './platformFixtures'
 
 const SHARDS = 4
--- a/tests/platform/claimStore.spec.ts
+++ b/tests/platform/claimStore.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
-import { ClaimStore, isClaimFresh } from '../../src/platform/claimStore'
+import { ClaimStore } from '../../src/platform/claimStore'
+import { isClaimFresh } from '../../src/platform/claims'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
 import { FaultyObjectService } from './faultyObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom, expectGranted } from './platformFixtures'
--- a/tests/platform/claimStoreModel.spec.ts
+++ b/tests/platform/claimStoreModel.spec.ts
@@ -7,7 +7,7 @@
 import { FaultyObjectService } from './faultyObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom } from './platformFixtures'
 
-import type { Claim, ClaimOutcome, Claims } from '../../src/platform/claimStore'
+import type { Claim, ClaimOutcome, Claims } from '../../src/platform/claims'
 import type { WriteFate } from './faultyObjectService'
 import type { FakeTime } from './platformFixtures'
 
