--- a/tests/platform/fencedOrders.spec.ts
+++ b/tests/platform/fencedOrders.spec.ts
@@ -20,11 +20,14 @@
   readonly applied: Array<FencedOrder & { atMs: number }> = []
   placement: EndpointPlacement = { models: ['old'], role: 'mixed' }
   error: OrderError | null = null
+  /** Milliseconds that an order takes. */
+  orderMs = 0
   #highest = 0
 
   constructor (readonly checksFencing: boolean) {}
 
   readonly send: SendOrder = async fenced => {
+    if (this.orderMs > 0) await new Promise(resolve => setTimeout(resolve, this.orderMs))
     await Promise.resolve()
     if (this.error !== null) return Result.err(this.error)
     if (this.checksFencing && fenced.fencingNumber < this.#highest) return Result.err({ kind: 'staleFencingNumber', current: this.#highest })
@@ -122,6 +125,17 @@
     expect(first.atMs - startedAtMs).to.be.within(2 * (TERM_MS + MARGIN_MS) - 10, 2 * (TERM_MS + MARGIN_MS) + 2_000)
   })
 
+  it('should not rely on an order that outlasted the lease, with an endpoint that ignores fencing', async () => {
+    const engine = new FakeEngine(false)
+    const holder = startHolder('a', engine)
+    await time.advance(5_000)
+    stopRenewals(holder)
+    engine.orderMs = TERM_MS
+    holder.orders.reset()
+    await time.advance(TERM_MS + 1_000)
+    expect([holder.lease.isHeld(), holder.orders.getStatus().placement]).to.deep.equal([false, null])
+  })
+
   it('should back off from an endpoint that refuses, and say so', async () => {
     const engine = new FakeEngine(true)
     engine.error = { kind: 'refused', message: 'no memory' }
