Let the demo put faults in during its burst

Cause: the checker should judge runs with faults through real processes too, not only the sound one.

--- a/standins/demo/fleetProcesses.ts
+++ b/standins/demo/fleetProcesses.ts
@@ -4,6 +4,7 @@
 
 import type { Endpoint, FleetConfig } from '../../src/config/fleetConfig'
 import type { EngineRecord } from '../engine/engineRecord'
+import type { PlatformFaults } from '../platform/platformFaults'
 import type { ServiceRecord } from '../service/serviceRecord'
 import type { EndpointSpec } from '../shared/endpointSpec'
 import type { LogFields } from '../shared/managedProcess'
@@ -85,6 +86,17 @@
     return { engines, services }
   }
 
+  /** Sets faults of the endpoint stand-in `name`. */
+  async setEndpointFaults (name: string, faults: object): Promise<void> {
+    const hosted = this.#endpoints.find(candidate => candidate.endpoint.name === name)
+    if (hosted === undefined) throw new Error(`no endpoint is named '${name}'`)
+    await fetch(`http://${hosted.address}/control/faults`, { method: 'POST', body: JSON.stringify(faults) })
+  }
+
+  async setPlatformFaults (faults: Partial<PlatformFaults>): Promise<void> {
+    await fetch(`${this.#platformUrl}/control/faults`, { method: 'POST', body: JSON.stringify(faults) })
+  }
+
   /** Reads the platform's count of calls. */
   async readPlatformCalls (): Promise<Record<string, number>> {
     const counters = await (await fetch(`${this.#platformUrl}/control/counters`)).json() as { byKind: Record<string, number> }
--- a/standins/demo/runDemo.ts
+++ b/standins/demo/runDemo.ts
@@ -13,6 +13,7 @@
 import { LoadPlayer } from '../player/loadPlayer'
 import { createSeededRandom } from '../shared/seededRandom'
 import { computeClassRows, formatClassTable } from './classReport'
+import { applyDemoFaults } from './demoFaults'
 import { FleetProcesses, computeCapacity } from './fleetProcesses'
 
 import type { FleetConfig } from '../../src/config/fleetConfig'
@@ -21,6 +22,7 @@
 import type { CallerRecord } from '../player/callerRecord'
 import type { Deployment } from '../player/deploymentProfiles'
 import type { PlannedRequest } from '../player/plannedRequest'
+import type { DemoFault } from './demoFaults'
 
 const GATEWAY_COUNT = 3
 const READY_TIMEOUT_MS = 15_000
@@ -42,6 +44,8 @@
   durationMs: number
   /** Tokens asked for, as a multiple of what the engines can generate meanwhile. */
   overload: number
+  /** Faults put in during the burst. */
+  faults: readonly DemoFault[]
   /** Folder for the log of each process and the record of the run; none are kept without it. */
   logFolder?: string
 }
@@ -71,7 +75,7 @@
     print(formatClassTable(computeClassRows({ ...record, callers }, config, options.durationMs)))
     print(`platform calls: ${Object.entries(calls).map(([kind, count]) => `${kind} ${count}`).join(', ')}`)
     if (options.logFolder !== undefined) writeRecord(record, options.logFolder)
-    return reportFindings(record, faults)
+    return reportFindings(record, faults, options.faults.length > 0)
   } finally {
     fleet.kill()
   }
@@ -123,7 +127,9 @@
   const player = createPlayer(fleet, options, MAX_RESENDS)
   const startMs = Date.now()
   const timer = setInterval(() => printProgress(player, startMs), 2000)
+  const faults = applyDemoFaults(options.faults, fleet, config, options.durationMs)
   const records = await player.play(plan)
+  await faults
   clearInterval(timer)
   printProgress(player, startMs)
   return records
@@ -138,8 +144,8 @@
   print(`${Math.round((Date.now() - startMs) / 1000)} s: sent ${sent}, answered ${answered}, refused ${refused}, in flight ${waiting}`)
 }
 
-function reportFindings (record: RunRecord, faults: string[]): boolean {
-  const findings = checkRun(record, { maxRefusalMs: MAX_REFUSAL_MS, clockMarginMs: CLOCK_MARGIN_MS, hadFaults: false, minStarvationRequests: MIN_STARVATION_REQUESTS })
+function reportFindings (record: RunRecord, faults: string[], hadFaults: boolean): boolean {
+  const findings = checkRun(record, { maxRefusalMs: MAX_REFUSAL_MS, clockMarginMs: CLOCK_MARGIN_MS, hadFaults, minStarvationRequests: MIN_STARVATION_REQUESTS })
   for (const [kind, count] of countKinds(findings)) print(`broken: ${kind} ${count} times`)
   for (const finding of findings.slice(0, PRINTED_FINDINGS)) print(`  ${finding.kind} ${finding.requestId}: ${finding.message}`)
   for (const fault of faults) print(`drain: ${fault}`)
--- a/standins/main.ts
+++ b/standins/main.ts
@@ -2,6 +2,7 @@
 import { hideBin } from 'yargs/helpers'
 
 import { DEPLOYMENTS } from './player/deploymentProfiles'
+import { DEMO_FAULTS } from './demo/demoFaults'
 import { runDemo } from './demo/runDemo'
 import { startPlatform } from './platform/platformServer'
 import { endpointSpecsSchema, startEndpoint } from './shared/endpointSpec'
@@ -34,6 +35,7 @@
     deployment: { choices: DEPLOYMENTS, default: DEPLOYMENTS[0] },
     seed: { type: 'number', default: 1 },
     seconds: { type: 'number', default: 20, describe: 'length of the burst' },
+    fault: { type: 'array', choices: DEMO_FAULTS, default: [], describe: 'faults put in during the burst' },
     logs: { type: 'string', describe: 'folder that receives the log of each process and the record of the run' },
     overload: { type: 'number', default: 2, describe: "tokens asked for, as a multiple of the engines' capacity" }
   }, async argv => {
@@ -42,6 +44,7 @@
       seed: argv.seed,
       durationMs: argv.seconds * 1000,
       overload: argv.overload,
+      faults: argv.fault,
       logFolder: argv.logs
     })
     process.exitCode = isKept ? 0 : 1
