--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -18,6 +18,7 @@
   tokens: number
   /** Milliseconds within which it must start. */
   startWithinMs: number
+  firstTokenWithinMs: number
   onAccepted: () => void
   onNotRun: (reason: string, retryAfterMs: number) => void
   onStarted: () => void
@@ -25,7 +26,7 @@
   onEnd: (end: 'completed' | 'crashed' | 'slow', generatedTokens: number) => void
 }
 
-const RESERVED_FRACTION = 0.1
+const RESERVED_FRACTION = 0.15
 const START_BY_QUANTILE = 0.9
 const INITIAL_RUN_MS = 10_000
 const MIN_RETRY_AFTER_MS = 100
@@ -46,7 +47,7 @@
     this.#log = log
     this.engine = engine
     this.queue = new RequestQueue({ maxQueued: 500, initialReleaseIntervalMs: 400 })
-    this.#limiter = new SlotLimiter({ slots: engine.spec.slots, targetIntervalMs: BETWEEN_TOKENS_TARGET_MS, reservedTier: 2, reservedFraction: RESERVED_FRACTION })
+    this.#limiter = new SlotLimiter({ slots: engine.spec.slots, targetIntervalMs: BETWEEN_TOKENS_TARGET_MS, reservedTier: 3, reservedFraction: RESERVED_FRACTION })
   }
 
   getLoad (): EndpointLoad {
@@ -93,6 +94,18 @@
     this.#startNext()
   }
 
+  /** Ends a run that its gateway moves elsewhere, and tells how far it came. */
+  endSlow (id: string): void {
+    const attempt = this.#attempts.get(id)
+    const run = this.#runs.get(id)
+    if (attempt === undefined || run === undefined) return
+    const generated = this.engine.countTokens(run)
+    this.#attempts.delete(id)
+    this.#stopRun(id, attempt)
+    attempt.onEnd('slow', generated)
+    this.#startNext()
+  }
+
   /** Tells every attempt here that the endpoint crashed; those that ran are told by their run. */
   handleCrash (): void {
     for (const attempt of [...this.#attempts.values()]) {
@@ -113,7 +126,7 @@
       workspace: request.workspace,
       enqueuedAtMs: this.#events.getNowMs(),
       startByMs: Math.min(this.#events.getNowMs() + attempt.startWithinMs, deadlineMs - runMs),
-      firstTokenDueMs: request.atMs + request.class.firstTokenTargetMs,
+      firstTokenDueMs: this.#events.getNowMs() + attempt.firstTokenWithinMs,
       share: request.class.share
     }
   }
--- a/src/policy/slotLimiter.ts
+++ b/src/policy/slotLimiter.ts
@@ -8,7 +8,7 @@
   slots: number
   /** Milliseconds between tokens to keep. */
   targetIntervalMs: number
-  /** Least urgent tier that may use the reserved slots. */
+  /** Least urgent tier that may use reserved slots. */
   reservedTier: Tier
   /** Fraction, 0 to 1, of the slots that is reserved. */
   reservedFraction: number
@@ -16,18 +16,21 @@
 
 const INTERVAL_SMOOTHING = 0.2
 const ADJUST_EVERY_MS = 500
-const DECREASE_FACTOR = 0.85
+const MIN_DECREASE = 0.85
+const DECREASE_MARGIN = 0.98
+const URGENT_PART = 0.25
 const INCREASE_BELOW = 0.9
 
 /**
  * Decides how many requests run at once on an engine, so that the time between tokens keeps to
- * its target: one more while tokens come well in time, a sixth fewer when they come late. A few
- * slots stay reserved for the most urgent tiers, which then seldom wait for a release.
+ * its target: one more while tokens come well in time, fewer by as much as they come late, at most by a sixth. A few
+ * slots stay reserved for the urgent tiers, and the last of them for tier 1, so that these seldom
+ * wait for a release.
  *
  * @example
  * const limiter = new SlotLimiter({ slots: 16, targetIntervalMs: 53, reservedTier: 2, reservedFraction: 0.1 })
  * limiter.recordTokenInterval(80, 16, nowMs)
- * limiter.getLimitByTier() // [16, 16, 14, 14, 14, 14]
+ * limiter.getLimitByTier() // [16, 15, 14, 14, 14, 14]
  */
 export class SlotLimiter {
   readonly #options: SlotLimiterOptions
@@ -53,8 +56,7 @@
   /** Gets how many requests may run at once for one more of each tier to start; element 0 is tier 1. */
   getLimitByTier (): number[] {
     const limit = this.getLimit()
-    const unreserved = Math.max(1, limit - this.#countReserved(limit))
-    return Array.from({ length: MAX_TIER }, (_, index) => index + MIN_TIER <= this.#options.reservedTier ? limit : unreserved)
+    return Array.from({ length: MAX_TIER }, (_, index) => limit - this.#countReserved(limit, index + MIN_TIER))
   }
 
   /** Records the time between two tokens of one answer, measured while `running` requests ran. */
@@ -68,11 +70,19 @@
 
   #update (running: number): void {
     const { slots, targetIntervalMs } = this.#options
-    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * DECREASE_FACTOR)
+    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * this.#computeDecrease())
     else if (this.#intervalMs < INCREASE_BELOW * targetIntervalMs && running >= this.#limit - 1) this.#limit = Math.min(slots, this.#limit + 1)
   }
 
-  #countReserved (limit: number): number {
-    return Math.min(limit - 1, Math.ceil(limit * this.#options.reservedFraction))
+  #computeDecrease (): number {
+    return Math.max(MIN_DECREASE, DECREASE_MARGIN * this.#options.targetIntervalMs / this.#intervalMs)
+  }
+
+  /** Tier 1 finds every slot open, the other urgent tiers a part of the reserve closed, all others the whole. */
+  #countReserved (limit: number, tier: Tier): number {
+    const { reservedTier, reservedFraction } = this.#options
+    if (tier === MIN_TIER) return 0
+    const reserved = Math.ceil(limit * reservedFraction)
+    return Math.min(limit - 1, tier <= reservedTier ? Math.ceil(reserved * URGENT_PART) : reserved)
   }
 }
