Tell an attempt that was sent from a call about it that was not

Its gateway lost the stream of the first attempt, learnt from the sidecar that it was running, and could not open the connection to attach to it in time. That call had not been sent, which the gateway took to mean that the attempt had not been; it offered the request to another sidecar.

Ruled out: a longer connect timeout, which makes it only rarer.

Change: 'not sent' means 'not run' for the submission alone. After it was sent, a call that can't be made is one more lost stream.

--- a/src/gateway/attemptSession.ts
+++ b/src/gateway/attemptSession.ts
@@ -43,6 +43,8 @@
   readonly #options: AttemptSessionOptions
   #knownEpoch: string
   #hasSeenAccepted = false
+  /** Whether the submission itself was sent; calls after it say nothing of whether it was. */
+  #wasSent = false
 
   constructor (options: AttemptSessionOptions) {
     this.#options = options
@@ -112,6 +114,7 @@
 
   #recordAccepted (stamp: SidecarStamp): void {
     this.#knownEpoch = stamp.sidecarEpoch
+    this.#wasSent = true
     if (this.#hasSeenAccepted) this.#options.observer.recordStamp(stamp)
     else this.#options.observer.recordAccepted(stamp)
     this.#hasSeenAccepted = true
@@ -125,7 +128,8 @@
   }
 
   #finishWithError (error: { kind: string, message: string }): AttemptEnd | LostEnd {
-    if (error.kind === 'notSent' && !this.#hasSeenAccepted) return { kind: 'notRun', reason: 'unreachable', retryAfterMs: 0 }
+    if (error.kind === 'notSent' && !this.#wasSent) return { kind: 'notRun', reason: 'unreachable', retryAfterMs: 0 }
+    this.#wasSent = true
     return { kind: 'lost', message: error.message }
   }
 
