Trust 'unknown' from a sidecar only while it can't have forgotten

Cause: a sidecar forgets an ended attempt after 15 s. A gateway that is paused for longer loses its stream on waking, asks, is told 'unknown' and took that for 'never arrived': a non-idempotent call without a key would run again at another sidecar.

Ruled out: keeping attempts longer at the sidecar, which only moves the pause that breaks it and costs memory.

Change: the retention is part of the protocol; an answer 'unknown' that comes later than that after the submission means that the attempt may have run.

Before/after: tests/gateway/attemptSession.spec.ts answered 'notRun' at 15,000 ms, now 'mayHaveRun'; at 14,999 ms still 'notRun'.

--- a/src/gateway/attemptSession.ts
+++ b/src/gateway/attemptSession.ts
@@ -1,7 +1,9 @@
 import * as csp from 'js-csp'
 
 import { Progress } from '../base/progress'
+import { ATTEMPT_RETENTION_MS } from '../protocol/attemptMessages'
 
+import type { Clock } from '../base/clock'
 import type { AttemptNotification, AttemptOutcome, NotRunReason, SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
 import type { AnswerAssembly } from './answerAssembly'
 import type { AttemptEvent } from './attemptEvent'
@@ -25,6 +27,7 @@
 }
 
 export interface AttemptSessionOptions {
+  clock: Clock
   peer: SidecarPeer
   params: SubmitAttempt
   assembly: AnswerAssembly
@@ -42,6 +45,7 @@
 export class AttemptSession {
   readonly #options: AttemptSessionOptions
   #knownEpoch: string
+  #submittedAtMs = 0
   #hasSeenAccepted = false
   /** Whether the submission itself was sent; calls after it say nothing of whether it was. */
   #wasSent = false
@@ -53,8 +57,9 @@
 
   /** Resolves with the attempt's end; never rejects. */
   async run (): Promise<AttemptEnd> {
-    const { peer, params, assembly, progress } = this.#options
+    const { clock, peer, params, assembly, progress } = this.#options
     assembly.beginAttempt()
+    this.#submittedAtMs = clock.getMonotonicMs()
     let events = peer.submit(params, progress)
     for (let attaches = 0; ; attaches++) {
       const end = await runProcess(this.#serveEvents(events))
@@ -161,8 +166,11 @@
     return { kind: 'mayHaveRun', reason: 'the sidecar could not be asked what became of the attempt', retryAfterMs: 0 }
   }
 
-  /** A sidecar that was replaced meanwhile cannot say what its predecessor ran. */
+  /** A sidecar cannot say what its predecessor ran, nor what it ran itself and has forgotten. */
   #decideUnknown (epoch: string): AttemptEnd {
+    if (this.#options.clock.getMonotonicMs() - this.#submittedAtMs >= ATTEMPT_RETENTION_MS) {
+      return { kind: 'mayHaveRun', reason: 'the sidecar was asked too late to still know of the attempt', retryAfterMs: 0 }
+    }
     if (this.#knownEpoch !== epoch) {
       return { kind: 'mayHaveRun', reason: 'the sidecar was replaced while the attempt was open', retryAfterMs: 0 }
     }
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -100,6 +100,7 @@
     view.table.recordSent(target.endpointName, params.tier)
     const watch = new AttemptWatch(this.#options, this.#request, params, target)
     const session = new AttemptSession({
+      clock,
       peer: target.peer,
       params,
       assembly: this.#assembly,
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -5,6 +5,9 @@
 /** Path on which a sidecar answers JSON-RPC 2.0 requests, with newline-delimited messages. */
 export const RPC_PATH = '/rpc'
 
+/** Milliseconds for which a sidecar keeps what it knows of an ended attempt; after that it is unknown. */
+export const ATTEMPT_RETENTION_MS = 15_000
+
 const chatTargetSchema = z.object({
   kind: z.literal('chat'),
   model: z.string().max(200),
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -7,7 +7,7 @@
 import { StateDump } from '../base/stateDump'
 import { Registration } from '../platform/registration'
 import { ClaimStore } from '../platform/claimStore'
-import { RPC_PATH } from '../protocol/attemptMessages'
+import { ATTEMPT_RETENTION_MS, RPC_PATH } from '../protocol/attemptMessages'
 import { RpcServer } from '../protocol/rpcServer'
 import { AttemptKeeper } from './attemptKeeper'
 import { AttemptRegistry } from './attemptRegistry'
@@ -30,7 +30,6 @@
 import type { EndpointClient } from './endpoint/endpointRun'
 
 const MAX_QUEUED = 1000
-const ENDED_RETENTION_MS = 15_000
 const HEARTBEAT_MS = 1000
 const DETACHED_MS = 3000
 const HEALTH_INTERVAL_MS = 500
@@ -51,7 +50,7 @@
   readonly #epoch = createId('epoch')
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
-  readonly #registry = new AttemptRegistry({ retentionMs: ENDED_RETENTION_MS })
+  readonly #registry = new AttemptRegistry({ retentionMs: ATTEMPT_RETENTION_MS })
   readonly #monitor: EndpointMonitor
   readonly #guard: EndpointGuard
   readonly #slots: EndpointSlots
--- a/tests/gateway/attemptSession.spec.ts
+++ b/tests/gateway/attemptSession.spec.ts
@@ -2,9 +2,11 @@
 import * as csp from 'js-csp'
 import { Result } from 'true-myth'
 
+import { ManualClock } from '../../src/base/clock'
 import { Progress } from '../../src/base/progress'
 import { AnswerAssembly } from '../../src/gateway/answerAssembly'
 import { AttemptSession } from '../../src/gateway/attemptSession'
+import { ATTEMPT_RETENTION_MS } from '../../src/protocol/attemptMessages'
 
 import type { AttemptEvent } from '../../src/gateway/attemptEvent'
 import type { AttemptEnd, AttemptObserver } from '../../src/gateway/attemptSession'
@@ -31,6 +33,12 @@
     const fenced = await runSession({ submit: { kind: 'lost', message: 'reset' }, attach: { kind: 'lost', message: '' }, state: 'unknown' })
     expect(fenced).to.deep.include({ kind: 'notRun', reason: 'fenced' })
   })
+
+  it('should not call an attempt not run when the sidecar may have forgotten it', async () => {
+    const script: Script = { submit: { kind: 'lost', message: 'paused' }, attach: { kind: 'lost', message: '' }, state: 'unknown' }
+    expect((await runSession({ ...script, fenceMs: ATTEMPT_RETENTION_MS - 1 })).kind).to.equal('notRun')
+    expect((await runSession({ ...script, fenceMs: ATTEMPT_RETENTION_MS })).kind).to.equal('mayHaveRun')
+  })
 })
 
 interface Script {
@@ -40,11 +48,15 @@
   attach: RpcError
   /** What the sidecar knows of the attempt when it is asked. */
   state: AttemptState['state']
+  /** Milliseconds until the sidecar answers that. */
+  fenceMs?: number
 }
 
 async function runSession (script: Script): Promise<AttemptEnd> {
+  const clock = new ManualClock()
   const session = new AttemptSession({
-    peer: makePeer(script),
+    clock,
+    peer: makePeer(script, clock),
     params: { attemptId: 'req-1.1' } as SubmitAttempt,
     assembly: new AnswerAssembly({} as CallerAnswer, { mode: 'whole' }),
     observer: makeObserver(),
@@ -54,11 +66,14 @@
   return await session.run()
 }
 
-function makePeer (script: Script): SidecarPeer {
+function makePeer (script: Script, clock: ManualClock): SidecarPeer {
   const peer: Pick<SidecarPeer, 'submit' | 'attach' | 'fenceAttempt' | 'cancelAttempt'> = {
     submit: () => makeEvents(script.submit),
     attach: () => makeEvents(script.attach),
-    fenceAttempt: async () => Result.ok({ state: script.state, stamp: { sidecarEpoch: EPOCH } as SidecarStamp }),
+    fenceAttempt: async () => {
+      clock.advance(script.fenceMs ?? 0)
+      return Result.ok({ state: script.state, stamp: { sidecarEpoch: EPOCH } as SidecarStamp })
+    },
     cancelAttempt: async () => {}
   }
   return peer as SidecarPeer
