--- a/src/config/sourceTree.ts
+++ b/src/config/sourceTree.ts
@@ -104,7 +104,8 @@
   #parse (text: string): SourceMap {
     const empty: SourceMap = { kind: 'map', place: this.#findPlace(0), entries: new Map() }
     try {
-      const document = parseDocument(text, { lineCounter: this.#lines, prettyErrors: false, uniqueKeys: true })
+      // The library compares each key with all others of its map; buildEntries finds doubled keys in linear time.
+      const document = parseDocument(text, { lineCounter: this.#lines, prettyErrors: false, uniqueKeys: false })
       this.#addFaults([...document.errors, ...document.warnings])
       if (document.contents === null) return empty
       const node = this.#buildNode(document.contents as ParsedNode, [])
@@ -147,7 +148,10 @@
         this.#addFinding(offset, path.join('.'), 'has a key that is no name', 'Write a word as the key.')
         continue
       }
-      if (entries.has(name)) continue
+      if (entries.has(name)) {
+        this.#addFinding(offset, [...path, name].join('.'), 'stands twice in this map', 'Keep one of the two.')
+        continue
+      }
       const keyPlace = this.#findPlace(offset)
       const node = this.#buildNode(value, [...path, name])
       entries.set(name, { keyPlace, node: value === null ? { ...node, place: keyPlace } : node })
@@ -158,8 +162,8 @@
   /** One slip in the text makes the parser report many faults; the first ones tell enough. */
   #addFaults (faults: YAMLError[]): void {
     const seen = new Set<string>()
-    for (const { pos, code, message } of faults) {
-      if (code !== 'DUPLICATE_KEY') this.#isWhole = false
+    if (faults.length > 0) this.#isWhole = false
+    for (const { pos, message } of faults) {
       const text = `${pos[0]} ${message}`
       if (seen.has(text) || seen.size >= MAX_SYNTAX_FINDINGS) continue
       seen.add(text)
--- a/src/platform/configFollower.ts
+++ b/src/platform/configFollower.ts
@@ -52,6 +52,8 @@
 const MAX_HEARD_PEERS = 8
 const PEERS_ASKED_AT_START = 8
 const PEERS_ASKED_LATER = 1
+/** More parts than these are asked of peers first, so that many starts at once leave the platform its reads. */
+const MAX_PARTS_FROM_PLATFORM = 16
 
 /**
  * Keeps the accepted configuration of one process up to date: follows the manifest at the
@@ -219,8 +221,10 @@
   }
 
   async #fetchMissing (manifest: Manifest): Promise<Map<string, string>> {
-    if (this.#owner.listMissing(manifest).length === 0) return new Map()
-    if (this.getCurrent() !== null) await waitFor(this.#timing.fetchSpreadMs * this.#options.getRandom(), this.#scope.signal)
+    const missingCount = this.#owner.listMissing(manifest).length
+    if (missingCount === 0) return new Map()
+    if (missingCount > MAX_PARTS_FROM_PLATFORM) await this.#takeFromPeers()
+    else if (this.getCurrent() !== null) await waitFor(this.#timing.fetchSpreadMs * this.#options.getRandom(), this.#scope.signal)
     if (manifest.generation <= this.getGeneration()) return new Map()
     return await this.#watcher.fetchParts(this.#owner.listMissing(manifest))
   }
--- a/src/platform/manifestWatcher.ts
+++ b/src/platform/manifestWatcher.ts
@@ -2,7 +2,7 @@
 import { MANIFEST_KEY } from './keys'
 import { fetchParts } from './partStore'
 import { waitFor } from './channels'
-import { describeServiceError } from './retryCall'
+import { describeServiceError, isRateLimited, retryCall } from './retryCall'
 
 import type { Manifest } from '../config/manifest'
 import type { FollowerTiming } from './followerTiming'
@@ -27,6 +27,8 @@
 export class ManifestWatcher {
   readonly #options: ManifestWatcherOptions
   #revision: number | null = null
+  /** Pause before the next watch, so that a change does not bring the whole fleet back at once. */
+  #pauseMs = 0
 
   constructor (options: ManifestWatcherOptions) {
     this.#options = options
@@ -54,8 +56,9 @@
   }
 
   async #readManifest (): Promise<WatchStep> {
-    const { service, scope, timing } = this.#options
-    const listed = await scope.run('reading the manifest', timing.readTimeoutMs, progress => service.list(MANIFEST_KEY, progress))
+    const { service, scope, timing, getRandom } = this.#options
+    const listed = await scope.run('reading the manifest', timing.readTimeoutMs, progress =>
+      retryCall(() => service.list(MANIFEST_KEY, progress), progress, { isRetriable: isRateLimited, getRandom }))
     if (listed.isErr) return this.#fail(describeServiceError(listed.error))
     this.#revision = listed.value.revision
     return { kind: 'advanced', manifest: selectNewest(listed.value.objects) }
@@ -63,12 +66,14 @@
 
   async #watchManifest (revision: number): Promise<WatchStep> {
     const { service, scope, timing, getRandom } = this.#options
+    await waitFor(this.#pauseMs, scope.signal)
     const waitMs = timing.watchMs * (MIN_WATCH_FRACTION + (1 - MIN_WATCH_FRACTION) * getRandom())
-    const batch = await scope.run('watching the manifest', waitMs + timing.watchGraceMs, progress => service.watch(MANIFEST_KEY, revision, waitMs, progress))
+    const batch = await scope.run('watching the manifest', waitMs + timing.watchGraceMs, progress =>
+      retryCall(() => service.watch(MANIFEST_KEY, revision, waitMs, progress), progress, { isRetriable: isRateLimited, getRandom }))
     if (batch.isErr) return this.#fail(describeServiceError(batch.error))
     this.#revision = batch.value.revision
     const puts = batch.value.events.flatMap(event => event.kind === 'put' ? [event.object] : [])
-    if (puts.length > 0) await waitFor(timing.rearmSpreadMs * getRandom(), scope.signal)
+    this.#pauseMs = puts.length > 0 ? timing.rearmSpreadMs * getRandom() : 0
     return { kind: 'advanced', manifest: selectNewest(puts) }
   }
 
--- a/tests/configFollower.spec.ts
+++ b/tests/configFollower.spec.ts
@@ -73,6 +73,18 @@
     })
   })
 
+  it('should leave the platform its reads when it starts beside a peer that has the parts', async () => {
+    await withFleet(async fleet => {
+      const running = fleet.startProcess()
+      await fleet.publish(buildFleetTree({ workspaceCount: 2_000 }))
+      await running.follower.waitForConfig(createProgress())
+      const started = fleet.startProcess({ peers: [running.address] })
+      await started.follower.waitForConfig(createProgress())
+      expect(started.service.calls.get).to.equal(0)
+      expect(running.service.calls.get).to.be.above(100)
+    })
+  })
+
   it('should have nothing in force when neither platform nor peer has a whole configuration', async () => {
     await withFleet(async fleet => {
       const started = fleet.startProcess({ peers: ['127.0.0.1:1'], outage: true })
--- a/tests/fleetFolder.spec.ts
+++ b/tests/fleetFolder.spec.ts
@@ -67,7 +67,7 @@
     const awaited = [
       /20-keys.yaml:3:5: classes.quote.teir: is not a known key. Known keys here: tier, /,
       /20-keys.yaml:4:11: classes.quote.tier: .*<=6. Give a whole number from 1/,
-      /20-keys.yaml:5:3: Map keys must be unique/,
+      /20-keys.yaml:5:3: classes.quote: stands twice in this map/,
       /30-names.yaml:3:18: workspaces.second.keyDigests.0: is a key of workspace 'shop' already/,
       /30-names.yaml:4:22: workspaces.second.classes.1: 'gone' is not defined under classes. Define it, or use one of: quote/,
       /30-names.yaml:5:19: workspaces.second.defaultClass: 'none' is not among/,
