--- a/tests/platform/membershipDirectory.spec.ts
+++ b/tests/platform/membershipDirectory.spec.ts
@@ -3,7 +3,7 @@
 import { MembershipDirectory } from '../../src/platform/membershipDirectory'
 import { Registration } from '../../src/platform/registration'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
-import { createFakeTime, createProgress } from './platformFixtures'
+import { createFakeTime, createProgress, createRandom } from './platformFixtures'
 
 import type { RegistrationOptions } from '../../src/platform/registration'
 import type { FakeTime } from './platformFixtures'
@@ -17,7 +17,7 @@
   beforeEach(() => {
     time = createFakeTime()
     service = new MemoryObjectService()
-    directory = new MembershipDirectory({ service })
+    directory = new MembershipDirectory({ service, getRandom: createRandom() })
     directory.start()
   })
   afterEach(async () => {
@@ -78,6 +78,18 @@
     expect(listAddresses(directory)).to.deep.equal([])
   })
 
+  it('should spend few calls on changes that come densely, and still show the last one', async () => {
+    await time.advance(5_000)
+    const before = service.calls.watch
+    for (let change = 0; change < 200; change += 1) {
+      service.store.put('sidecars/engine-1', { ...createInstance({ address: `127.0.0.1:${change}` }), writeId: 'write-1' })
+      await time.advance(100)
+    }
+    expect(service.calls.watch - before).to.be.below(20)
+    await time.advance(3_000)
+    expect(listAddresses(directory)).to.deep.equal(['127.0.0.1:199'])
+  })
+
   it('should mark the instances that the platform lists as leaving', async () => {
     service.store.put('sidecars/engine-1', { ...createInstance(), writeId: 'write-1' })
     service.store.instances.push({ instanceId: 'sidecar-1', role: 'sidecar', address: '127.0.0.1:1', domain: 'a', state: 'leaving' })
@@ -102,7 +114,7 @@
 }
 
 function createRegistration (service: MemoryObjectService, fields: Partial<Instance> = {}): Registration {
-  return new Registration({ service, instance: createInstance(fields) })
+  return new Registration({ service, getRandom: createRandom(), instance: createInstance(fields) })
 }
 
 function listAddresses (directory: MembershipDirectory): string[] {
