--- a/src/config/crossChecks.ts
+++ b/src/config/crossChecks.ts
@@ -75,7 +75,7 @@
   #checkServices (): void {
     for (const [name, { routes }] of Object.entries(this.#tree.services)) {
       routes.forEach((route, index) => {
-        const earlier = routes.slice(0, index).find(other => other.method === route.method && isWithin(route.path, other.path))
+        const earlier = routes.slice(0, index).find(other => (other.method === '*' || other.method === route.method) && isWithin(route.path, other.path))
         if (earlier === undefined) return
         this.#add(['services', name, 'routes', index], `is never reached, for ${earlier.method} ${earlier.path} stands before it`, 'Put the longer path first, or remove one.')
       })
--- a/src/config/fleetSchema.ts
+++ b/src/config/fleetSchema.ts
@@ -6,6 +6,7 @@
 const MAX_LIST_ITEMS = 200
 const MAX_DURATION_MS = 86_400_000
 const MAX_RETENTION_MS = 30 * 86_400_000
+const MIN_SHARE = 0.001
 const MAX_SLOTS = 100_000
 const DEFAULT_RETENTION_MS = 86_400_000
 
@@ -18,7 +19,8 @@
   firstTokenTargetMs: durationSchema.describe('milliseconds from arrival to the first token, such as 710'),
   betweenTokensTargetMs: durationSchema.describe('milliseconds between tokens, such as 53'),
   deadlineMs: durationSchema.describe('milliseconds from arrival after which the answer has no value, such as 30000'),
-  share: z.number().min(0).max(1).default(0.02).describe('a fraction from 0 to 1 of the starts at a contended endpoint'),
+  share: z.number().min(MIN_SHARE).max(1).default(0.02)
+    .describe(`a fraction from ${MIN_SHARE} to 1 of the starts at a contended endpoint; with none the class could starve`),
   retryRatio: z.number().min(0).max(1).default(0.1).describe('retries allowed per request, from 0 to 1')
 }
 
@@ -32,7 +34,7 @@
 }
 
 const routeShape = {
-  method: z.string().regex(/^[A-Z]+$/, 'is not an HTTP method').max(20).describe('an HTTP method in capitals, such as POST'),
+  method: z.string().regex(/^([A-Z]+|\*)$/, 'is not an HTTP method').max(20).describe('an HTTP method in capitals, such as POST, or * for any'),
   path: z.string().startsWith('/').max(1_000).describe('a path prefix that begins with a slash, such as /bookings'),
   idempotent: z.boolean().describe('true if a repeated call does no harm, else false')
 }
--- a/tests/fleetFolder.spec.ts
+++ b/tests/fleetFolder.spec.ts
@@ -81,17 +81,19 @@
     expect(report).to.not.match(/'quote' is not defined/)
   })
 
-  it('should refuse shares above 1, a route that is never reached and an endless nesting', () => {
+  it('should refuse shares above 1 or of 0, a route that is never reached and an endless nesting', () => {
     const loaded = loadFleetFolder(writeFolder({
       '10.yaml': GOOD,
       '20.yaml': 'classes: { second: { tier: 1, firstTokenTargetMs: 9, betweenTokensTargetMs: 1, deadlineMs: 5, share: 0.6 } }\n',
-      '30.yaml': 'services: { s: { routes: [{ method: POST, path: /a, idempotent: true }, { method: POST, path: /a/b, idempotent: false }] } }\n',
+      '30.yaml': 'services: { s: { routes: [{ method: "*", path: /a, idempotent: true }, { method: POST, path: /a/b, idempotent: false }] } }\n',
+      '35.yaml': 'classes: { third: { tier: 6, firstTokenTargetMs: 9, betweenTokensTargetMs: 1, deadlineMs: 9, share: 0 } }\n',
       '40.yaml': `settings: ${'['.repeat(400)}`
     }))
     const report = loaded.isErr ? formatFindings(loaded.error) : ''
     expect(report).to.match(/the shares of all classes sum up to 1.100/)
     expect(report).to.match(/firstTokenTargetMs: is above deadlineMs/)
     expect(report).to.match(/routes.1: is never reached/)
+    expect(report).to.match(/35.yaml:.*classes.third.share: .*with none the class could starve/)
     expect(report).to.match(/40.yaml:/)
   })
 
