Displace a waiting request only when hope is small, and ask all anew

Cause: a request was displaced from the queue as soon as its mean wait was too long, where an offer is refused on a more hopeful estimate; it made new rounds of offers. A late one was then not offered again to endpoints that had refused it long before.

--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -104,7 +104,7 @@
    * it can be on time all are asked anew; later it goes on where a late start was expected.
    */
   recordDisplaced (nowMs: number): void {
-    if (nowMs < this.#times.firstTokenDueMs) this.#reset()
+    if (nowMs < this.#latestStartMs) this.#reset()
   }
 
   /**
--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -278,8 +278,8 @@
 
   /** Estimates the wait of the latest queued request of a tier. */
   #estimateLatestWaitMs (entry: QueueEntry, nowMs: number): number {
-    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, 0)
-    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, 0))
+    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, HOPEFUL_DEVIATIONS)
+    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, HOPEFUL_DEVIATIONS))
   }
 
   /** Estimates the wait until the class's share starts one more request, not counting the last `queuedLater` of the class. */
