Take a waiting request to an endpoint that would start it much sooner

Cause: a request bound to one queue waits there while another endpoint's queue of its tier runs empty and a lower tier is started.

Change: a gateway cancels a request that has waited and offers it anew when another endpoint, one that did not refuse the tier lately, reports less than half the wait. It is cancelled first, so that it can never run twice; it keeps its place because queues order by when the first token is due.

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -1,6 +1,7 @@
 import { DEFAULT_CHOOSER_OPTIONS } from '../../src/policy/endpointChooser'
 import { EndpointTable } from '../../src/policy/endpointTable'
 import { OfferPlan } from '../../src/policy/offerPlan'
+import { shouldMoveQueued } from '../../src/policy/queuedMove'
 import { RetryBudget } from '../../src/policy/retryBudget'
 import { shouldMoveStream } from '../../src/policy/slowStream'
 import { finishRecord } from './requestRecord'
@@ -26,7 +27,7 @@
 interface PendingRequest {
   record: RequestRecord
   plan: OfferPlan
-  current: { name: string, id: string, running: boolean } | undefined
+  current: { name: string, id: string, acceptedAtMs: number | undefined, running: boolean } | undefined
   stopTimer: () => void
 }
 
@@ -62,7 +63,20 @@
     const nowMs = this.#events.getNowMs()
     for (const pending of this.#pending) if (pending.record.end !== undefined) this.#pending.delete(pending)
     const byTier = [...this.#pending].sort((a, b) => a.record.request.class.tier - b.record.request.class.tier)
-    for (const pending of byTier) this.#routeIfSlow(pending, nowMs)
+    for (const pending of byTier) {
+      if (pending.current?.running) this.#routeIfSlow(pending, nowMs)
+      else this.#routeIfSooner(pending, nowMs)
+    }
+  }
+
+  /** Takes a waiting request out of its queue when another endpoint would start it much sooner. */
+  #routeIfSooner (pending: PendingRequest, nowMs: number): void {
+    const { current, record } = pending
+    if (current?.acceptedAtMs === undefined) return
+    const waiting = { view: this.table.getView(current.name) as EndpointView, tier: record.request.class.tier, waitedMs: nowMs - current.acceptedAtMs }
+    if (!shouldMoveQueued(waiting, this.table.getViews(TARGET), nowMs)) return
+    current.acceptedAtMs = undefined
+    this.#events.schedule(this.#connections.latencyMs, () => this.#connections.sidecars.get(current.name)?.release(current.id))
   }
 
   #routeIfSlow (pending: PendingRequest, nowMs: number): void {
@@ -90,7 +104,7 @@
     const { name } = offer.view
     const sidecar = this.#connections.sidecars.get(name) as SidecarModel
     const attempt = this.#buildAttempt(pending, offer)
-    pending.current = { name, id: attempt.id, running: false }
+    pending.current = { name, id: attempt.id, acceptedAtMs: undefined, running: false }
     pending.record.offers += 1
     this.table.recordSent(name, pending.record.request.class.tier)
     this.#events.schedule(this.#connections.latencyMs, () => sidecar.offer(attempt))
@@ -111,6 +125,7 @@
       firstTokenWithinMs: offer.firstTokenWithinMs,
       onAccepted: () => {
         accepted = true
+        if (pending.current !== undefined) pending.current.acceptedAtMs = this.#events.getNowMs()
         this.#receive(() => this.table.recordReport(name, tier, this.#connections.readLoad(name), this.#events.getNowMs()))
       },
       onNotRun: (reason, retryAfterMs) => this.#receive(() => {
--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -94,6 +94,14 @@
     this.#startNext()
   }
 
+  /** Gives a queued attempt back to its gateway, which offers it elsewhere. */
+  release (id: string): void {
+    const attempt = this.#attempts.get(id)
+    if (attempt === undefined || this.queue.remove(id) === undefined) return
+    this.#attempts.delete(id)
+    attempt.onNotRun('displaced', MIN_RETRY_AFTER_MS)
+  }
+
   /** Ends a run that its gateway moves elsewhere, and tells how far it came. */
   endSlow (id: string): void {
     const attempt = this.#attempts.get(id)
--- /dev/null
+++ b/src/policy/queuedMove.ts
@@ -0,0 +1,35 @@
+import { estimateFirstToken } from './endpointView'
+
+import type { Tier } from '../protocol/serviceLevels'
+import type { EndpointView } from './endpointView'
+
+/** A request that waits in the queue of an endpoint. */
+export interface QueuedElsewhere {
+  /** Endpoint whose queue holds it. */
+  view: EndpointView
+  tier: Tier
+  /** Milliseconds for which it has waited there. */
+  waitedMs: number
+}
+
+const MIN_WAITED_MS = 300
+const GAIN_FACTOR = 0.5
+
+/**
+ * Decides whether a request should leave the queue it waits in, because another endpoint would
+ * start its tier much sooner. It loses no place by that: queues order by when a first token is due.
+ *
+ * @example
+ * if (shouldMoveQueued(waiting, table.getViews(model), nowMs)) cancelAndOfferAgain()
+ */
+export function shouldMoveQueued (waiting: QueuedElsewhere, views: readonly EndpointView[], nowMs: number): boolean {
+  if (waiting.waitedMs < MIN_WAITED_MS) return false
+  const limitMs = GAIN_FACTOR * estimateFirstToken(waiting.view, waiting.tier).waitMs
+  return views.some(view => view !== waiting.view && canStartWithin(view, waiting.tier, limitMs, nowMs))
+}
+
+function canStartWithin (view: EndpointView, tier: Tier, limitMs: number, nowMs: number): boolean {
+  if (view.load === null || view.draining || view.failures > 0 || nowMs < view.ejectedUntilMs) return false
+  const isRefusing = view.refusedTier > 0 && view.refusedTier <= tier && nowMs < view.refusedUntilMs
+  return !isRefusing && estimateFirstToken(view, tier).waitMs < limitMs
+}
