Never refuse a request in its last round while a lower tier is queued

Cause: on an estimate alone a request was refused, or displaced, at an endpoint that had requests of a lower tier queued and could start them before it.

Change: in the last round such a request takes the place of the latest of the lowest tier, whatever the estimate; and none is displaced as hopeless while a lower one, other than one held for its class's share, is queued.

--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -141,13 +141,13 @@
     this.#shares.recordDemand(entry.className, entry.share)
     const request: QueuedRequest = { entry, sequence: this.#sequence++ }
     const waitMs = this.#estimateNewWaitMs(request, nowMs)
-    if (nowMs + waitMs > entry.startByMs) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const victim = this.#findVictim(request)
+    const isHopeless = nowMs + waitMs > entry.startByMs
+    if (isHopeless && !(isLate(request) && isBelow(victim, entry))) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const isFull = this.size >= this.#options.maxQueued
+    if (isFull && victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
     const displaced: QueueEntry[] = []
-    if (this.size >= this.#options.maxQueued) {
-      const victim = this.#findVictim(request)
-      if (victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
-      displaced.push(this.#shed(victim))
-    }
+    if (victim !== undefined && (isFull || isHopeless)) displaced.push(this.#shed(victim))
     this.#add(request)
     this.#shedHopeless(entry, nowMs, displaced)
     return { kind: 'queued', displaced }
@@ -342,10 +342,15 @@
     for (let tier = MAX_TIER; tier >= entry.tier; tier--) {
       for (;;) {
         const victim = this.#findVictimInTier(tier)
-        if (victim === undefined || victim.entry.id === entry.id) break
-        if (nowMs + this.#estimateLatestWaitMs(victim.entry, nowMs) <= victim.entry.startByMs) break
+        if (victim === undefined) break
+        const waitMs = this.#estimateLatestWaitMs(victim.entry, nowMs)
+        if (victim.entry.id === entry.id || nowMs + waitMs <= victim.entry.startByMs) return
         displaced.push(this.#shed(victim))
       }
     }
   }
 }
+
+function isBelow (victim: QueuedRequest | undefined, entry: QueueEntry): boolean {
+  return victim !== undefined && victim.entry.tier > entry.tier
+}
