Check the promises on a fleet run; start shares in reserved slots too

The counts of what was queued come from the models, not from the queue.

Faults they found, mended here: - A class's share was started only in slots that the reserve left open for its tier; in an overload of the urgent tiers these never come, and the class starved. A share is now started in any open slot. - A request whose time was up was still offered, to be refused everywhere.

--- a/bench/lunch/gatewayModel.ts
+++ b/bench/lunch/gatewayModel.ts
@@ -183,7 +183,8 @@
     const { record } = pending
     pending.stopTimer()
     const nowMs = this.#events.getNowMs()
-    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, retryAfterMs: pending.plan.getRetryAfterMs() })
+    const up = [...this.#connections.sidecars.values()].filter(sidecar => sidecar.engine.isUp())
+    this.#connections.log.push({ kind: 'shed', atMs: nowMs, request: record.request, upEndpoints: up.map(sidecar => sidecar.engine.spec.name) })
     finishRecord(record, 'shed', nowMs)
   }
 
--- a/bench/lunch/requestRecord.ts
+++ b/bench/lunch/requestRecord.ts
@@ -17,12 +17,20 @@
   spentUnits: number
 }
 
+/** What a queue held when it decided. */
+export interface QueuedBeside {
+  /** Queued requests of higher tiers. */
+  higher: number
+  /** Queued requests of lower tiers, besides one for each class with a share. */
+  lowerUnheld: number
+}
+
 /** A fact of a run, for checks after it. */
 export type LogEntry =
-  | { kind: 'refused', atMs: number, endpoint: string, request: TraceRequest, reason: string, lowerQueued: number }
-  | { kind: 'displaced', atMs: number, endpoint: string, request: TraceRequest }
-  | { kind: 'started', atMs: number, endpoint: string, request: TraceRequest, by: 'tier' | 'share' }
-  | { kind: 'shed', atMs: number, request: TraceRequest, retryAfterMs: number }
+  | { kind: 'refused', atMs: number, endpoint: string, request: TraceRequest, isLastRound: boolean, beside: QueuedBeside }
+  | { kind: 'displaced', atMs: number, endpoint: string, request: TraceRequest, reason: 'displaced' | 'cannotMeetDeadline' | 'released', beside: QueuedBeside }
+  | { kind: 'started', atMs: number, endpoint: string, request: TraceRequest, by: 'tier' | 'share', beside: QueuedBeside }
+  | { kind: 'shed', atMs: number, request: TraceRequest, upEndpoints: string[] }
 
 /** What routes the requests of a trace. */
 export interface Router {
--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -8,7 +8,8 @@
 import type { EndpointLoad } from '../../src/protocol/attemptMessages'
 import type { Engine, EngineRun } from './engine'
 import type { EventQueue } from './eventQueue'
-import type { LogEntry, RequestRecord } from './requestRecord'
+import type { LogEntry, QueuedBeside, RequestRecord } from './requestRecord'
+import type { TraceClass } from './trace'
 
 /** One attempt at a sidecar; the functions tell the gateway what becomes of it. */
 export interface SidecarAttempt {
@@ -75,8 +76,8 @@
     this.#setSlots()
     const decision = this.queue.offer(this.#buildEntry(attempt), nowMs)
     if (decision.kind === 'refused') {
-      const lowerQueued = this.queue.countByTier().slice(request.class.tier).reduce((sum, count) => sum + count, 0)
-      this.#log.push({ kind: 'refused', atMs: nowMs, endpoint: this.engine.spec.name, request, reason: decision.reason, lowerQueued })
+      const isLastRound = attempt.startWithinMs > attempt.firstTokenWithinMs
+      this.#log.push({ kind: 'refused', atMs: nowMs, endpoint: this.engine.spec.name, request, isLastRound, beside: this.#countBeside(request.class.tier) })
       return attempt.onNotRun(decision.reason, decision.retryAfterMs)
     }
     this.#attempts.set(attempt.id, attempt)
@@ -99,6 +100,7 @@
     const attempt = this.#attempts.get(id)
     if (attempt === undefined || this.queue.remove(id) === undefined) return
     this.#attempts.delete(id)
+    this.#recordDisplaced(attempt, 'released')
     attempt.onNotRun('displaced', MIN_RETRY_AFTER_MS)
   }
 
@@ -153,7 +155,7 @@
       const taken = this.queue.takeNext(nowMs)
       if (taken === null) return
       const attempt = this.#attempts.get(taken.entry.id) as SidecarAttempt
-      this.#log.push({ kind: 'started', atMs: nowMs, endpoint: this.engine.spec.name, request: attempt.record.request, by: taken.by })
+      this.#log.push({ kind: 'started', atMs: nowMs, endpoint: this.engine.spec.name, request: attempt.record.request, by: taken.by, beside: this.#countBeside(taken.entry.tier) })
       this.#start(attempt)
     }
   }
@@ -190,10 +192,29 @@
   #refuseQueued (entry: QueueEntry, reason: 'displaced' | 'cannotMeetDeadline'): void {
     const attempt = this.#attempts.get(entry.id) as SidecarAttempt
     this.#attempts.delete(entry.id)
-    this.#log.push({ kind: 'displaced', atMs: this.#events.getNowMs(), endpoint: this.engine.spec.name, request: attempt.record.request })
+    this.#recordDisplaced(attempt, reason)
     attempt.onNotRun(reason, MIN_RETRY_AFTER_MS)
   }
 
+  #recordDisplaced (attempt: SidecarAttempt, reason: 'displaced' | 'cannotMeetDeadline' | 'released'): void {
+    const { request } = attempt.record
+    this.#log.push({ kind: 'displaced', atMs: this.#events.getNowMs(), endpoint: this.engine.spec.name, request, reason, beside: this.#countBeside(request.class.tier) })
+  }
+
+  /** Counts from the attempts held here, not from the queue that is under test. */
+  #countBeside (tier: number): QueuedBeside {
+    const byClass = new Map<TraceClass, number>()
+    for (const { id, record } of this.#attempts.values()) {
+      if (!this.#runs.has(id)) byClass.set(record.request.class, (byClass.get(record.request.class) ?? 0) + 1)
+    }
+    const beside = { higher: 0, lowerUnheld: 0 }
+    for (const [cls, count] of byClass) {
+      if (cls.tier < tier) beside.higher += count
+      if (cls.tier > tier) beside.lowerUnheld += cls.share > 0 ? count - 1 : count
+    }
+    return beside
+  }
+
   #stopRun (id: string, attempt: SidecarAttempt): void {
     const run = this.#runs.get(id)
     if (run === undefined) return
--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -77,8 +77,9 @@
     return this.#retryAfterMs
   }
 
-  /** Takes the next offer to make, or null when every endpoint refused and the request is to be shed. */
+  /** Takes the next offer to make, or null when every endpoint refused, or no time is left, and the request is to be shed. */
   takeNext (nowMs: number): PlannedOffer | null {
+    if (nowMs >= this.#latestStartMs) return null
     if (this.#offersAtOnce < OFFERS_AT_ONCE || this.#waiting.size === 0) {
       const view = this.#takeRanked(nowMs)
       if (view !== undefined) return this.#buildOffer(view, AT_ONCE_MS, 'atOnce', nowMs)
--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -143,7 +143,8 @@
     const waitMs = this.#estimateNewWaitMs(request, nowMs)
     const victim = this.#findVictim(request)
     const isHopeless = nowMs + waitMs > entry.startByMs
-    if (isHopeless && !(isLate(request) && isBelow(victim, entry))) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const mayDisplace = isLate(request) && entry.startByMs > nowMs && isBelow(victim, entry)
+    if (isHopeless && !mayDisplace) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
     const isFull = this.size >= this.#options.maxQueued
     if (isFull && victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
     const displaced: QueueEntry[] = []
@@ -200,8 +201,7 @@
 
   #findNextByShare (): QueuedRequest | undefined {
     const owed = this.#shares.findOwedClass()
-    const next = owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
-    return next !== undefined && this.#isSlotOpen(next.entry.tier) ? next : undefined
+    return owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
   }
 
   #isSlotOpen (tier: Tier): boolean {
--- /dev/null
+++ b/tests/policy/fleetFixtures.ts
@@ -0,0 +1,72 @@
+import { runSimulation } from '../../bench/lunch/simulation'
+
+import type { EngineSpec } from '../../bench/lunch/engine'
+import type { LogEntry } from '../../bench/lunch/requestRecord'
+import type { FaultPlan, SimulationOptions, SimulationResult } from '../../bench/lunch/simulation'
+import type { Deployment, TraceClass } from '../../bench/lunch/trace'
+
+/** One engine slowed, one crashing mid-burst and coming back, one whose load reports show it empty. */
+export const ALL_FAULTS: FaultPlan = {
+  slowed: [{ engine: 0, factor: 10, fromMs: 8000, untilMs: 30_000 }],
+  crashed: [{ engine: 1, atMs: 15_000, backAtMs: 25_000 }],
+  lyingEngines: [2]
+}
+
+const BURST_MS = 40_000
+/** A request that waited this many times its target is shed because its time is up. */
+const LATEST_START_FACTOR = 1.5
+
+/** Builds a class with a guaranteed share of 4 in 100 of the starts. */
+export function buildClass (name: string, tier: number, demand: number): TraceClass {
+  return { name, tier, firstTokenTargetMs: 600 * tier, deadlineMs: 30_000 * tier, share: 0.04, retryRatio: 0.1, demand, medianTokens: 60 }
+}
+
+/** Builds a deployment of three gateways and five unequal engines at twice their capacity. */
+export function buildDeployment (): Deployment {
+  return {
+    name: 'test',
+    engines: Array.from({ length: 5 }, (_, index): EngineSpec => ({
+      name: `engine-${index}`,
+      domain: `domain-${index % 2}`,
+      slots: 16,
+      baseIntervalMs: 20 + 2 * index,
+      addedIntervalMs: 1.2
+    })),
+    gateways: 3,
+    latencyMs: 1,
+    workspaces: 6,
+    classes: [buildClass('panel', 1, 0.3), buildClass('quote', 2, 0.3), buildClass('note', 4, 0.6), buildClass('archive', 6, 0.8)]
+  }
+}
+
+/** Runs a burst with all faults; fields given replace the defaults. */
+export function runFleet (fields: Partial<SimulationOptions> = {}): SimulationResult {
+  return runSimulation({ deployment: buildDeployment(), router: 'tanagerwick', faults: ALL_FAULTS, burstMs: BURST_MS, seed: 1, ...fields })
+}
+
+/** Lists what in a log breaks the rule that no tier gives way to a lower one. */
+export function listTierViolations (log: LogEntry[]): string[] {
+  const refusedBy = new Map<string, Set<string>>()
+  return log.flatMap(entry => {
+    const refusals = refusedBy.get(entry.request.id) ?? new Set()
+    refusedBy.set(entry.request.id, refusals)
+    if (entry.kind === 'refused' || entry.kind === 'displaced') refusals.add(entry.endpoint)
+    return describeViolation(entry, refusals)
+  })
+}
+
+function describeViolation (entry: LogEntry, refusals: Set<string>): string[] {
+  const { request, atMs } = entry
+  const what = `${request.id} ${entry.kind} at ${atMs.toFixed(0)} ms`
+  switch (entry.kind) {
+    case 'refused':
+      return entry.isLastRound && entry.beside.lowerUnheld > 0 ? [`${what}: lower requests are queued`] : []
+    case 'displaced':
+      return entry.reason === 'displaced' && entry.beside.lowerUnheld > 0 ? [`${what}: lower requests are queued`] : []
+    case 'started':
+      return entry.by === 'tier' && entry.beside.higher > 0 ? [`${what}: higher requests are queued`] : []
+    case 'shed':
+      if (atMs >= request.atMs + LATEST_START_FACTOR * request.class.firstTokenTargetMs) return []
+      return entry.upEndpoints.filter(endpoint => !refusals.has(endpoint)).map(endpoint => `${what}: ${endpoint} never refused it`)
+  }
+}
--- a/tests/policy/requestQueue.spec.ts
+++ b/tests/policy/requestQueue.spec.ts
@@ -46,7 +46,8 @@
       startsByShare.push(start)
     }
     expect(startsByShare).to.have.length.within(9, 10)
-    expect(startsByShare[0]).to.be.at.most(11)
+    expect(startsByShare[0]).to.be.within(9, 11)
+    startsByShare.slice(1).forEach((start, index) => expect(start - (startsByShare[index] ?? 0)).to.be.within(9, 11))
   })
 
   it('should serve a class by its share though each of its requests alone is refused as too late', () => {
