--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -77,8 +77,9 @@
     return this.#retryAfterMs
   }
 
-  /** Takes the next offer to make, or null when every endpoint refused and the request is to be shed. */
+  /** Takes the next offer to make, or null when every endpoint refused, or no time is left, and the request is to be shed. */
   takeNext (nowMs: number): PlannedOffer | null {
+    if (nowMs >= this.#latestStartMs) return null
     if (this.#offersAtOnce < OFFERS_AT_ONCE || this.#waiting.size === 0) {
       const view = this.#takeRanked(nowMs)
       if (view !== undefined) return this.#buildOffer(view, AT_ONCE_MS, 'atOnce', nowMs)
@@ -104,7 +105,7 @@
    * it can be on time all are asked anew; later it goes on where a late start was expected.
    */
   recordDisplaced (nowMs: number): void {
-    if (nowMs < this.#times.firstTokenDueMs) this.#reset()
+    if (nowMs < this.#latestStartMs) this.#reset()
   }
 
   /**
