Do not count a caller's hang-up against the endpoint

Cause: a caller that left, or a deadline that passed, ended its attempt as "may have run", which the gateway recorded as a failure of the endpoint and ejected it.

Change: an attempt given up by this side records neither success nor failure.

--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -108,7 +108,8 @@
       expectedEpoch: target.epoch
     })
     const end = await session.run()
-    watch.recordEnd(end, clock.getMonotonicMs())
+    if (this.#progress.signal.aborted) watch.recordGivenUp(clock.getMonotonicMs())
+    else watch.recordEnd(end, clock.getMonotonicMs())
     return end
   }
 
@@ -267,6 +268,11 @@
     this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
   }
 
+  /** The caller left or its deadline passed, which says nothing against the endpoint. */
+  recordGivenUp (nowMs: number): void {
+    if (!this.#isReported) this.#options.view.table.recordReport(this.#target.endpointName, this.#params.tier, null, nowMs)
+  }
+
   recordEnd (end: AttemptEnd, nowMs: number): void {
     const { table } = this.#options.view
     const name = this.#target.endpointName
