Move waiting and slow attempts between endpoints; share crash records before retries

Cause: a stream stayed on an engine that became 40 times slower until its deadline; a request that crashed two engines could crash a third through another gateway before the crash record had spread. Change: AttemptMover over the policy's decisions, with the token interval measured at the gateway and loads on heartbeats; a sidecar waits up to 500 ms until its crash record is stored, and asks a silent endpoint again before it says that it did not crash. Ruled out: intervals from load reports alone, which a busy stream never gets.

--- a/bench/capacity/messageBytes.ts
+++ b/bench/capacity/messageBytes.ts
@@ -27,7 +27,7 @@
     accepted: countNotification({ method: 'accepted', params: { attemptId: ATTEMPT_ID, stamp } }),
     started: countNotification({ method: 'started', params: { attemptId: ATTEMPT_ID } }),
     chunk: countNotification({ method: 'chunk', params: { attemptId: ATTEMPT_ID, index: 123, text: 'bergamot ' } }),
-    heartbeat: countNotification({ method: 'heartbeat', params: { attemptId: ATTEMPT_ID } }),
+    heartbeat: countNotification({ method: 'heartbeat', params: { attemptId: ATTEMPT_ID, stamp } }),
     final: countBytes({ jsonrpc: '2.0', id: 1, result: createResult(stamp) }),
     stamp: countBytes({ stamp })
   }
--- a/src/gateway/attemptSession.ts
+++ b/src/gateway/attemptSession.ts
@@ -14,6 +14,8 @@
   | { kind: 'completed', status: number, contentType: string }
   | { kind: 'notRun', reason: NotRunReason | 'unreachable', retryAfterMs: number }
   | { kind: 'mayHaveRun', reason: string, retryAfterMs: number }
+  /** Cancelled by `move`, so that the request is offered elsewhere. */
+  | { kind: 'moved', wasRunning: boolean }
   | { kind: 'failed', reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed' | 'malformed', message: string, crashCount: number }
 
 /** Told of what an attempt shows on its way. */
@@ -47,6 +49,7 @@
   #knownEpoch: string
   #submittedAtMs = 0
   #hasSeenAccepted = false
+  #isMoving = false
   /** Whether the submission itself was sent; calls after it say nothing of whether it was. */
   #wasSent = false
 
@@ -73,6 +76,12 @@
     }
   }
 
+  /** Cancels the attempt where it waits or runs; `run` then resolves with `moved`, unless it ended otherwise meanwhile. */
+  move (): void {
+    this.#isMoving = true
+    this.#cancel()
+  }
+
   * #serveEvents (events: csp.Channel<AttemptEvent>): Generator<unknown, AttemptEnd | LostEnd, any> {
     for (;;) {
       const event: AttemptEvent | null = yield csp.take(events)
@@ -109,6 +118,7 @@
           break
         }
         case 'heartbeat':
+          this.#options.observer.recordStamp(notification.params.stamp)
           break
         default: notification satisfies never
       }
@@ -146,9 +156,13 @@
         this.#options.assembly.flush()?.catch(() => {})
         return { kind: 'completed', status: outcome.status, contentType: outcome.contentType }
       }
-      case 'notRun': return { kind: 'notRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+      case 'notRun':
+        if (this.#isMoving && outcome.reason === 'cancelled') return { kind: 'moved', wasRunning: false }
+        return { kind: 'notRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
       case 'mayHaveRun': return { kind: 'mayHaveRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
-      case 'failedAfterStart': return { kind: 'failed', reason: outcome.reason, message: outcome.message, crashCount: outcome.crashCount }
+      case 'failedAfterStart':
+        if (this.#isMoving && outcome.reason === 'cancelled') return { kind: 'moved', wasRunning: true }
+        return { kind: 'failed', reason: outcome.reason, message: outcome.message, crashCount: outcome.crashCount }
       default: return outcome satisfies never
     }
   }
@@ -179,10 +193,14 @@
 
   /** Gives the attempt up: the caller left, its deadline passed, or its stream is lost time and again. */
   async #release (): Promise<AttemptEnd> {
+    this.#cancel()
+    return { kind: 'mayHaveRun', reason: 'the attempt was given up', retryAfterMs: 0 }
+  }
+
+  #cancel (): void {
     const { peer, params } = this.#options
     const progress = new Progress({ title: `cancelling attempt ${params.attemptId}`, timeoutMs: CANCEL_TIMEOUT_MS })
     peer.cancelAttempt(params.attemptId, progress).catch(() => {})
-    return { kind: 'mayHaveRun', reason: 'the attempt was given up', retryAfterMs: 0 }
   }
 }
 
--- /dev/null
+++ b/src/gateway/attemptWatch.ts
@@ -0,0 +1,103 @@
+import type { Clock } from '../base/clock'
+import type { SubmitAttempt } from '../protocol/attemptMessages'
+import type { MovableAttempt } from './attemptMover'
+import type { AttemptEnd, AttemptObserver } from './attemptSession'
+import type { CallerRequest } from './callerRequest'
+import type { FleetView, OfferTarget } from './fleetView'
+import type { RelayObserver } from './relayEvents'
+
+const INTERVAL_SMOOTHING = 0.2
+
+export interface AttemptWatchOptions {
+  clock: Clock
+  view: FleetView
+  observer: RelayObserver
+  /** Told of the generation that a sidecar has in force. */
+  onGeneration: (generation: number, address: string) => void
+}
+
+/** Passes what one attempt shows on to the view and the observers. */
+export class AttemptWatch implements AttemptObserver {
+  readonly #options: AttemptWatchOptions
+  readonly #request: CallerRequest
+  readonly #params: SubmitAttempt
+  readonly #target: OfferTarget
+  #isReported = false
+  #acceptedAtMs: number | null = null
+  #startedAtMs: number | null = null
+  #lastChunkAtMs: number | null = null
+  #tokenIntervalMs = 0
+
+  constructor (options: AttemptWatchOptions, request: CallerRequest, params: SubmitAttempt, target: OfferTarget) {
+    this.#options = options
+    this.#request = request
+    this.#params = params
+    this.#target = target
+  }
+
+  recordAccepted (stamp: Parameters<AttemptObserver['recordAccepted']>[0]): void {
+    this.#acceptedAtMs = this.#options.clock.getMonotonicMs()
+    this.recordStamp(stamp)
+  }
+
+  /** Where the attempt stands; null before it was accepted. */
+  getStanding (): ReturnType<MovableAttempt['getStanding']> {
+    if (this.#startedAtMs !== null) return { kind: 'running' }
+    return this.#acceptedAtMs === null ? null : { kind: 'queued', sinceMs: this.#acceptedAtMs }
+  }
+
+  recordStamp (stamp: Parameters<AttemptObserver['recordStamp']>[0]): void {
+    const { view, clock, onGeneration } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    if (this.#isReported) view.table.recordLoad(this.#target.endpointName, stamp.load, nowMs)
+    else view.table.recordReport(this.#target.endpointName, this.#params.tier, stamp.load, nowMs)
+    this.#isReported = true
+    onGeneration(stamp.configGeneration, this.#target.peer.address)
+  }
+
+  recordStarted (): void {
+    this.#startedAtMs ??= this.#options.clock.getMonotonicMs()
+  }
+
+  recordChunks (count: number): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    if (this.#lastChunkAtMs === null) this.#recordFirstChunk(nowMs)
+    else this.#tokenIntervalMs += INTERVAL_SMOOTHING * ((nowMs - this.#lastChunkAtMs) / count - this.#tokenIntervalMs)
+    this.#lastChunkAtMs = nowMs
+  }
+
+  /** Smoothed milliseconds between tokens of this attempt; 0 before the second. */
+  getTokenIntervalMs (): number {
+    return this.#tokenIntervalMs
+  }
+
+  #recordFirstChunk (nowMs: number): void {
+    if (this.#startedAtMs !== null) this.#options.view.table.recordFirstToken(this.#target.endpointName, nowMs - this.#startedAtMs)
+  }
+
+  recordLost (message: string): void {
+    this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
+  }
+
+  /** The caller left or its deadline passed, which says nothing against the endpoint. */
+  recordGivenUp (nowMs: number): void {
+    if (!this.#isReported) this.#options.view.table.recordReport(this.#target.endpointName, this.#params.tier, null, nowMs)
+  }
+
+  recordEnd (end: AttemptEnd, nowMs: number): void {
+    const { table } = this.#options.view
+    const name = this.#target.endpointName
+    if (!this.#isReported) table.recordReport(name, this.#params.tier, null, nowMs)
+    switch (end.kind) {
+      case 'completed': return table.recordAnswer(name, nowMs - (this.#startedAtMs ?? nowMs))
+      case 'notRun':
+        this.#options.observer.recordNotRun(this.#request, this.#params.attemptId, end.reason)
+        if (end.reason === 'unreachable' || end.reason === 'endpointUnavailable') return table.recordFailure(name, nowMs)
+        return
+      case 'moved': return
+      case 'mayHaveRun':
+      case 'failed': return table.recordFailure(name, nowMs)
+      default: end satisfies never
+    }
+  }
+}
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -1,17 +1,19 @@
 import { AnswerAssembly } from './answerAssembly'
 import { AttemptSession } from './attemptSession'
+import { AttemptWatch } from './attemptWatch'
+import { toTargetName } from './fleetView'
 import { OfferLog } from './offerLog'
 
-import type { Clock } from '../base/clock'
 import type { Progress } from '../base/progress'
 import type { OfferPlan, PlannedOffer } from '../policy/offerPlan'
 import type { AttemptTarget, SubmitAttempt } from '../protocol/attemptMessages'
-import type { AttemptEnd, AttemptObserver } from './attemptSession'
+import type { AttemptMover, MovableAttempt } from './attemptMover'
+import type { AttemptEnd } from './attemptSession'
+import type { AttemptWatchOptions } from './attemptWatch'
 import type { CallerAnswer } from './callerAnswer'
 import type { CallerRequest } from './callerRequest'
 import type { Refusal } from './errorBody'
-import type { FleetView, OfferTarget } from './fleetView'
-import type { RelayObserver } from './relayEvents'
+import type { OfferTarget } from './fleetView'
 import type { RequestRelay } from './requestRelay'
 
 /** Who this gateway is, as it tells its sidecars. */
@@ -21,16 +23,12 @@
   gatewayAddress: string
 }
 
-export interface FleetRelayOptions {
-  clock: Clock
-  view: FleetView
-  observer: RelayObserver
+export interface FleetRelayOptions extends AttemptWatchOptions {
+  mover: AttemptMover
   getIdentity: () => GatewayIdentity
   getConfigGeneration: () => number
   /** Takes one retry from the class's budget; false when none is left. */
   takeRetry: (className: string) => boolean
-  /** Told of the generation that a sidecar has in force. */
-  onGeneration: (generation: number, address: string) => void
   /** Whether a fingerprint has crashed as many endpoints as it may. */
   isPoisoned: (fingerprint: string) => boolean
   /** Endpoint crashes known under a fingerprint. */
@@ -100,7 +98,7 @@
   }
 
   async #runAttempt (target: OfferTarget, offer: PlannedOffer): Promise<AttemptEnd> {
-    const { clock, view, observer } = this.#options
+    const { clock, view, observer, mover } = this.#options
     this.#attemptNumber += 1
     const params = this.#createParams(offer)
     observer.recordAttempt(this.#request, params.attemptId, target.endpointName)
@@ -115,12 +113,34 @@
       progress: this.#progress,
       expectedEpoch: target.epoch
     })
+    const movable = this.#createMovable(target, watch, session)
+    mover.add(movable)
     const end = await session.run()
+    mover.remove(movable)
     if (this.#progress.signal.aborted) watch.recordGivenUp(clock.getMonotonicMs())
     else watch.recordEnd(end, clock.getMonotonicMs())
     return end
   }
 
+  #createMovable (target: OfferTarget, watch: AttemptWatch, session: AttemptSession): MovableAttempt {
+    const { serviceClass, target: asked } = this.#request
+    let isMoving = false
+    return {
+      endpointName: target.endpointName,
+      targetName: toTargetName(asked),
+      tier: serviceClass.tier,
+      className: serviceClass.name,
+      betweenTokensTargetMs: serviceClass.betweenTokensTargetMs,
+      resumable: asked.kind === 'chat',
+      getTokenIntervalMs: () => watch.getTokenIntervalMs(),
+      getStanding: () => isMoving ? null : watch.getStanding(),
+      move: () => {
+        isMoving = true
+        session.move()
+      }
+    }
+  }
+
   #decideNext (offer: PlannedOffer, end: AttemptEnd): 'done' | 'goOn' {
     switch (end.kind) {
       case 'completed':
@@ -129,6 +149,8 @@
       case 'notRun':
         this.#offers.recordNotRun(end.reason, end.retryAfterMs)
         return this.#decideNotRun(offer, end)
+      case 'moved':
+        return this.#decideMoved(end.wasRunning)
       case 'mayHaveRun':
       case 'failed':
         return this.#decideAfterStart(offer, end)
@@ -156,6 +178,15 @@
     }
   }
 
+  #decideMoved (wasRunning: boolean): 'goOn' {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    this.#mayHaveRun ||= wasRunning
+    if (!this.#takeReset()) return 'goOn'
+    if (wasRunning) this.#plan.recordLost(nowMs)
+    else this.#plan.recordDisplaced(nowMs)
+    return 'goOn'
+  }
+
   #decideAfterStart (offer: PlannedOffer, end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): 'done' | 'goOn' {
     this.#mayHaveRun = true
     if (this.#progress.signal.aborted) return this.#refuse(this.#createRefusal())
@@ -231,73 +262,6 @@
   }
 }
 
-/** Passes what one attempt shows on to the view and the observers. */
-class AttemptWatch implements AttemptObserver {
-  readonly #options: FleetRelayOptions
-  readonly #request: CallerRequest
-  readonly #params: SubmitAttempt
-  readonly #target: OfferTarget
-  #isReported = false
-  #startedAtMs: number | null = null
-  #hasChunks = false
-
-  constructor (options: FleetRelayOptions, request: CallerRequest, params: SubmitAttempt, target: OfferTarget) {
-    this.#options = options
-    this.#request = request
-    this.#params = params
-    this.#target = target
-  }
-
-  recordAccepted (stamp: Parameters<AttemptObserver['recordAccepted']>[0]): void {
-    this.recordStamp(stamp)
-  }
-
-  recordStamp (stamp: Parameters<AttemptObserver['recordStamp']>[0]): void {
-    const { view, clock, onGeneration } = this.#options
-    const nowMs = clock.getMonotonicMs()
-    if (this.#isReported) view.table.recordLoad(this.#target.endpointName, stamp.load, nowMs)
-    else view.table.recordReport(this.#target.endpointName, this.#params.tier, stamp.load, nowMs)
-    this.#isReported = true
-    onGeneration(stamp.configGeneration, this.#target.peer.address)
-  }
-
-  recordStarted (): void {
-    this.#startedAtMs ??= this.#options.clock.getMonotonicMs()
-  }
-
-  recordChunks (): void {
-    if (this.#hasChunks || this.#startedAtMs === null) return
-    this.#hasChunks = true
-    const elapsedMs = this.#options.clock.getMonotonicMs() - this.#startedAtMs
-    this.#options.view.table.recordFirstToken(this.#target.endpointName, elapsedMs)
-  }
-
-  recordLost (message: string): void {
-    this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
-  }
-
-  /** The caller left or its deadline passed, which says nothing against the endpoint. */
-  recordGivenUp (nowMs: number): void {
-    if (!this.#isReported) this.#options.view.table.recordReport(this.#target.endpointName, this.#params.tier, null, nowMs)
-  }
-
-  recordEnd (end: AttemptEnd, nowMs: number): void {
-    const { table } = this.#options.view
-    const name = this.#target.endpointName
-    if (!this.#isReported) table.recordReport(name, this.#params.tier, null, nowMs)
-    switch (end.kind) {
-      case 'completed': return table.recordAnswer(name, nowMs - (this.#startedAtMs ?? nowMs))
-      case 'notRun':
-        this.#options.observer.recordNotRun(this.#request, this.#params.attemptId, end.reason)
-        if (end.reason === 'unreachable' || end.reason === 'endpointUnavailable') return table.recordFailure(name, nowMs)
-        return
-      case 'mayHaveRun':
-      case 'failed': return table.recordFailure(name, nowMs)
-      default: end satisfies never
-    }
-  }
-}
-
 function createLostRefusal (end: Extract<AttemptEnd, { kind: 'mayHaveRun' | 'failed' }>): Refusal {
   if (end.kind === 'mayHaveRun') return { code: 'answer_lost', message: `The request may have run: ${end.reason}.`, execution: 'may_have_run', retryAfterMs: end.retryAfterMs }
   return { code: 'endpoint_failed', message: `The endpoint failed after the start: ${end.message}`, execution: 'may_have_run' }
--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -118,7 +118,8 @@
   }
 }
 
-function toTargetName (target: AttemptTarget): string {
+/** Names what a request asks for in the table of endpoints: a model, or a plain service. */
+export function toTargetName (target: AttemptTarget): string {
   return target.kind === 'chat' ? target.model : `service:${target.service}`
 }
 
--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -11,6 +11,7 @@
 import { RetryBudget } from '../policy/retryBudget'
 import { RPC_PATH } from '../protocol/attemptMessages'
 import { AnswerMeter, AnswerMetrics } from './answerMeter'
+import { AttemptMover } from './attemptMover'
 import { CallerServer } from './callerServer'
 import { FleetRelay } from './fleetRelay'
 import { FleetView } from './fleetView'
@@ -44,6 +45,7 @@
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
   readonly #view: FleetView
+  readonly #mover: AttemptMover
   readonly #directory: MembershipDirectory
   readonly #server: CallerServer
   readonly #limiter = new RateLimiter()
@@ -63,6 +65,7 @@
       patience: PATIENCE,
       random: Math.random
     })
+    this.#mover = new AttemptMover({ clock: systemClock, table: this.#view.table, takeRetry: className => this.#takeRetry(className) })
     this.#directory = new MembershipDirectory({ service })
     this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
     this.#upkeep = new Upkeep({
@@ -81,6 +84,7 @@
   /** Starts to serve; returns the `host:port` in use. */
   async start (): Promise<string> {
     const { settings, service } = this.#options
+    this.#mover.start()
     this.#directory.start()
     this.#crashes.start()
     this.#upkeep.start()
@@ -99,6 +103,7 @@
     const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
     await this.#server.drain(new Progress({ title: 'draining the gateway', timeoutMs: DRAIN_TIMEOUT_MS }))
     await Promise.all([leaving, this.#directory.stop(), this.#crashes.stop(), this.#upkeep.stop()])
+    this.#mover.stop()
     this.#view.close()
   }
 
@@ -124,10 +129,11 @@
     return new FleetRelay({
       clock: systemClock,
       view: this.#view,
+      mover: this.#mover,
       observer: new RelayLog({ logger, metrics: this.#metrics, recordRequest: serviceClass => this.#budget.recordRequest(serviceClass.name, serviceClass.retryRatio, systemClock.getMonotonicMs()) }),
       getIdentity: () => ({ gatewayId: settings.id, gatewayEpoch: this.#epoch, gatewayAddress: this.#address }),
       getConfigGeneration: () => config.getCurrent()?.generation ?? 0,
-      takeRetry: className => this.#budget.acquire(className, systemClock.getMonotonicMs()),
+      takeRetry: className => this.#takeRetry(className),
       onGeneration: (generation, address) => config.notifyGeneration(generation, address),
       isPoisoned: fingerprint => this.#crashes.isPoisoned(fingerprint, config.getCurrent()?.settings.poisonCrashLimit ?? Infinity),
       getCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
@@ -150,6 +156,10 @@
     }
   }
 
+  #takeRetry (className: string): boolean {
+    return this.#budget.acquire(className, systemClock.getMonotonicMs())
+  }
+
   #reportError (error: unknown): void {
     this.#options.logger.warn({ event: 'backgroundError', message: String(error).slice(0, 500) })
   }
--- a/src/platform/poisonRegistry.ts
+++ b/src/platform/poisonRegistry.ts
@@ -68,6 +68,7 @@
   readonly #toldCounts = new Map<string, { count: number, atMs: number }>()
   /** Fingerprints with crashes that the service is not known to have, and when to write them. */
   readonly #unwritten = new Map<string, number>()
+  #waiters: Array<{ fingerprint: string, resolve: () => void }> = []
 
   constructor (options: PoisonRegistryOptions) {
     const { service, getRandom, onError } = options
@@ -118,6 +119,17 @@
     removeOldest(this.#toldCounts, this.#getMaxRecords())
   }
 
+  /**
+   * Waits until what is known of `fingerprint` is stored, so that processes asked next know it too.
+   *
+   * @throws TimeoutError when it is not stored before the deadline of `progress`
+   */
+  async waitWritten (fingerprint: string, progress: Progress): Promise<void> {
+    if (!this.#unwritten.has(fingerprint)) return
+    const written = new Promise<void>(resolve => this.#waiters.push({ fingerprint, resolve }))
+    await progress.wait('the crash record to be stored', written)
+  }
+
   /** Crashes known under `fingerprint` that have not expired. */
   getCrashCount (fingerprint: string): number {
     const told = this.#toldCounts.get(fingerprint)
@@ -177,7 +189,7 @@
     if (stored === null) return
     this.#merge(stored)
     const own = this.#records.get(stored.fingerprint)
-    if (own !== undefined && hasAllCrashes(stored, own)) this.#unwritten.delete(stored.fingerprint)
+    if (own !== undefined && hasAllCrashes(stored, own)) this.#markWritten(stored.fingerprint)
   }
 
   async #writeNext (signal: AbortSignal): Promise<number> {
@@ -188,7 +200,7 @@
     if (waitMs > 0) return waitMs
     const record = this.getRecord(fingerprint)
     if (record === null) {
-      this.#unwritten.delete(fingerprint)
+      this.#markWritten(fingerprint)
       return 0
     }
     const reservation = this.#bucket.acquire(0)
@@ -197,6 +209,13 @@
     return await this.#write(record, progress) ? 0 : this.#backoff.advance()
   }
 
+  #markWritten (fingerprint: string): void {
+    this.#unwritten.delete(fingerprint)
+    const done = this.#waiters.filter(waiter => waiter.fingerprint === fingerprint)
+    this.#waiters = this.#waiters.filter(waiter => waiter.fingerprint !== fingerprint)
+    for (const waiter of done) waiter.resolve()
+  }
+
   #findNextWrite (): { fingerprint: string, dueMs: number } | null {
     let next: { fingerprint: string, dueMs: number } | null = null
     for (const [fingerprint, dueMs] of this.#unwritten) {
@@ -217,7 +236,7 @@
     const written = await service.put(key, merged, condition, progress)
     if (written.isErr) return false
     this.#backoff.reset()
-    if (this.#records.get(record.fingerprint) === merged) this.#unwritten.delete(record.fingerprint)
+    if (this.#records.get(record.fingerprint) === merged) this.#markWritten(record.fingerprint)
     return true
   }
 
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -135,7 +135,7 @@
   z.object({ method: z.literal('accepted'), params: z.object({ attemptId: z.string(), stamp: sidecarStampSchema }) }),
   z.object({ method: z.literal('started'), params: z.object({ attemptId: z.string() }) }),
   z.object({ method: z.literal('chunk'), params: z.object({ attemptId: z.string(), index: z.number().int().nonnegative(), text: z.string() }) }),
-  z.object({ method: z.literal('heartbeat'), params: z.object({ attemptId: z.string() }) })
+  z.object({ method: z.literal('heartbeat'), params: z.object({ attemptId: z.string(), stamp: sidecarStampSchema }) })
 ])
 export type AttemptNotification = z.infer<typeof attemptNotificationSchema>
 
--- a/src/sidecar/attempt.ts
+++ b/src/sidecar/attempt.ts
@@ -121,7 +121,7 @@
   }
 
   sendHeartbeat (nowMs: number): void {
-    this.#notify([{ method: 'heartbeat', params: { attemptId: this.id } }], nowMs)
+    this.#notify([{ method: 'heartbeat', params: { attemptId: this.id, stamp: this.#getStamp() } }], nowMs)
   }
 
   /** Ends the attempt as completed, over the chunks added so far. */
--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -17,6 +17,8 @@
 /** Told of what the runs at the endpoint showed. */
 export interface RunObserver {
   recordTokenInterval (milliseconds: number): void
+  /** Settles when a crash under the attempt's fingerprint is stored, or could not be in a short time. */
+  waitCrashShared (attempt: Attempt): Promise<void>
   /** Gets the endpoint crashes counted against the attempt's fingerprint. */
   getCrashCount (attempt: Attempt): number
 }
@@ -130,6 +132,7 @@
 
   async #decideBroken (attempt: Attempt, message: string, bootId: string | null): Promise<AttemptOutcome> {
     const hasCrashed = await this.#options.monitor.hasCrashedSince(bootId)
+    if (hasCrashed) await this.#options.observer.waitCrashShared(attempt)
     if (!attempt.params.idempotent) return { kind: 'mayHaveRun', reason: 'answerLost', retryAfterMs: UNAVAILABLE_RETRY_MS }
     return createFailed(hasCrashed ? 'endpointCrashed' : 'endpointError', message, this.#options.observer.getCrashCount(attempt))
   }
--- a/src/sidecar/endpoint/endpointMonitor.ts
+++ b/src/sidecar/endpoint/endpointMonitor.ts
@@ -4,6 +4,7 @@
 
 const HEALTH_PATH = '/health'
 const MAX_HEALTH_BYTES = 10_000
+const MAX_CRASH_CHECKS = 3
 
 const healthSchema = z.object({ bootId: z.string().max(200) })
 
@@ -56,7 +57,8 @@
   }
 
   /**
-   * Whether the endpoint has crashed since it answered with `bootId`; asks it anew.
+   * Whether the endpoint has crashed since it answered with `bootId`; asks it anew, and again
+   * while it is silent, as it may be in the middle of a restart.
    *
    * @example
    * const bootId = monitor.bootId
@@ -65,7 +67,10 @@
    */
   async hasCrashedSince (bootId: string | null): Promise<boolean> {
     if (this.#check) await this.#check
-    await this.checkNow()
+    for (let checks = 0; checks < MAX_CRASH_CHECKS; checks++) {
+      await this.checkNow()
+      if (this.#state !== 'silent') break
+    }
     return this.#state === 'down' || this.#bootId !== bootId
   }
 
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -38,6 +38,7 @@
 const HEALTH_INTERVAL_MS = 500
 const HEALTH_TIMEOUT_MS = 1500
 const LEAVE_TIMEOUT_MS = 2000
+const SHARE_TIMEOUT_MS = 500
 
 export interface SidecarProcessOptions {
   settings: SidecarSettings
@@ -165,6 +166,10 @@
     const claims = new PlatformClaimGate({ store: this.#claims, clock: systemClock, holder: `${settings.id}/${this.#epoch}` })
     const observer = {
       recordTokenInterval: (milliseconds: number) => this.#slots.recordTokenInterval(milliseconds),
+      waitCrashShared: async (attempt: Attempt) => {
+        const progress = new Progress({ title: 'sharing a crash', timeoutMs: SHARE_TIMEOUT_MS })
+        await this.#crashes.waitWritten(attempt.params.fingerprint, progress).catch(() => {})
+      },
       getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
     }
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
