Test the accepted configuration through real processes

Cause: that an accepted configuration is in force everywhere and never reverts was shown by followers in one process only. Change: three tests over gateways and sidecars in processes of their own: operators race; the platform goes out right after the acceptance, with its watches delayed, and the change spreads by the messages of requests; a gateway starts during the outage, and afterwards old events are delivered after new ones. Seen to fail: spread (generations on messages ignored), start (peers of the settings not asked), never back (no generation check in owner and follower, and the last event taken in place of the newest).

--- /dev/null
+++ b/tests/fleet/configuration.spec.ts
@@ -0,0 +1,104 @@
+import { expect } from 'chai'
+
+import { systemClock } from '../../src/base/clock'
+import { Progress } from '../../src/base/progress'
+import { ConfigPublisher } from '../../src/platform/configPublisher'
+import { offerConfig } from '../../src/platform/offerConfig'
+import { callPeer } from '../../src/cli/peerCaller'
+import { sendChat } from './callers'
+import { FLEET_SECRET, readState, startFleet, waitUntil } from './fleetFixture'
+import { FleetProcess } from './fleetProcess'
+
+import type { FleetTree } from '../../src/config/fleetSchema'
+import type { Fleet } from './fleetFixture'
+
+const IN_FORCE_MS = 4_000
+/** Enough for each process to watch twice. */
+const MANY_WATCHES = 10
+/** Longer than a follower waits for its watch, so that no watch shows the change. */
+const WATCH_DELAY_MS = 10_000
+
+describe('configuration in force', () => {
+  let fleet: Fleet
+
+  beforeEach(async () => {
+    fleet = await startFleet({ gateways: 2, engines: [{}, {}] })
+  })
+
+  afterEach(async () => { await fleet.stop() })
+
+  it('should come in force at every process when two operators race', async () => {
+    const results = await Promise.all([1_000, 2_000, 3_000].map(async deadlineMs => await publish(deadlineMs)))
+    const accepted = results.flatMap(result => result.isOk ? [result.value.manifest.generation] : [])
+    const newest = Math.max(...accepted)
+    await waitForGeneration(listProcesses(), newest)
+    expect(new Set(accepted).size).to.equal(accepted.length)
+    expect(accepted.length).to.be.within(1, 3)
+  })
+
+  it('should spread by messages when the platform goes out right after the acceptance', async () => {
+    const [told] = fleet.gateways
+    await publishIntoOutage(told!)
+    await waitUntil('both sidecars to be asked', async () => {
+      await sendChat(told!, `another question ${Math.random()}`)
+      return await hasGeneration(fleet.sidecars, 2)
+    }, IN_FORCE_MS)
+    await waitUntil('the other gateway to hear of it', async () => {
+      await sendChat(fleet.gateways[1]!, `a question ${Math.random()}`)
+      return await hasGeneration(listProcesses(), 2)
+    }, IN_FORCE_MS)
+  })
+
+  it('should be taken from a peer by a process that starts during the outage, and never go back', async () => {
+    await publishIntoOutage(fleet.gateways[0]!)
+    const peers = `127.0.0.1:1,${fleet.gateways[0]!.address}`
+    const started = new FleetProcess(['gateway', '--id', 'late', '--listen', '127.0.0.1:0', '--domain', 'a', '--platform', fleet.platform.url, '--peers', peers], FLEET_SECRET)
+    try {
+      await started.waitReady()
+      await waitForGeneration([started], 2)
+      await fleet.platform.setFaults({ outage: 'none' })
+      await waitForGeneration([...listProcesses(), started], 2)
+      await fleet.platform.setFaults({ replayOldEvents: 20 })
+      await publish(8_000)
+      await waitForGeneration([...listProcesses(), started], 3)
+      const watches = fleet.platform.getCounters().byKind.watch
+      await waitUntil('the next watches', () => fleet.platform.getCounters().byKind.watch >= watches + MANY_WATCHES)
+      expect(await hasGeneration([...listProcesses(), started], 3)).to.equal(true)
+    } finally {
+      await started.stop()
+    }
+  })
+
+  function listProcesses (): FleetProcess[] {
+    return [...fleet.gateways, ...fleet.sidecars]
+  }
+
+  async function publish (deadlineMs: number, onAccepted?: () => Promise<void>) {
+    const publisher = new ConfigPublisher(fleet.service, { appliedBy: 'test', clock: systemClock })
+    return await publisher.publish(buildChanged(deadlineMs), new Progress({ title: 'publishing', timeoutMs: 10_000 }), { onAccepted })
+  }
+
+  /** Publishes generation 2 while the platform goes out, and hands it to one process. */
+  async function publishIntoOutage (told: FleetProcess): Promise<void> {
+    await fleet.platform.setFaults({ watchDelayMs: WATCH_DELAY_MS })
+    const result = await publish(9_000, async () => { await fleet.platform.setFaults({ outage: 'answer503', watchDelayMs: 0 }) })
+    if (result.isErr) throw new Error(JSON.stringify(result.error))
+    const progress = new Progress({ title: 'handing over', timeoutMs: 5_000 })
+    const offered = await offerConfig((address, method, params) => callPeer({ address, fleetSecret: FLEET_SECRET }, method, params, progress), told.address, result.value, progress)
+    expect(offered.isOk && offered.value).to.equal(2)
+  }
+
+  function buildChanged (deadlineMs: number): FleetTree {
+    const { normal } = fleet.tree.classes
+    return { ...fleet.tree, classes: { ...fleet.tree.classes, normal: { ...normal!, deadlineMs } } }
+  }
+})
+
+async function hasGeneration (processes: FleetProcess[], generation: number): Promise<boolean> {
+  const states = await Promise.all(processes.map(async process => await readState(process)))
+  return states.every(state => state.configGeneration === generation)
+}
+
+async function waitForGeneration (processes: FleetProcess[], generation: number): Promise<void> {
+  await waitUntil(`generation ${generation} at ${processes.length} processes`, async () => await hasGeneration(processes, generation), IN_FORCE_MS)
+}
