--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -31,6 +31,8 @@
   takeRetry: (className: string) => boolean
   /** Told of the generation that a sidecar has in force. */
   onGeneration: (generation: number, address: string) => void
+  /** Whether a fingerprint has crashed as many endpoints as it may. */
+  isPoisoned: (fingerprint: string) => boolean
   /** Endpoint crashes known under a fingerprint. */
   getCrashCount: (fingerprint: string) => number
   /** Takes over the crashes that a sidecar counted under a fingerprint. */
@@ -81,6 +83,12 @@
   }
 
   async run (): Promise<void> {
+    if (this.#options.isPoisoned(this.#request.fingerprint)) this.#offers.recordNotRun('poison', 0)
+    else await this.#runOffers()
+    if (!this.#answer.hasEnded) this.#refuse(this.#createRefusal())
+  }
+
+  async #runOffers (): Promise<void> {
     while (!this.#progress.signal.aborted && !this.#answer.hasEnded) {
       const offer = this.#plan.takeNext(this.#options.clock.getMonotonicMs())
       if (offer === null) break
@@ -89,7 +97,6 @@
       const end = await this.#runAttempt(target, offer)
       if (this.#decideNext(offer, end) === 'done') return
     }
-    this.#refuse(this.#createRefusal())
   }
 
   async #runAttempt (target: OfferTarget, offer: PlannedOffer): Promise<AttemptEnd> {
@@ -100,6 +107,7 @@
     view.table.recordSent(target.endpointName, params.tier)
     const watch = new AttemptWatch(this.#options, this.#request, params, target)
     const session = new AttemptSession({
+      clock,
       peer: target.peer,
       params,
       assembly: this.#assembly,
@@ -108,7 +116,8 @@
       expectedEpoch: target.epoch
     })
     const end = await session.run()
-    watch.recordEnd(end, clock.getMonotonicMs())
+    if (this.#progress.signal.aborted) watch.recordGivenUp(clock.getMonotonicMs())
+    else watch.recordEnd(end, clock.getMonotonicMs())
     return end
   }
 
@@ -267,6 +276,11 @@
     this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
   }
 
+  /** The caller left or its deadline passed, which says nothing against the endpoint. */
+  recordGivenUp (nowMs: number): void {
+    if (!this.#isReported) this.#options.view.table.recordReport(this.#target.endpointName, this.#params.tier, null, nowMs)
+  }
+
   recordEnd (end: AttemptEnd, nowMs: number): void {
     const { table } = this.#options.view
     const name = this.#target.endpointName
