--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -33,6 +33,7 @@
 const AT_ONCE_MS = 20
 const OFFERS_AT_ONCE = 4
 const LATE_FACTOR = 1.5
+const MIN_LATE_MS = 3500
 const FIRST_TOKEN_MARGIN = 1.3
 
 /**
@@ -40,7 +41,8 @@
  * in the order of the choice; each refusal tells when the endpoint would start it. Then it is
  * offered to wait where the start is expected soonest, if that is in time for the first token.
  * Endpoints whose load reports lie are so found out in a few milliseconds. Only when no endpoint
- * can start it in time is it offered to start late, within one and a half times its target.
+ * can start it in time is it offered to start late, within one and a half times its target or
+ * three and a half seconds, whichever is more.
  *
  * @example
  * const plan = new OfferPlan(request, times, table.getViews(model), random, options)
@@ -148,7 +150,7 @@
 
 function computeLatestStartMs (times: RequestTimes): number {
   const targetMs = times.firstTokenDueMs - times.arrivedAtMs
-  return Math.min(times.deadlineMs, times.arrivedAtMs + LATE_FACTOR * targetMs)
+  return Math.min(times.deadlineMs, times.arrivedAtMs + Math.max(MIN_LATE_MS, LATE_FACTOR * targetMs))
 }
 
 function takeFirst (heap: IndexedHeap<Refusal>): Refusal | undefined {
