--- /dev/null
+++ b/tests/policy/offerPlan.spec.ts
@@ -0,0 +1,66 @@
+import { expect } from 'chai'
+
+import { createRandom } from '../../bench/lunch/random'
+import { DurationDistribution } from '../../src/policy/durationDistribution'
+import { DEFAULT_CHOOSER_OPTIONS } from '../../src/policy/endpointChooser'
+import { EndpointTable } from '../../src/policy/endpointTable'
+import { OfferPlan } from '../../src/policy/offerPlan'
+import { buildLoad } from './policyFixtures'
+
+const TIMES = { arrivedAtMs: 0, firstTokenDueMs: 4000, deadlineMs: 60_000 }
+const ENDPOINTS = 6
+
+function buildPlan (): OfferPlan {
+  const table = new EndpointTable()
+  const names = Array.from({ length: ENDPOINTS }, (_, index) => `engine-${index}`)
+  table.setPlacements(names.map(name => ({ name, domain: 'a', targets: ['model'] })))
+  for (const name of names) table.recordLoad(name, buildLoad(), 0)
+  return new OfferPlan({ tier: 2, betweenTokensTargetMs: 53, affinity: [] }, TIMES, table.getViews('model'), createRandom(1), DEFAULT_CHOOSER_OPTIONS)
+}
+
+/** Refuses every offer; the endpoint would accept after the given time, counted from now. */
+function listOffers (plan: OfferPlan, expectedWaitMs: number, nowMs: number): string[] {
+  const rounds: string[] = []
+  for (let offer = plan.takeNext(nowMs); offer !== null; offer = plan.takeNext(nowMs)) {
+    rounds.push(offer.round)
+    plan.recordRefusal(offer, Math.max(0, expectedWaitMs - offer.startWithinMs), nowMs)
+  }
+  return rounds
+}
+
+function countRounds (rounds: string[]): Record<string, number> {
+  return Object.fromEntries([...new Set(rounds)].map(round => [round, rounds.filter(other => other === round).length]))
+}
+
+describe('OfferPlan', () => {
+  it('should offer to start at once, then in time, then late, each to every endpoint that could', () => {
+    const rounds = listOffers(buildPlan(), 1000, 0)
+    expect(countRounds(rounds)).to.deep.equal({ atOnce: ENDPOINTS, onTime: ENDPOINTS, late: ENDPOINTS })
+    expect(rounds.slice(0, 5)).to.deep.equal(['atOnce', 'atOnce', 'atOnce', 'atOnce', 'onTime'])
+  })
+
+  it('should offer no wait to endpoints that expect a start after the latest useful one', () => {
+    expect(countRounds(listOffers(buildPlan(), 5000, 0))).to.deep.equal({ atOnce: ENDPOINTS, late: ENDPOINTS })
+    expect(countRounds(listOffers(buildPlan(), 20_000, 0))).to.deep.equal({ atOnce: ENDPOINTS })
+  })
+
+  it('should give up when its time is up, but go on until the deadline after a loss', () => {
+    const plan = buildPlan()
+    expect(plan.takeNext(6000)).to.equal(null)
+    plan.recordLost(7000)
+    const offer = plan.takeNext(7000)
+    expect(offer?.firstTokenWithinMs).to.equal(4000)
+    expect(plan.takeNext(59_000)).not.to.equal(null)
+  })
+})
+
+describe('DurationDistribution', () => {
+  it('should tell quantiles of recent durations within a fifth', () => {
+    const durations = new DurationDistribution()
+    expect(durations.getQuantile(0.9, 5000)).to.equal(5000)
+    for (let index = 0; index < 4000; index++) durations.record(50_000)
+    for (let index = 0; index < 20_000; index++) durations.record(1 + index % 1000)
+    expect(durations.getQuantile(0.5, 0)).to.be.within(500, 600)
+    expect(durations.getQuantile(0.9, 0)).to.be.within(900, 1100)
+  })
+})
