Keep a quarter of an engine's slots whatever its tokens' interval

Cause: an engine whose tokens come slower than the target for another reason than its load was cut down to a single request: in the data path bench with engines at the 53 ms target the sidecars' limits fell from 40 and from 256 to 1, and one gateway carried 285 tokens/s with 2,946 refusals in 12 s.

Ruled out for now: asking whether a cut made the tokens faster, and undoing it if not; it needs the policy's own measurements.

Change: the limit never falls below a quarter of the configured slots.

--- a/src/policy/slotLimiter.ts
+++ b/src/policy/slotLimiter.ts
@@ -20,6 +20,8 @@
 const DECREASE_MARGIN = 0.98
 const URGENT_PART = 0.25
 const INCREASE_BELOW = 0.9
+/** An engine that is slow for another reason than its load must not be left with a single request. */
+const MIN_LIMIT_FRACTION = 0.25
 
 /**
  * Decides how many requests run at once on an engine, so that the time between tokens keeps to
@@ -70,7 +72,8 @@
 
   #update (running: number): void {
     const { slots, targetIntervalMs } = this.#options
-    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(1, Math.min(this.#limit, running) * this.#computeDecrease())
+    const floor = Math.ceil(slots * MIN_LIMIT_FRACTION)
+    if (this.#intervalMs > targetIntervalMs) this.#limit = Math.max(floor, Math.min(this.#limit, running) * this.#computeDecrease())
     else if (this.#intervalMs < INCREASE_BELOW * targetIntervalMs && running >= this.#limit - 1) this.#limit = Math.min(slots, this.#limit + 1)
   }
 
