--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -141,13 +141,14 @@
     this.#shares.recordDemand(entry.className, entry.share)
     const request: QueuedRequest = { entry, sequence: this.#sequence++ }
     const waitMs = this.#estimateNewWaitMs(request, nowMs)
-    if (nowMs + waitMs > entry.startByMs) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const victim = this.#findVictim(request)
+    const isHopeless = nowMs + waitMs > entry.startByMs
+    const mayDisplace = isLate(request) && entry.startByMs > nowMs && isBelow(victim, entry)
+    if (isHopeless && !mayDisplace) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
+    const isFull = this.size >= this.#options.maxQueued
+    if (isFull && victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
     const displaced: QueueEntry[] = []
-    if (this.size >= this.#options.maxQueued) {
-      const victim = this.#findVictim(request)
-      if (victim === undefined) return this.#refuse(entry, 'queueFull', waitMs, nowMs)
-      displaced.push(this.#shed(victim))
-    }
+    if (victim !== undefined && (isFull || isHopeless)) displaced.push(this.#shed(victim))
     this.#add(request)
     this.#shedHopeless(entry, nowMs, displaced)
     return { kind: 'queued', displaced }
@@ -200,8 +201,7 @@
 
   #findNextByShare (): QueuedRequest | undefined {
     const owed = this.#shares.findOwedClass()
-    const next = owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
-    return next !== undefined && this.#isSlotOpen(next.entry.tier) ? next : undefined
+    return owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
   }
 
   #isSlotOpen (tier: Tier): boolean {
@@ -278,8 +278,8 @@
 
   /** Estimates the wait of the latest queued request of a tier. */
   #estimateLatestWaitMs (entry: QueueEntry, nowMs: number): number {
-    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, 0)
-    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, 0))
+    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, HOPEFUL_DEVIATIONS)
+    return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, HOPEFUL_DEVIATIONS))
   }
 
   /** Estimates the wait until the class's share starts one more request, not counting the last `queuedLater` of the class. */
@@ -342,10 +342,15 @@
     for (let tier = MAX_TIER; tier >= entry.tier; tier--) {
       for (;;) {
         const victim = this.#findVictimInTier(tier)
-        if (victim === undefined || victim.entry.id === entry.id) break
-        if (nowMs + this.#estimateLatestWaitMs(victim.entry, nowMs) <= victim.entry.startByMs) break
+        if (victim === undefined) break
+        const waitMs = this.#estimateLatestWaitMs(victim.entry, nowMs)
+        if (victim.entry.id === entry.id || nowMs + waitMs <= victim.entry.startByMs) return
         displaced.push(this.#shed(victim))
       }
     }
   }
 }
+
+function isBelow (victim: QueuedRequest | undefined, entry: QueueEntry): boolean {
+  return victim !== undefined && victim.entry.tier > entry.tier
+}
