Cancel a moved attempt only where it still waits; deeper listen queue

Change: cancelAttempt with onlyQueued; a stream is judged slow after 8 tokens; listen backlog 4096 in place of Node's 511.

--- a/src/base/httpListener.ts
+++ b/src/base/httpListener.ts
@@ -12,6 +12,7 @@
 }
 
 const HEADERS_TIMEOUT_MS = 10_000
+const LISTEN_BACKLOG = 4096
 const KEEP_ALIVE_MS = 65_000
 
 /** A plain HTTP server for the paths that only the fleet's processes and operators use. */
@@ -42,7 +43,7 @@
   async listen (address: { host: string, port: number }): Promise<string> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(address.port, address.host, resolve)
+      this.#server.listen({ ...address, backlog: LISTEN_BACKLOG }, resolve)
     })
     const { address: host, port } = this.#server.address() as AddressInfo
     return `${host}:${port}`
--- a/src/gateway/attemptMover.ts
+++ b/src/gateway/attemptMover.ts
@@ -6,6 +6,9 @@
 import type { EndpointView } from '../policy/endpointView'
 import type { Tier } from '../protocol/serviceLevels'
 
+/** Whether an accepted attempt waits or runs. */
+export type Standing = { kind: 'queued', sinceMs: number } | { kind: 'running' }
+
 /** An attempt that may be better off at another endpoint. */
 export interface MovableAttempt {
   endpointName: string
@@ -17,11 +20,11 @@
   /** Whether the answer can go on elsewhere from the text delivered so far. */
   resumable: boolean
   /** Where the attempt stands; null before it was accepted and once it is being moved. */
-  getStanding (): { kind: 'queued', sinceMs: number } | { kind: 'running' } | null
+  getStanding (): Standing | null
   /** Smoothed milliseconds between the tokens of the attempt. */
   getTokenIntervalMs (): number
-  /** Cancels the attempt, so that its request is offered anew. */
-  move (): void
+  /** Cancels the attempt if it still stands as it did, so that its request is offered anew. */
+  move (standing: 'queued' | 'running'): void
 }
 
 export interface AttemptMoverOptions {
@@ -64,15 +67,15 @@
     const nowMs = this.#options.clock.getMonotonicMs()
     const byTier = [...this.#attempts].sort((one, other) => one.tier - other.tier)
     for (const attempt of byTier) {
-      if (this.#shouldMove(attempt, nowMs)) attempt.move()
+      const standing = attempt.getStanding()
+      if (standing !== null && this.#shouldMove(attempt, standing, nowMs)) attempt.move(standing.kind)
     }
   }
 
-  #shouldMove (attempt: MovableAttempt, nowMs: number): boolean {
+  #shouldMove (attempt: MovableAttempt, standing: Standing, nowMs: number): boolean {
     const { table, takeRetry } = this.#options
     const view = table.getView(attempt.endpointName)
-    const standing = attempt.getStanding()
-    if (view === undefined || standing === null) return false
+    if (view === undefined) return false
     const others = table.getViews(attempt.targetName)
     switch (standing.kind) {
       case 'queued': return shouldMoveQueued({ view, tier: attempt.tier, waitedMs: nowMs - standing.sinceMs }, others, nowMs)
--- a/src/gateway/attemptSession.ts
+++ b/src/gateway/attemptSession.ts
@@ -76,10 +76,13 @@
     }
   }
 
-  /** Cancels the attempt where it waits or runs; `run` then resolves with `moved`, unless it ended otherwise meanwhile. */
-  move (): void {
+  /**
+   * Cancels the attempt, with `onlyQueued` unless it has started; `run` then resolves with `moved`,
+   * unless the attempt goes on or ended otherwise meanwhile.
+   */
+  move (options: { onlyQueued: boolean }): void {
     this.#isMoving = true
-    this.#cancel()
+    this.#cancel(options.onlyQueued)
   }
 
   * #serveEvents (events: csp.Channel<AttemptEvent>): Generator<unknown, AttemptEnd | LostEnd, any> {
@@ -193,14 +196,14 @@
 
   /** Gives the attempt up: the caller left, its deadline passed, or its stream is lost time and again. */
   async #release (): Promise<AttemptEnd> {
-    this.#cancel()
+    this.#cancel(false)
     return { kind: 'mayHaveRun', reason: 'the attempt was given up', retryAfterMs: 0 }
   }
 
-  #cancel (): void {
+  #cancel (onlyQueued: boolean): void {
     const { peer, params } = this.#options
     const progress = new Progress({ title: `cancelling attempt ${params.attemptId}`, timeoutMs: CANCEL_TIMEOUT_MS })
-    peer.cancelAttempt(params.attemptId, progress).catch(() => {})
+    peer.cancelAttempt({ attemptId: params.attemptId, onlyQueued }, progress).catch(() => {})
   }
 }
 
--- a/src/gateway/attemptWatch.ts
+++ b/src/gateway/attemptWatch.ts
@@ -7,6 +7,7 @@
 import type { RelayObserver } from './relayEvents'
 
 const INTERVAL_SMOOTHING = 0.2
+const MIN_CHUNKS = 8
 
 export interface AttemptWatchOptions {
   clock: Clock
@@ -27,6 +28,7 @@
   #startedAtMs: number | null = null
   #lastChunkAtMs: number | null = null
   #tokenIntervalMs = 0
+  #chunkCount = 0
 
   constructor (options: AttemptWatchOptions, request: CallerRequest, params: SubmitAttempt, target: OfferTarget) {
     this.#options = options
@@ -64,11 +66,12 @@
     if (this.#lastChunkAtMs === null) this.#recordFirstChunk(nowMs)
     else this.#tokenIntervalMs += INTERVAL_SMOOTHING * ((nowMs - this.#lastChunkAtMs) / count - this.#tokenIntervalMs)
     this.#lastChunkAtMs = nowMs
+    this.#chunkCount += count
   }
 
-  /** Smoothed milliseconds between tokens of this attempt; 0 before the second. */
+  /** Smoothed milliseconds between tokens of this attempt; 0 before there are enough to tell. */
   getTokenIntervalMs (): number {
-    return this.#tokenIntervalMs
+    return this.#chunkCount < MIN_CHUNKS ? 0 : this.#tokenIntervalMs
   }
 
   #recordFirstChunk (nowMs: number): void {
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -61,6 +61,7 @@
   keepAliveMs: 65_000,
   maxConnections: 8_192
 }
+const LISTEN_BACKLOG = 4096
 const CHECK_INTERVAL_MS = 250
 const CHAT_PATH = '/v1/chat/completions'
 const MODELS_PATH = '/v1/models'
@@ -105,7 +106,7 @@
   async listen (address: ListenAddress): Promise<ListenAddress> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
-      this.#server.listen(address.port, address.host, () => {
+      this.#server.listen({ ...address, backlog: LISTEN_BACKLOG }, () => {
         this.#server.off('error', reject)
         resolve()
       })
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -124,7 +124,7 @@
 
   #createMovable (target: OfferTarget, watch: AttemptWatch, session: AttemptSession): MovableAttempt {
     const { serviceClass, target: asked } = this.#request
-    let isMoving = false
+    let movedFrom: string | null = null
     return {
       endpointName: target.endpointName,
       targetName: toTargetName(asked),
@@ -133,10 +133,10 @@
       betweenTokensTargetMs: serviceClass.betweenTokensTargetMs,
       resumable: asked.kind === 'chat',
       getTokenIntervalMs: () => watch.getTokenIntervalMs(),
-      getStanding: () => isMoving ? null : watch.getStanding(),
-      move: () => {
-        isMoving = true
-        session.move()
+      getStanding: () => watch.getStanding()?.kind === movedFrom ? null : watch.getStanding(),
+      move: standing => {
+        movedFrom = standing
+        session.move({ onlyQueued: standing === 'queued' })
       }
     }
   }
--- a/src/gateway/sidecarPeer.ts
+++ b/src/gateway/sidecarPeer.ts
@@ -6,7 +6,7 @@
 import { RpcClient } from '../protocol/rpcClient'
 
 import type { Progress } from '../base/progress'
-import type { AttemptState, SubmitAttempt } from '../protocol/attemptMessages'
+import type { AttemptState, CancelAttempt, SubmitAttempt } from '../protocol/attemptMessages'
 import type { RpcCallOptions, RpcNotification } from '../protocol/rpcClient'
 import type { RpcError } from '../protocol/rpcError'
 import type { AttemptEvent } from './attemptEvent'
@@ -59,8 +59,8 @@
   }
 
   /** Asks the sidecar to give an attempt up; there is nothing to do when that fails. */
-  async cancelAttempt (attemptId: string, progress: Progress): Promise<void> {
-    await this.#client.call('cancelAttempt', { attemptId }, { progress, ...this.#patience })
+  async cancelAttempt (params: CancelAttempt, progress: Progress): Promise<void> {
+    await this.#client.call('cancelAttempt', params, { progress, ...this.#patience })
   }
 
   close (): void {
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -150,3 +150,7 @@
   stamp: sidecarStampSchema
 })
 export type AttemptState = z.infer<typeof attemptStateSchema>
+
+/** Parameters of `cancelAttempt`; with `onlyQueued` an attempt that has started goes on. */
+export const cancelAttemptSchema = z.object({ attemptId: z.string().max(120), onlyQueued: z.boolean() })
+export type CancelAttempt = z.infer<typeof cancelAttemptSchema>
--- a/src/sidecar/attemptKeeper.ts
+++ b/src/sidecar/attemptKeeper.ts
@@ -44,7 +44,7 @@
     if (attempt.isAttached()) {
       if (nowMs - attempt.lastSentAtMs >= heartbeatMs) attempt.sendHeartbeat(nowMs)
     } else if (nowMs - attempt.detachedAtMs >= detachedMs) {
-      dispatcher.cancel(attempt.id)
+      dispatcher.cancel(attempt.id, { onlyQueued: false })
     }
   }
 }
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -17,7 +17,7 @@
 
 type DispatcherCommand =
   | { kind: 'submit', attempt: Attempt }
-  | { kind: 'cancel', attemptId: string }
+  | { kind: 'cancel', attemptId: string, onlyQueued: boolean }
   | { kind: 'released', attempt: Attempt, ranForMs: number }
   | { kind: 'checkQueue' }
 
@@ -68,9 +68,9 @@
     csp.putAsync(this.#commands, { kind: 'submit', attempt })
   }
 
-  /** Gives an attempt up: out of the queue when it waits there, cancelled when it runs. */
-  cancel (attemptId: string): void {
-    csp.putAsync(this.#commands, { kind: 'cancel', attemptId })
+  /** Gives an attempt up: out of the queue when it waits there, cancelled when it runs unless `onlyQueued`. */
+  cancel (attemptId: string, options: { onlyQueued: boolean }): void {
+    csp.putAsync(this.#commands, { kind: 'cancel', attemptId, onlyQueued: options.onlyQueued })
   }
 
   /** Looks again at what waits, after slots or admission changed. */
@@ -119,7 +119,7 @@
   #handle (command: DispatcherCommand, nowMs: number): void {
     switch (command.kind) {
       case 'submit': return this.#admit(command.attempt, nowMs)
-      case 'cancel': return this.#cancel(command.attemptId)
+      case 'cancel': return this.#cancel(command.attemptId, command.onlyQueued)
       case 'released': return this.#release(command.attempt, command.ranForMs, nowMs)
       case 'checkQueue': return
       default: command satisfies never
@@ -141,11 +141,12 @@
     }
   }
 
-  #cancel (attemptId: string): void {
+  #cancel (attemptId: string, onlyQueued: boolean): void {
     if (this.#queue.remove(attemptId)) {
       this.#takeWaiting(attemptId)?.end(createNotRun('cancelled', 0))
       return
     }
+    if (onlyQueued) return
     for (const attempt of this.#running) {
       if (attempt.id === attemptId) attempt.cancel('the gateway cancelled the attempt')
     }
--- a/src/sidecar/sidecarRpc.ts
+++ b/src/sidecar/sidecarRpc.ts
@@ -1,18 +1,17 @@
 import { z } from 'zod'
 
-import { getAttemptSchema, submitAttemptSchema } from '../protocol/attemptMessages'
+import { cancelAttemptSchema, getAttemptSchema, submitAttemptSchema } from '../protocol/attemptMessages'
 import { Attempt } from './attempt'
 import { createNotRun } from './dispatcher'
 
 import type { Clock } from '../base/clock'
-import type { AttemptNotification, AttemptState, SidecarStamp, SubmitAttempt, SubmitResult } from '../protocol/attemptMessages'
+import type { AttemptNotification, AttemptState, CancelAttempt, SidecarStamp, SubmitAttempt, SubmitResult } from '../protocol/attemptMessages'
 import type { RpcCall, RpcServer } from '../protocol/rpcServer'
 import type { AttemptListener } from './attempt'
 import type { AttemptRegistry } from './attemptRegistry'
 import type { Dispatcher } from './dispatcher'
 
 const attachAttemptSchema = z.object({ attemptId: z.string().max(120), fromIndex: z.number().int().nonnegative() })
-const cancelAttemptSchema = z.object({ attemptId: z.string().max(120) })
 
 export interface SidecarRpcOptions {
   clock: Clock
@@ -37,7 +36,7 @@
     server.register('submitAttempt', (params, call) => this.#submit(submitAttemptSchema.parse(params), call))
     server.register('attachAttempt', (params, call) => this.#attach(attachAttemptSchema.parse(params), call))
     server.register('getAttempt', async params => this.#getAttempt(getAttemptSchema.parse(params)))
-    server.register('cancelAttempt', async params => this.#cancel(cancelAttemptSchema.parse(params).attemptId))
+    server.register('cancelAttempt', async params => this.#cancel(cancelAttemptSchema.parse(params)))
     server.register('getLoad', async () => this.#options.getStamp())
   }
 
@@ -81,9 +80,9 @@
     return { state: attempt.phase, outcome: attempt.outcome ?? undefined, stamp: getStamp() }
   }
 
-  #cancel (attemptId: string): { isKnown: boolean } {
+  #cancel ({ attemptId, onlyQueued }: CancelAttempt): { isKnown: boolean } {
     const isKnown = this.#options.registry.find(attemptId) !== undefined
-    if (isKnown) this.#options.dispatcher.cancel(attemptId)
+    if (isKnown) this.#options.dispatcher.cancel(attemptId, { onlyQueued })
     else this.#options.registry.fence(attemptId)
     return { isKnown }
   }
