--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -130,7 +130,7 @@
       clock: systemClock,
       view: this.#view,
       mover: this.#mover,
-      observer: new RelayLog({ logger, metrics: this.#metrics, recordRequest: serviceClass => this.#budget.recordRequest(serviceClass.name, serviceClass.retryRatio, systemClock.getMonotonicMs()) }),
+      observer: new RelayLog({ clock: systemClock, logger, metrics: this.#metrics, recordRequest: serviceClass => this.#budget.recordRequest(serviceClass.name, serviceClass.retryRatio, systemClock.getMonotonicMs()) }),
       getIdentity: () => ({ gatewayId: settings.id, gatewayEpoch: this.#epoch, gatewayAddress: this.#address }),
       getConfigGeneration: () => config.getCurrent()?.generation ?? 0,
       takeRetry: className => this.#takeRetry(className),
--- a/src/gateway/relayLog.ts
+++ b/src/gateway/relayLog.ts
@@ -1,4 +1,5 @@
 import type { Logger } from 'tslog'
+import type { Clock } from '../base/clock'
 import type { Counter, Metrics } from '../base/metrics'
 import type { ServiceClass } from '../config/fleetConfig'
 import type { NotRunReason } from '../protocol/attemptMessages'
@@ -6,6 +7,7 @@
 import type { RelayObserver } from './relayEvents'
 
 export interface RelayLogOptions {
+  clock: Clock
   logger: Logger<unknown>
   metrics: Metrics
   /** Told of the first attempt of each request. */
@@ -50,8 +52,9 @@
   }
 
   recordShed (request: CallerRequest, code: string): void {
+    const waitedMs = this.#options.clock.getMonotonicMs() - request.arrivedAtMs
     this.#refusals.add({ ...toLabels(request), code })
-    this.#options.logger.info({ ...toFields(request), event: 'refused', code, tier: request.serviceClass.tier })
+    this.#options.logger.info({ ...toFields(request), event: 'refused', code, tier: request.serviceClass.tier, waitedMs: Math.round(waitedMs) })
   }
 }
 
--- a/standins/checker/invariantChecker.ts
+++ b/standins/checker/invariantChecker.ts
@@ -108,13 +108,17 @@
   return earlier.length > 0 && earlier.every(isNotRun)
 }
 
-/** Callers of a run never hang up, so without a fault only a deadline may end a started request early. */
+/**
+ * Callers of a run never hang up, so without a fault only its deadline may end a started request
+ * early, or a move to another endpoint that goes on with it.
+ */
 function checkPreemption (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
   const deadlineMs = getDeadlineMs(caller, record)
   const cut = starts.filter(start => start.state === 'cancelled' && start.endedAtMs! - start.startedAtMs < deadlineMs)
   const early = cut.filter(start => !caller.sends.some(send => send.sentAtMs + LATE_FRACTION * deadlineMs <= start.endedAtMs!))
+  const left = early.filter(start => !starts.some(later => later.decidedAtMs > start.decidedAtMs))
   if (options.hadFaults) return []
-  return early.map(start => createFinding('preempted', caller, `cancelled on ${start.endpoint} ${start.endedAtMs! - start.startedAtMs} ms after its start`))
+  return left.map(start => createFinding('preempted', caller, `cancelled on ${start.endpoint} ${start.endedAtMs! - start.startedAtMs} ms after its start`))
 }
 
 function checkStarvation (record: RunRecord, options: CheckOptions): Finding[] {
--- a/standins/checker/runRecord.ts
+++ b/standins/checker/runRecord.ts
@@ -5,7 +5,7 @@
 
 /** When a gateway refused a request; times are wall milliseconds. */
 export interface RefusalDecision {
-  /** When the gateway first offered the request to a sidecar. */
+  /** When the request arrived at the gateway. */
   arrivedAtMs: number
   /** When the last sidecar that had queued the request gave it back. */
   leftQueueAtMs: number | null
--- a/standins/demo/classReport.ts
+++ b/standins/demo/classReport.ts
@@ -15,7 +15,7 @@
   requests: number
   /** Requests whose caller got its whole, exact answer. */
   complete: number
-  /** Of all requests, those whose first token came within the target of the first send. */
+  /** Of the requests whose caller sees the first token, those to which it came within the target of the first send. */
   firstTokenAttainment: number | null
   /** Of all times between tokens, those within the target. */
   betweenTokensAttainment: number | null
@@ -57,13 +57,14 @@
   const gaps = callers.flatMap(caller => caller.sends.flatMap(send => send.tokenGapsMs))
   const generated = computeSum(callers.map(caller => tokens.get(hashPlannedRequest(caller.request)) ?? 0))
   const delivered = computeSum(complete.map(caller => countAnswerTokens(caller)))
+  const timed = callers.filter(canSeeFirstToken)
   const repeatable = callers.filter(caller => !caller.request.idempotent)
   return {
     className: serviceClass.name,
     tier: serviceClass.tier,
     requests: callers.length,
     complete: complete.length,
-    firstTokenAttainment: computeFraction(callers.filter(caller => isFirstTokenInTime(caller, serviceClass)).length, callers.length),
+    firstTokenAttainment: computeFraction(timed.filter(caller => isFirstTokenInTime(caller, serviceClass)).length, timed.length),
     betweenTokensAttainment: computeFraction(gaps.filter(gapMs => gapMs <= serviceClass.betweenTokensTargetMs).length, gaps.length),
     goodputPerSecond: complete.filter(caller => isWithinDeadline(caller, serviceClass)).length * MS_PER_SECOND / durationMs,
     refusals: computeSum(callers.map(caller => caller.sends.filter(send => send.outcome.kind !== 'answered').length)),
@@ -77,6 +78,12 @@
   return isAnswered(caller) && outcome?.kind === 'answered' && outcome.isExact
 }
 
+/** A chat answer that is not streamed comes whole, so its first token can't be seen. */
+function canSeeFirstToken (caller: CallerRecord): boolean {
+  const { call } = caller.request
+  return call.kind === 'service' || call.body.stream
+}
+
 function isFirstTokenInTime (caller: CallerRecord, serviceClass: ServiceClass): boolean {
   const firstTokenAtMs = caller.sends.find(send => send.firstTokenAtMs !== null)?.firstTokenAtMs
   return firstTokenAtMs != null && firstTokenAtMs - caller.sends[0]!.sentAtMs <= serviceClass.firstTokenTargetMs
--- a/standins/demo/runDemo.ts
+++ b/standins/demo/runDemo.ts
@@ -26,6 +26,7 @@
 
 const GATEWAY_COUNT = 3
 const READY_TIMEOUT_MS = 15_000
+const PROBE_TOKENS = 8
 const READY_POLL_MS = 250
 const MAX_RESENDS = 2
 const SILENCE_MS = 150_000
@@ -71,7 +72,7 @@
     const records = await fleet.readRecords()
     const calls = await fleet.readPlatformCalls()
     const faults = await fleet.drain()
-    const record: RunRecord = { config, callers: [...probes, ...callers], ...records, startDecisions: decisions.starts, refusalDecisions: decisions.refusals }
+    const record: RunRecord = { config, callers: [...probes, ...callers], ...records, startDecisions: decisions.starts, refusalDecisions: decisions.getRefusals() }
     print(formatClassTable(computeClassRows({ ...record, callers }, config, options.durationMs)))
     print(`platform calls: ${Object.entries(calls).map(([kind, count]) => `${kind} ${count}`).join(', ')}`)
     if (options.logFolder !== undefined) writeRecord(record, options.logFolder)
@@ -104,7 +105,8 @@
 }
 
 function buildProbes (config: FleetConfig, options: DemoOptions, round: number): PlannedRequest[] {
-  return CLASS_PROFILES[options.deployment].flatMap((profile, kind) => {
+  return CLASS_PROFILES[options.deployment].flatMap(({ className, call }, kind) => {
+    const profile = { className, weight: 1, call: call.kind === 'chat' ? { ...call, maxTokens: PROBE_TOKENS } : call }
     const random = createSeededRandom(kind)
     return Array.from({ length: GATEWAY_COUNT }, (_, gateway) => {
       const [request] = buildBurstPlan({ config, profiles: [profile], random, durationMs: 0, tokens: 0, gatewayCount: GATEWAY_COUNT, idPrefix: `probe-${round}-${kind}-${gateway}`, minRequests: 1 })
--- a/tests/standins/invariantChecker.spec.ts
+++ b/tests/standins/invariantChecker.spec.ts
@@ -73,6 +73,8 @@
     const run = makeRun({ digest: whole.digest, startedAtMs: 10, endedAtMs: 50, state: 'cancelled' })
     const record = { ...makeRecord([caller], []), engines: [{ endpoint: 'engine-1', runs: [run], orders: [] }] }
     expect(checkRun(record, CHECK).map(finding => finding.kind)).to.deep.equal(['preempted'])
+    const moved = { ...run, startedAtMs: 60, state: 'completed' as const }
+    expect(checkRun({ ...record, engines: [{ endpoint: 'engine-1', runs: [run, moved], orders: [] }] }, CHECK).map(finding => finding.kind)).to.deep.equal(['duplicateExecution'])
     const late = { ...record, engines: [{ endpoint: 'engine-1', runs: [{ ...run, endedAtMs: 1005 }], orders: [] }] }
     expect(checkRun(late, CHECK)).to.deep.equal([])
   })
