--- /dev/null
+++ b/src/policy/queuedTiers.ts
@@ -0,0 +1,66 @@
+import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
+import { TierQueue } from './tierQueue'
+
+import type { Tier } from '../protocol/serviceLevels'
+import type { QueuedRequest } from './fairTier'
+
+/** The queued requests by tier: which goes next, and which is displaced first. */
+export class QueuedTiers {
+  readonly #tiers = Array.from({ length: MAX_TIER }, () => new TierQueue())
+  readonly #isHeld: (request: QueuedRequest) => boolean
+
+  /** Requests for which `isHeld` is true are never displaced. */
+  constructor (isHeld: (request: QueuedRequest) => boolean) {
+    this.#isHeld = isHeld
+  }
+
+  getTier (tier: Tier): TierQueue {
+    return this.#tiers[tier - MIN_TIER] as TierQueue
+  }
+
+  /** Gets the request that goes next by its tier. */
+  getNext (): QueuedRequest | undefined {
+    return this.#tiers.find(tier => tier.size > 0)?.getNext()
+  }
+
+  countByTier (): number[] {
+    return this.#tiers.map(tier => tier.size)
+  }
+
+  countAbove (tier: Tier): number {
+    let count = 0
+    for (let higher = MIN_TIER; higher < tier; higher++) count += this.getTier(higher).size
+    return count
+  }
+
+  hasQueuedBelow (tier: Tier): boolean {
+    for (let lower = MAX_TIER; lower > tier; lower--) {
+      if (this.getTier(lower).size > 0) return true
+    }
+    return false
+  }
+
+  /** Finds the request to displace for `request`: of the lowest tier below it, else of a workspace with more queued in its own tier. */
+  findVictim (request: QueuedRequest): QueuedRequest | undefined {
+    const own = request.entry.tier
+    for (let tier = MAX_TIER; tier > own; tier--) {
+      const victim = this.findVictimInTier(tier)
+      if (victim !== undefined) return victim
+    }
+    return this.getTier(own).hasLongerLane(request) ? this.findVictimInTier(own) : undefined
+  }
+
+  /** Finds the request of a tier that is displaced first: the latest of the workspace that has most queued. */
+  findVictimInTier (tier: Tier): QueuedRequest | undefined {
+    const queue = this.getTier(tier)
+    const held: QueuedRequest[] = []
+    let victim = queue.getLatestOfLongest()
+    while (victim !== undefined && this.#isHeld(victim)) {
+      held.push(victim)
+      queue.remove(victim)
+      victim = queue.getLatestOfLongest()
+    }
+    held.forEach(request => queue.add(request))
+    return victim
+  }
+}
--- a/src/policy/requestQueue.ts
+++ b/src/policy/requestQueue.ts
@@ -1,8 +1,9 @@
-import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
+import { MAX_TIER } from '../protocol/serviceLevels'
 import { ClassShares } from './classShares'
 import { IndexedHeap } from './indexedHeap'
-import { ReleaseRate } from './releaseRate'
-import { TierQueue, isLate } from './tierQueue'
+import { QueuedTiers } from './queuedTiers'
+import { isLate } from './tierQueue'
+import { WaitEstimator } from './waitEstimator'
 
 import type { Tier } from '../protocol/serviceLevels'
 import type { QueuedRequest } from './fairTier'
@@ -58,9 +59,7 @@
   initialReleaseIntervalMs: number
 }
 
-const START_SMOOTHING = 0.02
 const TOKEN_SMOOTHING = 0.02
-const MIN_FREE_FRACTION = 0.02
 const MIN_RETRY_AFTER_MS = 100
 const CAUTIOUS_DEVIATIONS = 1
 const HOPEFUL_DEVIATIONS = -1.3
@@ -79,24 +78,19 @@
  */
 export class RequestQueue {
   readonly #options: RequestQueueOptions
-  readonly #tiers = Array.from({ length: MAX_TIER }, () => new TierQueue())
+  readonly #tiers = new QueuedTiers(request => this.#isHeldForShare(request))
   readonly #requests = new Map<string, QueuedRequest>()
   readonly #byStartBy = new IndexedHeap<QueuedRequest>((a, b) => a.entry.startByMs < b.entry.startByMs)
   readonly #byClass = new Map<string, IndexedHeap<QueuedRequest>>()
   readonly #shares = new ClassShares()
-  readonly #rate: ReleaseRate
-  /** Fraction of starts that go before the requests of each tier; element 0 is tier 1. */
-  readonly #startsBefore = new Array<number>(MAX_TIER).fill(0)
+  readonly #waits: WaitEstimator
   #expired: QueueEntry[] = []
-  #running = 0
-  #limit = 1
-  #limitByTier: number[] | undefined
   #meanTokens = 1
   #sequence = 0
 
   constructor (options: RequestQueueOptions) {
     this.#options = options
-    this.#rate = new ReleaseRate({ initialIntervalMs: options.initialReleaseIntervalMs })
+    this.#waits = new WaitEstimator({ initialIntervalMs: options.initialReleaseIntervalMs })
   }
 
   /** Number of queued entries. */
@@ -106,12 +100,12 @@
 
   /** Counts queued entries by tier; element 0 is tier 1. */
   countByTier (): number[] {
-    return this.#tiers.map(tier => tier.size)
+    return this.#tiers.countByTier()
   }
 
   /** Estimates the milliseconds until one more request of each tier starts; element 0 is tier 1. */
   estimateWaitMsByTier (nowMs: number): number[] {
-    return this.#tiers.map((queue, index) => this.#estimateTierWaitMs(index + 1, queue.size, nowMs, 0))
+    return this.countByTier().map((queued, index) => this.#estimateTierWaitMs(index + 1, queued, nowMs, 0))
   }
 
   /** Gets the time at which the next entry expires, for a timer. */
@@ -124,10 +118,7 @@
    * `takeNext` whenever either changed. Starts are counted by the queue itself.
    */
   setSlots (slots: SlotCounts, nowMs: number): void {
-    this.#limit = Math.max(1, slots.limit)
-    this.#limitByTier = slots.limitByTier
-    this.#running = slots.running
-    if (slots.running < slots.limit) this.#rate.recordIdle(nowMs)
+    this.#waits.setSlots(slots, nowMs)
   }
 
   /**
@@ -141,7 +132,7 @@
     this.#shares.recordDemand(entry.className, entry.share)
     const request: QueuedRequest = { entry, sequence: this.#sequence++ }
     const waitMs = this.#estimateNewWaitMs(request, nowMs)
-    const victim = this.#findVictim(request)
+    const victim = this.#tiers.findVictim(request)
     const isHopeless = nowMs + waitMs > entry.startByMs
     const mayDisplace = isLate(request) && entry.startByMs > nowMs && isBelow(victim, entry)
     if (isHopeless && !mayDisplace) return this.#refuse(entry, 'cannotMeetDeadline', waitMs, nowMs)
@@ -157,8 +148,8 @@
   /** Takes the entry to start now, or null when none is queued or only ones for which no slot is open. */
   takeNext (nowMs: number): TakenEntry | null {
     this.#expire(nowMs)
-    const byTier = this.#findNextByTier()
-    if (byTier === undefined || !this.#isSlotOpen(byTier.entry.tier)) return null
+    const byTier = this.#tiers.getNext()
+    if (byTier === undefined || !this.#waits.isSlotOpen(byTier.entry.tier)) return null
     const byShare = this.#findNextByShare()
     const taken = byShare ?? byTier
     const by = byShare === undefined || byShare.entry.tier === byTier.entry.tier ? 'tier' : 'share'
@@ -185,38 +176,22 @@
 
   /** Records that a running request ended. */
   recordRelease (released: ReleasedSlot, nowMs: number): void {
-    this.#rate.recordRelease(released.ranForMs, this.#limit, nowMs)
+    this.#waits.recordRelease(released.ranForMs, nowMs)
     const surplus = released.outputTokens / Math.max(1, this.#meanTokens) - 1
-    this.#getTier(released.tier).recordService(released.workspace, Math.max(-1, surplus))
+    this.#tiers.getTier(released.tier).recordService(released.workspace, Math.max(-1, surplus))
     this.#meanTokens += TOKEN_SMOOTHING * (released.outputTokens - this.#meanTokens)
   }
 
-  #getTier (tier: Tier): TierQueue {
-    return this.#tiers[tier - MIN_TIER] as TierQueue
-  }
-
-  #findNextByTier (): QueuedRequest | undefined {
-    return this.#tiers.find(tier => tier.size > 0)?.getNext()
-  }
-
   #findNextByShare (): QueuedRequest | undefined {
     const owed = this.#shares.findOwedClass()
     return owed === undefined ? undefined : this.#byClass.get(owed)?.getFirst()
   }
 
-  #isSlotOpen (tier: Tier): boolean {
-    return this.#limitByTier === undefined || this.#running < this.#getLimit(tier)
-  }
-
-  #getLimit (tier: Tier): number {
-    return this.#limitByTier?.[tier - MIN_TIER] ?? this.#limit
-  }
-
   #add (request: QueuedRequest): void {
     const { entry } = request
     this.#requests.set(entry.id, request)
     this.#byStartBy.add(request)
-    this.#getTier(entry.tier).add(request)
+    this.#tiers.getTier(entry.tier).add(request)
     this.#openClass(entry.className).add(request)
     this.#shares.recordQueued(entry.className)
   }
@@ -233,21 +208,15 @@
     const { entry } = request
     this.#requests.delete(entry.id)
     this.#byStartBy.remove(request)
-    this.#getTier(entry.tier).remove(request)
+    this.#tiers.getTier(entry.tier).remove(request)
     this.#byClass.get(entry.className)?.remove(request)
     this.#shares.recordLeft(entry.className)
   }
 
   #recordStart (entry: QueueEntry, by: 'tier' | 'share'): void {
-    this.#running += 1
+    this.#waits.recordStart(entry.tier, by)
     this.#shares.recordStart(entry.className, by)
-    this.#getTier(entry.tier).recordService(entry.workspace, 1)
-    for (let tier = MIN_TIER; tier <= MAX_TIER; tier++) {
-      const goesBefore = entry.tier < tier || (by === 'share' && entry.tier !== tier)
-      const index = tier - MIN_TIER
-      const known = this.#startsBefore[index] as number
-      this.#startsBefore[index] = known + START_SMOOTHING * ((goesBefore ? 1 : 0) - known)
-    }
+    this.#tiers.getTier(entry.tier).recordService(entry.workspace, 1)
   }
 
   #expire (nowMs: number): void {
@@ -263,22 +232,22 @@
   #refuse (entry: QueueEntry, reason: 'queueFull' | 'cannotMeetDeadline', waitMs: number, nowMs: number): OfferDecision {
     this.#shares.recordUnserved(entry.className)
     const patienceMs = Math.max(0, entry.startByMs - entry.enqueuedAtMs)
-    const leastMs = Math.max(MIN_RETRY_AFTER_MS, this.#rate.getIntervalMs(nowMs))
+    const leastMs = Math.max(MIN_RETRY_AFTER_MS, this.#waits.getIntervalMs(nowMs))
     return { kind: 'refused', reason, retryAfterMs: Math.max(leastMs, waitMs - patienceMs) }
   }
 
   #estimateNewWaitMs (request: QueuedRequest, nowMs: number): number {
     const { entry } = request
-    const hopeful = isLate(request) && this.#hasQueuedBelow(entry.tier)
+    const hopeful = isLate(request) && this.#tiers.hasQueuedBelow(entry.tier)
     const deviations = hopeful ? HOPEFUL_DEVIATIONS : CAUTIOUS_DEVIATIONS
-    const ahead = this.#getTier(entry.tier).countAhead(request)
+    const ahead = this.#tiers.getTier(entry.tier).countAhead(request)
     const byTierMs = this.#estimateTierWaitMs(entry.tier, ahead, nowMs, deviations)
     return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 0, nowMs, deviations))
   }
 
   /** Estimates the wait of the latest queued request of a tier. */
   #estimateLatestWaitMs (entry: QueueEntry, nowMs: number): number {
-    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#getTier(entry.tier).size - 1, nowMs, HOPEFUL_DEVIATIONS)
+    const byTierMs = this.#estimateTierWaitMs(entry.tier, this.#tiers.getTier(entry.tier).size - 1, nowMs, HOPEFUL_DEVIATIONS)
     return Math.min(byTierMs, this.#estimateShareWaitMs(entry, 1, nowMs, HOPEFUL_DEVIATIONS))
   }
 
@@ -286,47 +255,14 @@
   #estimateShareWaitMs (entry: QueueEntry, queuedLater: number, nowMs: number, deviations: number): number {
     if (entry.share <= 0) return Infinity
     const starts = this.#shares.estimateStartsUntilDue(entry.className, queuedLater)
-    return this.#rate.estimateWaitMs(starts, nowMs, deviations)
+    return this.#waits.estimateStartsMs(starts, nowMs, deviations)
   }
 
   #estimateTierWaitMs (tier: Tier, aheadInTier: number, nowMs: number, deviations: number): number {
-    let ahead = aheadInTier
-    for (let higher = MIN_TIER; higher < tier; higher++) ahead += this.#getTier(higher).size
-    const releases = ahead + 1 + this.#running - this.#getLimit(tier)
-    const freeFraction = Math.max(MIN_FREE_FRACTION, 1 - (this.#startsBefore[tier - MIN_TIER] as number))
-    return this.#rate.estimateWaitMs(releases / freeFraction, nowMs, deviations)
-  }
-
-  #hasQueuedBelow (tier: Tier): boolean {
-    for (let lower = MAX_TIER; lower > tier; lower--) {
-      if (this.#getTier(lower).size > 0) return true
-    }
-    return false
-  }
-
-  #findVictim (request: QueuedRequest): QueuedRequest | undefined {
-    const own = request.entry.tier
-    for (let tier = MAX_TIER; tier > own; tier--) {
-      const victim = this.#findVictimInTier(tier)
-      if (victim !== undefined) return victim
-    }
-    return this.#getTier(own).hasLongerLane(request) ? this.#findVictimInTier(own) : undefined
+    return this.#waits.estimateTierWaitMs(tier, aheadInTier + this.#tiers.countAbove(tier), nowMs, deviations)
   }
 
   /** The last queued request of a class with a share is held for that share. */
-  #findVictimInTier (tier: Tier): QueuedRequest | undefined {
-    const queue = this.#getTier(tier)
-    const held: QueuedRequest[] = []
-    let victim = queue.getLatestOfLongest()
-    while (victim !== undefined && this.#isHeldForShare(victim)) {
-      held.push(victim)
-      queue.remove(victim)
-      victim = queue.getLatestOfLongest()
-    }
-    held.forEach(request => queue.add(request))
-    return victim
-  }
-
   #isHeldForShare (request: QueuedRequest): boolean {
     return request.entry.share > 0 && this.#shares.countQueued(request.entry.className) === 1
   }
@@ -341,7 +277,7 @@
   #shedHopeless (entry: QueueEntry, nowMs: number, displaced: QueueEntry[]): void {
     for (let tier = MAX_TIER; tier >= entry.tier; tier--) {
       for (;;) {
-        const victim = this.#findVictimInTier(tier)
+        const victim = this.#tiers.findVictimInTier(tier)
         if (victim === undefined) break
         const waitMs = this.#estimateLatestWaitMs(victim.entry, nowMs)
         if (victim.entry.id === entry.id || nowMs + waitMs <= victim.entry.startByMs) return
--- /dev/null
+++ b/src/policy/waitEstimator.ts
@@ -0,0 +1,73 @@
+import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
+import { ReleaseRate } from './releaseRate'
+
+import type { Tier } from '../protocol/serviceLevels'
+import type { ReleaseRateOptions } from './releaseRate'
+import type { SlotCounts } from './requestQueue'
+
+const START_SMOOTHING = 0.02
+const MIN_FREE_FRACTION = 0.02
+
+/**
+ * Estimates when requests start from the slots that run and may run, the rate at which slots are
+ * released, and the fraction of the starts that other tiers take.
+ */
+export class WaitEstimator {
+  readonly #rate: ReleaseRate
+  /** Fraction of starts that go before the requests of each tier; element 0 is tier 1. */
+  readonly #startsBefore = new Array<number>(MAX_TIER).fill(0)
+  #running = 0
+  #limit = 1
+  #limitByTier: number[] | undefined
+
+  constructor (options: ReleaseRateOptions) {
+    this.#rate = new ReleaseRate(options)
+  }
+
+  /** Tells whether one more request of `tier` may start now. */
+  isSlotOpen (tier: Tier): boolean {
+    return this.#limitByTier === undefined || this.#running < this.#getLimit(tier)
+  }
+
+  /** Gets the expected milliseconds between two releases. */
+  getIntervalMs (nowMs: number): number {
+    return this.#rate.getIntervalMs(nowMs)
+  }
+
+  /** Estimates the milliseconds until a request of `tier` starts that has `ahead` queued before it, `deviations` standard deviations above the mean. */
+  estimateTierWaitMs (tier: Tier, ahead: number, nowMs: number, deviations: number): number {
+    const releases = ahead + 1 + this.#running - this.#getLimit(tier)
+    const freeFraction = Math.max(MIN_FREE_FRACTION, 1 - (this.#startsBefore[tier - MIN_TIER] as number))
+    return this.#rate.estimateWaitMs(releases / freeFraction, nowMs, deviations)
+  }
+
+  /** Estimates the milliseconds until `starts` more requests of any tier have started. */
+  estimateStartsMs (starts: number, nowMs: number, deviations: number): number {
+    return this.#rate.estimateWaitMs(starts, nowMs, deviations)
+  }
+
+  setSlots (slots: SlotCounts, nowMs: number): void {
+    this.#limit = Math.max(1, slots.limit)
+    this.#limitByTier = slots.limitByTier
+    this.#running = slots.running
+    if (slots.running < slots.limit) this.#rate.recordIdle(nowMs)
+  }
+
+  recordRelease (ranForMs: number, nowMs: number): void {
+    this.#rate.recordRelease(ranForMs, this.#limit, nowMs)
+  }
+
+  recordStart (startedTier: Tier, by: 'tier' | 'share'): void {
+    this.#running += 1
+    for (let tier = MIN_TIER; tier <= MAX_TIER; tier++) {
+      const isBefore = startedTier < tier || (by === 'share' && startedTier !== tier)
+      const index = tier - MIN_TIER
+      const known = this.#startsBefore[index] as number
+      this.#startsBefore[index] = known + START_SMOOTHING * ((isBefore ? 1 : 0) - known)
+    }
+  }
+
+  #getLimit (tier: Tier): number {
+    return this.#limitByTier?.[tier - MIN_TIER] ?? this.#limit
+  }
+}
