--- /dev/null
+++ b/bench/capacity/main.ts
@@ -0,0 +1,5 @@
+import { measureConfigPath } from './configPath'
+import { measureControlPath } from './controlPath'
+
+await measureConfigPath()
+await measureControlPath()
--- /dev/null
+++ b/src/gateway/attemptSession.ts
@@ -0,0 +1,218 @@
+import * as csp from 'js-csp'
+
+import { Progress } from '../base/progress'
+import { ATTEMPT_RETENTION_MS } from '../protocol/attemptMessages'
+
+import type { Clock } from '../base/clock'
+import type { AttemptNotification, AttemptOutcome, NotRunReason, SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
+import type { AnswerAssembly } from './answerAssembly'
+import type { AttemptEvent } from './attemptEvent'
+import type { SidecarPeer } from './sidecarPeer'
+
+/** How an attempt ended as far as the gateway can find out. */
+export type AttemptEnd =
+  | { kind: 'completed', status: number, contentType: string }
+  | { kind: 'notRun', reason: NotRunReason | 'unreachable', retryAfterMs: number }
+  | { kind: 'mayHaveRun', reason: string, retryAfterMs: number }
+  /** Cancelled by `move`, so that the request is offered elsewhere. */
+  | { kind: 'moved', wasRunning: boolean }
+  | { kind: 'failed', reason: 'endpointCrashed' | 'endpointError' | 'cancelled' | 'deadlinePassed' | 'malformed', message: string, crashCount: number }
+
+/** Told of what an attempt shows on its way. */
+export interface AttemptObserver {
+  recordStamp (stamp: SidecarStamp): void
+  recordAccepted (stamp: SidecarStamp): void
+  recordStarted (): void
+  recordChunks (count: number): void
+  /** The stream was lost and is looked for on a new connection. */
+  recordLost (message: string): void
+}
+
+export interface AttemptSessionOptions {
+  clock: Clock
+  peer: SidecarPeer
+  params: SubmitAttempt
+  assembly: AnswerAssembly
+  observer: AttemptObserver
+  progress: Progress
+  /** Epoch under which the sidecar was known before the attempt was sent. */
+  expectedEpoch: string
+}
+
+const CANCEL_TIMEOUT_MS = 2000
+const MAX_ATTACHES = 4
+const FENCE_TRIES = 3
+
+/** Runs one attempt at one sidecar to an end that can be relied on. */
+export class AttemptSession {
+  readonly #options: AttemptSessionOptions
+  #knownEpoch: string
+  #submittedAtMs = 0
+  #hasSeenAccepted = false
+  #isMoving = false
+  /** Whether the submission itself was sent; calls after it say nothing of whether it was. */
+  #wasSent = false
+
+  constructor (options: AttemptSessionOptions) {
+    this.#options = options
+    this.#knownEpoch = options.expectedEpoch
+  }
+
+  /** Resolves with the attempt's end; never rejects. */
+  async run (): Promise<AttemptEnd> {
+    const { clock, peer, params, assembly, progress } = this.#options
+    assembly.beginAttempt()
+    this.#submittedAtMs = clock.getMonotonicMs()
+    let events = peer.submit(params, progress)
+    for (let attaches = 0; ; attaches++) {
+      const end = await runProcess(this.#serveEvents(events))
+      if (end.kind !== 'lost') return end
+      if (progress.signal.aborted) return await this.#release()
+      this.#options.observer.recordLost(end.message)
+      const settled = await this.#resolveLost()
+      if (settled !== null) return settled
+      if (attaches === MAX_ATTACHES) return await this.#release()
+      events = peer.attach(params.attemptId, assembly.attemptChunkCount, progress)
+    }
+  }
+
+  /** Cancels the attempt where it waits or runs; `run` then resolves with `moved`, unless it ended otherwise meanwhile. */
+  move (): void {
+    this.#isMoving = true
+    this.#cancel()
+  }
+
+  * #serveEvents (events: csp.Channel<AttemptEvent>): Generator<unknown, AttemptEnd | LostEnd, any> {
+    for (;;) {
+      const event: AttemptEvent | null = yield csp.take(events)
+      if (event === null) return { kind: 'lost', message: 'the stream of events was closed' }
+      switch (event.kind) {
+        case 'ended': return this.#finish(event)
+        case 'notifications': {
+          const fault = this.#handleNotifications(event.notifications)
+          if (fault !== null) return { kind: 'failed', reason: 'malformed', message: fault, crashCount: 0 }
+          const full = this.#options.assembly.flush()
+          if (full) yield csp.take(toChannel(full))
+          break
+        }
+        default: event satisfies never
+      }
+    }
+  }
+
+  #handleNotifications (notifications: AttemptNotification[]): string | null {
+    let chunkCount = 0
+    for (const notification of notifications) {
+      if (notification.params.attemptId !== this.#options.params.attemptId) return 'the sidecar sent a message of another attempt'
+      switch (notification.method) {
+        case 'accepted':
+          this.#recordAccepted(notification.params.stamp)
+          break
+        case 'started':
+          this.#options.observer.recordStarted()
+          break
+        case 'chunk': {
+          const fault = this.#options.assembly.addChunk(notification.params.index, notification.params.text)
+          if (fault !== null) return `the sidecar's chunks are not whole: ${fault}`
+          chunkCount += 1
+          break
+        }
+        case 'heartbeat':
+          this.#options.observer.recordStamp(notification.params.stamp)
+          break
+        default: notification satisfies never
+      }
+    }
+    if (chunkCount > 0) this.#options.observer.recordChunks(chunkCount)
+    return null
+  }
+
+  #recordAccepted (stamp: SidecarStamp): void {
+    this.#knownEpoch = stamp.sidecarEpoch
+    this.#wasSent = true
+    if (this.#hasSeenAccepted) this.#options.observer.recordStamp(stamp)
+    else this.#options.observer.recordAccepted(stamp)
+    this.#hasSeenAccepted = true
+  }
+
+  #finish (event: Extract<AttemptEvent, { kind: 'ended' }>): AttemptEnd | LostEnd {
+    if (event.result.isErr) return this.#finishWithError(event.result.error)
+    const { outcome, stamp } = event.result.value
+    this.#options.observer.recordStamp(stamp)
+    return this.#toEnd(outcome)
+  }
+
+  #finishWithError (error: { kind: string, message: string }): AttemptEnd | LostEnd {
+    if (error.kind === 'notSent' && !this.#wasSent) return { kind: 'notRun', reason: 'unreachable', retryAfterMs: 0 }
+    this.#wasSent = true
+    return { kind: 'lost', message: error.message }
+  }
+
+  #toEnd (outcome: AttemptOutcome): AttemptEnd {
+    switch (outcome.kind) {
+      case 'completed': {
+        const fault = this.#options.assembly.finishAttempt(outcome.chunkCount, outcome.digest)
+        if (fault !== null) return { kind: 'failed', reason: 'malformed', message: `the answer is not whole: ${fault}`, crashCount: 0 }
+        this.#options.assembly.flush()?.catch(() => {})
+        return { kind: 'completed', status: outcome.status, contentType: outcome.contentType }
+      }
+      case 'notRun':
+        if (this.#isMoving && outcome.reason === 'cancelled') return { kind: 'moved', wasRunning: false }
+        return { kind: 'notRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+      case 'mayHaveRun': return { kind: 'mayHaveRun', reason: outcome.reason, retryAfterMs: outcome.retryAfterMs }
+      case 'failedAfterStart':
+        if (this.#isMoving && outcome.reason === 'cancelled') return { kind: 'moved', wasRunning: true }
+        return { kind: 'failed', reason: outcome.reason, message: outcome.message, crashCount: outcome.crashCount }
+      default: return outcome satisfies never
+    }
+  }
+
+  /** Finds out what became of a lost attempt; null when it goes on and can be attached to. */
+  async #resolveLost (): Promise<AttemptEnd | null> {
+    const { peer, params, progress, observer } = this.#options
+    for (let tries = 0; tries < FENCE_TRIES; tries++) {
+      const answer = await peer.fenceAttempt(params.attemptId, progress)
+      if (answer.isErr) continue
+      observer.recordStamp(answer.value.stamp)
+      if (answer.value.state !== 'unknown') return null
+      return this.#decideUnknown(answer.value.stamp.sidecarEpoch)
+    }
+    return { kind: 'mayHaveRun', reason: 'the sidecar could not be asked what became of the attempt', retryAfterMs: 0 }
+  }
+
+  /** A sidecar cannot say what its predecessor ran, nor what it ran itself and has forgotten. */
+  #decideUnknown (epoch: string): AttemptEnd {
+    if (this.#options.clock.getMonotonicMs() - this.#submittedAtMs >= ATTEMPT_RETENTION_MS) {
+      return { kind: 'mayHaveRun', reason: 'the sidecar was asked too late to still know of the attempt', retryAfterMs: 0 }
+    }
+    if (this.#knownEpoch !== epoch) {
+      return { kind: 'mayHaveRun', reason: 'the sidecar was replaced while the attempt was open', retryAfterMs: 0 }
+    }
+    return { kind: 'notRun', reason: 'fenced', retryAfterMs: 0 }
+  }
+
+  /** Gives the attempt up: the caller left, its deadline passed, or its stream is lost time and again. */
+  async #release (): Promise<AttemptEnd> {
+    this.#cancel()
+    return { kind: 'mayHaveRun', reason: 'the attempt was given up', retryAfterMs: 0 }
+  }
+
+  #cancel (): void {
+    const { peer, params } = this.#options
+    const progress = new Progress({ title: `cancelling attempt ${params.attemptId}`, timeoutMs: CANCEL_TIMEOUT_MS })
+    peer.cancelAttempt(params.attemptId, progress).catch(() => {})
+  }
+}
+
+/** The connection broke; the attempt may go on. */
+interface LostEnd { kind: 'lost', message: string }
+
+async function runProcess<R> (process: Generator<unknown, R, any>): Promise<R> {
+  return await new Promise(resolve => csp.takeAsync(csp.spawn(process), value => resolve(value as R)))
+}
+
+function toChannel (promise: Promise<void>): csp.Channel<boolean> {
+  const done = csp.chan<boolean>(1)
+  promise.finally(() => csp.putAsync(done, true)).catch(() => {})
+  return done
+}
--- /dev/null
+++ b/src/gateway/gatewayProcess.ts
@@ -0,0 +1,175 @@
+import { createMetricsHandler, createStateHandler, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
+import { systemClock } from '../base/clock'
+import { createId } from '../base/identifiers'
+import { Metrics } from '../base/metrics'
+import { Progress } from '../base/progress'
+import { StateDump } from '../base/stateDump'
+import { MembershipDirectory } from '../platform/membershipDirectory'
+import { PoisonRegistry } from '../platform/poisonRegistry'
+import { Registration } from '../platform/registration'
+import { RateLimiter } from '../policy/rateLimiter'
+import { RetryBudget } from '../policy/retryBudget'
+import { RPC_PATH } from '../protocol/attemptMessages'
+import { AnswerMeter, AnswerMetrics } from './answerMeter'
+import { AttemptMover } from './attemptMover'
+import { CallerServer } from './callerServer'
+import { FleetRelay } from './fleetRelay'
+import { FleetView } from './fleetView'
+import { RelayLog } from './relayLog'
+import { Upkeep } from './upkeep'
+
+import type { Logger } from 'tslog'
+import type { ConfigSource } from '../config/configSource'
+import type { Workspace } from '../config/fleetConfig'
+import type { GatewaySettings } from '../config/processSettings'
+import type { ObjectService } from '../platform/objectService'
+import type { RpcServer } from '../protocol/rpcServer'
+import type { Admission } from './requestRelay'
+
+const PATIENCE = { firstMessageMs: 400, silenceMs: 3000 }
+const DRAIN_TIMEOUT_MS = 600_000
+const LEAVE_TIMEOUT_MS = 2000
+
+export interface GatewayProcessOptions {
+  settings: GatewaySettings
+  service: ObjectService
+  config: ConfigSource
+  rpc: RpcServer
+  logger: Logger<unknown>
+}
+
+/** One gateway: everything between its callers and the sidecars. */
+export class GatewayProcess {
+  readonly #options: GatewayProcessOptions
+  readonly #epoch = createId('epoch')
+  readonly #metrics = new Metrics()
+  readonly #dump = new StateDump()
+  readonly #view: FleetView
+  readonly #mover: AttemptMover
+  readonly #directory: MembershipDirectory
+  readonly #server: CallerServer
+  readonly #limiter = new RateLimiter()
+  readonly #budget = new RetryBudget()
+  readonly #crashes: PoisonRegistry
+  readonly #upkeep: Upkeep
+  #address = ''
+  #registration: Registration | null = null
+
+  constructor (options: GatewayProcessOptions) {
+    this.#options = options
+    const { settings, service, config } = options
+    this.#view = new FleetView({
+      clock: systemClock,
+      localDomain: settings.domain,
+      fleetSecret: settings.fleetSecret,
+      patience: PATIENCE,
+      random: Math.random
+    })
+    this.#mover = new AttemptMover({ clock: systemClock, table: this.#view.table, takeRetry: className => this.#takeRetry(className) })
+    this.#directory = new MembershipDirectory({ service })
+    this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
+    this.#upkeep = new Upkeep({
+      service,
+      holder: `${settings.id}/${this.#epoch}`,
+      getConfig: () => config.getCurrent(),
+      crashes: this.#crashes,
+      onError: error => this.#reportError(error)
+    })
+    this.#directory.watch(() => this.#view.setSidecars(this.#directory.listSidecars()))
+    config.watchConfig(current => this.#view.setConfig(current))
+    this.#server = this.#createServer()
+    this.#registerDumps()
+  }
+
+  /** Starts to serve; returns the `host:port` in use. */
+  async start (): Promise<string> {
+    const { settings, service } = this.#options
+    this.#mover.start()
+    this.#directory.start()
+    this.#crashes.start()
+    this.#upkeep.start()
+    const { host, port } = await this.#server.listen(settings.listen)
+    this.#address = `${host}:${port}`
+    this.#registration = new Registration({
+      service,
+      instance: { instanceId: settings.id, epoch: this.#epoch, address: this.#address, domain: settings.domain, endpointName: null }
+    })
+    this.#registration.start()
+    return this.#address
+  }
+
+  /** Refuses new requests, lets those in flight finish, and leaves the fleet. */
+  async drain (): Promise<void> {
+    const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
+    await this.#server.drain(new Progress({ title: 'draining the gateway', timeoutMs: DRAIN_TIMEOUT_MS }))
+    await Promise.all([leaving, this.#directory.stop(), this.#crashes.stop(), this.#upkeep.stop()])
+    this.#mover.stop()
+    this.#view.close()
+  }
+
+  #createServer (): CallerServer {
+    const { config, rpc, logger } = this.#options
+    const answerMetrics = new AnswerMetrics(this.#metrics)
+    return new CallerServer({
+      getConfig: () => config.getCurrent(),
+      relay: this.#createRelay(),
+      admit: workspace => this.#admit(workspace),
+      observe: (request, answer) => new AnswerMeter(request, answer, answerMetrics, systemClock),
+      reportError: error => logger.error({ event: 'unexpectedError', message: String(error) }),
+      handlers: {
+        [RPC_PATH]: (request, response) => rpc.handle(request, response),
+        [METRICS_PATH]: createMetricsHandler(this.#metrics),
+        [STATE_PATH]: createStateHandler(this.#dump, request => rpc.isAuthorized(request))
+      }
+    })
+  }
+
+  #createRelay (): FleetRelay {
+    const { settings, config, logger } = this.#options
+    return new FleetRelay({
+      clock: systemClock,
+      view: this.#view,
+      mover: this.#mover,
+      observer: new RelayLog({ logger, metrics: this.#metrics, recordRequest: serviceClass => this.#budget.recordRequest(serviceClass.name, serviceClass.retryRatio, systemClock.getMonotonicMs()) }),
+      getIdentity: () => ({ gatewayId: settings.id, gatewayEpoch: this.#epoch, gatewayAddress: this.#address }),
+      getConfigGeneration: () => config.getCurrent()?.generation ?? 0,
+      takeRetry: className => this.#takeRetry(className),
+      onGeneration: (generation, address) => config.notifyGeneration(generation, address),
+      isPoisoned: fingerprint => this.#crashes.isPoisoned(fingerprint, config.getCurrent()?.settings.poisonCrashLimit ?? Infinity),
+      getCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
+      adoptCrashCount: (fingerprint, count) => this.#crashes.mergeCount(fingerprint, count)
+    })
+  }
+
+  #admit (workspace: Workspace): Admission {
+    const decision = this.#limiter.admit(workspace.name, workspace, systemClock.getMonotonicMs())
+    if (decision.kind === 'admitted') return { kind: 'admitted', release: () => this.#limiter.release(workspace.name) }
+    const isRate = decision.reason === 'rate'
+    return {
+      kind: 'refused',
+      refusal: {
+        code: isRate ? 'rate_limited' : 'too_many_concurrent',
+        message: `Workspace '${workspace.name}' is over its limit of ${isRate ? 'requests a second' : 'requests at once'}.`,
+        execution: 'not_run',
+        retryAfterMs: decision.retryAfterMs
+      }
+    }
+  }
+
+  #takeRetry (className: string): boolean {
+    return this.#budget.acquire(className, systemClock.getMonotonicMs())
+  }
+
+  #reportError (error: unknown): void {
+    this.#options.logger.warn({ event: 'backgroundError', message: String(error).slice(0, 500) })
+  }
+
+  #registerDumps (): void {
+    const { settings, config } = this.#options
+    this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
+    this.#dump.register('gateway', () => ({ id: settings.id, epoch: this.#epoch, address: this.#address, inFlight: this.#server.countInFlight() }))
+    this.#dump.register('membership', () => this.#directory.getStatus())
+    this.#dump.register('crashes', () => this.#crashes.listRecords())
+    this.#dump.register('endpoints', () => this.#view.table.listViews())
+  }
+}
--- /dev/null
+++ b/src/platform/configPublisher.ts
@@ -0,0 +1,190 @@
+import { Result } from 'true-myth'
+
+import { createId } from '../base/identifiers'
+import { buildConfigParts, mergePartTrees } from '../config/configParts'
+import { listNewDigests, parseManifest } from '../config/manifest'
+import { diffTrees } from '../config/treeDiff'
+import { readManifest, readTree } from './configReader'
+import { MANIFEST_KEY } from './keys'
+import { deleteParts, fetchVersions, putParts } from './partStore'
+import { waitFor } from './channels'
+import { describeServiceError, isRateLimited, retryCall } from './retryCall'
+
+import type { Clock } from '../base/clock'
+import type { Progress } from '../base/progress'
+import type { ConfigPart, PartTooLarge } from '../config/configParts'
+import type { FleetTree } from '../config/fleetSchema'
+import type { Manifest } from '../config/manifest'
+import type { ConfigChange } from '../config/treeDiff'
+import type { ObjectService, StoredObject, WriteCondition } from './objectService'
+
+/** A configuration whose manifest is confirmed, with what was written for it. */
+export interface AcceptedPublication {
+  kind: 'accepted'
+  manifest: Manifest
+  parts: ConfigPart[]
+  writtenParts: number
+  writtenBytes: number
+}
+
+/** What publishing did. */
+export type Publication =
+  | AcceptedPublication
+  | { kind: 'unchanged', manifest: Manifest, parts: ConfigPart[] }
+
+/** Why a configuration was not accepted, or is not known to be. */
+export type PublishError =
+  /** Another operator's configuration is in force; `changes` is what it changed, when that can still be read. */
+  | { kind: 'conflict', baseGeneration: number, current: Manifest, changes: ConfigChange[] | null }
+  /** Nothing was accepted. */
+  | { kind: 'unavailable', message: string }
+  /** The manifest may have been written; only the platform can tell. */
+  | { kind: 'unknownOutcome', generation: number, writeId: string, message: string }
+  | { kind: 'malformedManifest', message: string }
+  | PartTooLarge
+
+export interface PublisherOptions {
+  /** Who applies, as shown to other operators. */
+  appliedBy: string
+  clock: Clock
+}
+
+export interface PublishOptions {
+  /** Generation that must be in force; without it, the one found at the start. */
+  baseGeneration?: number
+  /** Called once the configuration is accepted, before parts that are no longer used are deleted. */
+  onAccepted?: (publication: AcceptedPublication) => Promise<void>
+}
+
+interface Base {
+  manifest: Manifest | null
+  condition: WriteCondition
+}
+
+const MAX_INLINE_BYTES = 131_072
+const MAX_EARLIER_WRITE_IDS = 16
+const READ_BACK_PAUSE_MS = 100
+
+/**
+ * Puts configurations in force: first the parts, which change nothing by themselves, then the
+ * manifest by one conditional update. A configuration is accepted when that update is confirmed.
+ *
+ * @example
+ * const publisher = new ConfigPublisher(service, { appliedBy: 'anna', clock: systemClock })
+ * const publication = await publisher.publish(tree, progress)
+ */
+export class ConfigPublisher {
+  readonly #service: ObjectService
+  readonly #options: PublisherOptions
+
+  constructor (service: ObjectService, options: PublisherOptions) {
+    this.#service = service
+    this.#options = options
+  }
+
+  /** Publishes a checked configuration, or says why not and what changed under it. */
+  async publish (tree: FleetTree, progress: Progress, options: PublishOptions = {}): Promise<Result<Publication, PublishError>> {
+    const parts = buildConfigParts(tree)
+    if (parts.isErr) return Result.err(parts.error)
+    const base = await this.#readBase(progress)
+    if (base.isErr) return Result.err(base.error)
+    const { manifest } = base.value
+    const generation = manifest?.generation ?? 0
+    if (manifest !== null && options.baseGeneration !== undefined && options.baseGeneration !== generation) {
+      return Result.err({ kind: 'conflict', baseGeneration: options.baseGeneration, current: manifest, changes: null })
+    }
+    const next = this.#buildManifest(manifest, parts.value)
+    const isSame = manifest !== null && listNewDigests(next, manifest).length === 0 && listNewDigests(manifest, next).length === 0
+    if (isSame) return Result.ok({ kind: 'unchanged', manifest, parts: parts.value })
+    return await this.#writeAll(base.value, next, parts.value, progress, options)
+  }
+
+  async #readBase (progress: Progress): Promise<Result<Base, PublishError>> {
+    const stored = await readManifest(this.#service, progress)
+    return stored.map((found): Base => found === null
+      ? { manifest: null, condition: { kind: 'absent' } }
+      : { manifest: found.manifest, condition: { kind: 'version', version: found.version } })
+  }
+
+  async #writeAll (base: Base, next: Manifest, parts: ConfigPart[], progress: Progress, options: PublishOptions): Promise<Result<Publication, PublishError>> {
+    const used = new Set(next.parts.map(part => part.digest))
+    const unused = (base.manifest?.dropped ?? []).filter(digest => !used.has(digest))
+    const versions = await fetchVersions(this.#service, unused, progress)
+    const fresh = selectFresh(parts, base.manifest)
+    const written = await putParts(this.#service, fresh, progress)
+    if (written.isErr) return Result.err({ kind: 'unavailable', message: `the parts could not be written: ${describeServiceError(written.error)}` })
+    const confirmed = await this.#writeManifest(base, next, progress)
+    if (confirmed.isErr) return Result.err(confirmed.error)
+    const writtenBytes = fresh.reduce((sum, part) => sum + Buffer.byteLength(part.text), 0)
+    const publication: AcceptedPublication = { kind: 'accepted', manifest: next, parts, writtenParts: fresh.length, writtenBytes }
+    await options.onAccepted?.(publication)
+    await deleteParts(this.#service, versions, progress)
+    return Result.ok(publication)
+  }
+
+  /**
+   * Writes the manifest until its fate is known. The same conditional write may be sent again: if
+   * an earlier one took effect without an answer, the conflict shows its write identifier.
+   */
+  async #writeManifest (base: Base, next: Manifest, progress: Progress): Promise<Result<null, PublishError>> {
+    let lost: string | null = null
+    while (true) {
+      const result = await retryCall(() => this.#service.put(MANIFEST_KEY, next, base.condition, progress), progress, { isRetriable: isRateLimited })
+      if (result.isOk) return Result.ok(null)
+      const { error } = result
+      if (error.kind === 'conflict') return await this.#resolveConflict(base, next, error.current, progress)
+      if (error.kind === 'unknownOutcome') lost = error.message
+      else if (lost === null) return Result.err({ kind: 'unavailable', message: `the manifest was not written: ${describeServiceError(error)}` })
+      if (progress.signal.aborted || progress.getRemainingMs() <= READ_BACK_PAUSE_MS) {
+        return Result.err({ kind: 'unknownOutcome', generation: next.generation, writeId: next.writeId, message: lost ?? describeServiceError(error) })
+      }
+      await waitFor(READ_BACK_PAUSE_MS, progress.signal)
+    }
+  }
+
+  async #resolveConflict (base: Base, next: Manifest, object: StoredObject | null, progress: Progress): Promise<Result<null, PublishError>> {
+    const current = parseManifest(object?.value)
+    if (current === null) return Result.err({ kind: 'malformedManifest', message: `the object ${MANIFEST_KEY} was removed or holds no manifest` })
+    if ([current.writeId, ...current.earlierWriteIds].includes(next.writeId)) return Result.ok(null)
+    const changes = await this.#listChanges(base.manifest, current, progress)
+    return Result.err({ kind: 'conflict', baseGeneration: base.manifest?.generation ?? 0, current, changes })
+  }
+
+  /** Lists what lies between two manifests; `null` when a part of either is gone. */
+  async #listChanges (before: Manifest | null, after: Manifest, progress: Progress): Promise<ConfigChange[] | null> {
+    const oldTree = await this.#readDifference(before, after, progress)
+    const newTree = await this.#readDifference(after, before, progress)
+    return oldTree === null || newTree === null ? null : diffTrees(oldTree, newTree)
+  }
+
+  async #readDifference (manifest: Manifest | null, other: Manifest | null, progress: Progress): Promise<FleetTree | null> {
+    if (manifest === null) return mergePartTrees([])
+    return await readTree(this.#service, manifest, listNewDigests(manifest, other), progress)
+  }
+
+  #buildManifest (base: Manifest | null, parts: ConfigPart[]): Manifest {
+    const digests = new Set(parts.map(part => part.digest))
+    const dropped = base === null ? [] : [...new Set(base.parts.map(part => part.digest))].filter(digest => !digests.has(digest))
+    return {
+      generation: (base?.generation ?? 0) + 1,
+      parts: parts.map(({ name, digest }) => ({ name, digest })),
+      dropped,
+      inline: buildInline(selectFresh(parts, base)),
+      writeId: createId('config'),
+      earlierWriteIds: base === null ? [] : [base.writeId, ...base.earlierWriteIds].slice(0, MAX_EARLIER_WRITE_IDS),
+      appliedBy: this.#options.appliedBy,
+      appliedAtMs: this.#options.clock.getWallMs()
+    }
+  }
+}
+
+function selectFresh (parts: ConfigPart[], base: Manifest | null): ConfigPart[] {
+  const known = new Set(base?.parts.map(part => part.digest))
+  return parts.filter(part => !known.has(part.digest))
+}
+
+/** Takes the new parts into the manifest when all of them are small enough together. */
+function buildInline (fresh: ConfigPart[]): Manifest['inline'] {
+  const bytes = fresh.reduce((sum, part) => sum + Buffer.byteLength(part.text), 0)
+  return bytes > MAX_INLINE_BYTES ? [] : fresh.map(({ digest, text }) => ({ digest, text }))
+}
--- a/src/protocol/attemptMessages.ts
+++ b/src/protocol/attemptMessages.ts
@@ -5,6 +5,9 @@
 /** Path on which a sidecar answers JSON-RPC 2.0 requests, with newline-delimited messages. */
 export const RPC_PATH = '/rpc'
 
+/** Milliseconds for which a sidecar keeps what it knows of an ended attempt; after that it is unknown. */
+export const ATTEMPT_RETENTION_MS = 15_000
+
 const chatTargetSchema = z.object({
   kind: z.literal('chat'),
   model: z.string().max(200),
@@ -42,6 +45,8 @@
   tier: z.number().int().min(MIN_TIER).max(MAX_TIER),
   /** Milliseconds left until the caller's deadline. */
   remainingMs: z.number().nonnegative(),
+  /** Milliseconds within which the attempt must be expected to start, or be refused at once. */
+  startWithinMs: z.number().nonnegative(),
   /** Milliseconds left until the first token is late for its target. */
   firstTokenRemainingMs: z.number(),
   idempotent: z.boolean(),
@@ -81,7 +86,7 @@
 /** Why a request was not run. */
 export const notRunReasonSchema = z.enum([
   'queueFull', 'displaced', 'cannotMeetDeadline', 'draining', 'poison', 'claimStoreUnavailable',
-  'endpointUnavailable', 'modelNotPlaced', 'cancelled', 'fenced', 'alreadyInProgress', 'configurationMissing'
+  'endpointUnavailable', 'modelNotPlaced', 'cancelled', 'fenced', 'alreadyInProgress', 'keyReused', 'configurationMissing'
 ])
 export type NotRunReason = z.infer<typeof notRunReasonSchema>
 
@@ -110,7 +115,9 @@
 const failedAfterStartSchema = z.object({
   kind: z.literal('failedAfterStart'),
   reason: z.enum(['endpointCrashed', 'endpointError', 'cancelled', 'deadlinePassed']),
-  message: z.string().max(500)
+  message: z.string().max(500),
+  /** Endpoint crashes counted against the fingerprint so far. */
+  crashCount: z.number().int().nonnegative()
 })
 
 /** How an attempt ended; exactly one of these ends every attempt. */
@@ -128,7 +135,7 @@
   z.object({ method: z.literal('accepted'), params: z.object({ attemptId: z.string(), stamp: sidecarStampSchema }) }),
   z.object({ method: z.literal('started'), params: z.object({ attemptId: z.string() }) }),
   z.object({ method: z.literal('chunk'), params: z.object({ attemptId: z.string(), index: z.number().int().nonnegative(), text: z.string() }) }),
-  z.object({ method: z.literal('heartbeat'), params: z.object({ attemptId: z.string() }) })
+  z.object({ method: z.literal('heartbeat'), params: z.object({ attemptId: z.string(), stamp: sidecarStampSchema }) })
 ])
 export type AttemptNotification = z.infer<typeof attemptNotificationSchema>
 
--- /dev/null
+++ b/src/sidecar/sidecarProcess.ts
@@ -0,0 +1,255 @@
+import { createMetricsHandler, createStateHandler, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
+import { systemClock } from '../base/clock'
+import { HttpListener } from '../base/httpListener'
+import { createId } from '../base/identifiers'
+import { Metrics } from '../base/metrics'
+import { Progress } from '../base/progress'
+import { StateDump } from '../base/stateDump'
+import { Registration } from '../platform/registration'
+import { ClaimStore } from '../platform/claimStore'
+import { PoisonRegistry } from '../platform/poisonRegistry'
+import { ATTEMPT_RETENTION_MS, RPC_PATH } from '../protocol/attemptMessages'
+import { RpcServer } from '../protocol/rpcServer'
+import { AttemptKeeper } from './attemptKeeper'
+import { AttemptRegistry } from './attemptRegistry'
+import { AttemptRunner } from './attemptRunner'
+import { Dispatcher } from './dispatcher'
+import { EndpointGuard } from './endpointGuard'
+import { EndpointSlots } from './endpointSlots'
+import { EndpointMonitor } from './endpoint/endpointMonitor'
+import { EngineClient } from './endpoint/engineClient'
+import { ServiceClient } from './endpoint/serviceClient'
+import { PlacementKeeper } from './placementKeeper'
+import { PlatformClaimGate } from './platformClaimGate'
+import { SidecarRpc } from './sidecarRpc'
+
+import type { Logger } from 'tslog'
+import type { ConfigSource } from '../config/configSource'
+import type { FleetConfig } from '../config/fleetConfig'
+import type { SidecarSettings } from '../config/processSettings'
+import type { ObjectService } from '../platform/objectService'
+import type { SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
+import type { Attempt } from './attempt'
+import type { EndpointClient } from './endpoint/endpointRun'
+
+const MAX_QUEUED = 1000
+const HEARTBEAT_MS = 1000
+const DETACHED_MS = 3000
+const HEALTH_INTERVAL_MS = 500
+const HEALTH_TIMEOUT_MS = 1500
+const LEAVE_TIMEOUT_MS = 2000
+const SHARE_TIMEOUT_MS = 500
+
+export interface SidecarProcessOptions {
+  settings: SidecarSettings
+  service: ObjectService
+  config: ConfigSource
+  rpc: RpcServer
+  logger: Logger<unknown>
+}
+
+/** One sidecar: everything between its RPC methods and its endpoint. */
+export class SidecarProcess {
+  readonly #options: SidecarProcessOptions
+  readonly #epoch = createId('epoch')
+  readonly #metrics = new Metrics()
+  readonly #dump = new StateDump()
+  readonly #registry = new AttemptRegistry({ retentionMs: ATTEMPT_RETENTION_MS })
+  readonly #monitor: EndpointMonitor
+  readonly #guard: EndpointGuard
+  readonly #slots: EndpointSlots
+  readonly #dispatcher: Dispatcher
+  readonly #keeper: AttemptKeeper
+  readonly #claims: ClaimStore
+  readonly #crashes: PoisonRegistry
+  readonly #placements: PlacementKeeper
+  readonly #listener: HttpListener
+  readonly #outcomes = this.#metrics.createCounter('attempts_total', 'Attempts by class and how they ended.')
+  readonly #starts = this.#metrics.createCounter('starts_total', 'Starts by class and the rule that chose them.')
+  #registration: Registration | null = null
+  #isLeaving = false
+
+  constructor (options: SidecarProcessOptions) {
+    this.#options = options
+    const { settings, service, config } = options
+    this.#monitor = new EndpointMonitor({
+      address: settings.endpointAddress,
+      intervalMs: HEALTH_INTERVAL_MS,
+      timeoutMs: HEALTH_TIMEOUT_MS,
+      onCrash: () => this.#handleCrash(),
+      onUp: () => this.#handleUp()
+    })
+    this.#guard = new EndpointGuard({
+      clock: systemClock,
+      endpointName: settings.endpointName,
+      getConfig: () => config.getCurrent(),
+      isEndpointUp: () => this.#monitor.isUp(),
+      isLeaving: () => this.#isLeaving,
+      isModelMissing: model => this.#placements.isModelMissing(model),
+      getSharedCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
+      listRunning: () => this.#dispatcher.listRunning()
+    })
+    this.#claims = new ClaimStore({ service })
+    this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
+    this.#placements = new PlacementKeeper({
+      service,
+      endpointName: settings.endpointName,
+      endpointAddress: settings.endpointAddress,
+      holder: `${settings.id}/${this.#epoch}`,
+      isModelUsed: model => this.#dispatcher.listRunning().some(attempt => attempt.params.target.kind === 'chat' && attempt.params.target.model === model),
+      onError: error => this.#reportError(error)
+    })
+    this.#slots = new EndpointSlots({
+      clock: systemClock,
+      getConfiguredSlots: () => this.#guard.getConfiguredSlots(),
+      countRunning: () => this.#dispatcher.countRunning()
+    })
+    const runner = this.#createRunner()
+    this.#dispatcher = new Dispatcher({
+      clock: systemClock,
+      maxQueued: MAX_QUEUED,
+      slots: this.#slots,
+      getShare: className => config.getCurrent()?.classes.get(className)?.share ?? 0,
+      checkAdmission: attempt => this.#guard.checkAdmission(attempt),
+      run: async (attempt, rule) => {
+        this.#starts.add({ class: attempt.params.className, rule })
+        options.logger.debug({ ...toFields(attempt), event: 'started', rule, tier: attempt.params.tier })
+        await runner.run(attempt)
+      }
+    })
+    this.#keeper = new AttemptKeeper({
+      clock: systemClock,
+      registry: this.#registry,
+      dispatcher: this.#dispatcher,
+      heartbeatMs: HEARTBEAT_MS,
+      detachedMs: DETACHED_MS
+    })
+    this.#listener = this.#createListener()
+  }
+
+  /** Starts to serve; returns the `host:port` in use. */
+  async start (): Promise<string> {
+    const { settings, service, config } = this.#options
+    config.watchConfig(current => this.#adoptConfig(current))
+    this.#crashes.start()
+    this.#placements.start()
+    await this.#monitor.start()
+    this.#keeper.start()
+    const address = await this.#listener.listen(settings.listen)
+    this.#registration = new Registration({
+      service,
+      instance: { instanceId: settings.id, epoch: this.#epoch, address, domain: settings.domain, endpointName: settings.endpointName }
+    })
+    this.#registration.start()
+    return address
+  }
+
+  /** Refuses new work, lets what runs finish, and leaves the fleet. */
+  async drain (): Promise<void> {
+    this.#isLeaving = true
+    const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
+    await this.#dispatcher.drain()
+    await Promise.all([leaving, this.#placements.stop(), this.#crashes.stop()])
+    this.#keeper.stop()
+    this.#monitor.stop()
+    await this.#claims.stop(new Progress({ title: 'storing the ends of claimed requests', timeoutMs: LEAVE_TIMEOUT_MS }))
+    await this.#listener.drain()
+  }
+
+  #createRunner (): AttemptRunner {
+    const { settings, config } = this.#options
+    const clients = { engine: new EngineClient({ address: settings.endpointAddress }), service: new ServiceClient({ address: settings.endpointAddress }) }
+    const endpoint: EndpointClient = {
+      run: async options => await (options.target.kind === 'chat' ? clients.engine : clients.service).run(options),
+      close: () => Object.values(clients).forEach(client => client.close())
+    }
+    const claims = new PlatformClaimGate({ store: this.#claims, clock: systemClock, holder: `${settings.id}/${this.#epoch}` })
+    const observer = {
+      recordTokenInterval: (milliseconds: number) => this.#slots.recordTokenInterval(milliseconds),
+      waitCrashShared: async (attempt: Attempt) => {
+        const progress = new Progress({ title: 'sharing a crash', timeoutMs: SHARE_TIMEOUT_MS })
+        await this.#crashes.waitWritten(attempt.params.fingerprint, progress).catch(() => {})
+      },
+      getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
+    }
+    this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
+    return new AttemptRunner({ clock: systemClock, endpoint, monitor: this.#monitor, claims, observer })
+  }
+
+  #createListener (): HttpListener {
+    const { rpc, settings } = this.#options
+    const methods = new SidecarRpc({
+      clock: systemClock,
+      registry: this.#registry,
+      dispatcher: this.#dispatcher,
+      getStamp: () => this.#getStamp(),
+      onSubmit: params => this.#handleSubmit(params),
+      onEnd: attempt => this.#handleEnd(attempt)
+    })
+    methods.registerMethods(rpc)
+    this.#dump.register('sidecar', () => ({ id: settings.id, epoch: this.#epoch, endpoint: settings.endpointName, isUp: this.#monitor.isUp(), bootId: this.#monitor.bootId, isLeaving: this.#isLeaving }))
+    this.#dump.register('load', () => this.#dispatcher.getLoad())
+    this.#dump.register('attempts', () => this.#registry.listOpen().map(attempt => ({ ...toFields(attempt), phase: attempt.phase, tier: attempt.params.tier, chunkCount: attempt.chunkCount })))
+    this.#dump.register('claims', () => this.#claims.getStatus())
+    this.#dump.register('placement', () => this.#placements.getStatus())
+    this.#dump.register('crashes', () => this.#crashes.listRecords())
+    return new HttpListener({
+      handlers: {
+        [RPC_PATH]: (request, response) => rpc.handle(request, response),
+        [METRICS_PATH]: createMetricsHandler(this.#metrics),
+        [STATE_PATH]: createStateHandler(this.#dump, request => rpc.isAuthorized(request))
+      }
+    })
+  }
+
+  #getStamp (): SidecarStamp {
+    return {
+      sidecarId: this.#options.settings.id,
+      sidecarEpoch: this.#epoch,
+      configGeneration: this.#options.config.getCurrent()?.generation ?? 0,
+      load: this.#dispatcher.getLoad()
+    }
+  }
+
+  #handleSubmit (params: SubmitAttempt): void {
+    this.#options.config.notifyGeneration(params.configGeneration, params.gatewayAddress)
+    this.#guard.adoptCrashCount(params.fingerprint, params.crashCount)
+  }
+
+  #handleEnd (attempt: Attempt): void {
+    const { outcome, params } = attempt
+    if (outcome === null) return
+    this.#registry.markEnded(attempt, systemClock.getMonotonicMs())
+    const reason = 'reason' in outcome ? outcome.reason : ''
+    this.#outcomes.add({ class: params.className, outcome: outcome.kind, reason })
+    this.#options.logger.info({ ...toFields(attempt), event: 'ended', outcome: outcome.kind, reason, chunks: attempt.chunkCount, tier: params.tier })
+  }
+
+  #adoptConfig (config: FleetConfig): void {
+    this.#guard.setCrashLimit(config.settings.poisonCrashLimit)
+    this.#placements.setConfig(config)
+  }
+
+  /** A restarted endpoint has lost what was loaded. */
+  #handleUp (): void {
+    this.#placements.reset()
+    this.#dispatcher.notifyChanged()
+  }
+
+  #reportError (error: unknown): void {
+    this.#options.logger.warn({ event: 'backgroundError', message: String(error).slice(0, 500) })
+  }
+
+  #handleCrash (): void {
+    const blamed = this.#guard.recordCrash()
+    const { endpointName } = this.#options.settings
+    const crashId = `${endpointName}/${this.#monitor.bootId}`
+    for (const fingerprint of blamed) this.#crashes.record({ fingerprint, endpointName, crashId })
+    this.#options.logger.warn({ event: 'endpointCrashed', endpoint: endpointName, running: this.#dispatcher.listRunning().length, blamed: blamed.length })
+  }
+}
+
+function toFields (attempt: Attempt): { requestId: string, attemptId: string, workspace: string, className: string } {
+  const { requestId, attemptId, workspace, className } = attempt.params
+  return { requestId, attemptId, workspace, className }
+}
--- /dev/null
+++ b/standins/checker/invariantChecker.ts
@@ -0,0 +1,215 @@
+import { isAnswered } from '../player/callerRecord'
+import { hashPlannedRequest } from '../player/plannedRequest'
+import { listStarts } from './runRecord'
+
+import type { CallerRecord, SendRecord } from '../player/callerRecord'
+import type { EndpointStart, RunRecord } from './runRecord'
+
+/** A promise that a run broke. */
+export type FindingKind =
+  | 'wrongAnswer' | 'lostAnswer' | 'answeredWithoutStart' | 'duplicateExecution' | 'ranThoughNotRun' | 'unknownStart'
+  | 'preempted' | 'starvedClass' | 'shedForLowerTier' | 'lateRefusal' | 'refusedWithoutReason'
+
+/** One broken promise with the request that shows it. */
+export interface Finding {
+  kind: FindingKind
+  /** Identifier of the planned request, or the digest of a start that belongs to none. */
+  requestId: string
+  message: string
+}
+
+export interface CheckOptions {
+  /** Milliseconds from arrival, or from leaving a queue, within which a refusal must reach its caller. */
+  maxRefusalMs: number
+  /** Milliseconds by which callers' clocks may differ from the moment of a decision. */
+  clockMarginMs: number
+  /** Whether the run had faults, which may cut an answer whose caller is told so. */
+  hadFaults: boolean
+  /** Requests of one class of which at least one must be answered. */
+  minStarvationRequests: number
+}
+
+const SHED_CODES = new Set(['overloaded', 'deadline_exceeded', 'endpoint_unavailable'])
+/** Part of its deadline after which the end of a request counts as caused by it. */
+const LATE_FRACTION = 0.9
+const EXECUTION_STATES = new Set(['not_run', 'may_have_run'])
+
+/**
+ * Judges a run by what callers, gateways, sidecars and endpoints recorded; returns all findings.
+ *
+ * @example
+ * const findings = checkRun(record, { maxRefusalMs: 1000, clockMarginMs: 5, hadFaults: false, minStarvationRequests: 20 })
+ */
+export function checkRun (record: RunRecord, options: CheckOptions): Finding[] {
+  const starts = listStarts(record)
+  const startsByDigest = buildStartsByDigest(starts)
+  const findings = record.callers.flatMap(caller => {
+    const digest = hashPlannedRequest(caller.request)
+    const own = startsByDigest.get(digest) ?? []
+    startsByDigest.delete(digest)
+    return [
+      ...checkAnswers(caller, own, record, options),
+      ...checkExecutions(caller, own),
+      ...checkPreemption(caller, own, record, options),
+      ...checkRefusals(caller, record, options),
+      ...checkShedding(caller, starts, record, options)
+    ]
+  })
+  const unknown = [...startsByDigest.values()].flat().map(createUnknownStart)
+  return [...findings, ...unknown, ...checkStarvation(record, options)]
+}
+
+function buildStartsByDigest (starts: EndpointStart[]): Map<string, EndpointStart[]> {
+  const byDigest = new Map<string, EndpointStart[]>()
+  for (const start of starts) byDigest.set(start.digest, [...byDigest.get(start.digest) ?? [], start])
+  return byDigest
+}
+
+function checkAnswers (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
+  const deadlineMs = getDeadlineMs(caller, record)
+  const findings = caller.sends.flatMap((send, position) => {
+    const isCutByDeadline = send.endedAtMs - send.sentAtMs >= LATE_FRACTION * deadlineMs
+    const fault = describeAnswerFault(send, options.hadFaults || isCutByDeadline)
+    return fault === null ? [] : [createFinding(fault.kind, caller, `send ${position + 1} to gateway ${send.gateway}: ${fault.message}`)]
+  })
+  if (isAnswered(caller) && starts.length === 0) findings.push(createFinding('answeredWithoutStart', caller, 'answered, and no endpoint recorded a start'))
+  return findings
+}
+
+/** An error that says so may take an answer's place after a fault or at the deadline, and never else. */
+function describeAnswerFault (send: SendRecord, mayFail: boolean): { kind: FindingKind, message: string } | null {
+  const { outcome } = send
+  switch (outcome.kind) {
+    case 'answered': return outcome.isExact ? null : { kind: 'wrongAnswer', message: 'the answer is not the one to this request' }
+    case 'broken': return mayFail ? null : { kind: 'lostAnswer', message: outcome.message }
+    case 'refused':
+      if (mayFail || outcome.execution === 'not_run') return null
+      return { kind: 'lostAnswer', message: `${outcome.code} after it may have run, without a fault and before its deadline` }
+  }
+}
+
+function checkExecutions (caller: CallerRecord, starts: EndpointStart[]): Finding[] {
+  const findings: Finding[] = []
+  if (!caller.request.idempotent && starts.length > 1) {
+    const places = starts.map(start => `${start.endpoint} at ${start.startedAtMs}`).join(', ')
+    findings.push(createFinding('duplicateExecution', caller, `executed ${starts.length} times: ${places}`))
+  }
+  for (const start of starts.filter(candidate => isToldNotRun(caller, candidate))) {
+    findings.push(createFinding('ranThoughNotRun', caller, `started on ${start.endpoint} at ${start.startedAtMs}, and its caller was told that it was not run`))
+  }
+  return findings
+}
+
+/** Whether `start` belongs to a send that was answered "not run", or came when every send so far was. */
+function isToldNotRun (caller: CallerRecord, start: EndpointStart): boolean {
+  const own = caller.sends.find(send => send.requestId !== null && start.attemptId?.startsWith(`${send.requestId}.`))
+  if (own !== undefined) return isNotRun(own)
+  const earlier = caller.sends.filter(send => send.sentAtMs <= start.startedAtMs)
+  return earlier.length > 0 && earlier.every(isNotRun)
+}
+
+/** Callers of a run never hang up, so without a fault only a deadline may end a started request early. */
+function checkPreemption (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
+  const deadlineMs = getDeadlineMs(caller, record)
+  const cut = starts.filter(start => start.state === 'cancelled' && start.endedAtMs! - start.startedAtMs < deadlineMs)
+  const early = cut.filter(start => !caller.sends.some(send => send.sentAtMs + LATE_FRACTION * deadlineMs <= start.endedAtMs!))
+  if (options.hadFaults) return []
+  return early.map(start => createFinding('preempted', caller, `cancelled on ${start.endpoint} ${start.endedAtMs! - start.startedAtMs} ms after its start`))
+}
+
+function checkStarvation (record: RunRecord, options: CheckOptions): Finding[] {
+  const classNames = new Set(record.callers.map(caller => caller.request.className))
+  return [...classNames].flatMap(className => {
+    const callers = record.callers.filter(caller => caller.request.className === className)
+    if (callers.length < options.minStarvationRequests || callers.some(isAnswered)) return []
+    return [createFinding('starvedClass', callers[0]!, `none of the ${callers.length} requests of ${className} was answered`)]
+  })
+}
+
+function checkRefusals (caller: CallerRecord, record: RunRecord, options: CheckOptions): Finding[] {
+  const findings: Finding[] = []
+  for (const send of caller.sends) {
+    if (send.outcome.kind !== 'refused') continue
+    const { code, execution } = send.outcome
+    if (!EXECUTION_STATES.has(execution)) findings.push(createFinding('refusedWithoutReason', caller, `${code} does not say whether the request was run`))
+    if (execution !== 'not_run') continue
+    const { arrivedAtMs, refusedAtMs, waitsSinceMs } = getRefusalTimes(send, record)
+    const waitedMs = refusedAtMs - waitsSinceMs
+    if (waitedMs > options.maxRefusalMs) findings.push(createFinding('lateRefusal', caller, `${code} came ${waitedMs} ms after it could be known`))
+    else if (refusedAtMs - arrivedAtMs > LATE_FRACTION * getDeadlineMs(caller, record)) findings.push(createFinding('lateRefusal', caller, `${code} came ${refusedAtMs - arrivedAtMs} ms after arrival, at its deadline`))
+  }
+  return findings
+}
+
+function checkShedding (caller: CallerRecord, starts: EndpointStart[], record: RunRecord, options: CheckOptions): Finding[] {
+  const tier = record.config.classes.get(caller.request.className)?.tier ?? 0
+  return caller.sends.filter(isShed).flatMap(send => {
+    const { arrivedAtMs, refusedAtMs } = getRefusalTimes(send, record)
+    const favored = listStartsBetween(starts, arrivedAtMs + options.clockMarginMs, refusedAtMs - options.clockMarginMs)
+      .find(start => start.tier > tier && !start.byShare && canServe(caller, start, record))
+    if (favored === undefined) return []
+    const message = `tier ${tier} was shed from ${arrivedAtMs} to ${refusedAtMs} while ${favored.endpoint} decided to start tier ${favored.tier} at ${favored.decidedAtMs}`
+    return [createFinding('shedForLowerTier', caller, message)]
+  })
+}
+
+function canServe (caller: CallerRecord, start: EndpointStart, record: RunRecord): boolean {
+  const endpoint = record.config.endpoints.get(start.endpoint)
+  const { call } = caller.request
+  switch (call.kind) {
+    case 'chat': return endpoint?.models.includes(call.body.model) ?? false
+    case 'service': return endpoint?.service === call.service
+  }
+}
+
+function getRefusalTimes (send: SendRecord, record: RunRecord): { arrivedAtMs: number, waitsSinceMs: number, refusedAtMs: number } {
+  const decision = record.refusalDecisions.get(send.requestId ?? '')
+  const arrivedAtMs = decision?.arrivedAtMs ?? send.sentAtMs
+  return {
+    arrivedAtMs,
+    waitsSinceMs: decision?.leftQueueAtMs ?? arrivedAtMs,
+    refusedAtMs: decision?.refusedAtMs ?? send.endedAtMs
+  }
+}
+
+/** Starts decided strictly between two times, of `starts` in the order of their decisions. */
+function listStartsBetween (starts: EndpointStart[], afterMs: number, beforeMs: number): EndpointStart[] {
+  const found: EndpointStart[] = []
+  for (let position = findFirstAfter(starts, afterMs); position < starts.length; position++) {
+    if (starts[position]!.decidedAtMs >= beforeMs) break
+    found.push(starts[position]!)
+  }
+  return found
+}
+
+function findFirstAfter (starts: EndpointStart[], afterMs: number): number {
+  let low = 0
+  let high = starts.length
+  while (low < high) {
+    const middle = (low + high) >> 1
+    if (starts[middle]!.decidedAtMs > afterMs) high = middle
+    else low = middle + 1
+  }
+  return low
+}
+
+function getDeadlineMs (caller: CallerRecord, record: RunRecord): number {
+  return record.config.classes.get(caller.request.className)?.deadlineMs ?? Infinity
+}
+
+function isNotRun (send: SendRecord): boolean {
+  return send.outcome.kind === 'refused' && send.outcome.execution === 'not_run'
+}
+
+function isShed (send: SendRecord): boolean {
+  return send.outcome.kind === 'refused' && send.outcome.execution === 'not_run' && SHED_CODES.has(send.outcome.code)
+}
+
+function createFinding (kind: FindingKind, caller: CallerRecord, message: string): Finding {
+  return { kind, requestId: caller.request.id, message }
+}
+
+function createUnknownStart (start: EndpointStart): Finding {
+  const message = `${start.endpoint} started at ${start.startedAtMs} what no caller sent in this form (attempt ${start.attemptId})`
+  return { kind: 'unknownStart', requestId: start.digest, message }
+}
