Reckon the expected start of a refused offer from when it was refused

Cause: when a request expired after waiting at an endpoint, the plan added the whole time it had been offered for once more, and often gave up a late start that was possible.

--- a/src/policy/offerPlan.ts
+++ b/src/policy/offerPlan.ts
@@ -14,6 +14,7 @@
 /** The next endpoint to offer a request to. */
 export interface PlannedOffer {
   view: EndpointView
+  offeredAtMs: number
   /** Milliseconds within which the endpoint must expect to start it, or refuse it at once. */
   startWithinMs: number
   /** Milliseconds until its first token, or after a loss its next one, is late. */
@@ -92,11 +93,11 @@
     return late === undefined ? null : this.#buildOffer(late.view, this.#getLateMs(nowMs), 'late', nowMs)
   }
 
-  /** Records that the endpoint of an offer could not start it in time and may accept after `retryAfterMs`. */
+  /** Records that the endpoint of an offer could not start it in time, at once or after a wait, and may accept `retryAfterMs` later. */
   recordRefusal (offer: PlannedOffer, retryAfterMs: number, nowMs: number): void {
     this.#retryAfterMs = Math.min(this.#retryAfterMs, retryAfterMs)
-    const { view, round, startWithinMs } = offer
-    const refusal = { view, expectedStartMs: nowMs + startWithinMs + retryAfterMs }
+    const { view, round, offeredAtMs, startWithinMs } = offer
+    const refusal = { view, expectedStartMs: Math.max(nowMs, offeredAtMs + startWithinMs) + retryAfterMs }
     const isOnTime = refusal.expectedStartMs <= nowMs + this.#getOnTimeMs(view, nowMs)
     if (round === 'atOnce' && isOnTime) this.#waiting.add(refusal)
     else if (round !== 'late' && refusal.expectedStartMs <= nowMs + this.#getLateMs(nowMs)) this.#late.add(refusal)
@@ -129,7 +130,7 @@
   }
 
   #buildOffer (view: EndpointView, startWithinMs: number, round: OfferRound, nowMs: number): PlannedOffer {
-    return { view, startWithinMs, firstTokenWithinMs: this.#times.firstTokenDueMs - nowMs, round }
+    return { view, offeredAtMs: nowMs, startWithinMs, firstTokenWithinMs: this.#times.firstTokenDueMs - nowMs, round }
   }
 
   #takeRanked (nowMs: number): EndpointView | undefined {
