Hold the gateway's keys as digests only

Cause: each accepted configuration made a gateway build 13,000 buffers anew in one go, 55 ms of processor time on the first request after it.

Ruled out: comparing bytes in constant time after the look-up; the look-up is by the digest of the key, whose timing tells nothing of the key.

--- a/src/gateway/authenticator.ts
+++ b/src/gateway/authenticator.ts
@@ -1,4 +1,4 @@
-import { createHash, timingSafeEqual } from 'node:crypto'
+import { createHash } from 'node:crypto'
 
 import { err, ok } from 'true-myth/result'
 
@@ -9,20 +9,16 @@
 const MAX_KEY_CHARACTERS = 512
 const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
 
-interface KeyHolder {
-  digest: Buffer
-  workspace: Workspace
-}
-
-/** Finds the workspace of a bearer key; only digests of keys are held. */
+/**
+ * Finds the workspace of a bearer key. Only digests of keys are held and compared, so that the time
+ * of a look-up tells nothing of a key.
+ */
 export class Authenticator {
-  readonly #holders = new Map<string, KeyHolder>()
+  readonly #workspaces = new Map<string, Workspace>()
 
   constructor (config: FleetConfig) {
     for (const workspace of config.workspaces.values()) {
-      for (const digest of workspace.keyDigests) {
-        this.#holders.set(digest.toLowerCase(), { digest: Buffer.from(digest, 'hex'), workspace })
-      }
+      for (const digest of workspace.keyDigests) this.#workspaces.set(digest.toLowerCase(), workspace)
     }
   }
 
@@ -36,10 +32,8 @@
     const key = BEARER.exec(authorization ?? '')?.[1]
     if (key === undefined) return err(createRefusal("Send the workspace's key as 'Authorization: Bearer KEY'."))
     if (key.length > MAX_KEY_CHARACTERS) return err(createRefusal('The key is longer than any key of a workspace.'))
-    const digest = createHash('sha256').update(key).digest()
-    const holder = this.#holders.get(digest.toString('hex'))
-    if (holder === undefined || !timingSafeEqual(holder.digest, digest)) return err(createRefusal('The key belongs to no workspace.'))
-    return ok(holder.workspace)
+    const workspace = this.#workspaces.get(createHash('sha256').update(key).digest('hex'))
+    return workspace === undefined ? err(createRefusal('The key belongs to no workspace.')) : ok(workspace)
   }
 }
 
