Refuse an apply that would undo another operator's changes unseen

Cause: the manifest's conditional update only stops operators who apply at the same moment. One who began from an older folder and applied a minute later replaced the other's accepted changes without a word. Ruled out: a base generation always asked for, which a single operator or a script would only copy; a file with the base in the folder, which travels into other fleets.

--- a/src/cli/commands/configApply.ts
+++ b/src/cli/commands/configApply.ts
@@ -1,9 +1,10 @@
-import { userInfo } from 'node:os'
+import { hostname, userInfo } from 'node:os'
 
 import { systemClock } from '../../base/clock'
 import { SECRET_VARIABLE } from '../../config/loadProcessSettings'
-import { formatChanges } from '../../config/treeDiff'
+import { diffTrees, formatChanges } from '../../config/treeDiff'
 import { ConfigPublisher } from '../../platform/configPublisher'
+import { readAcceptedTree, readManifest } from '../../platform/configReader'
 import { formatOfferError, offerConfig } from '../../platform/offerConfig'
 import { runBounded } from '../../platform/runBounded'
 import { fail, loadFolderOrReport, parseAddresses, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
@@ -13,6 +14,7 @@
 import type { Argv, CommandModule } from 'yargs'
 import type { Progress } from '../../base/progress'
 import type { FleetTree } from '../../config/fleetSchema'
+import type { Manifest } from '../../config/manifest'
 import type { Publication, PublishError } from '../../platform/configPublisher'
 import type { ObjectService } from '../../platform/objectService'
 import type { PlatformFlags } from '../configCommandInput'
@@ -33,8 +35,8 @@
   builder: argv => argv
     .positional('folder', { type: 'string', demandOption: true, describe: 'folder of YAML files' })
     .options(PLATFORM_OPTIONS)
-    .option('by', { type: 'string', describe: 'name shown to other operators; by default the user\'s' })
-    .option('base-generation', { type: 'number', describe: 'refuse unless this generation is the accepted one' })
+    .option('by', { type: 'string', describe: 'name shown to other operators; by default USER@HOST' })
+    .option('base-generation', { type: 'number', describe: 'generation that the folder builds on; needed to follow another operator, refused if another is accepted' })
     .option('gateways', { type: 'string', default: '', describe: 'IP:PORT of processes to hand the configuration to at once, separated by commas' })
     .epilogue(`For --gateways the fleet's secret comes from the environment variable ${SECRET_VARIABLE}.`) as Argv<ApplyFlags>,
   handler: async flags => {
@@ -48,16 +50,46 @@
 }
 
 async function applyTree (tree: FleetTree, flags: ApplyFlags, service: ObjectService, progress: Progress): Promise<void> {
-  const publisher = new ConfigPublisher(service, { appliedBy: flags.by ?? readUserName(), clock: systemClock })
+  const appliedBy = flags.by ?? readUserName()
+  const baseGeneration = flags.baseGeneration ?? await readOwnBase(tree, appliedBy, service, progress)
+  if (baseGeneration === null) return
+  const publisher = new ConfigPublisher(service, { appliedBy, clock: systemClock })
   const offerAccepted = async (publication: Publication) => {
     process.stdout.write(`${describePublication(publication)}\n`)
     await offerToAll(parseAddresses(flags.gateways), publication, progress)
   }
-  const result = await publisher.publish(tree, progress, { baseGeneration: flags.baseGeneration, onAccepted: offerAccepted })
+  const result = await publisher.publish(tree, progress, { baseGeneration, onAccepted: offerAccepted })
   if (result.isErr) reportFailure(result.error)
   else if (result.value.kind === 'unchanged') await offerAccepted(result.value)
 }
 
+/**
+ * Reads the generation to build on. A folder that was begun before another operator's apply would
+ * undo it unseen, so that operator's generation must be named; reports so and gives `null`.
+ */
+async function readOwnBase (tree: FleetTree, appliedBy: string, service: ObjectService, progress: Progress): Promise<number | null> {
+  const stored = await readManifest(service, progress)
+  if (stored.isErr) {
+    fail(EXIT_CODES.unavailable, `Nothing was accepted: ${stored.error.message}. Apply again once the platform answers.`)
+    return null
+  }
+  const manifest = stored.value?.manifest
+  if (manifest === undefined || manifest.appliedBy === appliedBy) return manifest?.generation ?? 0
+  const accepted = await readAcceptedTree(service, progress)
+  const changes = accepted.map(({ tree: current }) => diffTrees(current, tree))
+  if (changes.isOk && changes.value.length === 0) return manifest.generation
+  fail(EXIT_CODES.conflict, describeForeignBase(manifest, changes.isOk ? formatChanges(changes.value) : `(${changes.error})`))
+  return null
+}
+
+function describeForeignBase ({ generation, appliedBy, appliedAtMs }: Manifest, changes: string): string {
+  return [
+    `Nothing was accepted: generation ${generation} is by ${appliedBy}, applied at ${new Date(appliedAtMs).toISOString()}. Your folder would change it so:`,
+    changes,
+    `If your folder has what ${appliedBy} changed, apply again with --base-generation ${generation}.`
+  ].join('\n')
+}
+
 function describePublication (publication: Publication): string {
   const { generation } = publication.manifest
   switch (publication.kind) {
@@ -99,7 +131,7 @@
 
 function readUserName (): string {
   try {
-    return userInfo().username
+    return `${userInfo().username}@${hostname()}`
   } catch {
     return 'unknown'
   }
--- a/src/cli/commands/configDiff.ts
+++ b/src/cli/commands/configDiff.ts
@@ -1,6 +1,5 @@
-import { mergePartTrees } from '../../config/configParts'
 import { diffTrees, formatChanges } from '../../config/treeDiff'
-import { readManifest, readTree } from '../../platform/configReader'
+import { readAcceptedTree } from '../../platform/configReader'
 import { fail, loadFolderOrReport, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
 import { EXIT_CODES } from '../exitCodes'
 
@@ -29,12 +28,9 @@
 }
 
 async function printDiff (tree: FleetTree, service: ObjectService, progress: Progress): Promise<void> {
-  const stored = await readManifest(service, progress)
-  if (stored.isErr) return fail(EXIT_CODES.unavailable, `${stored.error.message}.`)
-  const manifest = stored.value?.manifest
-  const digests = [...new Set(manifest?.parts.map(part => part.digest))]
-  const current = manifest === undefined ? mergePartTrees([]) : await readTree(service, manifest, digests, progress)
-  if (current === null) return fail(EXIT_CODES.unavailable, 'A part of the accepted configuration could not be read; try again.')
+  const accepted = await readAcceptedTree(service, progress)
+  if (accepted.isErr) return fail(EXIT_CODES.unavailable, `${accepted.error}; try again once the platform answers.`)
+  const { manifest, tree: current } = accepted.value
   const changes = diffTrees(current, tree)
   process.stdout.write(`generation ${manifest?.generation ?? 0} is accepted; applying would make ${changes.length} changes\n`)
   if (changes.length === 0) return
--- a/src/platform/configReader.ts
+++ b/src/platform/configReader.ts
@@ -17,6 +17,12 @@
   version: number
 }
 
+/** The accepted configuration as plain data. */
+export interface AcceptedTree {
+  manifest: Manifest | null
+  tree: FleetTree
+}
+
 export type ReadConfigError =
   | { kind: 'unavailable', message: string }
   | { kind: 'malformedManifest', message: string }
@@ -36,6 +42,19 @@
   return Result.ok({ manifest, version: object.value.version })
 }
 
+/**
+ * Reads the whole accepted configuration; an empty tree without a manifest before the first. The
+ * error is a sentence.
+ */
+export async function readAcceptedTree (service: ObjectService, progress: Progress): Promise<Result<AcceptedTree, string>> {
+  const stored = await readManifest(service, progress)
+  if (stored.isErr) return Result.err(stored.error.message)
+  if (stored.value === null) return Result.ok({ manifest: null, tree: mergePartTrees([]) })
+  const { manifest } = stored.value
+  const tree = await readTree(service, manifest, [...new Set(manifest.parts.map(part => part.digest))], progress)
+  return tree === null ? Result.err('a part of the accepted configuration could not be read') : Result.ok({ manifest, tree })
+}
+
 /**
  * Reads those parts of a configuration whose digests are given, as one tree; `null` when one of
  * them cannot be read.
--- a/tests/cli/configCommands.spec.ts
+++ b/tests/cli/configCommands.spec.ts
@@ -48,6 +48,16 @@
     expect(late.output).to.match(/generation 1 by .* is in force, not 0/)
   })
 
+  it('should not let an operator undo another\'s changes unseen', async () => {
+    await runConfig(['apply', folder, '--by', 'anna', ...listPlatformFlags()])
+    writeFileSync(path.join(folder, '90-change.yaml'), 'classes: { quote: { deadlineMs: 25000 } }\n')
+    const unseen = await runConfig(['apply', folder, '--by', 'bert', ...listPlatformFlags()])
+    expect(unseen.code).to.equal(4)
+    expect(unseen.output).to.match(/generation 1 is by anna, .*\n~ classes.quote.deadlineMs: 30000 -> 25000\n.*--base-generation 1/)
+    expect((await runConfig(['apply', folder, '--by', 'bert', '--base-generation', '1', ...listPlatformFlags()])).output).to.match(/generation 2 is accepted/)
+    expect((await runConfig(['apply', folder, '--by', 'anna', ...listPlatformFlags()])).output).to.match(/generation 2 is accepted already/)
+  })
+
   it('should hand an accepted configuration over and say where it is in force', async () => {
     const gateway = new FleetProcess(['gateway', '--id', 'gateway-1', '--listen', '127.0.0.1:0', '--domain', 'a', '--platform', platform.url], SECRET)
     try {
