--- a/bench/main.ts
+++ b/bench/main.ts
@@ -6,7 +6,6 @@
 
 /** Each bench is a script that prints its tables and exits with 1 when a bound fails. */
 const BENCHES: Record<string, string> = {
-  config: 'configBench.mjs',
   dataPath: 'dataPath.mjs',
   capacity: 'capacity/main.mjs',
   config: 'configBench.mjs',
