--- a/bench/lunch/main.ts
+++ b/bench/lunch/main.ts
@@ -59,6 +59,9 @@
     return `${formatPercent(mean)} (${formatPercent(Math.min(...values))} to ${formatPercent(Math.max(...values))})`
   }
   console.log(`\n${deployment.name}, ${options.seeds} seeds: goodput ${describe(run => run.goodput)}, wasted ${describe(run => run.wasted)}`)
+  const lowerStarts = runs.reduce((sum, run) => sum + run.lowerStarts, 0)
+  const requests = runs.reduce((sum, run) => sum + run.classes.reduce((count, cls) => count + cls.requests, 0), 0)
+  console.log(`  starts that a shed request of a higher tier could have had: ${lowerStarts}, of ${requests} requests`)
   deployment.classes.forEach((cls, index) => console.log(`  attainment of ${cls.name}: ${describe(run => run.classes[index]?.attainment ?? 0)}`))
 }
 
--- a/bench/lunch/measures.ts
+++ b/bench/lunch/measures.ts
@@ -1,7 +1,8 @@
 import { BETWEEN_TOKENS_TARGET_MS, PREFILL_UNITS } from './trace'
 
-import type { RequestRecord } from './requestRecord'
+import type { LogEntry, RequestRecord } from './requestRecord'
 import type { SimulationResult } from './simulation'
+import type { TraceRequest } from './trace'
 
 /** Counts of one class in one run. */
 export interface ClassMeasures {
@@ -25,10 +26,14 @@
   offersPerRequest: number
   /** Milliseconds until 99 in 100 of the refused requests knew it. */
   refusalMs: number
+  /** Starts that a shed request of a higher tier could have had. */
+  lowerStarts: number
 }
 
 const RECOVERY_WINDOW_MS = 5000
 const RECOVERED_ATTAINMENT = 0.95
+const LATEST_START_FACTOR = 1.5
+const LEAST_WAIT_MS = 3500
 
 /** Tells whether a request had its first token, its tokens and its whole answer in time. */
 export function isAttained (record: RequestRecord): boolean {
@@ -50,10 +55,34 @@
     wasted: wasted / spent,
     attemptsPerRequest: countAll(records, record => record.attempts) / records.length,
     offersPerRequest: countAll(records, record => record.offers) / records.length,
-    refusalMs: refusals[Math.floor(0.99 * refusals.length)] ?? 0
+    refusalMs: refusals[Math.floor(0.99 * refusals.length)] ?? 0,
+    lowerStarts: countLowerStarts(result.log)
   }
 }
 
+/**
+ * Counts the starts of a tier that a request of a higher tier, shed before, could still have had,
+ * each matched with one shed request.
+ */
+export function countLowerStarts (log: LogEntry[]): number {
+  const shed: Array<Extract<LogEntry, { kind: 'shed' }>> = []
+  let count = 0
+  for (const entry of log) {
+    if (entry.kind === 'shed') shed.push(entry)
+    if (entry.kind !== 'started' || entry.by !== 'tier') continue
+    const index = shed.findIndex(({ request }) => request.class.tier < entry.request.class.tier && getLatestStartMs(request) > entry.atMs)
+    if (index < 0) continue
+    shed.splice(index, 1)
+    count += 1
+  }
+  return count
+}
+
+/** Gets the time after which a request that never started is shed because its time is up. */
+export function getLatestStartMs (request: TraceRequest): number {
+  return request.atMs + Math.max(LEAST_WAIT_MS, LATEST_START_FACTOR * request.class.firstTokenTargetMs)
+}
+
 /** Computes the milliseconds after `atMs` until the given tiers attain their targets again, or Infinity. */
 export function computeRecoveryMs (records: RequestRecord[], tiers: number, atMs: number, untilMs: number): number {
   for (let fromMs = atMs; fromMs + RECOVERY_WINDOW_MS <= untilMs; fromMs += 500) {
--- a/tests/policy/fleetFixtures.ts
+++ b/tests/policy/fleetFixtures.ts
@@ -1,9 +1,10 @@
+import { getLatestStartMs } from '../../bench/lunch/measures'
 import { runSimulation } from '../../bench/lunch/simulation'
 
 import type { EngineSpec } from '../../bench/lunch/engine'
 import type { LogEntry } from '../../bench/lunch/requestRecord'
 import type { FaultPlan, SimulationOptions, SimulationResult } from '../../bench/lunch/simulation'
-import type { Deployment, TraceClass, TraceRequest } from '../../bench/lunch/trace'
+import type { Deployment, TraceClass } from '../../bench/lunch/trace'
 
 /** One engine slowed, one crashing mid-burst and coming back, one whose load reports show it empty. */
 export const ALL_FAULTS: FaultPlan = {
@@ -13,8 +14,6 @@
 }
 
 const BURST_MS = 40_000
-const LATEST_START_FACTOR = 1.5
-const LEAST_WAIT_MS = 3500
 
 /** Builds a class with a guaranteed share of 4 in 100 of the starts. */
 export function buildClass (name: string, tier: number, demand: number): TraceClass {
@@ -44,11 +43,6 @@
   return runSimulation({ deployment: buildDeployment(), router: 'tanagerwick', faults: ALL_FAULTS, burstMs: BURST_MS, seed: 1, ...fields })
 }
 
-/** Gets the time after which a waiting request is shed because its time is up. */
-export function getLatestStartMs (request: TraceRequest): number {
-  return request.atMs + Math.max(LEAST_WAIT_MS, LATEST_START_FACTOR * request.class.firstTokenTargetMs)
-}
-
 /** Lists what in a log breaks the rule that no tier gives way to a lower one. */
 export function listTierViolations (log: LogEntry[]): string[] {
   const refusedBy = new Map<string, Set<string>>()
--- a/tests/policy/fleetPromises.spec.ts
+++ b/tests/policy/fleetPromises.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
-import { computeMeasures } from '../../bench/lunch/measures'
-import { buildClass, buildDeployment, getLatestStartMs, listTierViolations, runFleet } from './fleetFixtures'
+import { computeMeasures, getLatestStartMs } from '../../bench/lunch/measures'
+import { buildClass, buildDeployment, listTierViolations, runFleet } from './fleetFixtures'
 
 import type { LogEntry } from '../../bench/lunch/requestRecord'
 
