--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,8 +9,8 @@
   config: 'configBench.mjs',
   dataPath: 'dataPath.mjs',
   capacity: 'capacity/main.mjs',
-  config: 'configBench.mjs',
-  lunch: 'lunch/main.mjs'
+  lunch: 'lunch/main.mjs',
+  decisions: 'decisions.mjs'
 }
 
 const flags = yargs(hideBin(process.argv))
