--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,8 +8,8 @@
 const BENCHES: Record<string, string> = {
   dataPath: 'dataPath.mjs',
   capacity: 'capacity/main.mjs',
-  config: 'configBench.mjs',
-  lunch: 'lunch/main.mjs'
+  lunch: 'lunch/main.mjs',
+  decisions: 'decisions.mjs'
 }
 
 const flags = yargs(hideBin(process.argv))
