Test bookings without a key and answers without their end marker

Cause: switching mechanisms off one by one (trials on a scratch copy, 15 mutants) showed two that no test noticed: re-sending a non-idempotent call after its answer was lost, since the claim catches it, and refusing offers while draining, since it stood twice. Change: a booking without a key; the second check for draining removed.

--- a/src/sidecar/endpointGuard.ts
+++ b/src/sidecar/endpointGuard.ts
@@ -17,7 +17,6 @@
   endpointName: string
   getConfig: () => FleetConfig | null
   isEndpointUp: () => boolean
-  isLeaving: () => boolean
   /** Whether the endpoint is known not to have a model loaded. */
   isModelMissing: (model: string) => boolean
   /** Crashes that the fleet knows of under a fingerprint. */
@@ -37,10 +36,9 @@
 
   /** Returns the outcome that refuses the attempt, or null when it may run here. */
   checkAdmission (attempt: Attempt): AttemptOutcome | null {
-    const { getConfig, isEndpointUp, isLeaving } = this.#options
+    const { getConfig, isEndpointUp } = this.#options
     const config = getConfig()
     if (config === null) return createNotRun('configurationMissing', UP_RETRY_MS)
-    if (isLeaving()) return createNotRun('draining', 0)
     if (!this.#isServed(config, attempt.params.target)) return createNotRun('modelNotPlaced', UP_RETRY_MS)
     if (!isEndpointUp()) return createNotRun('endpointUnavailable', UP_RETRY_MS)
     return this.#checkPoison(attempt.params)
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -67,7 +67,6 @@
   readonly #outcomes = this.#metrics.createCounter('attempts_total', 'Attempts by class and how they ended.')
   readonly #starts = this.#metrics.createCounter('starts_total', 'Starts by class and the rule that chose them.')
   #registration: Registration | null = null
-  #isLeaving = false
 
   constructor (options: SidecarProcessOptions) {
     this.#options = options
@@ -84,7 +83,6 @@
       endpointName: settings.endpointName,
       getConfig: () => config.getCurrent(),
       isEndpointUp: () => this.#monitor.isUp(),
-      isLeaving: () => this.#isLeaving,
       isModelMissing: model => this.#placements.isModelMissing(model),
       getSharedCrashCount: fingerprint => this.#crashes.getCrashCount(fingerprint),
       listRunning: () => this.#dispatcher.listRunning()
@@ -146,7 +144,6 @@
 
   /** Refuses new work, lets what runs finish, and leaves the fleet. */
   async drain (): Promise<void> {
-    this.#isLeaving = true
     const leaving = this.#registration?.stop(new Progress({ title: 'leaving the fleet', timeoutMs: LEAVE_TIMEOUT_MS })).catch(() => {})
     await this.#dispatcher.drain()
     await Promise.all([leaving, this.#placements.stop(), this.#crashes.stop()])
@@ -187,7 +184,7 @@
       onEnd: attempt => this.#handleEnd(attempt)
     })
     methods.registerMethods(rpc)
-    this.#dump.register('sidecar', () => ({ id: settings.id, epoch: this.#epoch, endpoint: settings.endpointName, isUp: this.#monitor.isUp(), bootId: this.#monitor.bootId, isLeaving: this.#isLeaving }))
+    this.#dump.register('sidecar', () => ({ id: settings.id, epoch: this.#epoch, endpoint: settings.endpointName, isUp: this.#monitor.isUp(), bootId: this.#monitor.bootId }))
     this.#dump.register('load', () => this.#dispatcher.getLoad())
     this.#dump.register('attempts', () => this.#registry.listOpen().map(attempt => ({ ...toFields(attempt), phase: attempt.phase, tier: attempt.params.tier, chunkCount: attempt.chunkCount })))
     this.#dump.register('claims', () => this.#claims.getStatus())
--- a/tests/fleet/endpointFailures.spec.ts
+++ b/tests/fleet/endpointFailures.spec.ts
@@ -33,6 +33,14 @@
     expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
   })
 
+  it('should finish an answer that the engine ends before its end marker', async () => {
+    fleet = await startFleet({ engines: [{}, {}] })
+    for (const engine of fleet.engines) await engine.host.setFaults({ cutAnswers: 1 })
+    const prompt = findLongPrompt()
+    expect(await sendChat(fleet.gateways[0]!, prompt, LONG)).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
+    expect(fleet.engines.flatMap(engine => engine.getRecord().runs).length).to.be.above(1)
+  })
+
   it('should never pass off a cut answer as whole when no engine is left', async () => {
     fleet = await startFleet({ engines: [{ restartMs: 60_000 }] })
     const answer = sendChat(fleet.gateways[0]!, findLongPrompt(), LONG)
@@ -69,6 +77,14 @@
     expect(fleet.desks.flatMap(desk => desk.getRecord().executions)).to.have.length(1)
   })
 
+  it('should run a booking without a key once when its answer is lost', async () => {
+    fleet = await startFleet({ engines: [], services: [{}, {}] })
+    for (const desk of fleet.desks) await desk.host.setFaults({ executeThenLoseAnswer: 1 })
+    const result = await callService(fleet.gateways[0]!, 'desk/bookings')
+    expect(result).to.include({ execution: 'may_have_run' })
+    expect(fleet.desks.flatMap(desk => desk.getRecord().executions)).to.have.length(1)
+  })
+
   it('should repeat an idempotent call whose answer is lost', async () => {
     fleet = await startFleet({ engines: [], services: [{}, {}] })
     await fleet.desks[0]!.host.setFaults({ executeThenLoseAnswer: 1 })
