--- a/src/policy/queuedMove.ts
+++ b/src/policy/queuedMove.ts
@@ -12,7 +12,7 @@
   waitedMs: number
 }
 
-const MIN_WAITED_MS = 300
+const MIN_WAITED_MS = 100
 const GAIN_FACTOR = 0.5
 
 /**
@@ -24,8 +24,14 @@
  */
 export function shouldMoveQueued (waiting: QueuedElsewhere, views: readonly EndpointView[], nowMs: number): boolean {
   if (waiting.waitedMs < MIN_WAITED_MS) return false
-  const limitMs = GAIN_FACTOR * estimateFirstToken(waiting.view, waiting.tier).waitMs
-  return views.some(view => view !== waiting.view && canStartWithin(view, waiting.tier, limitMs, nowMs))
+  const waitMs = estimateFirstToken(waiting.view, waiting.tier).waitMs
+  return views.some(view => view !== waiting.view && canStartWithin(view, waiting.tier, waitMs * getGainFactor(view, waiting.tier), nowMs))
+}
+
+/** Where a lower tier waits, any gain is worth the move: that tier would be started first there. */
+function getGainFactor (view: EndpointView, tier: Tier): number {
+  const lowerQueued = view.load?.queuedByTier.slice(tier).some(count => count > 0) ?? false
+  return lowerQueued ? 1 : GAIN_FACTOR
 }
 
 function canStartWithin (view: EndpointView, tier: Tier, limitMs: number, nowMs: number): boolean {
