--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -79,7 +79,12 @@
   /** Finds the sidecar of an endpoint. */
   findTarget (endpointName: string): OfferTarget | undefined {
     const member = this.#members.get(endpointName)
-    return member && { endpointName, peer: member.peer, epoch: member.record.epoch }
+    return member && toOfferTarget(member)
+  }
+
+  /** Lists the sidecars of all endpoints. */
+  listTargets (): OfferTarget[] {
+    return [...this.#members.values()].map(toOfferTarget)
   }
 
   /** Whether any registered endpoint serves the request's target. */
@@ -118,6 +123,10 @@
   }
 }
 
+function toOfferTarget ({ record, peer }: Member): OfferTarget {
+  return { endpointName: record.endpointName, peer, epoch: record.epoch }
+}
+
 /** Names what a request asks for in the table of endpoints: a model, or a plain service. */
 export function toTargetName (target: AttemptTarget): string {
   return target.kind === 'chat' ? target.model : `service:${target.service}`
--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -15,6 +15,7 @@
 import { CallerServer } from './callerServer'
 import { FleetRelay } from './fleetRelay'
 import { FleetView } from './fleetView'
+import { LoadProber } from './loadProber'
 import { RelayLog } from './relayLog'
 import { Upkeep } from './upkeep'
 
@@ -46,6 +47,7 @@
   readonly #dump = new StateDump()
   readonly #view: FleetView
   readonly #mover: AttemptMover
+  readonly #prober: LoadProber
   readonly #directory: MembershipDirectory
   readonly #server: CallerServer
   readonly #limiter = new RateLimiter()
@@ -66,6 +68,7 @@
       random: Math.random
     })
     this.#mover = new AttemptMover({ clock: systemClock, table: this.#view.table, takeRetry: className => this.#takeRetry(className) })
+    this.#prober = new LoadProber({ clock: systemClock, view: this.#view, onGeneration: (generation, address) => config.notifyGeneration(generation, address) })
     this.#directory = new MembershipDirectory({ service })
     this.#crashes = new PoisonRegistry({ service, onError: error => this.#reportError(error) })
     this.#upkeep = new Upkeep({
@@ -85,6 +88,7 @@
   async start (): Promise<string> {
     const { settings, service } = this.#options
     this.#mover.start()
+    this.#prober.start()
     this.#directory.start()
     this.#crashes.start()
     this.#upkeep.start()
@@ -104,6 +108,7 @@
     await this.#server.drain(new Progress({ title: 'draining the gateway', timeoutMs: DRAIN_TIMEOUT_MS }))
     await Promise.all([leaving, this.#directory.stop(), this.#crashes.stop(), this.#upkeep.stop()])
     this.#mover.stop()
+    this.#prober.stop()
     this.#view.close()
   }
 
--- /dev/null
+++ b/src/gateway/loadProber.ts
@@ -0,0 +1,69 @@
+import { Progress } from '../base/progress'
+
+import type { Clock } from '../base/clock'
+import type { FleetView, OfferTarget } from './fleetView'
+
+export interface LoadProberOptions {
+  clock: Clock
+  view: FleetView
+  /** Told of the generation that a sidecar has in force. */
+  onGeneration: (generation: number, address: string) => void
+}
+
+const PROBE_INTERVAL_MS = 500
+const STALE_MS = 2000
+const PROBE_TIMEOUT_MS = 1000
+
+/**
+ * Asks the sidecars that no request has heard of lately for their load, the longest unheard first
+ * and one at a time, so that the cost does not grow with the fleet.
+ */
+export class LoadProber {
+  readonly #options: LoadProberOptions
+  readonly #askedAtMs = new Map<string, number>()
+  #timer: NodeJS.Timeout | null = null
+
+  constructor (options: LoadProberOptions) {
+    this.#options = options
+  }
+
+  start (): void {
+    this.#timer = setInterval(() => { this.probeNext().catch(() => {}) }, PROBE_INTERVAL_MS)
+  }
+
+  stop (): void {
+    if (this.#timer) clearInterval(this.#timer)
+  }
+
+  /** Asks one sidecar, if there is one that was not heard of lately. */
+  async probeNext (): Promise<void> {
+    const { clock, view, onGeneration } = this.#options
+    const target = this.#findStalest()
+    if (target === null) return
+    this.#askedAtMs.set(target.endpointName, clock.getMonotonicMs())
+    const progress = new Progress({ title: `asking ${target.endpointName} for its load`, timeoutMs: PROBE_TIMEOUT_MS, clock })
+    const stamp = await target.peer.getLoad(progress)
+    if (stamp.isErr) return
+    view.table.recordLoad(target.endpointName, stamp.value.load, clock.getMonotonicMs())
+    onGeneration(stamp.value.configGeneration, target.peer.address)
+  }
+
+  #findStalest (): OfferTarget | null {
+    const { clock, view } = this.#options
+    let stalest: OfferTarget | null = null
+    let heardAtMs = clock.getMonotonicMs() - STALE_MS
+    for (const target of view.listTargets()) {
+      const targetHeardAtMs = this.#getHeardAtMs(target.endpointName)
+      if (targetHeardAtMs > heardAtMs) continue
+      stalest = target
+      heardAtMs = targetHeardAtMs
+    }
+    return stalest
+  }
+
+  /** A sidecar that did not answer waits for its turn again. */
+  #getHeardAtMs (endpointName: string): number {
+    const reportedAtMs = this.#options.view.table.getView(endpointName)?.reportedAtMs ?? -Infinity
+    return Math.max(reportedAtMs, this.#askedAtMs.get(endpointName) ?? -Infinity)
+  }
+}
--- a/src/gateway/sidecarPeer.ts
+++ b/src/gateway/sidecarPeer.ts
@@ -2,11 +2,11 @@
 import { Result } from 'true-myth'
 import { z } from 'zod'
 
-import { attemptNotificationSchema, attemptStateSchema, submitResultSchema } from '../protocol/attemptMessages'
+import { attemptNotificationSchema, attemptStateSchema, sidecarStampSchema, submitResultSchema } from '../protocol/attemptMessages'
 import { RpcClient } from '../protocol/rpcClient'
 
 import type { Progress } from '../base/progress'
-import type { AttemptState, CancelAttempt, SubmitAttempt } from '../protocol/attemptMessages'
+import type { AttemptState, CancelAttempt, SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
 import type { RpcCallOptions, RpcNotification } from '../protocol/rpcClient'
 import type { RpcError } from '../protocol/rpcError'
 import type { AttemptEvent } from './attemptEvent'
@@ -58,6 +58,12 @@
     return answer.andThen(value => checkMessage(attemptStateSchema, value))
   }
 
+  /** Asks the sidecar for its load. */
+  async getLoad (progress: Progress): Promise<Result<SidecarStamp, RpcError>> {
+    const answer = await this.#client.call('getLoad', {}, { progress, ...this.#patience })
+    return answer.andThen(value => checkMessage(sidecarStampSchema, value))
+  }
+
   /** Asks the sidecar to give an attempt up; there is nothing to do when that fails. */
   async cancelAttempt (params: CancelAttempt, progress: Progress): Promise<void> {
     await this.#client.call('cancelAttempt', params, { progress, ...this.#patience })
--- a/tests/fleet/wholePath.spec.ts
+++ b/tests/fleet/wholePath.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { callService, getExpectedAnswer, sendChat } from './callers'
-import { startFleet } from './fleetFixture'
+import { readState, startFleet, waitUntil } from './fleetFixture'
 
 import type { Fleet } from './fleetFixture'
 
@@ -16,6 +16,13 @@
     await fleet.stop()
   })
 
+  it('should learn every endpoint\'s load without a request', async () => {
+    await waitUntil('the loads', async () => {
+      const { endpoints } = await readState(fleet.gateways[0]!)
+      return endpoints.length === 3 && endpoints.every((endpoint: any) => endpoint.load !== null)
+    })
+  })
+
   it('should stream a whole chat completion byte for byte', async () => {
     const result = await sendChat(fleet.gateways[0]!, 'trace this accord')
     expect(result).to.include({ status: 200, isWhole: true, text: getExpectedAnswer('trace this accord') })
--- a/tests/policy/fleetPromises.spec.ts
+++ b/tests/policy/fleetPromises.spec.ts
@@ -23,6 +23,10 @@
     })
   }
 
+  it('should start no lower tier where a request of a higher tier, shed shortly afterwards, could have run', () => {
+    expect(computeMeasures(runFleet({ seed: 1 })).lowerStarts).to.equal(0)
+  })
+
   it('should start a class near its share of the starts, and no more by its share, while higher tiers alone overload', () => {
     const classes = [buildClass('panel', 1, 1.2), buildClass('quote', 2, 0.8), buildClass('archive', 6, 0.3)]
     const { log } = runFleet({ deployment: { ...buildDeployment(), classes }, faults: { slowed: [], crashed: [], lyingEngines: [] } })
