Share the process parts, the test relay and the not-run outcome

Cause: what both processes are built from stood three times, the relay and the managed process of the stand-ins twice (fleet tests had their own), and four modules imported one function from the dispatcher. Change: one of each; state dumps show the configuration's state and the histograms.

--- a/src/cli/processRunner.ts
+++ b/src/cli/processRunner.ts
@@ -9,17 +9,13 @@
 import { callPeer } from './peerCaller'
 
 import type { Result } from 'true-myth'
-import type { Logger } from 'tslog'
 import type { Finding } from '../config/finding'
 import type { CommonSettings } from '../config/processSettings'
+import type { ProcessParts } from '../platform/processParts'
 
-/** What every process of the fleet is built from. */
-export interface ProcessParts<S extends CommonSettings> {
-  settings: S
-  service: HttpObjectService
+/** The parts, with the follower that the runner starts and stops. */
+interface FollowedParts<S extends CommonSettings> extends ProcessParts<S> {
   config: ConfigFollower
-  rpc: RpcServer
-  logger: Logger<unknown>
 }
 
 /** A process of the fleet, as the command line runs it. */
@@ -46,7 +42,7 @@
   logger.info({ event: 'ready', listening: address, id: parts.settings.id })
 }
 
-function buildParts<S extends CommonSettings> (settings: S): ProcessParts<S> {
+function buildParts<S extends CommonSettings> (settings: S): FollowedParts<S> {
   const logger = createLogger(settings.id, settings.logLevel)
   const service = new HttpObjectService({ baseUrl: settings.platformUrl })
   const rpc = new RpcServer({ fleetSecret: settings.fleetSecret })
@@ -63,7 +59,7 @@
   return { settings, service, config, rpc, logger }
 }
 
-function installSignals<S extends CommonSettings> (runnable: RunnableProcess, parts: ProcessParts<S>): void {
+function installSignals<S extends CommonSettings> (runnable: RunnableProcess, parts: FollowedParts<S>): void {
   let isStopping = false
   const stop = () => {
     if (isStopping) return
--- a/src/config/configSource.ts
+++ b/src/config/configSource.ts
@@ -6,6 +6,8 @@
   getCurrent (): FleetConfig | null
   /** Calls `listener` with each configuration that comes into force; returns a function that stops this. */
   watchConfig (listener: (config: FleetConfig) => void): () => void
+  /** Where the configuration came from and what hinders the next, for the state dump. */
+  getState (): object
   /** Says that the process at `address` has `generation` in force. */
   notifyGeneration (generation: number, address: string): void
 }
--- a/src/gateway/gatewayProcess.ts
+++ b/src/gateway/gatewayProcess.ts
@@ -19,29 +19,18 @@
 import { RelayLog } from './relayLog'
 import { Upkeep } from './upkeep'
 
-import type { Logger } from 'tslog'
-import type { ConfigSource } from '../config/configSource'
 import type { Workspace } from '../config/fleetConfig'
 import type { GatewaySettings } from '../config/processSettings'
-import type { ObjectService } from '../platform/objectService'
-import type { RpcServer } from '../protocol/rpcServer'
+import type { ProcessParts } from '../platform/processParts'
 import type { Admission } from './requestRelay'
 
 const PATIENCE = { firstMessageMs: 400, silenceMs: 3000 }
 const DRAIN_TIMEOUT_MS = 600_000
 const LEAVE_TIMEOUT_MS = 2000
 
-export interface GatewayProcessOptions {
-  settings: GatewaySettings
-  service: ObjectService
-  config: ConfigSource
-  rpc: RpcServer
-  logger: Logger<unknown>
-}
-
 /** One gateway: everything between its callers and the sidecars. */
 export class GatewayProcess {
-  readonly #options: GatewayProcessOptions
+  readonly #options: ProcessParts<GatewaySettings>
   readonly #epoch = createId('epoch')
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
@@ -57,7 +46,7 @@
   #address = ''
   #registration: Registration | null = null
 
-  constructor (options: GatewayProcessOptions) {
+  constructor (options: ProcessParts<GatewaySettings>) {
     this.#options = options
     const { settings, service, config } = options
     this.#view = new FleetView({
@@ -172,6 +161,8 @@
   #registerDumps (): void {
     const { settings, config } = this.#options
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
+    this.#dump.register('configuration', () => config.getState())
+    this.#dump.register('metrics', () => this.#metrics.readSummaries())
     this.#dump.register('gateway', () => ({ id: settings.id, epoch: this.#epoch, address: this.#address, inFlight: this.#server.countInFlight() }))
     this.#dump.register('membership', () => this.#directory.getStatus())
     this.#dump.register('crashes', () => this.#crashes.listRecords())
--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -1,5 +1,5 @@
 import { Progress } from '../base/progress'
-import { createNotRun } from './dispatcher'
+import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { AttemptOutcome } from '../protocol/attemptMessages'
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -2,6 +2,7 @@
 
 import { DurationDistribution } from '../policy/durationDistribution'
 import { RequestQueue } from '../policy/requestQueue'
+import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { AttemptOutcome, EndpointLoad, NotRunReason } from '../protocol/attemptMessages'
@@ -251,8 +252,3 @@
     }
   }
 }
-
-/** Creates the outcome of an attempt that did not run. */
-export function createNotRun (reason: NotRunReason, retryAfterMs: number): AttemptOutcome {
-  return { kind: 'notRun', reason, retryAfterMs: Math.ceil(retryAfterMs) }
-}
--- a/src/sidecar/endpointGuard.ts
+++ b/src/sidecar/endpointGuard.ts
@@ -1,5 +1,5 @@
 import { PoisonTracker } from '../policy/poisonTracker'
-import { createNotRun } from './dispatcher'
+import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { Endpoint, FleetConfig } from '../config/fleetConfig'
--- a/src/sidecar/platformClaimGate.ts
+++ b/src/sidecar/platformClaimGate.ts
@@ -1,6 +1,6 @@
 import { Progress } from '../base/progress'
 import { isClaimFresh } from '../platform/claimStore'
-import { createNotRun } from './dispatcher'
+import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { Claim, ClaimOutcome, ClaimStore } from '../platform/claimStore'
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -9,7 +9,6 @@
 import { ClaimStore } from '../platform/claimStore'
 import { PoisonRegistry } from '../platform/poisonRegistry'
 import { ATTEMPT_RETENTION_MS, RPC_PATH } from '../protocol/attemptMessages'
-import { RpcServer } from '../protocol/rpcServer'
 import { AttemptKeeper } from './attemptKeeper'
 import { AttemptRegistry } from './attemptRegistry'
 import { AttemptRunner } from './attemptRunner'
@@ -23,11 +22,9 @@
 import { PlatformClaimGate } from './platformClaimGate'
 import { SidecarRpc } from './sidecarRpc'
 
-import type { Logger } from 'tslog'
-import type { ConfigSource } from '../config/configSource'
 import type { FleetConfig } from '../config/fleetConfig'
 import type { SidecarSettings } from '../config/processSettings'
-import type { ObjectService } from '../platform/objectService'
+import type { ProcessParts } from '../platform/processParts'
 import type { SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
 import type { Attempt } from './attempt'
 import type { EndpointClient } from './endpoint/endpointRun'
@@ -40,17 +37,9 @@
 const LEAVE_TIMEOUT_MS = 2000
 const SHARE_TIMEOUT_MS = 500
 
-export interface SidecarProcessOptions {
-  settings: SidecarSettings
-  service: ObjectService
-  config: ConfigSource
-  rpc: RpcServer
-  logger: Logger<unknown>
-}
-
 /** One sidecar: everything between its RPC methods and its endpoint. */
 export class SidecarProcess {
-  readonly #options: SidecarProcessOptions
+  readonly #options: ProcessParts<SidecarSettings>
   readonly #epoch = createId('epoch')
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
@@ -68,7 +57,7 @@
   readonly #starts = this.#metrics.createCounter('starts_total', 'Starts by class and the rule that chose them.')
   #registration: Registration | null = null
 
-  constructor (options: SidecarProcessOptions) {
+  constructor (options: ProcessParts<SidecarSettings>) {
     this.#options = options
     const { settings, service, config } = options
     this.#monitor = new EndpointMonitor({
@@ -170,6 +159,8 @@
       getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
     }
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
+    this.#dump.register('configuration', () => config.getState())
+    this.#dump.register('metrics', () => this.#metrics.readSummaries())
     return new AttemptRunner({ clock: systemClock, endpoint, monitor: this.#monitor, claims, observer })
   }
 
--- a/src/sidecar/sidecarRpc.ts
+++ b/src/sidecar/sidecarRpc.ts
@@ -2,7 +2,7 @@
 
 import { cancelAttemptSchema, getAttemptSchema, submitAttemptSchema } from '../protocol/attemptMessages'
 import { Attempt } from './attempt'
-import { createNotRun } from './dispatcher'
+import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { AttemptNotification, AttemptState, CancelAttempt, SidecarStamp, SubmitAttempt, SubmitResult } from '../protocol/attemptMessages'
--- a/tests/fleet/fleetProcess.ts
+++ b/tests/fleet/fleetProcess.ts
@@ -1,29 +1,25 @@
-import { spawn } from 'node:child_process'
+import { ManagedProcess } from '../../standins/shared/managedProcess'
 
-import type { ChildProcess } from 'node:child_process'
+import type { LogFields } from '../../standins/shared/managedProcess'
 
 const BINARY = 'dist/tanagerwick.cjs'
 const START_TIMEOUT_MS = 10_000
-
-/** One line that a process logged. */
-export type LogLine = Record<string, unknown> & { event?: string }
+const EXIT_TIMEOUT_MS = 15_000
+const POLL_MS = 20
 
 /** A process of the product under test, with what it logged. */
 export class FleetProcess {
-  readonly lines: LogLine[] = []
-  readonly #child: ChildProcess
-  readonly #exit: Promise<number | null>
-  #rest = ''
+  readonly lines: LogFields[] = []
+  readonly #process: ManagedProcess
   #address = ''
-  #notify: () => void = () => {}
 
   constructor (args: string[], secret: string) {
-    this.#child = spawn(process.execPath, [BINARY, ...args], {
-      env: { ...process.env, TANAGERWICK_FLEET_SECRET: secret },
-      stdio: ['ignore', 'pipe', 'inherit']
+    this.#process = new ManagedProcess({
+      name: args.slice(0, 3).join(' '),
+      args: [BINARY, ...args],
+      env: { TANAGERWICK_FLEET_SECRET: secret },
+      handleLog: fields => this.lines.push(fields)
     })
-    this.#child.stdout?.on('data', (bytes: Buffer) => this.#receive(bytes.toString('utf8')))
-    this.#exit = new Promise(resolve => this.#child.on('exit', code => resolve(code)))
   }
 
   /** `host:port` at which the process listens. */
@@ -36,55 +32,32 @@
   }
 
   async waitReady (): Promise<void> {
-    const ready = await this.waitLine(line => line.event === 'ready', START_TIMEOUT_MS)
-    this.#address = String(ready.listening)
+    const [address] = await this.#process.waitForAddresses(1, START_TIMEOUT_MS)
+    this.#address = address as string
   }
 
   /** Waits for a logged line, past or to come. */
-  async waitLine (matches: (line: LogLine) => boolean, timeoutMs: number): Promise<LogLine> {
-    return await new Promise((resolve, reject) => {
-      const timer = setTimeout(() => reject(new Error('the awaited log line did not come')), timeoutMs)
-      const check = () => {
-        const line = this.lines.find(matches)
-        if (line === undefined) return
-        clearTimeout(timer)
-        resolve(line)
-      }
-      this.#notify = check
-      check()
-    })
+  async waitLine (matches: (line: LogFields) => boolean, timeoutMs: number): Promise<void> {
+    const endMs = Date.now() + timeoutMs
+    while (!this.lines.some(matches)) {
+      if (Date.now() > endMs) throw new Error(`timed out waiting for a log line of ${this.#process.name}:\n${this.#process.lastLines}`)
+      await new Promise(resolve => setTimeout(resolve, POLL_MS))
+    }
   }
 
   /** Sends a signal; SIGKILL, SIGSTOP and SIGCONT provoke failures. */
   kill (signal: NodeJS.Signals): void {
-    this.#child.kill(signal)
+    this.#process.sendSignal(signal)
   }
 
   /** Resolves with the exit code, null after a signal. */
   async waitExit (): Promise<number | null> {
-    return await this.#exit
+    return await this.#process.waitForExit(EXIT_TIMEOUT_MS)
   }
 
   async stop (): Promise<void> {
-    if (this.#child.exitCode === null && this.#child.signalCode === null) {
-      this.#child.kill('SIGCONT')
-      this.#child.kill('SIGKILL')
-    }
-    await this.#exit
-  }
-
-  #receive (text: string): void {
-    const lines = (this.#rest + text).split('\n')
-    this.#rest = lines.pop() ?? ''
-    for (const line of lines) this.lines.push(parseLine(line))
-    this.#notify()
-  }
-}
-
-function parseLine (line: string): LogLine {
-  try {
-    return JSON.parse(line) as LogLine
-  } catch {
-    return { text: line }
+    this.kill('SIGCONT')
+    this.kill('SIGKILL')
+    await this.waitExit()
   }
 }
--- a/tests/fleet/platformFailures.spec.ts
+++ b/tests/fleet/platformFailures.spec.ts
@@ -80,7 +80,8 @@
       const generation = await fleet.applyConfig({ ...fleet.tree, settings: { ...fleet.tree.settings, poisonCrashLimit: 3 + change } })
       await waitGeneration([...fleet.gateways, ...fleet.sidecars], generation)
     }
-    const adopted = fleet.gateways[0]!.lines.map(line => (line as any)[1]?.generation).filter(generation => generation !== undefined)
+    const adopted = fleet.gateways[0]!.lines.map(line => line.generation as number | undefined).filter(generation => generation !== undefined)
+    expect(adopted.length).to.be.at.least(3)
     expect(adopted).to.deep.equal([...adopted].sort((one, other) => one - other))
   })
 })
--- a/tests/fleet/processFailures.spec.ts
+++ b/tests/fleet/processFailures.spec.ts
@@ -2,10 +2,10 @@
 
 import { Progress } from '../../src/base/progress'
 import { toSidecarKey } from '../../src/platform/membershipRecords'
+import { TcpRelay } from '../../standins/network/tcpRelay'
 import { countExecutions, findLongPrompt, LONG, waitRunning } from './answers'
 import { callService, getExpectedAnswer, sendChat } from './callers'
-import { readState, startFleet, waitUntil } from './fleetFixture'
-import { TcpProxy } from './tcpProxy'
+import { startFleet, waitUntil } from './fleetFixture'
 
 import type { Fleet } from './fleetFixture'
 import type { FleetProcess } from './fleetProcess'
@@ -43,25 +43,25 @@
 
   it('should go on with a stream whose connection between gateway and sidecar went silent', async () => {
     fleet = await startFleet({ engines: [{}] })
-    const proxy = await startProxyBefore(fleet, fleet.sidecars[0]!, 'engine-1')
+    const relay = await startRelayBefore(fleet, fleet.sidecars[0]!, 'engine-1')
     const prompt = findLongPrompt()
     const answer = sendChat(fleet.gateways[0]!, prompt, LONG)
     await waitRunning(fleet.engines)
-    proxy.setSilent()
+    relay.setConnectionsSilent()
     expect(await answer).to.include({ isWhole: true, text: getExpectedAnswer(prompt, LONG) })
     expect(fleet.engines[0]!.getRecord().runs, 'the same run goes on').to.have.length(1)
-    proxy.close()
+    await relay.close()
   })
 
   it('should serve in time when the pooled connections to a sidecar went silent', async () => {
     fleet = await startFleet({ engines: [{}] })
-    const proxy = await startProxyBefore(fleet, fleet.sidecars[0]!, 'engine-1')
+    const relay = await startRelayBefore(fleet, fleet.sidecars[0]!, 'engine-1')
     await sendChat(fleet.gateways[0]!, 'a first question')
-    proxy.setSilent()
+    relay.setConnectionsSilent()
     const result = await sendChat(fleet.gateways[0]!, 'a second question')
     expect(result).to.include({ isWhole: true, text: getExpectedAnswer('a second question') })
     expect(result.elapsedMs).to.be.below(2000)
-    proxy.close()
+    await relay.close()
   })
 
   it('should not book twice when the sidecar is killed while it books and is replaced', async () => {
@@ -103,21 +103,21 @@
 
   it('should give the kept answer when the caller\'s connection went silent', async () => {
     fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK] })
-    const proxy = await TcpProxy.start(fleet.gateways[0]!.address)
+    const relay = await startRelay(fleet.gateways[0]!)
     const lost = new AbortController()
-    const booking = fetch(`http://${proxy.address}/services/desk/bookings`, {
+    const booking = fetch(`http://${relay.address}/services/desk/bookings`, {
       method: 'POST',
       headers: { authorization: 'Bearer key-of-shop', 'idempotency-key': BOOKING.idempotencyKey, 'content-type': 'application/json' },
       body: BOOKING.body,
       signal: lost.signal
     }).catch(() => 'lost')
     await waitUntil('the booking to run', () => countExecutions(fleet.desks) === 1)
-    proxy.setSilent()
+    relay.setConnectionsSilent()
     lost.abort()
     await booking
     await waitUntil('the kept answer', async () => (await callService(fleet.gateways[1]!, 'desk/bookings', BOOKING)).status === 200)
     expect(countBookings(fleet)).to.equal(1)
-    proxy.close()
+    await relay.close()
   })
 
   it('should say not run only of what did not run when the sidecar is killed under a burst', async () => {
@@ -142,18 +142,23 @@
   return fleet.desks.flatMap(desk => desk.getRecord().executions).filter(execution => execution.method === 'POST').length
 }
 
-/** Registers a proxy in a sidecar's place, so that gateways reach the sidecar through it. */
-async function startProxyBefore (fleet: Fleet, sidecar: FleetProcess, endpointName: string): Promise<TcpProxy> {
-  const proxy = await TcpProxy.start(sidecar.address)
-  const progress = new Progress({ title: 'registering a proxy', timeoutMs: 5000 })
+async function startRelay (target: FleetProcess): Promise<TcpRelay> {
+  const relay = new TcpRelay(target.address)
+  await relay.open()
+  return relay
+}
+
+/** Registers a relay in a sidecar's place, so that gateways reach the sidecar through it. */
+async function startRelayBefore (fleet: Fleet, sidecar: FleetProcess, endpointName: string): Promise<TcpRelay> {
+  const relay = await startRelay(sidecar)
+  const progress = new Progress({ title: 'registering a relay', timeoutMs: 5000 })
   const key = toSidecarKey(endpointName)
   const current = (await fleet.service.get(key, progress)).unwrapOr(null)
-  await fleet.service.put(key, { ...current?.value as object, address: proxy.address }, { kind: 'version', version: current!.version }, progress)
-  await waitUntil('the gateway to use the proxy', async () => {
+  await fleet.service.put(key, { ...current?.value as object, address: relay.address }, { kind: 'version', version: current!.version }, progress)
+  await waitUntil('the gateway to use the relay', async () => {
     await sendChat(fleet.gateways[0]!, 'a probe')
-    return proxy.connectionCount > 0
+    return relay.countConnections() > 0
   })
-  await readState(fleet.gateways[0]!)
   for (const engine of fleet.engines) engine.getRecord().runs.length = 0
-  return proxy
+  return relay
 }
