End a process that cannot start

Cause: a gateway whose address was taken logged the error and stayed, with an exit code that never came. Ruled out: exiting on every unexpected error, which would let one bad request end a process. Change: a failed start ends the process with the exit code for unavailable. Its test failed first (no exit in 15 s) and passes.

--- a/src/cli/processRunner.ts
+++ b/src/cli/processRunner.ts
@@ -38,8 +38,13 @@
   const runnable = create(parts)
   installSignals(runnable, parts)
   config.start()
-  const address = await runnable.start()
-  logger.info({ event: 'ready', listening: address, id: parts.settings.id })
+  try {
+    const address = await runnable.start()
+    logger.info({ event: 'ready', listening: address, id: parts.settings.id })
+  } catch (error) {
+    process.stderr.write(`${parts.settings.id} cannot start: ${(error as Error).message}\n`)
+    process.exit(EXIT_CODES.unavailable)
+  }
 }
 
 function buildParts<S extends CommonSettings> (settings: S): FollowedParts<S> {
