Keep run durations by class in one module

Cause: dispatcher and lunch model each kept the same map. Change: ClassDurations for both; the dispatcher records a release only for a completed run, as the model does, since a run that never started says nothing of the engine's pace.

--- a/bench/lunch/sidecarModel.ts
+++ b/bench/lunch/sidecarModel.ts
@@ -1,4 +1,4 @@
-import { DurationDistribution } from '../../src/policy/durationDistribution'
+import { ClassDurations } from '../../src/policy/classDurations'
 import { RequestQueue } from '../../src/policy/requestQueue'
 import { SlotLimiter } from '../../src/policy/slotLimiter'
 import { addSpentUnits } from './requestRecord'
@@ -41,7 +41,7 @@
   readonly #limiter: SlotLimiter
   readonly #attempts = new Map<string, SidecarAttempt>()
   readonly #runs = new Map<string, EngineRun>()
-  readonly #durations = new Map<string, DurationDistribution>()
+  readonly #durations = new ClassDurations()
 
   constructor (events: EventQueue, engine: Engine, log: LogEntry[]) {
     this.#events = events
@@ -127,7 +127,7 @@
 
   #buildEntry (attempt: SidecarAttempt): QueueEntry {
     const { request } = attempt.record
-    const runMs = this.#openDurations(request.class.name).getQuantile(START_BY_QUANTILE, INITIAL_RUN_MS)
+    const runMs = this.#durations.getQuantile(request.class.name, START_BY_QUANTILE, INITIAL_RUN_MS)
     const deadlineMs = request.atMs + request.class.deadlineMs
     return {
       id: attempt.id,
@@ -185,7 +185,7 @@
   #recordRelease (attempt: SidecarAttempt, startedAtMs: number): void {
     const { request } = attempt.record
     const ranForMs = this.#events.getNowMs() - startedAtMs
-    this.#openDurations(request.class.name).record(ranForMs)
+    this.#durations.record(request.class.name, ranForMs)
     this.queue.recordRelease({ tier: request.class.tier, workspace: request.workspace, ranForMs, outputTokens: attempt.tokens }, this.#events.getNowMs())
   }
 
@@ -222,12 +222,4 @@
     addSpentUnits(attempt.record, this.engine, run)
     this.engine.cancel(run)
   }
-
-  #openDurations (className: string): DurationDistribution {
-    const known = this.#durations.get(className)
-    if (known !== undefined) return known
-    const durations = new DurationDistribution()
-    this.#durations.set(className, durations)
-    return durations
-  }
 }
--- /dev/null
+++ b/src/policy/classDurations.ts
@@ -0,0 +1,18 @@
+import { DurationDistribution } from './durationDistribution'
+
+/** The distributions of how long answers have taken, one for each class of requests. */
+export class ClassDurations {
+  readonly #byClass = new Map<string, DurationDistribution>()
+
+  /** Gets the milliseconds within which the fraction `quantile` of the class's answers ended, or `initialMs` before any did. */
+  getQuantile (className: string, quantile: number, initialMs: number): number {
+    return this.#byClass.get(className)?.getQuantile(quantile, initialMs) ?? initialMs
+  }
+
+  /** Records how long one answer of the class took. */
+  record (className: string, milliseconds: number): void {
+    const durations = this.#byClass.get(className) ?? new DurationDistribution()
+    durations.record(milliseconds)
+    this.#byClass.set(className, durations)
+  }
+}
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -1,6 +1,6 @@
 import * as csp from 'js-csp'
 
-import { DurationDistribution } from '../policy/durationDistribution'
+import { ClassDurations } from '../policy/classDurations'
 import { RequestQueue } from '../policy/requestQueue'
 import { createNotRun } from './outcomes'
 
@@ -51,7 +51,7 @@
   readonly #commands = csp.chan<DispatcherCommand>(csp.buffers.fixed(COMMAND_BUFFER))
   readonly #waiting = new Map<string, Attempt>()
   readonly #running = new Set<Attempt>()
-  readonly #durations = new Map<string, DurationDistribution>()
+  readonly #durations = new ClassDurations()
   #isDraining = false
   #notifyIdle: (() => void) | null = null
 
@@ -155,7 +155,8 @@
 
   #release (attempt: Attempt, ranForMs: number, nowMs: number): void {
     this.#running.delete(attempt)
-    if (attempt.outcome?.kind === 'completed') this.#openDurations(attempt.params.className).record(ranForMs)
+    if (attempt.outcome?.kind !== 'completed') return
+    this.#durations.record(attempt.params.className, ranForMs)
     this.#queue.recordRelease({
       tier: attempt.params.tier,
       workspace: attempt.params.workspace,
@@ -225,19 +226,11 @@
 
   /** The latest start leaves nine in ten answers of the class the time to end before the deadline. */
   #computeStartByMs (attempt: Attempt, nowMs: number): number {
-    const runMs = this.#openDurations(attempt.params.className).getQuantile(START_BY_QUANTILE, INITIAL_RUN_MS)
+    const runMs = this.#durations.getQuantile(attempt.params.className, START_BY_QUANTILE, INITIAL_RUN_MS)
     const latestMs = nowMs + attempt.getRemainingMs(nowMs)
     return Math.min(nowMs + attempt.params.startWithinMs, latestMs - runMs)
   }
 
-  #openDurations (className: string): DurationDistribution {
-    const known = this.#durations.get(className)
-    if (known !== undefined) return known
-    const durations = new DurationDistribution()
-    this.#durations.set(className, durations)
-    return durations
-  }
-
   #createEntry (attempt: Attempt, nowMs: number): QueueEntry {
     const { params } = attempt
     return {
