Repeat an idempotent service call whose connection to the endpoint went silent

Cause: a plain service says nothing while it works, so silence was waited out until the caller's deadline (test: 503 after 20 s). Ruled out: the chat's 4 s for all, which would cut slow services. Change: silence is three times what 99 in 100 answers of the class took, at least 4 s; before any was seen, and for calls that may run once only, the deadline as before. Measured: the test fails before (503) and passes in 6.7 s after.

--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -2,6 +2,7 @@
 import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
+import type { ClassDurations } from '../policy/classDurations'
 import type { AttemptOutcome } from '../protocol/attemptMessages'
 import type { Attempt } from './attempt'
 import type { ClaimGate, GrantedClaim } from './claimGate'
@@ -9,7 +10,9 @@
 import type { EndpointClient, EndpointEnd } from './endpoint/endpointRun'
 
 const CLAIM_TIMEOUT_MS = 800
-const CHAT_SILENCE_MS = 4000
+const MIN_SILENCE_MS = 4000
+const LONGEST_QUANTILE = 0.99
+const SILENCE_FACTOR = 3
 const UNAVAILABLE_RETRY_MS = 1000
 const HTTP_TOO_MANY = 429
 const HTTP_UNAVAILABLE = 503
@@ -29,6 +32,8 @@
   monitor: EndpointMonitor
   claims: ClaimGate
   observer: RunObserver
+  /** How long answers of each class have taken. */
+  durations: ClassDurations
 }
 
 /** Takes a dispatched attempt through claim, run and outcome. */
@@ -96,7 +101,7 @@
       tier: params.tier,
       idempotencyKey: params.idempotencyKey,
       target: params.target,
-      silenceMs: params.target.kind === 'chat' ? CHAT_SILENCE_MS : remainingMs,
+      silenceMs: this.#getSilenceMs(attempt, remainingMs),
       signal: canCancel(attempt) ? attempt.signal : new AbortController().signal,
       onTexts: read => {
         const nowMs = clock.getMonotonicMs()
@@ -112,6 +117,15 @@
     return attempt.outcome ?? outcome
   }
 
+  /** A plain service says nothing while it works, so its silence is judged by how long its answers take. */
+  #getSilenceMs (attempt: Attempt, remainingMs: number): number {
+    const { params } = attempt
+    if (params.target.kind === 'chat') return MIN_SILENCE_MS
+    if (!params.idempotent) return remainingMs
+    const usualMs = this.#options.durations.getQuantile(params.className, LONGEST_QUANTILE, remainingMs)
+    return Math.min(remainingMs, Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * usualMs))
+  }
+
   async #decideOutcome (attempt: Attempt, end: EndpointEnd, bootId: string | null): Promise<AttemptOutcome> {
     switch (end.kind) {
       case 'completed': return { kind: 'completed', status: end.status, contentType: end.contentType, chunkCount: 0, digest: '' }
--- a/src/sidecar/dispatcher.ts
+++ b/src/sidecar/dispatcher.ts
@@ -1,11 +1,11 @@
 import * as csp from 'js-csp'
 
-import { ClassDurations } from '../policy/classDurations'
 import { RequestQueue } from '../policy/requestQueue'
 import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
 import type { AttemptOutcome, EndpointLoad, NotRunReason } from '../protocol/attemptMessages'
+import type { ClassDurations } from '../policy/classDurations'
 import type { QueueEntry, TakenEntry } from '../policy/requestQueue'
 import type { Attempt } from './attempt'
 import type { EndpointSlots } from './endpointSlots'
@@ -33,6 +33,8 @@
   maxQueued: number
   /** How many requests may run at once now. */
   slots: EndpointSlots
+  /** How long answers have taken; completed runs are recorded in it. */
+  durations: ClassDurations
   /** Guaranteed fraction of starts of a class. */
   getShare: (className: string) => number
   /** Returns the outcome that refuses the attempt, or null when it may go on. */
@@ -51,7 +53,6 @@
   readonly #commands = csp.chan<DispatcherCommand>(csp.buffers.fixed(COMMAND_BUFFER))
   readonly #waiting = new Map<string, Attempt>()
   readonly #running = new Set<Attempt>()
-  readonly #durations = new ClassDurations()
   #isDraining = false
   #notifyIdle: (() => void) | null = null
 
@@ -156,7 +157,7 @@
   #release (attempt: Attempt, ranForMs: number, nowMs: number): void {
     this.#running.delete(attempt)
     if (attempt.outcome?.kind !== 'completed') return
-    this.#durations.record(attempt.params.className, ranForMs)
+    this.#options.durations.record(attempt.params.className, ranForMs)
     this.#queue.recordRelease({
       tier: attempt.params.tier,
       workspace: attempt.params.workspace,
@@ -226,7 +227,7 @@
 
   /** The latest start leaves nine in ten answers of the class the time to end before the deadline. */
   #computeStartByMs (attempt: Attempt, nowMs: number): number {
-    const runMs = this.#durations.getQuantile(attempt.params.className, START_BY_QUANTILE, INITIAL_RUN_MS)
+    const runMs = this.#options.durations.getQuantile(attempt.params.className, START_BY_QUANTILE, INITIAL_RUN_MS)
     const latestMs = nowMs + attempt.getRemainingMs(nowMs)
     return Math.min(nowMs + attempt.params.startWithinMs, latestMs - runMs)
   }
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -8,6 +8,7 @@
 import { Registration } from '../platform/registration'
 import { ClaimStore } from '../platform/claimStore'
 import { PoisonRegistry } from '../platform/poisonRegistry'
+import { ClassDurations } from '../policy/classDurations'
 import { ATTEMPT_RETENTION_MS, RPC_PATH } from '../protocol/attemptMessages'
 import { AttemptKeeper } from './attemptKeeper'
 import { AttemptRegistry } from './attemptRegistry'
@@ -47,6 +48,7 @@
   readonly #monitor: EndpointMonitor
   readonly #guard: EndpointGuard
   readonly #slots: EndpointSlots
+  readonly #durations = new ClassDurations()
   readonly #dispatcher: Dispatcher
   readonly #keeper: AttemptKeeper
   readonly #claims: ClaimStore
@@ -96,6 +98,7 @@
       clock: systemClock,
       maxQueued: MAX_QUEUED,
       slots: this.#slots,
+      durations: this.#durations,
       getShare: className => config.getCurrent()?.classes.get(className)?.share ?? 0,
       checkAdmission: attempt => this.#guard.checkAdmission(attempt),
       run: async (attempt, rule) => {
@@ -161,7 +164,7 @@
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
     this.#dump.register('configuration', () => config.getState())
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
-    return new AttemptRunner({ clock: systemClock, endpoint, monitor: this.#monitor, claims, observer })
+    return new AttemptRunner({ clock: systemClock, endpoint, monitor: this.#monitor, claims, observer, durations: this.#durations })
   }
 
   #createListener (): HttpListener {
--- a/tests/fleet/endpointFailures.spec.ts
+++ b/tests/fleet/endpointFailures.spec.ts
@@ -4,6 +4,7 @@
 import { callService, getExpectedAnswer, sendChat } from './callers'
 import { startFleet, waitUntil } from './fleetFixture'
 
+import type { ServiceServer } from '../../standins/service/serviceServer'
 import type { Fleet } from './fleetFixture'
 
 const CRASH_MARKER = 'crash-the-engine'
@@ -85,6 +86,18 @@
     expect(fleet.desks.flatMap(desk => desk.getRecord().executions)).to.have.length(1)
   })
 
+  it('should repeat an idempotent call whose connection to the endpoint went silent', async () => {
+    fleet = await startFleet({ engines: [], services: [{ serviceMs: 300 }, { serviceMs: 300 }] })
+    const call = { method: 'GET' }
+    for (let warmUp = 0; warmUp < 4; warmUp++) await callService(fleet.gateways[0]!, 'desk/status', call)
+    const answer = callService(fleet.gateways[0]!, 'desk/status', call)
+    await waitUntil('the call to run', () => findExecuting(fleet) !== undefined)
+    await findExecuting(fleet)!.host.setFaults({ freeze: true })
+    const result = await answer
+    expect(result.status).to.equal(200)
+    expect(result.elapsedMs).to.be.below(10_000)
+  })
+
   it('should repeat an idempotent call whose answer is lost', async () => {
     fleet = await startFleet({ engines: [], services: [{}, {}] })
     await fleet.desks[0]!.host.setFaults({ executeThenLoseAnswer: 1 })
@@ -93,3 +106,7 @@
     expect(result.status).to.equal(200)
   })
 })
+
+function findExecuting (fleet: Fleet): ServiceServer | undefined {
+  return fleet.desks.find(desk => desk.getRecord().executions.some(execution => execution.state === 'running'))
+}
--- a/tests/sidecar/dispatcherCancel.spec.ts
+++ b/tests/sidecar/dispatcherCancel.spec.ts
@@ -2,6 +2,7 @@
 
 import { ManualClock } from '../../src/base/clock'
 import { MAX_TIER } from '../../src/protocol/serviceLevels'
+import { ClassDurations } from '../../src/policy/classDurations'
 import { Attempt } from '../../src/sidecar/attempt'
 import { Dispatcher } from '../../src/sidecar/dispatcher'
 
@@ -31,6 +32,7 @@
   return new Dispatcher({
     clock: new ManualClock(),
     maxQueued: 10,
+    durations: new ClassDurations(),
     slots: makeSlots(),
     getShare: () => 0,
     checkAdmission: () => null,
