Use one stored answer and one token bucket

Cause: reading the whole change again showed the kept answer of a claim typed twice with a mapping between, the platform stand-in with a token bucket of its own beside the product's, and types of the attempt's watch spelt by look-up.

--- a/src/gateway/attemptWatch.ts
+++ b/src/gateway/attemptWatch.ts
@@ -1,6 +1,6 @@
 import type { Clock } from '../base/clock'
-import type { SubmitAttempt } from '../protocol/attemptMessages'
-import type { MovableAttempt } from './attemptMover'
+import type { SidecarStamp, SubmitAttempt } from '../protocol/attemptMessages'
+import type { Standing } from './attemptMover'
 import type { AttemptEnd, AttemptObserver } from './attemptSession'
 import type { CallerRequest } from './callerRequest'
 import type { FleetView, OfferTarget } from './fleetView'
@@ -37,18 +37,18 @@
     this.#target = target
   }
 
-  recordAccepted (stamp: Parameters<AttemptObserver['recordAccepted']>[0]): void {
+  recordAccepted (stamp: SidecarStamp): void {
     this.#acceptedAtMs = this.#options.clock.getMonotonicMs()
     this.recordStamp(stamp)
   }
 
   /** Where the attempt stands; null before it was accepted. */
-  getStanding (): ReturnType<MovableAttempt['getStanding']> {
+  getStanding (): Standing | null {
     if (this.#startedAtMs !== null) return { kind: 'running' }
     return this.#acceptedAtMs === null ? null : { kind: 'queued', sinceMs: this.#acceptedAtMs }
   }
 
-  recordStamp (stamp: Parameters<AttemptObserver['recordStamp']>[0]): void {
+  recordStamp (stamp: SidecarStamp): void {
     const { view, clock, onGeneration } = this.#options
     const nowMs = clock.getMonotonicMs()
     if (this.#isReported) view.table.recordLoad(this.#target.endpointName, stamp.load, nowMs)
@@ -74,10 +74,6 @@
     return this.#chunkCount < MIN_CHUNKS ? 0 : this.#tokenIntervalMs
   }
 
-  #recordFirstChunk (nowMs: number): void {
-    if (this.#startedAtMs !== null) this.#options.view.table.recordFirstToken(this.#target.endpointName, nowMs - this.#startedAtMs)
-  }
-
   recordLost (message: string): void {
     this.#options.observer.recordLostStream(this.#request, this.#params.attemptId, message)
   }
@@ -103,4 +99,8 @@
       default: end satisfies never
     }
   }
+
+  #recordFirstChunk (nowMs: number): void {
+    if (this.#startedAtMs !== null) this.#options.view.table.recordFirstToken(this.#target.endpointName, nowMs - this.#startedAtMs)
+  }
 }
--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -66,8 +66,8 @@
     switch (decision.kind) {
       case 'refused': return attempt.end(decision.outcome)
       case 'answered': {
-        const { status, contentType, text } = decision.answer
-        attempt.addChunks([text], this.#options.clock.getMonotonicMs())
+        const { status, contentType, body } = decision.answer
+        attempt.addChunks([body], this.#options.clock.getMonotonicMs())
         return attempt.complete(status, contentType)
       }
       case 'granted': return await this.#runGranted(attempt, decision.claim)
@@ -84,7 +84,7 @@
     const outcome = await this.#runAtEndpoint(attempt, texts)
     if (outcome.kind === 'notRun') return await claim.release()
     if (outcome.kind === 'completed') {
-      await claim.complete({ status: outcome.status, contentType: outcome.contentType, text: texts.join('') })
+      await claim.complete({ status: outcome.status, contentType: outcome.contentType, body: texts.join('') })
     }
   }
 
--- a/src/sidecar/claimGate.ts
+++ b/src/sidecar/claimGate.ts
@@ -1,17 +1,11 @@
 import type { Progress } from '../base/progress'
+import type { StoredAnswer } from '../platform/claimRecord'
 import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
 
-/** An answer kept with a claim, for a caller that sends its request again. */
-export interface StoredAnswer {
-  status: number
-  contentType: string
-  /** The answer's bytes as Latin-1 text. */
-  text: string
-}
-
 /** Decision of the at-most-once gate on one attempt. */
 export type ClaimDecision =
   | { kind: 'granted', claim: GrantedClaim }
+  /** The request has run; the answer's body is its bytes as Latin-1 text. */
   | { kind: 'answered', answer: StoredAnswer }
   | { kind: 'refused', outcome: AttemptOutcome }
 
--- a/src/sidecar/platformClaimGate.ts
+++ b/src/sidecar/platformClaimGate.ts
@@ -5,7 +5,7 @@
 import type { Clock } from '../base/clock'
 import type { Claim, ClaimOutcome, ClaimStore } from '../platform/claimStore'
 import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
-import type { ClaimDecision, ClaimGate, StoredAnswer } from './claimGate'
+import type { ClaimDecision, ClaimGate, GrantedClaim } from './claimGate'
 
 const SETTLE_TIMEOUT_MS = 2000
 const IN_PROGRESS_RETRY_MS = 1000
@@ -45,7 +45,7 @@
   #toDecision (outcome: ClaimOutcome): ClaimDecision {
     switch (outcome.kind) {
       case 'granted': return { kind: 'granted', claim: this.#createGrant(outcome.claim) }
-      case 'completed': return outcome.answer === null ? refuse({ kind: 'mayHaveRun', reason: 'claimedElsewhere', retryAfterMs: 0 }) : toAnswered(outcome.answer)
+      case 'completed': return outcome.answer === null ? refuse({ kind: 'mayHaveRun', reason: 'claimedElsewhere', retryAfterMs: 0 }) : { kind: 'answered', answer: outcome.answer }
       case 'inProgress': return refuse(createNotRun('alreadyInProgress', IN_PROGRESS_RETRY_MS))
       case 'mayHaveRun': return refuse({ kind: 'mayHaveRun', reason: 'claimedElsewhere', retryAfterMs: 0 })
       case 'keyReused': return refuse(createNotRun('keyReused', 0))
@@ -54,11 +54,11 @@
     }
   }
 
-  #createGrant (claim: Claim): { complete (answer: StoredAnswer): Promise<void>, release (): Promise<void> } {
+  #createGrant (claim: Claim): GrantedClaim {
     const { store } = this.#options
     return {
-      complete: async ({ status, contentType, text }) => {
-        await store.complete(claim, { status, contentType, body: text }, createSettleProgress())
+      complete: async answer => {
+        await store.complete(claim, answer, createSettleProgress())
       },
       release: async () => {
         await store.release(claim, createSettleProgress())
@@ -71,10 +71,6 @@
   return { kind: 'refused', outcome }
 }
 
-function toAnswered (answer: { status: number, contentType: string, body: string }): ClaimDecision {
-  return { kind: 'answered', answer: { status: answer.status, contentType: answer.contentType, text: answer.body } }
-}
-
 function createSettleProgress (): Progress {
   return new Progress({ title: 'storing how a claimed request ended', timeoutMs: SETTLE_TIMEOUT_MS })
 }
--- a/standins/platform/platformServer.ts
+++ b/standins/platform/platformServer.ts
@@ -1,12 +1,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { systemClock } from '../../src/base/clock'
+import { TokenBucket } from '../../src/platform/tokenBucket'
 import { hashText } from '../../src/base/identifiers'
 import { HttpError, HttpServer, readJson, sendJson } from '../shared/httpServer'
 import { LaggingValue } from '../shared/laggingValue'
 import { ObjectStore, getKey, getVersion } from './objectStore'
 import { NO_PLATFORM_FAULTS, listedInstancesSchema, platformFaultsSchema } from './platformFaults'
-import { TokenBucket } from './tokenBucket'
 
 import type { ListedInstance, WatchBatch, WriteCondition } from '../../src/platform/objectService'
 import type { ListenOptions } from '../shared/httpServer'
@@ -127,7 +127,7 @@
     if (this.#faults.outage === 'hang') return
     if (this.#faults.outage === 'answer503') return sendJson(response, 503, { error: 'unavailable' })
     const bucket = kind === 'put' || kind === 'delete' ? this.#writes : this.#reads
-    if (!bucket.take()) return this.#refuseRate(response)
+    if (bucket.acquire(0).kind === 'refused') return this.#refuseRate(response)
     const body = kind === 'put' ? await readJson(request) : undefined
     if (this.#faults.slowMs > 0) await sleep(this.#faults.slowMs)
     switch (kind) {
