Rename src/platform to src/store

Cause: the users' platform gets an adapter folder of that name, so one word would have had two meanings. Change: a move of files and imports, the clock reading goes to src/base where decisions may use it. Ruled out: splitting membership off in the same move; its modules share keys and records with the store client.

--- a/bench/capacity/controlPath.ts
+++ b/bench/capacity/controlPath.ts
@@ -1,13 +1,13 @@
 import { startPlatform } from '../../standins/platform/platformServer'
 import { Progress } from '../../src/base/progress'
-import { HttpObjectService } from '../../src/platform/httpObjectService'
-import { toSidecarKey } from '../../src/platform/membershipRecords'
+import { HttpObjectService } from '../../src/store/httpObjectService'
+import { toSidecarKey } from '../../src/store/membershipRecords'
 import { formatNumber, printTable } from '../shared/measuredTable'
 import { measureInChild } from './childMeasure'
 import { FLEET } from './fleetSize'
 
 import type { PlatformServer } from '../../standins/platform/platformServer'
-import type { ListedInstance } from '../../src/platform/objectService'
+import type { ListedInstance } from '../../src/store/objectService'
 import type { GatewayViewCost } from './gatewayView'
 
 const PEER_COUNTS = [50, 200, 600]
--- a/bench/config/configSizes.ts
+++ b/bench/config/configSizes.ts
@@ -11,12 +11,12 @@
 import { buildConfigParts } from '../../src/config/configParts'
 import { fleetTreeSchema } from '../../src/config/fleetSchema'
 import { loadFleetFolder } from '../../src/config/loadFleetFolder'
-import { ConfigPublisher } from '../../src/platform/configPublisher'
+import { ConfigPublisher } from '../../src/store/configPublisher'
 import { MemoryObjectService } from '../../tests/fakes/memoryObjectService'
 
 import type { PartLayout } from '../../src/config/configParts'
 import type { FleetTree } from '../../src/config/fleetSchema'
-import type { Publication } from '../../src/platform/configPublisher'
+import type { Publication } from '../../src/store/configPublisher'
 
 const ENDPOINT_COUNT = 600
 const MODEL_COUNT = 35
--- a/lint/importBoundaries.mjs
+++ b/lint/importBoundaries.mjs
@@ -7,10 +7,10 @@
   protocol: [],
   config: ['protocol'],
   policy: ['protocol', 'config'],
-  platform: ['protocol', 'config'],
-  gateway: ['protocol', 'config', 'policy', 'platform'],
-  sidecar: ['protocol', 'config', 'policy', 'platform'],
-  cli: ['protocol', 'config', 'policy', 'platform', 'gateway', 'sidecar']
+  store: ['protocol', 'config'],
+  gateway: ['protocol', 'config', 'policy', 'store'],
+  sidecar: ['protocol', 'config', 'policy', 'store'],
+  cli: ['protocol', 'config', 'policy', 'store', 'gateway', 'sidecar']
 }
 
 /** Builds one lint configuration block for each source folder. */
--- a/src/platform/clockReading.ts
+++ b/src/base/clockReading.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../base/clock'
+import type { Clock } from './clock'
 
 /** Both clocks of a process, read together. */
 export interface ClockReading {
--- a/src/cli/commands/configDiff.ts
+++ b/src/cli/commands/configDiff.ts
@@ -1,12 +1,12 @@
 import { diffTrees, formatChanges } from '../../config/treeDiff'
-import { readAcceptedTree } from '../../platform/configReader'
+import { readAcceptedTree } from '../../store/configReader'
 import { fail, loadFolderOrReport, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
 import { EXIT_CODES } from '../exitCodes'
 
 import type { CommandModule } from 'yargs'
 import type { Progress } from '../../base/progress'
 import type { FleetTree } from '../../config/fleetSchema'
-import type { ObjectService } from '../../platform/objectService'
+import type { ObjectService } from '../../store/objectService'
 import type { PlatformFlags } from '../configCommandInput'
 
 interface DiffFlags extends PlatformFlags {
--- a/src/cli/commands/configStatus.ts
+++ b/src/cli/commands/configStatus.ts
@@ -1,15 +1,15 @@
 import { SECRET_VARIABLE } from '../../config/loadProcessSettings'
-import { readManifest } from '../../platform/configReader'
-import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../../platform/keys'
-import { registrationSchema } from '../../platform/membershipRecords'
-import { runBounded } from '../../platform/runBounded'
+import { readManifest } from '../../store/configReader'
+import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../../store/keys'
+import { registrationSchema } from '../../store/membershipRecords'
+import { runBounded } from '../../store/runBounded'
 import { parseAddresses, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
 import { EXIT_CODES } from '../exitCodes'
 import { fetchState } from './state'
 
 import type { CommandModule } from 'yargs'
 import type { Progress } from '../../base/progress'
-import type { ObjectService } from '../../platform/objectService'
+import type { ObjectService } from '../../store/objectService'
 import type { PlatformFlags } from '../configCommandInput'
 
 interface StatusFlags extends PlatformFlags {
--- a/src/cli/configCommandInput.ts
+++ b/src/cli/configCommandInput.ts
@@ -1,7 +1,7 @@
 import { Progress } from '../base/progress'
 import { formatFindings } from '../config/finding'
 import { loadFleetFolder } from '../config/loadFleetFolder'
-import { HttpObjectService } from '../platform/httpObjectService'
+import { HttpObjectService } from '../store/httpObjectService'
 import { EXIT_CODES } from './exitCodes'
 
 import type { Options } from 'yargs'
--- a/src/cli/processRunner.ts
+++ b/src/cli/processRunner.ts
@@ -1,9 +1,9 @@
 import { systemClock } from '../base/clock'
 import { createLogger } from '../base/logger'
 import { formatFindings } from '../config/finding'
-import { ConfigFollower } from '../platform/configFollower'
-import { HttpObjectService } from '../platform/httpObjectService'
-import { createConfigAnswer, GET_CONFIG_METHOD, getConfigSchema, OFFER_CONFIG_METHOD, offerConfigSchema, RpcPeerConfigSource } from '../platform/peerConfig'
+import { ConfigFollower } from '../store/configFollower'
+import { HttpObjectService } from '../store/httpObjectService'
+import { createConfigAnswer, GET_CONFIG_METHOD, getConfigSchema, OFFER_CONFIG_METHOD, offerConfigSchema, RpcPeerConfigSource } from '../store/peerConfig'
 import { RpcServer } from '../protocol/rpcServer'
 import { EXIT_CODES } from './exitCodes'
 import { callPeer } from './peerCaller'
@@ -11,7 +11,7 @@
 import type { Result } from 'true-myth'
 import type { Finding } from '../config/finding'
 import type { CommonSettings } from '../config/processSettings'
-import type { ProcessParts } from '../platform/processParts'
+import type { ProcessParts } from '../store/processParts'
 
 /** The parts, with the follower that the runner starts and stops. */
 interface FollowedParts<S extends CommonSettings> extends ProcessParts<S> {
--- a/src/gateway/upkeep.ts
+++ b/src/gateway/upkeep.ts
@@ -1,12 +1,12 @@
 import { Progress } from '../base/progress'
-import { ClaimSweeper } from '../platform/claimSweeper'
-import { Lease } from '../platform/lease'
-import { Maintenance } from '../platform/maintenance'
+import { ClaimSweeper } from '../store/claimSweeper'
+import { Lease } from '../store/lease'
+import { Maintenance } from '../store/maintenance'
 
 import type { FleetConfig } from '../config/fleetConfig'
-import type { MaintenanceJob } from '../platform/maintenance'
-import type { ObjectService } from '../platform/objectService'
-import type { PoisonRegistry } from '../platform/poisonRegistry'
+import type { MaintenanceJob } from '../store/maintenance'
+import type { ObjectService } from '../store/objectService'
+import type { PoisonRegistry } from '../store/poisonRegistry'
 
 const LEASE_NAME = 'upkeep'
 const LEASE_TERM_MS = 120_000
--- a/src/sidecar/claimGate.ts
+++ b/src/sidecar/claimGate.ts
@@ -1,5 +1,5 @@
 import type { Progress } from '../base/progress'
-import type { StoredAnswer } from '../platform/claimRecord'
+import type { StoredAnswer } from '../store/claimRecord'
 import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
 
 /** Decision of the at-most-once gate on one attempt. */
--- a/src/sidecar/endpoint/orderSender.ts
+++ b/src/sidecar/endpoint/orderSender.ts
@@ -4,8 +4,8 @@
 import { z } from 'zod'
 
 import type { Progress } from '../../base/progress'
-import type { FencedOrder, OrderError, SendOrder } from '../../platform/fencedOrders'
-import type { EndpointPlacement } from '../../platform/orderPlan'
+import type { FencedOrder, OrderError, SendOrder } from '../../store/fencedOrders'
+import type { EndpointPlacement } from '../../store/orderPlan'
 
 const ORDERS_PATH = '/orders'
 const MAX_ANSWER_CHARACTERS = 100_000
--- a/src/sidecar/placementKeeper.ts
+++ b/src/sidecar/placementKeeper.ts
@@ -1,10 +1,10 @@
 import { Progress } from '../base/progress'
-import { FencedOrders } from '../platform/fencedOrders'
-import { Lease } from '../platform/lease'
+import { FencedOrders } from '../store/fencedOrders'
+import { Lease } from '../store/lease'
 import { createOrderSender } from './endpoint/orderSender'
 
 import type { FleetConfig } from '../config/fleetConfig'
-import type { ObjectService } from '../platform/objectService'
+import type { ObjectService } from '../store/objectService'
 
 const RELEASE_TIMEOUT_MS = 2000
 
--- a/src/sidecar/platformClaimGate.ts
+++ b/src/sidecar/platformClaimGate.ts
@@ -1,9 +1,9 @@
 import { Progress } from '../base/progress'
-import { isClaimFresh } from '../platform/claimStore'
+import { isClaimFresh } from '../store/claimStore'
 import { createNotRun } from './outcomes'
 
 import type { Clock } from '../base/clock'
-import type { Claim, ClaimOutcome, ClaimStore } from '../platform/claimStore'
+import type { Claim, ClaimOutcome, ClaimStore } from '../store/claimStore'
 import type { AttemptOutcome, SubmitAttempt } from '../protocol/attemptMessages'
 import type { ClaimDecision, ClaimGate, GrantedClaim } from './claimGate'
 
--- a/src/platform/lease.ts
+++ b/src/store/lease.ts
@@ -4,11 +4,11 @@
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
-import { computeElapsedMs, readClock } from './clockReading'
+import { computeElapsedMs, readClock } from '../base/clockReading'
 import { parseLeaseRecord, toLeaseKey } from './leaseRecord'
 
 import type { Clock } from '../base/clock'
-import type { ClockReading } from './clockReading'
+import type { ClockReading } from '../base/clockReading'
 import type { LeaseRecord } from './leaseRecord'
 import type { ObjectService, StoredObject, WriteCondition } from './objectService'
 
--- a/standins/platform/objectStore.ts
+++ b/standins/platform/objectStore.ts
@@ -1,4 +1,4 @@
-import type { StoredObject, WatchBatch, WatchEvent, WriteCondition } from '../../src/platform/objectService'
+import type { StoredObject, WatchBatch, WatchEvent, WriteCondition } from '../../src/store/objectService'
 
 export type WriteResult =
   | { kind: 'written', version: number }
--- a/standins/platform/platformServer.ts
+++ b/standins/platform/platformServer.ts
@@ -1,14 +1,14 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { systemClock } from '../../src/base/clock'
-import { TokenBucket } from '../../src/platform/tokenBucket'
+import { TokenBucket } from '../../src/store/tokenBucket'
 import { hashText } from '../../src/base/identifiers'
 import { HttpError, HttpServer, readJson, sendJson } from '../shared/httpServer'
 import { LaggingValue } from '../shared/laggingValue'
 import { ObjectStore, getKey, getVersion } from './objectStore'
 import { NO_PLATFORM_FAULTS, listedInstancesSchema, platformFaultsSchema } from './platformFaults'
 
-import type { ListedInstance, WatchBatch, WriteCondition } from '../../src/platform/objectService'
+import type { ListedInstance, WatchBatch, WriteCondition } from '../../src/store/objectService'
 import type { ListenOptions } from '../shared/httpServer'
 import type { WriteResult } from './objectStore'
 import type { PlatformFaults } from './platformFaults'
--- a/tests/configFollower.spec.ts
+++ b/tests/configFollower.spec.ts
@@ -3,15 +3,15 @@
 import { ManualClock } from '../src/base/clock'
 import { createLogger } from '../src/base/logger'
 import { Progress } from '../src/base/progress'
-import { ConfigFollower } from '../src/platform/configFollower'
-import { ConfigPublisher } from '../src/platform/configPublisher'
-import { MANIFEST_KEY, PARTS_PREFIX } from '../src/platform/keys'
-import { createConfigAnswer, getConfigSchema, MAX_TEXT_PER_MESSAGE, RpcPeerConfigSource } from '../src/platform/peerConfig'
+import { ConfigFollower } from '../src/store/configFollower'
+import { ConfigPublisher } from '../src/store/configPublisher'
+import { MANIFEST_KEY, PARTS_PREFIX } from '../src/store/keys'
+import { createConfigAnswer, getConfigSchema, MAX_TEXT_PER_MESSAGE, RpcPeerConfigSource } from '../src/store/peerConfig'
 import { MemoryObjectService, MemoryObjectStore } from './fakes/memoryObjectService'
 import { buildFleetTree, updateWorkspace } from './fixtures/fleetTree'
 
 import type { FleetTree } from '../src/config/fleetSchema'
-import type { PeerCaller } from '../src/platform/peerConfig'
+import type { PeerCaller } from '../src/store/peerConfig'
 
 const TIMING = { watchMs: 40, watchGraceMs: 100, readTimeoutMs: 200, fetchTimeoutMs: 500, fetchSpreadMs: 1, rearmSpreadMs: 1, minBackoffMs: 1, maxBackoffMs: 5 }
 
--- a/tests/fakes/memoryObjectService.ts
+++ b/tests/fakes/memoryObjectService.ts
@@ -1,7 +1,7 @@
 import { Result } from 'true-myth'
 
 import type { Progress } from '../../src/base/progress'
-import type { ListedInstance, ObjectService, ObjectServiceError, StoredObject, WatchBatch, WatchEvent, WriteCondition } from '../../src/platform/objectService'
+import type { ListedInstance, ObjectService, ObjectServiceError, StoredObject, WatchBatch, WatchEvent, WriteCondition } from '../../src/store/objectService'
 
 const MAX_VALUE_BYTES = 1_048_576
 
--- a/tests/fleet/processFailures.spec.ts
+++ b/tests/fleet/processFailures.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { Progress } from '../../src/base/progress'
-import { toSidecarKey } from '../../src/platform/membershipRecords'
+import { toSidecarKey } from '../../src/store/membershipRecords'
 import { TcpRelay } from '../../standins/network/tcpRelay'
 import { countExecutions, findLongPrompt, LONG, waitRunning } from './answers'
 import { callService, getExpectedAnswer, sendChat } from './callers'
--- a/tests/platform/claimLedger.spec.ts
+++ b/tests/store/claimLedger.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 
-import { ClaimLedger } from '../../src/platform/claimLedger'
+import { ClaimLedger } from '../../src/store/claimLedger'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom, expectGranted } from './platformFixtures'
 
-import type { ClaimOutcome } from '../../src/platform/claims'
+import type { ClaimOutcome } from '../../src/store/claims'
 import type { FakeTime } from './platformFixtures'
 
 const SHARDS = 4
--- a/tests/platform/claimStore.spec.ts
+++ b/tests/store/claimStore.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
-import { ClaimStore } from '../../src/platform/claimStore'
-import { isClaimFresh } from '../../src/platform/claims'
+import { ClaimStore } from '../../src/store/claimStore'
+import { isClaimFresh } from '../../src/store/claims'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
 import { FaultyObjectService } from './faultyObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom, expectGranted } from './platformFixtures'
--- a/tests/platform/claimStoreModel.spec.ts
+++ b/tests/store/claimStoreModel.spec.ts
@@ -1,13 +1,13 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 
-import { ClaimLedger } from '../../src/platform/claimLedger'
-import { ClaimStore } from '../../src/platform/claimStore'
+import { ClaimLedger } from '../../src/store/claimLedger'
+import { ClaimStore } from '../../src/store/claimStore'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
 import { FaultyObjectService } from './faultyObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom } from './platformFixtures'
 
-import type { Claim, ClaimOutcome, Claims } from '../../src/platform/claims'
+import type { Claim, ClaimOutcome, Claims } from '../../src/store/claims'
 import type { WriteFate } from './faultyObjectService'
 import type { FakeTime } from './platformFixtures'
 
--- a/tests/platform/faultyObjectService.ts
+++ b/tests/store/faultyObjectService.ts
@@ -3,7 +3,7 @@
 import { MemoryObjectService } from '../fakes/memoryObjectService'
 
 import type { Progress } from '../../src/base/progress'
-import type { ObjectServiceError, WriteCondition } from '../../src/platform/objectService'
+import type { ObjectServiceError, WriteCondition } from '../../src/store/objectService'
 
 /** What becomes of one write. */
 export type WriteFate = 'answered' | 'answerLost' | 'writeLost' | 'delayed' | 'refused'
--- a/tests/platform/fencedOrders.spec.ts
+++ b/tests/store/fencedOrders.spec.ts
@@ -1,14 +1,14 @@
 import { expect } from 'chai'
 import { Result } from 'true-myth'
 
-import { FencedOrders } from '../../src/platform/fencedOrders'
-import { Lease } from '../../src/platform/lease'
+import { FencedOrders } from '../../src/store/fencedOrders'
+import { Lease } from '../../src/store/lease'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
 import { createFakeTime, createProgress, createRandom } from './platformFixtures'
 
 import type { Endpoint } from '../../src/config/fleetConfig'
-import type { FencedOrder, OrderError, SendOrder } from '../../src/platform/fencedOrders'
-import type { EndpointPlacement } from '../../src/platform/orderPlan'
+import type { FencedOrder, OrderError, SendOrder } from '../../src/store/fencedOrders'
+import type { EndpointPlacement } from '../../src/store/orderPlan'
 import type { FakeTime } from './platformFixtures'
 
 const TERM_MS = 30_000
--- a/tests/platform/httpObjectService.spec.ts
+++ b/tests/store/httpObjectService.spec.ts
@@ -4,9 +4,9 @@
 
 import { ManualClock } from '../../src/base/clock'
 import { Progress } from '../../src/base/progress'
-import { HttpObjectService } from '../../src/platform/httpObjectService'
-import { retryCall } from '../../src/platform/retryCall'
-import { TokenBucket } from '../../src/platform/tokenBucket'
+import { HttpObjectService } from '../../src/store/httpObjectService'
+import { retryCall } from '../../src/store/retryCall'
+import { TokenBucket } from '../../src/store/tokenBucket'
 import { createProgress } from './platformFixtures'
 
 import type { AddressInfo, Socket } from 'node:net'
--- a/tests/platform/instanceList.spec.ts
+++ b/tests/store/instanceList.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 
 import { Progress } from '../../src/base/progress'
-import { HttpObjectService } from '../../src/platform/httpObjectService'
+import { HttpObjectService } from '../../src/store/httpObjectService'
 import { startPlatform } from '../../standins/platform/platformServer'
 
-import type { ListedInstance } from '../../src/platform/objectService'
+import type { ListedInstance } from '../../src/store/objectService'
 
 describe('list of instances', () => {
   it('should not be sent again while it is unchanged, and be new once it has changed', async () => {
--- a/tests/platform/lease.spec.ts
+++ b/tests/store/lease.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 
-import { Lease } from '../../src/platform/lease'
+import { Lease } from '../../src/store/lease'
 import { FaultyObjectService } from './faultyObjectService'
 import { createFakeTime, createProgress, createRandom } from './platformFixtures'
 
-import type { LeaseOptions } from '../../src/platform/lease'
+import type { LeaseOptions } from '../../src/store/lease'
 import type { FakeTime } from './platformFixtures'
 
 const TERM_MS = 30_000
--- a/tests/platform/maintenance.spec.ts
+++ b/tests/store/maintenance.spec.ts
@@ -1,9 +1,9 @@
 import { expect } from 'chai'
 
-import { ClaimStore } from '../../src/platform/claimStore'
-import { ClaimSweeper } from '../../src/platform/claimSweeper'
-import { Lease } from '../../src/platform/lease'
-import { Maintenance } from '../../src/platform/maintenance'
+import { ClaimStore } from '../../src/store/claimStore'
+import { ClaimSweeper } from '../../src/store/claimSweeper'
+import { Lease } from '../../src/store/lease'
+import { Maintenance } from '../../src/store/maintenance'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createClaimRequest, createFakeTime, createProgress, createRandom } from './platformFixtures'
 
--- a/tests/platform/membershipDirectory.spec.ts
+++ b/tests/store/membershipDirectory.spec.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
 
-import { MembershipDirectory } from '../../src/platform/membershipDirectory'
-import { Registration } from '../../src/platform/registration'
+import { MembershipDirectory } from '../../src/store/membershipDirectory'
+import { Registration } from '../../src/store/registration'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
 import { createFakeTime, createProgress, createRandom } from './platformFixtures'
 
-import type { RegistrationOptions } from '../../src/platform/registration'
+import type { RegistrationOptions } from '../../src/store/registration'
 import type { FakeTime } from './platformFixtures'
 
 type Instance = RegistrationOptions['instance']
--- a/tests/platform/platformFixtures.ts
+++ b/tests/store/platformFixtures.ts
@@ -3,7 +3,7 @@
 import { Progress } from '../../src/base/progress'
 
 import type { Clock } from '../../src/base/clock'
-import type { ClaimOutcome, ClaimRequest, Claim } from '../../src/platform/claims'
+import type { ClaimOutcome, ClaimRequest, Claim } from '../../src/store/claims'
 
 /** Time that moves only when told to, for timers and clocks alike. */
 export interface FakeTime {
--- a/tests/platform/platformStandin.spec.ts
+++ b/tests/store/platformStandin.spec.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai'
 
 import { startPlatform } from '../../standins/platform/platformServer'
-import { ClaimStore } from '../../src/platform/claimStore'
-import { HttpObjectService } from '../../src/platform/httpObjectService'
-import { Lease } from '../../src/platform/lease'
-import { MembershipDirectory } from '../../src/platform/membershipDirectory'
-import { Registration } from '../../src/platform/registration'
+import { ClaimStore } from '../../src/store/claimStore'
+import { HttpObjectService } from '../../src/store/httpObjectService'
+import { Lease } from '../../src/store/lease'
+import { MembershipDirectory } from '../../src/store/membershipDirectory'
+import { Registration } from '../../src/store/registration'
 import { createClaimRequest, createProgress, expectGranted } from './platformFixtures'
 
 import type { PlatformServer } from '../../standins/platform/platformServer'
--- a/tests/platform/poisonRegistry.spec.ts
+++ b/tests/store/poisonRegistry.spec.ts
@@ -1,10 +1,10 @@
 import { expect } from 'chai'
 
-import { PoisonRegistry } from '../../src/platform/poisonRegistry'
+import { PoisonRegistry } from '../../src/store/poisonRegistry'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createFakeTime, createRandom } from './platformFixtures'
 
-import type { PoisonRegistryOptions } from '../../src/platform/poisonRegistry'
+import type { PoisonRegistryOptions } from '../../src/store/poisonRegistry'
 import type { FakeTime } from './platformFixtures'
 
 const RETENTION_MS = 600_000
--- a/tests/platform/serviceLoad.spec.ts
+++ b/tests/store/serviceLoad.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 
-import { Backoff } from '../../src/platform/backoff'
-import { Lease } from '../../src/platform/lease'
-import { MembershipDirectory } from '../../src/platform/membershipDirectory'
+import { Backoff } from '../../src/store/backoff'
+import { Lease } from '../../src/store/lease'
+import { MembershipDirectory } from '../../src/store/membershipDirectory'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createFakeTime, createRandom } from './platformFixtures'
 
