--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -2,19 +2,19 @@
 
 import { fileNames } from './lint/fileNames.mjs'
 import { functionVerbs } from './lint/functionVerbs.mjs'
-import { buildImportBoundaries } from './lint/importBoundaries.mjs'
+import { buildImportBoundaries, ENUM_BAN } from './lint/importBoundaries.mjs'
 
 const tanagerwick = { rules: { 'function-verbs': functionVerbs, 'file-names': fileNames } }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'journal/**', 'node_modules/**'] }),
   {
     files: ['**/*.ts'],
     plugins: { tanagerwick },
     rules: {
       'tanagerwick/function-verbs': 'error',
       'tanagerwick/file-names': 'error',
-      'no-restricted-syntax': ['error', { selector: 'TSEnumDeclaration', message: 'Use a string union.' }],
+      'no-restricted-syntax': ['error', ENUM_BAN],
       'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
       'no-use-before-define': 'off',
       '@typescript-eslint/no-use-before-define': 'off'
--- a/lint/importBoundaries.mjs
+++ b/lint/importBoundaries.mjs
@@ -10,9 +10,16 @@
   store: ['protocol', 'config'],
   gateway: ['protocol', 'config', 'policy', 'store'],
   sidecar: ['protocol', 'config', 'policy', 'store'],
-  cli: ['protocol', 'config', 'policy', 'store', 'gateway', 'sidecar']
+  relay: ['protocol', 'config', 'policy', 'store'],
+  cli: ['protocol', 'config', 'policy', 'store', 'gateway', 'sidecar', 'relay']
 }
 
+/** Literals of the platform's wire protocol, which only `platform/` may know. */
+const PLATFORM_LITERAL = 'Literal[value=/^(tanagerwick-|api-key|kv-)|^[/]tanagerwick[/]/i]'
+
+/** Enums are banned everywhere; a block for a folder replaces the rule of the whole. */
+export const ENUM_BAN = { selector: 'TSEnumDeclaration', message: 'Use a string union.' }
+
 /** Builds one lint configuration block for each source folder. */
 export function buildImportBoundaries () {
   const folders = Object.keys(IMPORTS_BY_FOLDER)
@@ -21,11 +28,15 @@
     const forbidden = folders.filter(other => !allowed.has(other))
     const patterns = [
       { group: ['**/standins/**', '**/tests/**', '**/bench/**'], message: 'The product imports no test code.' },
+      { group: ['**/platform/**'], message: 'The product knows nothing of the platform that it runs on.' },
       ...forbidden.map(other => ({ group: [`../${other}/*`], message: `src/${folder} must not import src/${other}.` }))
     ]
     return {
       files: [`src/${folder}/**/*.ts`],
-      rules: { 'no-restricted-imports': ['error', { patterns }] }
+      rules: {
+        'no-restricted-imports': ['error', { patterns }],
+        'no-restricted-syntax': ['error', ENUM_BAN, { selector: PLATFORM_LITERAL, message: 'Only platform/ knows names of the platform\'s protocol.' }]
+      }
     }
   })
 }
--- /dev/null
+++ b/scripts/buildPlatform.mjs
@@ -0,0 +1,3 @@
+import { bundle } from './bundle.mjs'
+
+await bundle('platform/main.ts', 'target/gateway.cjs', { minify: true })
--- /dev/null
+++ b/src/base/decisionLog.ts
@@ -0,0 +1,153 @@
+import { SonicBoom } from 'sonic-boom'
+
+import { systemClock } from './clock'
+
+import type { Clock } from './clock'
+
+/** A line of the decision log: what was decided or believed, with the inputs that decided it. */
+export interface DecisionLine {
+  event: string
+  /** Id of the request that the decision touches; absent for what a process believes. */
+  requestId?: string
+  [field: string]: unknown
+}
+
+/**
+ * How much a line matters when not all can be written: changes of belief and failures are kept
+ * first; of the routine lines, those of a sample of requests are kept.
+ */
+export type LineRank = 'notable' | 'routine'
+
+export interface DecisionLogOptions {
+  instance: string
+  /** Bytes a second that are written at most. */
+  bytesPerSecond: number
+  clock?: Clock
+  /** Where lines go; standard output when absent. */
+  destination?: LogDestination
+}
+
+/** Takes lines without blocking; false when a line was dropped. */
+export interface LogDestination {
+  write (line: string): boolean
+  /** Writes out what is held, at the end of the process. */
+  flush (): void
+}
+
+const BURST_SECONDS = 4
+/** Fraction of the burst below which routine lines are sampled. */
+const SAMPLING_BELOW = 0.5
+const MAX_SAMPLING_LEVEL = 8
+const REPORT_INTERVAL_MS = 1000
+const MAX_HELD_BYTES = 1_048_576
+
+/**
+ * Writes one JSON line for each decision, bounded in bytes a second and never blocking. When the
+ * bound is near, routine lines are kept for one in 2, 4, 8 ... requests, by a hash of the request's
+ * id, so that every process keeps the lines of the same requests. What is left out is counted and
+ * told by a line of its own.
+ *
+ * @example
+ * const log = new DecisionLog({ instance: 'gateway-1', bytesPerSecond: 65_536 })
+ * log.write('notable', { event: 'requestRefused', requestId: 'r-1', reason: 'overloaded', queued: 40 })
+ */
+export class DecisionLog {
+  readonly #options: DecisionLogOptions
+  readonly #clock: Clock
+  readonly #destination: LogDestination
+  readonly #leftOut = { notable: 0, routine: 0, unread: 0 }
+  readonly #totals = { written: 0, notable: 0, routine: 0, unread: 0 }
+  #level = 0
+  #tokens: number
+  #filledAtMs: number
+  #reportedAtMs: number
+
+  constructor (options: DecisionLogOptions) {
+    this.#options = options
+    this.#clock = options.clock ?? systemClock
+    this.#destination = options.destination ?? openStandardOutput()
+    this.#tokens = options.bytesPerSecond * BURST_SECONDS
+    this.#filledAtMs = this.#clock.getMonotonicMs()
+    this.#reportedAtMs = this.#filledAtMs
+  }
+
+  /** Lines written, and lines left out by cause, since the start. */
+  get counts (): Readonly<{ written: number, notable: number, routine: number, unread: number }> {
+    return this.#totals
+  }
+
+  write (rank: LineRank, line: DecisionLine): void {
+    this.#addTokens()
+    if (rank === 'routine' && !this.#isSampled(line.requestId)) return this.#countLeftOut('routine')
+    if (this.#tokens <= 0) return this.#countLeftOut(rank)
+    this.#put(line)
+  }
+
+  flush (): void {
+    this.#destination.flush()
+  }
+
+  #put (line: DecisionLine): void {
+    const time = new Date(this.#clock.getWallMs()).toISOString()
+    const text = `${JSON.stringify({ time, instance: this.#options.instance, ...line })}\n`
+    this.#tokens -= text.length
+    if (!this.#destination.write(text)) return this.#countLeftOut('unread')
+    this.#totals.written += 1
+  }
+
+  #countLeftOut (kind: 'notable' | 'routine' | 'unread'): void {
+    this.#leftOut[kind] += 1
+    this.#totals[kind] += 1
+  }
+
+  #isSampled (requestId: string | undefined): boolean {
+    if (this.#level === 0 || requestId === undefined) return this.#level === 0
+    return hashToBits(requestId) % (1 << this.#level) === 0
+  }
+
+  #addTokens (): void {
+    const nowMs = this.#clock.getMonotonicMs()
+    const { bytesPerSecond } = this.#options
+    const capacity = bytesPerSecond * BURST_SECONDS
+    this.#tokens = Math.min(capacity, this.#tokens + (nowMs - this.#filledAtMs) / 1000 * bytesPerSecond)
+    this.#filledAtMs = nowMs
+    if (nowMs - this.#reportedAtMs >= REPORT_INTERVAL_MS) this.#updateSampling(nowMs, capacity)
+  }
+
+  #updateSampling (nowMs: number, capacity: number): void {
+    this.#reportedAtMs = nowMs
+    const isNearBound = this.#tokens < SAMPLING_BELOW * capacity
+    this.#level = isNearBound ? Math.min(MAX_SAMPLING_LEVEL, this.#level + 1) : Math.max(0, this.#level - 1)
+    const { notable, routine, unread } = this.#leftOut
+    if (notable + routine + unread === 0) return
+    this.#put({ event: 'linesLeftOut', notable, routine, unread, keptOneIn: 1 << this.#level })
+    this.#leftOut.notable = this.#leftOut.routine = this.#leftOut.unread = 0
+  }
+}
+
+function openStandardOutput (): LogDestination {
+  let hasDropped = false
+  const stream = new SonicBoom({ fd: 1, sync: false, maxLength: MAX_HELD_BYTES })
+  stream.on('error', () => { hasDropped = true }) // a closed pipe must not end the process
+  stream.on('drop', () => { hasDropped = true })
+  return {
+    write: line => {
+      hasDropped = false
+      stream.write(line)
+      return !hasDropped
+    },
+    flush: () => {
+      try {
+        stream.flushSync()
+      } catch {
+        // the reader is gone or not reading; there is nowhere to report it
+      }
+    }
+  }
+}
+
+function hashToBits (text: string): number {
+  let hash = 0
+  for (let index = 0; index < text.length; index++) hash = Math.imul(hash, 31) + text.charCodeAt(index) | 0
+  return (hash ^ (hash >>> 15)) >>> 0
+}
--- a/src/config/loadProcessSettings.ts
+++ b/src/config/loadProcessSettings.ts
@@ -2,14 +2,14 @@
 
 import { Result } from 'true-myth'
 
-import { gatewaySettingsSchema, parseListenAddress, sidecarSettingsSchema } from './processSettingsSchema'
+import { gatewaySettingsSchema, parseListenAddress, relaySettingsSchema, sidecarSettingsSchema } from './processSettingsSchema'
 import { buildSchemaFindings } from './schemaFindings'
 import { buildPlainValue, findKeyPlace, findNode, findPlace, parseSource } from './sourceTree'
 
 import type { z } from 'zod'
 
 import type { Finding, Place } from './finding'
-import type { CommonSettings, GatewaySettings, SidecarSettings } from './processSettings'
+import type { CommonSettings, GatewaySettings, RelaySettings, SidecarSettings } from './processSettings'
 import type { ParsedSource, SourceMap } from './sourceTree'
 
 /** Environment variable that carries the fleet's secret. */
@@ -60,6 +60,16 @@
   }))
 }
 
+/**
+ * Loads the settings of a gateway that relays straight to endpoints from a YAML file.
+ *
+ * @example
+ * const settings = loadRelaySettings('/etc/tanagerwick/settings.yaml')
+ */
+export function loadRelaySettings (file: string): Result<RelaySettings, Finding[]> {
+  return loadSettings(relaySettingsSchema, { settings: file }, {})
+}
+
 function loadSettings<Schema extends z.ZodType> (schema: Schema, flags: SettingFlags, environment: Environment): Result<z.infer<Schema>, Finding[]> {
   const { root, findings } = readSettingsFile(flags.settings)
   const inputs = listInputs(flags, environment)
--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -35,3 +35,31 @@
 }
 
 export type ProcessSettings = GatewaySettings | SidecarSettings
+
+/** Settings of a gateway that relays straight to endpoints. */
+export interface RelaySettings {
+  /** Instance name, unique in the fleet. */
+  id: string
+  domain: string
+  listen: {
+    callers: ListenAddress
+    /** Where the balancer asks whether the process takes new connections. */
+    ready: ListenAddress
+    /** Where operators read metrics and the state dump. */
+    admin: ListenAddress
+  }
+  /** Base URL of the store. */
+  storeUrl: string
+  /** Milliseconds between the heartbeats by which endpoints keep their entries. */
+  heartbeatMs: number
+  /** Milliseconds after which a key that was taken away must not be used any more. */
+  revocationMs: number
+  /** Seconds between the signal to stop and the end of the process. */
+  stopSeconds: number
+  /** Repeats allowed for each request, over the whole fleet. */
+  retryRatio: number
+  /** Seconds of the window in which repeats are counted. */
+  retryWindowSeconds: number
+  maxDescriptors: number
+  logBytesPerSecond: number
+}
--- a/src/config/processSettingsSchema.ts
+++ b/src/config/processSettingsSchema.ts
@@ -34,6 +34,29 @@
   endpointAddress: addressSchema.describe('the IP number and port at which the endpoint serves, such as 127.0.0.1:8000')
 })
 
+const listenSchema = addressSchema.transform(text => parseListenAddress(text) as ListenAddress)
+const durationSchema = z.number().int().positive()
+const secondsSchema = z.number().positive()
+
+/** What the settings file of a gateway that relays straight to endpoints must give. */
+export const relaySettingsSchema = z.strictObject({
+  id: commonShape.id,
+  domain: commonShape.domain,
+  listen: z.strictObject({
+    callers: listenSchema.describe('the IP number and port for callers, such as 127.0.0.1:7100'),
+    ready: listenSchema.describe('the IP number and port at which readiness is asked'),
+    admin: listenSchema.describe('the IP number and port for metrics and the state dump')
+  }),
+  storeUrl: commonShape.platform,
+  heartbeatMs: durationSchema.describe('the milliseconds between heartbeats of endpoints'),
+  revocationMs: durationSchema.describe('the milliseconds after which a removed key must not be used'),
+  stopSeconds: secondsSchema.describe('the seconds that the process has to stop in'),
+  retryRatio: z.number().min(0).max(1).describe('the repeats allowed for each request, from 0 to 1'),
+  retryWindowSeconds: secondsSchema.describe('the seconds of the window for repeats'),
+  maxDescriptors: durationSchema.describe('the descriptors that the process may open'),
+  logBytesPerSecond: durationSchema.default(65_536).describe('the bytes a second that the log may write')
+})
+
 /**
  * Parses `IP:PORT`, with an IPv6 number in square brackets; `null` if it has another form.
  *
--- a/src/gateway/answerBase.ts
+++ b/src/gateway/answerBase.ts
@@ -2,7 +2,7 @@
 
 import type { ServerResponse } from 'node:http'
 import type { CallerAnswer, Completion } from './callerAnswer'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** What every form of answer needs to know of its request. */
 export interface AnswerOptions {
--- a/src/gateway/answerMeter.ts
+++ b/src/gateway/answerMeter.ts
@@ -3,7 +3,7 @@
 import type { Counter, Metrics } from '../base/metrics'
 import type { CallerAnswer, Completion } from './callerAnswer'
 import type { CallerRequest } from './callerRequest'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** The gateway's metrics of answers, by class. */
 export class AnswerMetrics {
--- a/src/gateway/authenticator.ts
+++ b/src/gateway/authenticator.ts
@@ -4,7 +4,7 @@
 
 import type { Result } from 'true-myth'
 import type { FleetConfig, Workspace } from '../config/fleetConfig'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 const MAX_KEY_CHARACTERS = 512
 const BEARER = /^Bearer +([\x21-\x7e]+) *$/i
--- a/src/gateway/callerAnswer.ts
+++ b/src/gateway/callerAnswer.ts
@@ -1,4 +1,4 @@
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** How a complete answer ended at its endpoint. */
 export interface Completion {
--- a/src/gateway/classifier.ts
+++ b/src/gateway/classifier.ts
@@ -2,7 +2,7 @@
 
 import type { Result } from 'true-myth'
 import type { FleetConfig, PlainService, ServiceClass, Workspace } from '../config/fleetConfig'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** Header by which a caller chooses the class of a request. */
 export const CLASS_HEADER = 'x-tanagerwick-class'
--- a/src/gateway/fleetRelay.ts
+++ b/src/gateway/fleetRelay.ts
@@ -12,7 +12,7 @@
 import type { AttemptWatchOptions } from './attemptWatch'
 import type { CallerAnswer } from './callerAnswer'
 import type { CallerRequest } from './callerRequest'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 import type { OfferTarget } from './fleetView'
 import type { RequestRelay } from './requestRelay'
 
--- a/src/gateway/offerLog.ts
+++ b/src/gateway/offerLog.ts
@@ -1,5 +1,5 @@
 import type { NotRunReason } from '../protocol/attemptMessages'
-import type { ErrorCode, Refusal } from './errorBody'
+import type { ErrorCode, Refusal } from '../protocol/errorBody'
 
 type Reason = NotRunReason | 'unreachable'
 
--- a/src/gateway/requestBuilder.ts
+++ b/src/gateway/requestBuilder.ts
@@ -13,7 +13,7 @@
 import type { FleetConfig, ServiceClass, Workspace } from '../config/fleetConfig'
 import type { CallerAnswer } from './callerAnswer'
 import type { CallerRequest } from './callerRequest'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 const MAX_CONTENT_TYPE_CHARACTERS = 200
 const MAX_METHOD_CHARACTERS = 20
--- a/src/gateway/requestParser.ts
+++ b/src/gateway/requestParser.ts
@@ -6,7 +6,7 @@
 import type { Result } from 'true-myth'
 import type { FleetConfig } from '../config/fleetConfig'
 import type { AttemptTarget } from '../protocol/attemptMessages'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 const MAX_JSON_DEPTH = 100
 const MAX_FINDINGS = 5
--- a/src/gateway/requestRelay.ts
+++ b/src/gateway/requestRelay.ts
@@ -2,7 +2,7 @@
 import type { Workspace } from '../config/fleetConfig'
 import type { CallerAnswer } from './callerAnswer'
 import type { CallerRequest } from './callerRequest'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** Runs a caller's request somewhere in the fleet and ends its answer. */
 export interface RequestRelay {
--- a/src/gateway/responseWriter.ts
+++ b/src/gateway/responseWriter.ts
@@ -1,7 +1,7 @@
-import { buildErrorBody, formatRetryAfter, getErrorStatus } from './errorBody'
+import { buildErrorBody, formatRetryAfter, getErrorStatus } from '../protocol/errorBody'
 
 import type { ServerResponse } from 'node:http'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** Header that names the request on every answer. */
 export const REQUEST_ID_HEADER = 'x-tanagerwick-request-id'
--- a/src/gateway/servicePath.ts
+++ b/src/gateway/servicePath.ts
@@ -1,7 +1,7 @@
 import { err, ok } from 'true-myth/result'
 
 import type { Result } from 'true-myth'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /** Prefix of the paths that lead to plain services. */
 export const SERVICES_PREFIX = '/services/'
--- a/src/gateway/socketError.ts
+++ b/src/gateway/socketError.ts
@@ -1,10 +1,10 @@
 import { STATUS_CODES } from 'node:http'
 
-import { buildErrorBody, getErrorStatus } from './errorBody'
+import { buildErrorBody, getErrorStatus } from '../protocol/errorBody'
 
 import type { ServerResponse } from 'node:http'
 import type { Duplex } from 'node:stream'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 /**
  * Answers a request that the HTTP parser refused or whose time ran out, then closes its connection.
--- a/src/gateway/streamAnswer.ts
+++ b/src/gateway/streamAnswer.ts
@@ -1,9 +1,9 @@
 import { AnswerBase } from './answerBase'
-import { buildErrorBody } from './errorBody'
+import { buildErrorBody } from '../protocol/errorBody'
 import { REQUEST_ID_HEADER } from './responseWriter'
 
 import type { AnswerOptions } from './answerBase'
-import type { Refusal } from './errorBody'
+import type { Refusal } from '../protocol/errorBody'
 
 const EVENT_END = '\n\n'
 
--- /dev/null
+++ b/src/policy/endpointDirectory.ts
@@ -0,0 +1,128 @@
+import { AffinityRing } from './affinityRing'
+import { buildDirectEndpoint } from './directEndpoint'
+
+import type { DirectEndpoint, EndpointEntry } from './directEndpoint'
+
+/** A change of what is believed of the endpoints, for the log. */
+export type DirectoryChange =
+  | { kind: 'joined', entry: EndpointEntry }
+  | { kind: 'restarted', entry: EndpointEntry }
+  | { kind: 'draining', entry: EndpointEntry }
+  | { kind: 'readyAgain', entry: EndpointEntry }
+  /** Its entry went while the list could not be read; it has some time to come back. */
+  | { kind: 'lapsed', entry: EndpointEntry }
+  | { kind: 'gone', entry: EndpointEntry }
+
+interface ServiceIndex {
+  endpoints: DirectEndpoint[]
+  ring: AffinityRing
+}
+
+/**
+ * How long an entry that lapsed during an outage of the list may take to come back: the platform
+ * says about two seconds, and a little is added for its own delay.
+ */
+const LAPSE_GRACE_MS = 2300
+
+/**
+ * The endpoints that a gateway reaches directly, as the platform lists them. An entry that is
+ * deleted is gone at once; one that is missing after an outage of the list gets a grace period.
+ *
+ * @example
+ * const directory = new EndpointDirectory()
+ * directory.applyList(entries, { afterOutage: false, nowMs })
+ * directory.listReady('archive')
+ */
+export class EndpointDirectory {
+  readonly #endpoints = new Map<string, DirectEndpoint>()
+  readonly #lapsedUntilMs = new Map<string, number>()
+  #byService = new Map<string, ServiceIndex>()
+
+  listAll (): DirectEndpoint[] {
+    return [...this.#endpoints.values()]
+  }
+
+  /** Lists the endpoints of a service that take new requests. */
+  listReady (service: string): readonly DirectEndpoint[] {
+    return this.#byService.get(service)?.endpoints ?? []
+  }
+
+  /** Lists the first `count` ready endpoints that should hold `prefix`, the preferred one first. */
+  listHolders (service: string, prefix: string, count: number): DirectEndpoint[] {
+    const ids = this.#byService.get(service)?.ring.findHolders(prefix, count) ?? []
+    return ids.flatMap(id => this.#endpoints.get(id) ?? [])
+  }
+
+  /** Tells whether the endpoint still takes new requests as the same process. */
+  isReady (endpoint: DirectEndpoint): boolean {
+    return this.#endpoints.get(endpoint.entry.id) === endpoint && endpoint.entry.state === 'ready'
+  }
+
+  /** Takes the whole list; what is not in it is gone, or has lapsed if the list was out of reach. */
+  applyList (entries: readonly EndpointEntry[], options: { afterOutage: boolean, nowMs: number }): DirectoryChange[] {
+    const listed = new Set(entries.map(entry => entry.id))
+    const changes = entries.flatMap(entry => this.#put(entry))
+    const missing = [...this.#endpoints.keys()].filter(id => !listed.has(id) && !this.#lapsedUntilMs.has(id))
+    for (const id of missing) changes.push(...options.afterOutage ? this.#markLapsed(id, options.nowMs) : this.#remove(id))
+    this.#buildIndex()
+    return changes
+  }
+
+  /** Takes changed entries and ids whose entries were deleted. */
+  applyChanges (entries: readonly EndpointEntry[], deletedIds: readonly string[]): DirectoryChange[] {
+    const changes = [...entries.flatMap(entry => this.#put(entry)), ...deletedIds.flatMap(id => this.#remove(id))]
+    this.#buildIndex()
+    return changes
+  }
+
+  /** Removes lapsed endpoints whose grace period is over. */
+  expire (nowMs: number): DirectoryChange[] {
+    const expired = [...this.#lapsedUntilMs].filter(([, untilMs]) => nowMs >= untilMs).map(([id]) => id)
+    if (expired.length === 0) return []
+    const changes = expired.flatMap(id => this.#remove(id))
+    this.#buildIndex()
+    return changes
+  }
+
+  #put (entry: EndpointEntry): DirectoryChange[] {
+    this.#lapsedUntilMs.delete(entry.id)
+    const known = this.#endpoints.get(entry.id)
+    const isSame = known !== undefined && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && known.entry.service === entry.service
+    if (!isSame) {
+      this.#endpoints.set(entry.id, buildDirectEndpoint(entry))
+      return [{ kind: known === undefined ? 'joined' : 'restarted', entry }]
+    }
+    const before = known.entry.state
+    known.entry = entry
+    if (before === entry.state) return []
+    return [{ kind: entry.state === 'draining' ? 'draining' : 'readyAgain', entry }]
+  }
+
+  #markLapsed (id: string, nowMs: number): DirectoryChange[] {
+    const endpoint = this.#endpoints.get(id)
+    if (endpoint === undefined) return []
+    this.#lapsedUntilMs.set(id, nowMs + LAPSE_GRACE_MS)
+    return [{ kind: 'lapsed', entry: endpoint.entry }]
+  }
+
+  #remove (id: string): DirectoryChange[] {
+    const endpoint = this.#endpoints.get(id)
+    this.#endpoints.delete(id)
+    this.#lapsedUntilMs.delete(id)
+    return endpoint === undefined ? [] : [{ kind: 'gone', entry: endpoint.entry }]
+  }
+
+  #buildIndex (): void {
+    const byService = new Map<string, DirectEndpoint[]>()
+    for (const endpoint of this.#endpoints.values()) {
+      if (endpoint.entry.state !== 'ready') continue
+      const { service } = endpoint.entry
+      byService.set(service, [...byService.get(service) ?? [], endpoint])
+    }
+    this.#byService = new Map([...byService].map(([service, endpoints]) => [service, buildServiceIndex(endpoints)]))
+  }
+}
+
+function buildServiceIndex (endpoints: DirectEndpoint[]): ServiceIndex {
+  return { endpoints, ring: new AffinityRing(endpoints.map(endpoint => endpoint.entry.id)) }
+}
--- /dev/null
+++ b/src/policy/retryWindow.ts
@@ -0,0 +1,104 @@
+/** Bounds of repeats per service. */
+export interface RetryWindowOptions {
+  /** Milliseconds of the sliding window. */
+  windowMs: number
+  /** Repeats allowed for each request of the window. */
+  ratio: number
+  /** Repeats that one process may add in each window, however few requests it saw. */
+  floor: number
+}
+
+interface ServiceWindow {
+  requests: SlidingCount
+  repeats: SlidingCount
+}
+
+/** Part of the ratio that is spent, so that requests lost before they arrived do not exceed it. */
+const SPENT_SHARE = 0.8
+const SLICES = 10
+
+/**
+ * Keeps the repeats that a fleet sends to each service within a ratio of its requests, in every
+ * window and without a message: each process spends only the share of what it saw arrive itself.
+ *
+ * @example
+ * const retries = new RetryWindow({ windowMs: 10_000, ratio: 0.2, floor: 2 })
+ * retries.recordRequest('archive', nowMs)
+ * if (retries.acquire('archive', nowMs)) await sendAgain()
+ */
+export class RetryWindow {
+  readonly #options: RetryWindowOptions
+  readonly #services = new Map<string, ServiceWindow>()
+
+  constructor (options: RetryWindowOptions) {
+    this.#options = options
+  }
+
+  /** Gets requests and repeats of the last window, for logs and the state dump. */
+  readUse (service: string, nowMs: number): { requests: number, repeats: number } {
+    const { requests, repeats } = this.#openService(service)
+    return { requests: requests.read(nowMs), repeats: repeats.read(nowMs) }
+  }
+
+  listServices (): string[] {
+    return [...this.#services.keys()]
+  }
+
+  recordRequest (service: string, nowMs: number): void {
+    this.#openService(service).requests.add(nowMs)
+  }
+
+  /** Takes one repeat; false when the window's share is spent. */
+  acquire (service: string, nowMs: number): boolean {
+    const { requests, repeats } = this.#openService(service)
+    const allowed = this.#options.ratio * SPENT_SHARE * requests.read(nowMs) + this.#options.floor
+    if (repeats.read(nowMs) + 1 > allowed) return false
+    repeats.add(nowMs)
+    return true
+  }
+
+  #openService (service: string): ServiceWindow {
+    const known = this.#services.get(service)
+    if (known !== undefined) return known
+    const { windowMs } = this.#options
+    const opened = { requests: new SlidingCount(windowMs), repeats: new SlidingCount(windowMs) }
+    this.#services.set(service, opened)
+    return opened
+  }
+}
+
+/** Counts events of the last window in slices; an event leaves with its slice. */
+class SlidingCount {
+  readonly #sliceMs: number
+  readonly #counts = new Array<number>(SLICES + 1).fill(0)
+  #sum = 0
+  #slice = 0
+
+  constructor (windowMs: number) {
+    this.#sliceMs = windowMs / SLICES
+  }
+
+  add (nowMs: number): void {
+    this.#advance(nowMs)
+    const index = this.#slice % this.#counts.length
+    this.#counts[index] = (this.#counts[index] as number) + 1
+    this.#sum += 1
+  }
+
+  read (nowMs: number): number {
+    this.#advance(nowMs)
+    return this.#sum
+  }
+
+  #advance (nowMs: number): void {
+    const slice = Math.floor(nowMs / this.#sliceMs)
+    const steps = Math.min(slice - this.#slice, this.#counts.length)
+    for (let step = 1; step <= steps; step++) this.#removeSlice((this.#slice + step) % this.#counts.length)
+    if (slice > this.#slice) this.#slice = slice
+  }
+
+  #removeSlice (index: number): void {
+    this.#sum -= this.#counts[index] as number
+    this.#counts[index] = 0
+  }
+}
--- /dev/null
+++ b/src/policy/routeTable.ts
@@ -0,0 +1,83 @@
+import type { CallerBounds, Route, RoutedService, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
+
+/** What a caller's key says: whose it is, that it is unknown, or that it is missing. */
+export type KeyMatch =
+  | { kind: 'workspace', workspace: RoutedWorkspace }
+  | { kind: 'notNeeded' }
+  | { kind: 'missing' }
+  | { kind: 'unknown' }
+
+/**
+ * One version of the configuration, indexed for lookups by host, path and key.
+ *
+ * @example
+ * const table = new RouteTable(config)
+ * const route = table.findRoute('orders.example', '/quotes/17') // the longest prefix wins
+ * if (route !== null) table.matchKey(route, 'key-of-a-workspace')
+ */
+export class RouteTable {
+  readonly version: number
+  readonly bounds: CallerBounds
+  readonly #routesByHost = new Map<string, Route[]>()
+  readonly #services: Map<string, RoutedService>
+  readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
+
+  constructor (config: RoutingConfig) {
+    this.version = config.version
+    this.bounds = config.bounds
+    this.#services = new Map(config.services.map(service => [service.name, service]))
+    this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
+    for (const route of config.routes) this.#addRoute(route)
+    for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+  }
+
+  /** Number of routes over all hosts. */
+  get routeCount (): number {
+    return [...this.#routesByHost.values()].reduce((sum, routes) => sum + routes.length, 0)
+  }
+
+  /** Finds the route of the host whose prefix is the longest one that begins `path`. */
+  findRoute (host: string, path: string): Route | null {
+    const routes = this.#routesByHost.get(host.toLowerCase())
+    return routes?.find(route => path.startsWith(route.pathPrefix)) ?? null
+  }
+
+  findService (name: string): RoutedService | null {
+    return this.#services.get(name) ?? null
+  }
+
+  /** Matches a caller's key with the workspace that holds it. */
+  matchKey (route: Route, key: string | null): KeyMatch {
+    if (this.#workspacesByKey === null) return { kind: 'notNeeded' }
+    const workspace = key === null ? undefined : this.#workspacesByKey.get(key)
+    if (workspace !== undefined) return { kind: 'workspace', workspace }
+    if (route.isPublic) return { kind: 'notNeeded' }
+    return { kind: key === null ? 'missing' : 'unknown' }
+  }
+
+  #addRoute (route: Route): void {
+    const host = route.host.toLowerCase()
+    const routes = this.#routesByHost.get(host) ?? []
+    routes.push(route)
+    this.#routesByHost.set(host, routes)
+  }
+}
+
+/**
+ * Chooses the service of one request by the weights of its route's shares.
+ *
+ * @param point a number from 0, included, to 1, excluded
+ */
+export function chooseService (route: Route, point: number): string | null {
+  const total = route.shares.reduce((sum, share) => sum + share.weight, 0)
+  let left = point * total
+  for (const share of route.shares) {
+    left -= share.weight
+    if (left < 0) return share.service
+  }
+  return route.shares.at(-1)?.service ?? null
+}
+
+function buildKeyIndex (workspaces: RoutedWorkspace[]): Map<string, RoutedWorkspace> {
+  return new Map(workspaces.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
+}
--- /dev/null
+++ b/src/policy/viewFreshness.ts
@@ -0,0 +1,64 @@
+import { computeElapsedMs, readClock } from '../base/clockReading'
+
+import type { Clock } from '../base/clock'
+import type { ClockReading } from '../base/clockReading'
+
+/** How far a view may be relied on. */
+export type FreshnessVerdict =
+  | { kind: 'fresh', ageMs: number }
+  | { kind: 'stale', ageMs: number }
+  /** The two clocks disagree, so that a suspension may hide in the difference. */
+  | { kind: 'distrusted', ageMs: number, driftMs: number }
+  | { kind: 'unconfirmed' }
+
+export interface ViewFreshnessOptions {
+  clock: Clock
+  /** Milliseconds since the last confirmation after which the view must not be relied on. */
+  maxAgeMs: number
+}
+
+/**
+ * Difference between the clocks' progress above which one of them was set or the machine was
+ * suspended. A slewed clock gains at most 0.05%, hence 2.5 ms within the longest age of 5 s.
+ */
+const MAX_DRIFT_MS = 100
+
+/**
+ * Knows as of which moment a view was last confirmed to be the newest. The moment is the start of
+ * the call that confirmed it: what changed while the answer was under way may not be in it.
+ *
+ * @example
+ * const freshness = new ViewFreshness({ clock, maxAgeMs: 4500 })
+ * const startedAt = readClock(clock)
+ * await readView()
+ * freshness.recordConfirmation(startedAt)
+ * freshness.getVerdict() // { kind: 'fresh', ageMs: 3 }
+ */
+export class ViewFreshness {
+  readonly #options: ViewFreshnessOptions
+  #confirmedAt: ClockReading | null = null
+
+  constructor (options: ViewFreshnessOptions) {
+    this.#options = options
+  }
+
+  /** Gets whether the view may be relied on now. */
+  getVerdict (): FreshnessVerdict {
+    if (this.#confirmedAt === null) return { kind: 'unconfirmed' }
+    const { clock, maxAgeMs } = this.#options
+    const ageMs = computeElapsedMs(this.#confirmedAt, clock)
+    if (ageMs > maxAgeMs) return { kind: 'stale', ageMs }
+    const driftMs = computeDriftMs(this.#confirmedAt, readClock(clock))
+    return Math.abs(driftMs) > MAX_DRIFT_MS ? { kind: 'distrusted', ageMs, driftMs } : { kind: 'fresh', ageMs }
+  }
+
+  /** Records that the view was the newest at `startedAt`; an earlier moment than is known changes nothing. */
+  recordConfirmation (startedAt: ClockReading): void {
+    const isEarlier = this.#confirmedAt !== null && startedAt.monotonicMs < this.#confirmedAt.monotonicMs
+    if (!isEarlier) this.#confirmedAt = startedAt
+  }
+}
+
+function computeDriftMs (from: ClockReading, to: ClockReading): number {
+  return (to.wallMs - from.wallMs) - (to.monotonicMs - from.monotonicMs)
+}
--- a/src/gateway/errorBody.ts
+++ b/src/protocol/errorBody.ts
@@ -12,7 +12,7 @@
   | 'request_timeout' | 'already_in_progress' | 'body_too_large' | 'headers_too_large'
   | 'request_crashes_endpoints' | 'idempotency_key_reused' | 'rate_limited' | 'too_many_concurrent'
   | 'overloaded' | 'draining' | 'endpoint_unavailable' | 'model_not_placed'
-  | 'claim_store_unavailable' | 'configuration_missing'
+  | 'claim_store_unavailable' | 'configuration_missing' | 'configuration_stale'
   | 'internal_error' | 'endpoint_failed' | 'answer_lost' | 'answer_too_large' | 'deadline_exceeded'
 
 /** Why a request has no answer, as the caller is told. */
@@ -55,6 +55,7 @@
   model_not_placed: 503,
   claim_store_unavailable: 503,
   configuration_missing: 503,
+  configuration_stale: 503,
   internal_error: 500,
   endpoint_failed: 502,
   answer_lost: 502,
--- /dev/null
+++ b/src/relay/admissionGate.ts
@@ -0,0 +1,86 @@
+import { Result } from 'true-myth'
+
+import { chooseService } from '../policy/routeTable'
+
+import type { Clock } from '../base/clock'
+import type { Route } from '../config/routingConfig'
+import type { RouteTable } from '../policy/routeTable'
+import type { FreshnessVerdict } from '../policy/viewFreshness'
+import type { ErrorCode, Refusal } from '../protocol/errorBody'
+import type { RequestTraits } from './relayRequest'
+
+/** Where an admitted request goes, and for whom. */
+export interface Admission {
+  route: Route
+  service: string
+  workspace: string | null
+  rank: number
+  deadlineAtMs: number
+}
+
+export interface AdmissionGateOptions {
+  clock: Clock
+  random: () => number
+  /** Routes in force; null before the first configuration is known. */
+  getTable: () => RouteTable | null
+  getFreshness: () => FreshnessVerdict
+}
+
+/** Time in which a process usually learns the configuration, or another one answers in its place. */
+const CONFIG_RETRY_AFTER_MS = 500
+
+/**
+ * Decides whether a request is let in, by the configuration in force. While it is not certain that
+ * the configuration is the newest, requests with keys are refused: theirs may have been taken away.
+ */
+export class AdmissionGate {
+  readonly #options: AdmissionGateOptions
+
+  constructor (options: AdmissionGateOptions) {
+    this.#options = options
+  }
+
+  /** Admits a request that arrived at `arrivedAtMs`, or says why not. */
+  admit (traits: RequestTraits, arrivedAtMs: number): Result<Admission, Refusal> {
+    const table = this.#options.getTable()
+    if (table === null) return refuse('configuration_missing', 'This gateway has no configuration yet.', CONFIG_RETRY_AFTER_MS)
+    const freshness = this.#options.getFreshness()
+    if (freshness.kind !== 'fresh') return refuse('configuration_stale', `The configuration is not confirmed (${freshness.kind}).`, CONFIG_RETRY_AFTER_MS)
+    const route = table.findRoute(traits.host, getPath(traits.target))
+    if (route === null) return refuse('not_found', 'No route leads there.')
+    return this.#admitToRoute(table, route, traits, arrivedAtMs)
+  }
+
+  /** Tells whether an admitted request may still be sent, if it had to wait. */
+  checkAgain (traits: RequestTraits, admission: Admission): Refusal | null {
+    const again = this.admit(traits, this.#options.clock.getMonotonicMs())
+    if (again.isErr) return again.error
+    const isSame = again.value.workspace === admission.workspace && again.value.route.shares.some(share => share.service === admission.service)
+    return isSame ? null : { code: 'configuration_stale', message: 'The configuration changed while the request waited.', execution: 'not_run', retryAfterMs: 0 }
+  }
+
+  #admitToRoute (table: RouteTable, route: Route, traits: RequestTraits, arrivedAtMs: number): Result<Admission, Refusal> {
+    const match = table.matchKey(route, traits.key)
+    if (match.kind === 'missing' || match.kind === 'unknown') return refuse('invalid_api_key', `The key is ${match.kind}.`)
+    const service = chooseService(route, this.#options.random())
+    if (service === null) return refuse('endpoint_unavailable', 'The route leads to no service.', CONFIG_RETRY_AFTER_MS)
+    const workspace = match.kind === 'workspace' ? match.workspace : null
+    return Result.ok({
+      route,
+      service,
+      workspace: workspace?.name ?? null,
+      rank: workspace?.rank ?? route.rank,
+      deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, traits.patienceMs ?? Infinity)
+    })
+  }
+}
+
+/** Gets the path of a target without its query. */
+export function getPath (target: string): string {
+  const queryAt = target.indexOf('?')
+  return queryAt === -1 ? target : target.slice(0, queryAt)
+}
+
+function refuse (code: ErrorCode, message: string, retryAfterMs?: number): Result<Admission, Refusal> {
+  return Result.err({ code, message, execution: 'not_run', retryAfterMs })
+}
--- /dev/null
+++ b/src/relay/endpointExchange.ts
@@ -0,0 +1,152 @@
+import { request as createRequest } from 'node:http'
+
+import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
+import type { HeaderList } from './relayRequest'
+
+/** One send of a request to an endpoint. */
+export interface EndpointSend {
+  agent: Agent | false
+  host: string
+  port: number
+  method: string
+  target: string
+  headers: HeaderList
+  body: Buffer
+  /** Milliseconds within which a new connection must be made. */
+  connectTimeoutMs: number
+  signal: AbortSignal
+}
+
+/** What to do with an answer once its head is there. */
+export type HeadDecision = 'collect' | 'pass' | 'reject'
+
+/** Takes an answer as it comes. */
+export interface AnswerSink {
+  /** Decides by the head whether the body is collected whole or passed on as it comes. */
+  handleHead (status: number, headers: HeaderList): HeadDecision
+  /** Takes bytes of a body that is passed on; false pauses the endpoint until `resume` is called. */
+  handleData (bytes: Buffer, resume: () => void): boolean
+}
+
+/** How a send ended, told apart by what the endpoint may have seen of it. */
+export type ExchangeEnd =
+  | { kind: 'collected', body: Buffer }
+  | { kind: 'passed' }
+  | { kind: 'rejected' }
+  /** No connection was made: the endpoint saw nothing. */
+  | { kind: 'notSent', message: string }
+  /** The connection broke before the answer was whole. */
+  | { kind: 'broken', message: string }
+  /** Bytes came that are no answer in the protocol. */
+  | { kind: 'garbled', message: string }
+  | { kind: 'aborted' }
+
+const MAX_COLLECTED_BYTES = 8_388_608
+
+/**
+ * Sends a request to an endpoint and hands its answer to `sink`. An answer counts as whole only
+ * when its framing says so; one without a length ends with its connection, if that is not reset.
+ *
+ * @example
+ * const end = await sendToEndpoint(send, { handleHead: () => 'collect', handleData: () => true })
+ * if (end.kind === 'collected') console.log(end.body.length)
+ */
+export async function sendToEndpoint (send: EndpointSend, sink: AnswerSink): Promise<ExchangeEnd> {
+  return await new Promise(resolve => new EndpointExchange(send, sink, resolve).start())
+}
+
+class EndpointExchange {
+  readonly #send: EndpointSend
+  readonly #sink: AnswerSink
+  readonly #resolve: (end: ExchangeEnd) => void
+  readonly #parts: Buffer[] = []
+  #length = 0
+  #request: ClientRequest | null = null
+  #response: IncomingMessage | null = null
+  #connectTimer: NodeJS.Timeout | undefined
+  #isSent = false
+  #hasEnded = false
+
+  constructor (send: EndpointSend, sink: AnswerSink, resolve: (end: ExchangeEnd) => void) {
+    this.#send = send
+    this.#sink = sink
+    this.#resolve = resolve
+  }
+
+  start (): void {
+    const { agent, host, port, method, target, headers, body, signal } = this.#send
+    if (signal.aborted) return this.#finish({ kind: 'aborted' })
+    // the types know header lists only as an object, the library takes both
+    const options = { agent, host, port, method, path: target, headers: headers as never, setHost: false, noDelay: true }
+    const request = createRequest(options)
+    this.#request = request
+    signal.addEventListener('abort', this.#handleAbort, { once: true })
+    request.on('socket', socket => {
+      if (!socket.connecting) return this.#handleConnect()
+      this.#connectTimer = setTimeout(() => request.destroy(new Error('no connection in time')), this.#send.connectTimeoutMs)
+      socket.once('connect', () => this.#handleConnect())
+    })
+    request.on('response', response => this.#handleResponse(response))
+    request.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
+    request.on('close', () => this.#finish({ kind: 'broken', message: 'connection closed' }))
+    request.end(body.length === 0 ? undefined : body)
+  }
+
+  readonly #handleAbort = (): void => {
+    this.#finish({ kind: 'aborted' })
+    this.#request?.destroy()
+  }
+
+  #handleConnect (): void {
+    this.#isSent = true
+    clearTimeout(this.#connectTimer)
+  }
+
+  #handleResponse (response: IncomingMessage): void {
+    this.#response = response
+    response.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
+    const decision = this.#sink.handleHead(response.statusCode ?? 0, response.rawHeaders)
+    if (decision === 'reject') {
+      this.#finish({ kind: 'rejected' })
+      this.#request?.destroy()
+      return
+    }
+    response.on('data', (bytes: Buffer) => decision === 'collect' ? this.#addPart(bytes) : this.#relayPart(response, bytes))
+    response.on('end', () => this.#handleEnd(response, decision))
+  }
+
+  #addPart (bytes: Buffer): void {
+    this.#length += bytes.length
+    this.#parts.push(bytes)
+    if (this.#length <= MAX_COLLECTED_BYTES) return
+    this.#finish({ kind: 'broken', message: `the answer is larger than ${MAX_COLLECTED_BYTES} bytes` })
+    this.#request?.destroy()
+  }
+
+  #relayPart (response: IncomingMessage, bytes: Buffer): void {
+    if (this.#hasEnded) return
+    if (!this.#sink.handleData(bytes, () => response.resume())) response.pause()
+  }
+
+  #handleEnd (response: IncomingMessage, decision: HeadDecision): void {
+    if (!response.complete) return this.#finish({ kind: 'broken', message: 'the answer broke off' })
+    this.#finish(decision === 'collect' ? { kind: 'collected', body: Buffer.concat(this.#parts) } : { kind: 'passed' })
+  }
+
+  #handleError (error: NodeJS.ErrnoException): void {
+    // bytes after a whole answer belong to no request; the answer itself stands
+    if (this.#response?.complete === true) return
+    const message = error.code === undefined ? error.message : `${error.code}: ${error.message}`
+    if (!this.#isSent) return this.#finish({ kind: 'notSent', message })
+    this.#finish({ kind: error.code?.startsWith('HPE_') === true ? 'garbled' : 'broken', message })
+  }
+
+  #finish (end: ExchangeEnd): void {
+    if (this.#hasEnded) return
+    if (end.kind === 'broken' && this.#response?.complete === true && !this.#response.readableEnded) return
+    this.#hasEnded = true
+    clearTimeout(this.#connectTimer)
+    this.#send.signal.removeEventListener('abort', this.#handleAbort)
+    this.#resolve(end)
+  }
+}
--- /dev/null
+++ b/src/relay/eventSplitter.ts
@@ -0,0 +1,71 @@
+const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
+const MAX_PENDING_BYTES = 1_048_576
+
+/** Whole events of a stream, as they came, with the id of the last one that has an id. */
+export interface WholeEvents {
+  bytes: Buffer
+  /** Ids of the events in `bytes`, in order. */
+  ids: number[]
+}
+
+/**
+ * Cuts the bytes of an event stream (WHATWG HTML, server-sent events) after whole events, so that
+ * a stream which breaks off within an event can go on elsewhere after the last whole one. The
+ * bytes themselves are not changed.
+ *
+ * @example
+ * const splitter = new EventSplitter()
+ * splitter.push(Buffer.from('id: 4\ndata: a\n\nid: 5\nda')) // { bytes: 'id: 4\ndata: a\n\n', ids: [4] }
+ */
+export class EventSplitter {
+  #pending: Buffer = Buffer.alloc(0)
+
+  /** Number of bytes of the event that is not whole yet. */
+  get pendingBytes (): number {
+    return this.#pending.length
+  }
+
+  /** Whether an event has grown beyond what a stream may hold. */
+  get isOverfull (): boolean {
+    return this.#pending.length > MAX_PENDING_BYTES
+  }
+
+  /** Adds bytes and takes the whole events that they complete; null when none is whole. */
+  push (bytes: Buffer): WholeEvents | null {
+    const all = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
+    const end = findLastEventEnd(all)
+    this.#pending = all.subarray(end)
+    if (end === 0) return null
+    const whole = all.subarray(0, end)
+    return { bytes: whole, ids: parseIds(whole) }
+  }
+
+  /** Takes what is left when the stream has ended. */
+  takeRest (): Buffer {
+    const rest = this.#pending
+    this.#pending = Buffer.alloc(0)
+    return rest
+  }
+}
+
+function findLastEventEnd (bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index--) {
+    if (bytes[index] === LINE_FEED && isEmptyLineEnd(bytes, index)) return index + 1
+  }
+  return 0
+}
+
+function isEmptyLineEnd (bytes: Buffer, index: number): boolean {
+  const before = bytes[index - 1]
+  return before === LINE_FEED || (before === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED)
+}
+
+function parseIds (bytes: Buffer): number[] {
+  const ids: number[] = []
+  for (const line of bytes.toString('latin1').split('\n')) {
+    const match = /^id: ?(\d+)\r?$/.exec(line)
+    if (match !== null) ids.push(Number(match[1]))
+  }
+  return ids
+}
--- /dev/null
+++ b/src/relay/fleetFollower.ts
@@ -0,0 +1,208 @@
+import { PrefixWatcher } from '../store/prefixWatcher'
+import { RouteTable } from '../policy/routeTable'
+
+import type { Result } from 'true-myth'
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { RoutingConfig } from '../config/routingConfig'
+import type { EndpointEntry } from '../policy/directEndpoint'
+import type { DirectoryChange, EndpointDirectory } from '../policy/endpointDirectory'
+import type { ViewFreshness } from '../policy/viewFreshness'
+import type { ObjectService, ObjectServiceError, StoredObject, WatchEvent } from '../store/objectService'
+import type { WatcherTiming } from '../store/prefixWatcher'
+
+/** Reads what others keep in the store. */
+export interface FleetDecoder {
+  configKey: string
+  endpointPrefix: string
+  decodeConfig (value: unknown): Result<RoutingConfig, string>
+  /** Returns null for an entry that names no endpoint to use. */
+  decodeEndpoint (id: string, value: unknown): EndpointEntry | null
+}
+
+export interface FleetFollowerOptions {
+  clock: Clock
+  service: ObjectService
+  decoder: FleetDecoder
+  directory: EndpointDirectory
+  freshness: ViewFreshness
+  log: DecisionLog
+  /** Milliseconds between the heartbeats by which endpoints keep their entries. */
+  heartbeatMs: number
+  /** Told of each new version of the configuration. */
+  handleTable: (table: RouteTable) => void
+}
+
+/**
+ * A watch must end well inside the time after which an unconfirmed configuration is not relied on,
+ * and a silent connection be found inside the time after which a leaving endpoint takes nothing
+ * more, 2 s at the users' strictest sites.
+ */
+const TIMING: Partial<WatcherTiming> = {
+  watchMs: 1100,
+  watchGraceMs: 400,
+  listTimeoutMs: 1000,
+  minRearmMs: 5,
+  maxRearmMs: 80,
+  backoffBaseMs: 40,
+  backoffCapMs: 300
+}
+const EXPIRY_INTERVAL_MS = 100
+/** Heartbeats that must have been missed before an entry can lapse without its endpoint's doing; the platform lets three pass. */
+const LAPSE_HEARTBEATS = 2
+
+/**
+ * Follows the configuration and the list of endpoints in the store. While the store is away the
+ * last view stays; how far it may be relied on is another module's decision.
+ */
+export class FleetFollower {
+  readonly #options: FleetFollowerOptions
+  readonly #config: PrefixWatcher
+  readonly #endpoints: PrefixWatcher
+  #table: RouteTable | null = null
+  #hasEndpoints = false
+  #isConfigLost = false
+  #isListLost = false
+  #expiryTimer: NodeJS.Timeout | undefined
+  #isTrusted = false
+  #listReachedAtMs: number
+
+  constructor (options: FleetFollowerOptions) {
+    const { clock, service, decoder, freshness } = options
+    this.#options = options
+    this.#listReachedAtMs = clock.getMonotonicMs()
+    this.#config = new PrefixWatcher({
+      service,
+      clock,
+      timing: TIMING,
+      prefix: decoder.configKey,
+      handleList: objects => this.#applyConfig(objects),
+      handleEvents: events => this.#applyConfig(events.flatMap(event => event.kind === 'put' ? [event.object] : [])),
+      handleConfirmed: startedAt => {
+        if (this.#table !== null) freshness.recordConfirmation(startedAt)
+        this.#isConfigLost = this.#reportReached('configuration', this.#isConfigLost)
+        this.#checkTrust()
+      },
+      handleFailed: error => { this.#isConfigLost = this.#reportFailed('configuration', this.#isConfigLost, error) },
+      onError: error => this.#reportError(error)
+    })
+    this.#endpoints = new PrefixWatcher({
+      service,
+      clock,
+      timing: TIMING,
+      prefix: decoder.endpointPrefix,
+      handleList: objects => this.#applyEndpointList(objects),
+      handleEvents: events => this.#applyEndpointEvents(events),
+      handleConfirmed: () => {
+        this.#listReachedAtMs = clock.getMonotonicMs()
+        this.#isListLost = this.#reportReached('endpoints', this.#isListLost)
+      },
+      handleFailed: error => { this.#isListLost = this.#reportFailed('endpoints', this.#isListLost, error) },
+      onError: error => this.#reportError(error)
+    })
+  }
+
+  /** Routes in force; null before the first configuration was read. */
+  get table (): RouteTable | null {
+    return this.#table
+  }
+
+  /** Whether both views were read at least once. */
+  get isComplete (): boolean {
+    return this.#table !== null && this.#hasEndpoints
+  }
+
+  start (): void {
+    this.#config.start()
+    this.#endpoints.start()
+    this.#expiryTimer = setInterval(() => this.#expire(), EXPIRY_INTERVAL_MS)
+    this.#expiryTimer.unref()
+  }
+
+  async stop (): Promise<void> {
+    clearInterval(this.#expiryTimer)
+    await Promise.all([this.#config.stop(), this.#endpoints.stop()])
+  }
+
+  #applyConfig (objects: StoredObject[]): void {
+    for (const object of objects) if (object.key === this.#options.decoder.configKey) this.#applyVersion(object)
+  }
+
+  #applyVersion (object: StoredObject): void {
+    const { decoder, log, handleTable } = this.#options
+    const decoded = decoder.decodeConfig(object.value)
+    if (decoded.isErr) return log.write('notable', { event: 'configRefused', revision: object.version, reason: decoded.error })
+    const previous = this.#table?.version ?? null
+    if (previous !== null && decoded.value.version <= previous) return
+    this.#table = new RouteTable(decoded.value)
+    log.write('notable', { event: 'configInForce', version: decoded.value.version, previous, revision: object.version, routes: this.#table.routeCount })
+    handleTable(this.#table)
+  }
+
+  #applyEndpointList (objects: StoredObject[]): void {
+    const { directory, clock, heartbeatMs } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    const afterOutage = nowMs - this.#listReachedAtMs > LAPSE_HEARTBEATS * heartbeatMs
+    const entries = objects.flatMap(object => this.#decodeEndpoint(object) ?? [])
+    this.#hasEndpoints = true
+    this.#reportChanges(directory.applyList(entries, { afterOutage, nowMs }))
+  }
+
+  #applyEndpointEvents (events: WatchEvent[]): void {
+    const { directory, decoder } = this.#options
+    const entries: EndpointEntry[] = []
+    const deletedIds: string[] = []
+    for (const event of events) {
+      const entry = event.kind === 'put' ? this.#decodeEndpoint(event.object) : null
+      if (entry !== null) entries.push(entry)
+      else deletedIds.push((event.kind === 'put' ? event.object.key : event.key).slice(decoder.endpointPrefix.length))
+    }
+    this.#reportChanges(directory.applyChanges(entries, deletedIds))
+  }
+
+  #decodeEndpoint (object: StoredObject): EndpointEntry | null {
+    const { decoder, log } = this.#options
+    const id = object.key.slice(decoder.endpointPrefix.length)
+    const entry = decoder.decodeEndpoint(id, object.value)
+    if (entry === null) log.write('notable', { event: 'endpointEntryIgnored', endpoint: id, revision: object.version })
+    return entry
+  }
+
+  #expire (): void {
+    const { directory, clock } = this.#options
+    this.#reportChanges(directory.expire(clock.getMonotonicMs()))
+    this.#checkTrust()
+  }
+
+  #checkTrust (): void {
+    const verdict = this.#options.freshness.getVerdict()
+    const isTrusted = verdict.kind === 'fresh'
+    if (verdict.kind === 'distrusted') {
+      this.#config.fetchAgain()
+      this.#endpoints.fetchAgain()
+    }
+    if (isTrusted === this.#isTrusted) return
+    this.#isTrusted = isTrusted
+    this.#options.log.write('notable', { event: isTrusted ? 'configConfirmed' : 'configUnconfirmed', version: this.#table?.version ?? null, verdict })
+  }
+
+  #reportChanges (changes: DirectoryChange[]): void {
+    for (const { kind, entry } of changes) {
+      this.#options.log.write('notable', { event: 'endpointChanged', change: kind, endpoint: entry.id, service: entry.service, address: entry.address, domain: entry.domain })
+    }
+  }
+
+  #reportReached (view: string, wasLost: boolean): false {
+    if (wasLost) this.#options.log.write('notable', { event: 'dependencyRegained', dependency: `store, ${view}` })
+    return false
+  }
+
+  #reportFailed (view: string, wasLost: boolean, error: ObjectServiceError): true {
+    if (!wasLost) this.#options.log.write('notable', { event: 'dependencyLost', dependency: `store, ${view}`, error })
+    return true
+  }
+
+  #reportError (error: unknown): void {
+    this.#options.log.write('notable', { event: 'unexpectedError', message: String((error as Error)?.stack ?? error).slice(0, 500) })
+  }
+}
--- /dev/null
+++ b/src/relay/headerList.ts
@@ -0,0 +1,42 @@
+import type { HeaderList } from './relayRequest'
+
+/** Headers that concern one connection only (RFC 9110, section 7.6.1, and those of older proxies). */
+const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'proxy-connection', 'proxy-authenticate', 'proxy-authorization', 'te', 'trailer', 'transfer-encoding', 'upgrade'])
+
+/**
+ * Removes the headers that concern one connection only, those that `Connection` names, and those
+ * in `removed`, which is in lower case.
+ *
+ * @example
+ * removeHeaders(['Connection', 'close, X-Hop', 'X-Hop', '1', 'Accept', '*'], new Set()) // ['Accept', '*']
+ */
+export function removeHeaders (headers: HeaderList, removed: ReadonlySet<string>): HeaderList {
+  const named = new Set(findHeaderValues(headers, 'connection').flatMap(value => value.toLowerCase().split(',').map(name => name.trim())))
+  const kept: HeaderList = []
+  for (let index = 0; index < headers.length; index += 2) {
+    const name = headers[index] as string
+    const lowerName = name.toLowerCase()
+    if (CONNECTION_HEADERS.has(lowerName) || named.has(lowerName) || removed.has(lowerName)) continue
+    kept.push(name, headers[index + 1] as string)
+  }
+  return kept
+}
+
+/** Finds all values of a header by its name in lower case. */
+export function findHeaderValues (headers: HeaderList, lowerName: string): string[] {
+  const values: string[] = []
+  for (let index = 0; index < headers.length; index += 2) {
+    if ((headers[index] as string).toLowerCase() === lowerName) values.push(headers[index + 1] as string)
+  }
+  return values
+}
+
+/** Finds the first value of a header by its name in lower case. */
+export function findHeader (headers: HeaderList, lowerName: string): string | null {
+  return findHeaderValues(headers, lowerName)[0] ?? null
+}
+
+/** Counts the bytes of a head's header lines. */
+export function countHeaderBytes (headers: HeaderList): number {
+  return headers.reduce((sum, text) => sum + text.length + 2, 0)
+}
--- /dev/null
+++ b/src/relay/relayObserver.ts
@@ -0,0 +1,92 @@
+import type { DecisionLog } from '../base/decisionLog'
+import type { LabeledHistogram } from '../base/labeledHistogram'
+import type { Counter, Metrics } from '../base/metrics'
+import type { DirectChoice } from '../policy/directChooser'
+import type { RepeatDecision, SendOutcome } from '../policy/repeatDecision'
+import type { Refusal } from '../protocol/errorBody'
+import type { CallerReply } from './callerReply'
+import type { RelayRequest } from './relayRequest'
+
+/** One send as it ended. */
+export interface SendReport {
+  endpointId: string
+  attempt: number
+  outcome: SendOutcome | 'answered' | 'callerLeft' | 'deadline' | 'stopped'
+  status: number | null
+  /** What the connection or the answer showed. */
+  detail: string
+  elapsedMs: number
+  firstMs: number | null
+  events: number
+}
+
+/** Writes the decision log and the metrics of relayed requests. */
+export class RelayObserver {
+  readonly #log: DecisionLog
+  readonly #requests: Counter
+  readonly #sends: Counter
+  readonly #repeats: Counter
+  readonly #firstEvent: LabeledHistogram
+  readonly #queueTime: LabeledHistogram
+
+  constructor (log: DecisionLog, metrics: Metrics) {
+    this.#log = log
+    this.#requests = metrics.createCounter('requests_total', 'Requests by route rank and how they ended.')
+    this.#sends = metrics.createCounter('sends_total', 'Sends to endpoints by service and outcome.')
+    this.#repeats = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
+    this.#firstEvent = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
+    this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
+  }
+
+  /** Records which endpoint a request is sent to, and why. */
+  recordChoice (request: RelayRequest, choice: DirectChoice, attempt: number, nowMs: number): void {
+    const { endpoint } = choice
+    if (attempt === 1) this.#queueTime.record(nowMs - request.arrivedAtMs, { service: request.service })
+    this.#log.write('routine', {
+      event: 'endpointChosen',
+      requestId: request.traits.requestId,
+      route: request.route.name,
+      attempt,
+      endpoint: endpoint.entry.id,
+      reason: choice.reason,
+      costMs: Math.round(choice.costMs),
+      candidates: choice.candidates,
+      inFlight: endpoint.inFlight,
+      pendingTokens: Math.round(endpoint.pendingTokens),
+      failureRate: Number(endpoint.failureRate.toFixed(2)),
+      heldMs: Math.round(nowMs - request.arrivedAtMs),
+      remainingMs: Math.round(request.deadlineAtMs - nowMs)
+    })
+  }
+
+  recordSend (request: RelayRequest, report: SendReport): void {
+    this.#sends.add({ service: request.service, outcome: report.outcome })
+    const isGood = report.outcome === 'answered'
+    if (isGood && report.firstMs !== null) this.#firstEvent.record(report.firstMs, { service: request.service })
+    this.#log.write(isGood ? 'routine' : 'notable', { event: 'sendEnded', requestId: request.traits.requestId, service: request.service, ...report })
+  }
+
+  /** Records whether a request is sent once more. */
+  recordRepeat (request: RelayRequest, decision: RepeatDecision, isGranted: boolean): void {
+    const outcome = decision.kind === 'end' ? decision.reason : isGranted ? 'repeated' : 'budgetSpent'
+    this.#repeats.add({ service: request.service, outcome })
+    this.#log.write('notable', { event: 'repeatDecided', requestId: request.traits.requestId, service: request.service, outcome })
+  }
+
+  /** Records a refusal that this process decided on. */
+  recordRefusal (requestId: string | undefined, refusal: Refusal, inputs: Record<string, unknown>): void {
+    this.#log.write('notable', { event: 'requestRefused', requestId, code: refusal.code, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, ...inputs })
+  }
+
+  recordEnd (request: RelayRequest, reply: CallerReply, nowMs: number): void {
+    this.#requests.add({ rank: String(request.rank), kind: request.route.kind, end: reply.end })
+    this.#log.write(reply.end === 'whole' ? 'routine' : 'notable', {
+      event: 'requestEnded',
+      requestId: request.traits.requestId,
+      route: request.route.name,
+      end: reply.end,
+      elapsedMs: Math.round(nowMs - request.arrivedAtMs),
+      sentBytes: reply.sentBytes
+    })
+  }
+}
--- /dev/null
+++ b/src/relay/relayProcess.ts
@@ -0,0 +1,183 @@
+import { createMetricsHandler, createStateHandler, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
+import { systemClock } from '../base/clock'
+import { HttpListener } from '../base/httpListener'
+import { Metrics } from '../base/metrics'
+import { StateDump } from '../base/stateDump'
+import { EndpointDirectory } from '../policy/endpointDirectory'
+import { RetryWindow } from '../policy/retryWindow'
+import { ViewFreshness } from '../policy/viewFreshness'
+import { waitFor } from '../store/channels'
+import { AdmissionGate } from './admissionGate'
+import { DirectRelay } from './directRelay'
+import { EndpointAgent } from './endpointAgent'
+import { FleetFollower } from './fleetFollower'
+import { decideReadiness } from './readiness'
+import { RelayObserver } from './relayObserver'
+import { RelayServer } from './relayServer'
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { DecisionLog } from '../base/decisionLog'
+import type { RelaySettings } from '../config/processSettings'
+import type { ObjectService } from '../store/objectService'
+import type { CallerDialect, EndpointDialect } from './dialects'
+import type { FleetDecoder } from './fleetFollower'
+import type { UnreadyReason } from './readiness'
+
+export interface RelayProcessOptions {
+  settings: RelaySettings
+  service: ObjectService
+  decoder: FleetDecoder
+  callerDialect: CallerDialect
+  endpointDialect: EndpointDialect
+  /** Path at which the balancer asks whether the process is ready. */
+  readyPath: string
+  log: DecisionLog
+}
+
+/**
+ * Part of the time for revoked keys after which an unconfirmed configuration is not relied on:
+ * what is left covers a request on its way to its endpoint.
+ */
+const FRESH_SHARE = 0.9
+/** Time in which the balancer has noticed that the process is not ready: two questions a second apart, and their answers. */
+const OUT_OF_ROTATION_MS = 2400
+/** Part of the time to stop in which requests may finish; they are cut after it. */
+const FINISH_SHARE = 0.9
+/** Idle connections are kept for less than endpoints are known to keep them. */
+const IDLE_CONNECTION_MS = 4000
+const MAX_IDLE_CONNECTIONS = 64
+/** Descriptors for files, the store and operators, which callers must not take. */
+const RESERVED_DESCRIPTORS = 400
+const DRAIN_POLL_MS = 25
+const MS_PER_SECOND = 1000
+
+/** One gateway that relays requests straight to endpoints. */
+export class RelayProcess {
+  readonly #options: RelayProcessOptions
+  readonly #metrics = new Metrics()
+  readonly #dump = new StateDump()
+  readonly #directory = new EndpointDirectory()
+  readonly #freshness: ViewFreshness
+  readonly #retries: RetryWindow
+  readonly #follower: FleetFollower
+  readonly #relay: DirectRelay
+  readonly #server: RelayServer
+  readonly #readyListener: HttpListener
+  readonly #adminListener: HttpListener
+  #isLeaving = false
+  #unreadyReason: UnreadyReason = 'starting'
+
+  constructor (options: RelayProcessOptions) {
+    const { settings, log, service, decoder, callerDialect, endpointDialect } = options
+    this.#options = options
+    this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
+    this.#retries = new RetryWindow({ windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, floor: 1 })
+    this.#follower = new FleetFollower({
+      clock: systemClock,
+      service,
+      decoder,
+      directory: this.#directory,
+      freshness: this.#freshness,
+      log,
+      heartbeatMs: settings.heartbeatMs,
+      handleTable: table => this.#server.setBounds(table.bounds)
+    })
+    const observer = new RelayObserver(log, this.#metrics)
+    const gate = new AdmissionGate({
+      clock: systemClock,
+      random: Math.random,
+      getTable: () => this.#follower.table,
+      getFreshness: () => this.#freshness.getVerdict()
+    })
+    this.#relay = new DirectRelay({
+      clock: systemClock,
+      random: Math.random,
+      directory: this.#directory,
+      retries: this.#retries,
+      dialect: endpointDialect,
+      observer,
+      agent: new EndpointAgent({ idleMs: IDLE_CONNECTION_MS, maxIdle: MAX_IDLE_CONNECTIONS })
+    })
+    this.#server = new RelayServer({
+      clock: systemClock,
+      dialect: callerDialect,
+      gate,
+      relay: this.#relay,
+      observer,
+      maxConnections: Math.max(1, (settings.maxDescriptors - RESERVED_DESCRIPTORS) / 2)
+    })
+    this.#readyListener = new HttpListener({ handlers: { [options.readyPath]: (request, response) => this.#answerReady(request, response) } })
+    this.#adminListener = new HttpListener({
+      handlers: {
+        [METRICS_PATH]: createMetricsHandler(this.#metrics),
+        [STATE_PATH]: createStateHandler(this.#dump, () => true)
+      }
+    })
+    this.#registerGauges()
+    this.#registerDumps()
+  }
+
+  /**
+   * Starts to serve.
+   *
+   * @throws the system's error when an address is taken or not of this machine
+   */
+  async start (): Promise<void> {
+    const { listen } = this.#options.settings
+    this.#follower.start()
+    await this.#readyListener.listen(listen.ready)
+    await this.#server.listen(listen.callers)
+    await this.#adminListener.listen(listen.admin)
+  }
+
+  /**
+   * Leaves the rotation while it goes on serving, then lets what is in flight finish, within the
+   * time that the settings give. What is still running after that is cut with the process.
+   */
+  async drain (): Promise<void> {
+    const { settings, log } = this.#options
+    const stopMs = settings.stopSeconds * MS_PER_SECOND
+    const startedAtMs = systemClock.getMonotonicMs()
+    this.#isLeaving = true
+    this.#server.startLeaving()
+    await waitFor(Math.min(OUT_OF_ROTATION_MS, stopMs / 3))
+    this.#server.stopAccepting()
+    while (this.#relay.countInFlight() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_SHARE * stopMs) await waitFor(DRAIN_POLL_MS)
+    log.write('notable', { event: 'drained', cutRequests: this.#relay.countInFlight(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+  }
+
+  #answerReady (_request: IncomingMessage, response: ServerResponse): void {
+    const freshness = this.#freshness.getVerdict()
+    const reason = decideReadiness({ isLeaving: this.#isLeaving, isComplete: this.#follower.isComplete, freshness })
+    if (reason !== this.#unreadyReason) {
+      this.#options.log.write('notable', { event: 'readinessChanged', isReady: reason === null, reason, freshness })
+      this.#unreadyReason = reason
+    }
+    const body = reason ?? 'ready'
+    response.writeHead(reason === null ? 200 : 503, { 'content-length': body.length }).end(body)
+  }
+
+  #registerGauges (): void {
+    const { log } = this.#options
+    this.#metrics.registerGauge('in_flight', 'Requests without a final answer.', () => this.#relay.countInFlight())
+    this.#metrics.registerGauge('caller_connections', 'Open connections of callers.', () => this.#server.countConnections())
+    this.#metrics.registerGauge('config_version', 'Version of the configuration in force.', () => this.#follower.table?.version ?? 0)
+    this.#metrics.registerGauge('config_age_ms', 'Milliseconds since the configuration was last confirmed.', () => readAgeMs(this.#freshness))
+    this.#metrics.registerGauge('endpoints', 'Endpoints by service and state.', () => this.#directory.listAll().map(({ entry }) => ({ labels: { service: entry.service, state: entry.state, endpoint: entry.id }, value: 1 })))
+    this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
+    this.#metrics.registerGauge('process_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
+  }
+
+  #registerDumps (): void {
+    this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
+    this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
+    this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, ...belief }) => belief))
+    this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
+    this.#dump.register('metrics', () => this.#metrics.readSummaries())
+  }
+}
+
+function readAgeMs (freshness: ViewFreshness): number {
+  const verdict = freshness.getVerdict()
+  return verdict.kind === 'unconfirmed' ? -1 : verdict.ageMs
+}
--- /dev/null
+++ b/src/relay/relayServer.ts
@@ -0,0 +1,160 @@
+import { createServer } from 'node:http'
+
+import { readBody } from '../protocol/bodyReader'
+import { CallerReply } from './callerReply'
+import { countHeaderBytes } from './headerList'
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Duplex } from 'node:stream'
+import type { Clock } from '../base/clock'
+import type { CallerBounds } from '../config/routingConfig'
+import type { ListenAddress } from '../config/processSettings'
+import type { Refusal } from '../protocol/errorBody'
+import type { AdmissionGate } from './admissionGate'
+import type { CallerDialect } from './dialects'
+import type { DirectRelay } from './directRelay'
+import type { RelayObserver } from './relayObserver'
+import type { RelayRequest, RequestTraits } from './relayRequest'
+
+export interface RelayServerOptions {
+  clock: Clock
+  dialect: CallerDialect
+  gate: AdmissionGate
+  relay: DirectRelay
+  observer: RelayObserver
+  /** Connections that callers may have open together. */
+  maxConnections: number
+}
+
+/** Bounds until the first configuration says others. */
+const FIRST_BOUNDS: CallerBounds = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000 }
+/** Header bytes that the parser reads at most; the configuration's bound lies below. */
+const MAX_PARSED_HEADER_BYTES = 65_536
+const LISTEN_BACKLOG = 4096
+const CHECK_INTERVAL_MS = 500
+
+/** The callers' side of requests that are relayed straight to endpoints. */
+export class RelayServer {
+  readonly #options: RelayServerOptions
+  readonly #server: Server
+  /** Open connections, with whether a request is being answered on them. */
+  readonly #sockets = new Map<Duplex, boolean>()
+  #bounds = FIRST_BOUNDS
+  #isLeaving = false
+
+  constructor (options: RelayServerOptions) {
+    this.#options = options
+    this.#server = createServer({
+      maxHeaderSize: MAX_PARSED_HEADER_BYTES,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      noDelay: true,
+      requestTimeout: 0,
+      joinDuplicateHeaders: false
+    })
+    this.#server.maxConnections = options.maxConnections
+    this.setBounds(FIRST_BOUNDS)
+    this.#server.on('connection', socket => this.#trackSocket(socket))
+    this.#server.on('request', (request, response) => this.#handleRequest(request, response))
+    this.#server.on('checkContinue', (request, response) => {
+      response.writeContinue()
+      this.#handleRequest(request, response)
+    })
+    this.#server.on('clientError', (_error, socket) => this.#refuseBytes(socket))
+  }
+
+  /** Number of open connections of callers. */
+  countConnections (): number {
+    return this.#sockets.size
+  }
+
+  /** Takes the bounds of the configuration in force. */
+  setBounds (bounds: CallerBounds): void {
+    this.#bounds = bounds
+    this.#server.headersTimeout = bounds.headerTimeoutMs
+    this.#server.keepAliveTimeout = bounds.idleTimeoutMs
+  }
+
+  /**
+   * Starts to accept connections.
+   *
+   * @throws the system's error when the address is taken or not of this machine
+   */
+  async listen (address: ListenAddress): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen({ ...address, backlog: LISTEN_BACKLOG }, resolve)
+    })
+  }
+
+  /** Ends each connection after its next answer; new ones are still served. */
+  startLeaving (): void {
+    this.#isLeaving = true
+  }
+
+  /** Accepts no more connections and closes those on which nothing is asked. */
+  stopAccepting (): void {
+    this.#server.close()
+    for (const [socket, isBusy] of this.#sockets) if (!isBusy) socket.end()
+  }
+
+  #trackSocket (socket: Socket): void {
+    this.#sockets.set(socket, false)
+    socket.once('close', () => this.#sockets.delete(socket))
+  }
+
+  #handleRequest (request: IncomingMessage, response: ServerResponse): void {
+    const { clock, dialect, observer } = this.#options
+    const arrivedAtMs = clock.getMonotonicMs()
+    request.on('error', () => {})
+    this.#sockets.set(request.socket, true)
+    response.once('close', () => { if (this.#sockets.has(request.socket)) this.#sockets.set(request.socket, false) })
+    if (this.#isLeaving) response.shouldKeepAlive = false
+    const reply = new CallerReply(response, dialect)
+    this.#serve(request, reply, arrivedAtMs).catch((error: Error) => {
+      const refusal: Refusal = { code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' }
+      observer.recordRefusal(undefined, refusal, { error: String(error.stack).slice(0, 500) })
+      reply.refuse(refusal)
+    })
+  }
+
+  async #serve (request: IncomingMessage, reply: CallerReply, arrivedAtMs: number): Promise<void> {
+    const { dialect, gate, relay } = this.#options
+    const head = { method: request.method ?? '', target: request.url ?? '', headers: request.rawHeaders }
+    const traits = dialect.readTraits(head)
+    if (traits.isErr) return await this.#refuseUnread(request, reply, undefined, traits.error)
+    reply.setRequestId(traits.value.requestId)
+    if (countHeaderBytes(request.rawHeaders) > this.#bounds.maxHeaderBytes) {
+      return await this.#refuseUnread(request, reply, traits.value, { code: 'headers_too_large', message: 'The header is too large.', execution: 'not_run' })
+    }
+    const body = await readBody(request, this.#bounds.maxBodyBytes)
+    if (body.isErr) {
+      if (body.error.kind === 'refused') this.#refuse(reply, traits.value, body.error.refusal)
+      return
+    }
+    const admission = gate.admit(traits.value, arrivedAtMs)
+    if (admission.isErr) return this.#refuse(reply, traits.value, admission.error)
+    const relayRequest: RelayRequest = { traits: traits.value, body: body.value, arrivedAtMs, ...admission.value }
+    await relay.relay(relayRequest, reply)
+  }
+
+  /** Reads the rest of the request before its refusal, so that the caller can read that. */
+  async #refuseUnread (request: IncomingMessage, reply: CallerReply, traits: RequestTraits | undefined, refusal: Refusal): Promise<void> {
+    await readBody(request, this.#bounds.maxBodyBytes)
+    this.#refuse(reply, traits, refusal)
+  }
+
+  #refuse (reply: CallerReply, traits: RequestTraits | undefined, refusal: Refusal): void {
+    this.#options.observer.recordRefusal(traits?.requestId, refusal, { message: refusal.message })
+    reply.refuse(refusal)
+  }
+
+  /** Answers bytes that are no request and closes their connection. */
+  #refuseBytes (socket: Duplex): void {
+    if (!socket.writable || this.#sockets.get(socket) === true) {
+      socket.destroy()
+      return
+    }
+    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+  }
+}
--- a/src/store/httpCall.ts
+++ b/src/store/httpCall.ts
@@ -3,7 +3,7 @@
 import type { Progress } from '../base/progress'
 
 export interface HttpCall {
-  method: 'GET' | 'PUT' | 'DELETE'
+  method: 'GET' | 'POST' | 'PUT' | 'DELETE'
   url: URL
   headers?: Record<string, string>
   body?: string
--- a/src/store/membershipDirectory.ts
+++ b/src/store/membershipDirectory.ts
@@ -72,7 +72,7 @@
     this.#watcher = new PrefixWatcher({
       service,
       getRandom,
-      watchMs,
+      timing: watchMs === undefined ? {} : { watchMs },
       onError,
       prefix: SIDECARS_PREFIX,
       handleList: objects => this.#handleList(objects),
--- a/src/store/prefixWatcher.ts
+++ b/src/store/prefixWatcher.ts
@@ -1,11 +1,13 @@
 import { systemClock } from '../base/clock'
+import { readClock } from '../base/clockReading'
 import { Progress } from '../base/progress'
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
 
 import type { Clock } from '../base/clock'
-import type { ObjectService, StoredObject, WatchEvent } from './objectService'
+import type { ClockReading } from '../base/clockReading'
+import type { ObjectService, ObjectServiceError, StoredObject, WatchEvent } from './objectService'
 
 export interface PrefixWatcherOptions {
   service: ObjectService
@@ -14,21 +16,40 @@
   handleList: (objects: StoredObject[]) => void
   /** Takes changes in the order in which they were made. */
   handleEvents: (events: WatchEvent[]) => void
+  /** Told that the view was the newest at the start of a call that has just been answered. */
+  handleConfirmed?: (startedAt: ClockReading) => void
+  /** Told why a call gave nothing. */
+  handleFailed?: (error: ObjectServiceError) => void
   onError?: (error: unknown) => void
   clock?: Clock
   getRandom?: () => number
-  /** Milliseconds for which one watch waits. */
-  watchMs?: number
+  timing?: Partial<WatcherTiming>
 }
 
-const DEFAULT_WATCH_MS = 30_000
-const LIST_TIMEOUT_MS = 10_000
-const WATCH_GRACE_MS = 5_000
-const BACKOFF_BASE_MS = 500
-const BACKOFF_CAP_MS = 10_000
-/** Delay before the next watch; it doubles while changes come densely, to bound the calls. */
-const MIN_REARM_MS = 200
-const MAX_REARM_MS = 2_000
+/** How long the calls of a watcher wait, and how densely they come, in milliseconds. */
+export interface WatcherTiming {
+  /** For how long one watch waits for changes. */
+  watchMs: number
+  /** Time beyond that in which its answer must come. */
+  watchGraceMs: number
+  listTimeoutMs: number
+  /** Delay before the next watch; it doubles while changes come densely, to bound the calls. */
+  minRearmMs: number
+  maxRearmMs: number
+  /** Delays after a call that gave nothing. */
+  backoffBaseMs: number
+  backoffCapMs: number
+}
+
+const DEFAULT_TIMING: WatcherTiming = {
+  watchMs: 30_000,
+  watchGraceMs: 5_000,
+  listTimeoutMs: 10_000,
+  minRearmMs: 200,
+  maxRearmMs: 2_000,
+  backoffBaseMs: 500,
+  backoffCapMs: 10_000
+}
 /** A watch that ends sooner than this shows that changes come densely. */
 const DENSE_WATCH_MS = 1_000
 
@@ -46,13 +67,19 @@
   /** Position to watch from; null when the next step must list. */
   #revision: number | null = null
   #lastRevision = 0
-  #rearmMs = MIN_REARM_MS
+  readonly #timing: WatcherTiming
+  #rearmMs: number
+  /** The call under way, so that a refresh can end it. */
+  #call: Progress | null = null
+  #isRefreshing = false
 
   constructor (options: PrefixWatcherOptions) {
     this.#options = options
     this.#clock = options.clock ?? systemClock
     this.#getRandom = options.getRandom ?? Math.random
-    this.#backoff = new Backoff({ baseMs: BACKOFF_BASE_MS, capMs: BACKOFF_CAP_MS, getRandom: this.#getRandom })
+    this.#timing = { ...DEFAULT_TIMING, ...options.timing }
+    this.#rearmMs = this.#timing.minRearmMs
+    this.#backoff = new Backoff({ baseMs: this.#timing.backoffBaseMs, capMs: this.#timing.backoffCapMs, getRandom: this.#getRandom })
     this.#task = new BackgroundTask({ runStep: async signal => await this.#runStep(signal), onError: options.onError })
   }
 
@@ -64,6 +91,15 @@
     await this.#task.stop()
   }
 
+  /** Reads the whole state anew at once, in place of the call under way. */
+  fetchAgain (): void {
+    if (this.#revision !== null) {
+      this.#isRefreshing = true
+      this.#call?.abort('the view is read anew')
+    }
+    this.#task.notify()
+  }
+
   /** Whether the view follows the service; false before the first list and during an outage. */
   isFollowing (): boolean {
     return this.#revision !== null
@@ -74,35 +110,58 @@
     const succeeded = this.#revision === null ? await this.#list(signal) : await this.#watch(this.#revision, signal)
     if (!succeeded) {
       this.#revision = null
-      return this.#backoff.advance()
+      return this.#takeRefresh() ? 0 : this.#backoff.advance()
     }
     this.#backoff.reset()
     const isDense = this.#clock.getMonotonicMs() - startedMs < DENSE_WATCH_MS
-    this.#rearmMs = isDense ? Math.min(MAX_REARM_MS, 2 * this.#rearmMs) : MIN_REARM_MS
+    this.#rearmMs = isDense ? Math.min(this.#timing.maxRearmMs, 2 * this.#rearmMs) : this.#timing.minRearmMs
     return spreadPeriod(this.#rearmMs, this.#getRandom)
   }
 
   async #list (signal: AbortSignal): Promise<boolean> {
     const { service, prefix, handleList } = this.#options
-    const result = await service.list(prefix, new Progress({ title: `listing ${prefix}`, timeoutMs: LIST_TIMEOUT_MS, signal }))
-    if (result.isErr || signal.aborted || result.value.revision < this.#lastRevision) return false
+    const startedAt = readClock(this.#clock)
+    const progress = this.#openCall(`listing ${prefix}`, this.#timing.listTimeoutMs, signal)
+    const result = await service.list(prefix, progress)
+    if (result.isErr) return this.#fail(result.error)
+    if (signal.aborted || result.value.revision < this.#lastRevision) return false
+    this.#isRefreshing = false
     this.#setRevision(result.value.revision)
     handleList(result.value.objects)
+    this.#options.handleConfirmed?.(startedAt)
     return true
   }
 
   async #watch (revision: number, signal: AbortSignal): Promise<boolean> {
     const { service, prefix, handleEvents } = this.#options
-    const watchMs = spreadPeriod(this.#options.watchMs ?? DEFAULT_WATCH_MS, this.#getRandom)
-    const progress = new Progress({ title: `watching ${prefix}`, timeoutMs: watchMs + WATCH_GRACE_MS, signal })
+    const watchMs = Math.round(spreadPeriod(this.#timing.watchMs, this.#getRandom))
+    const startedAt = readClock(this.#clock)
+    const progress = this.#openCall(`watching ${prefix}`, watchMs + this.#timing.watchGraceMs, signal)
     const result = await service.watch(prefix, revision, watchMs, progress)
-    if (result.isErr || signal.aborted) return false
-    if (result.value.revision < revision) return false
+    if (result.isErr) return this.#fail(result.error)
+    if (signal.aborted || result.value.revision < revision) return false
     this.#setRevision(result.value.revision)
     if (result.value.events.length > 0) handleEvents(result.value.events)
+    this.#options.handleConfirmed?.(startedAt)
     return true
   }
 
+  #openCall (title: string, timeoutMs: number, signal: AbortSignal): Progress {
+    this.#call = new Progress({ title, timeoutMs, signal, clock: this.#clock })
+    return this.#call
+  }
+
+  #fail (error: ObjectServiceError): false {
+    if (!this.#isRefreshing) this.#options.handleFailed?.(error)
+    return false
+  }
+
+  #takeRefresh (): boolean {
+    const isRefreshing = this.#isRefreshing
+    this.#isRefreshing = false
+    return isRefreshing
+  }
+
   #setRevision (revision: number): void {
     this.#revision = revision
     this.#lastRevision = revision
