Hold requests at the gateway until an endpoint can start them, by rank

Urgent prompts shared each engine with whatever had been sent before them. Change: shared tokens to be read again weigh four times; a request waits for its endpoint in a queue by rank while at most 4,000 tokens of this gateway wait to be read there, and is bound when it starts.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -16,34 +16,58 @@
   reason: 'prefixHome' | 'leastCost'
   costMs: number
   candidates: number
+  /** Prompt tokens that the endpoint would have to read for the request. */
+  unreadTokens: number
+  /** Whether the endpoint is expected to start the request at once. */
+  hasRoom: boolean
 }
 
+/** Prompt tokens of requests that wait for an endpoint, by its id. */
+export type PlannedTokens = Map<string, number>
+
 export interface DirectChooserOptions {
   /** Endpoints that do not come into question, since the request was there already. */
   excluded: ReadonlySet<string>
   /** The endpoint that should hold the request's shared parts; null when nothing is shared. */
   home: DirectEndpoint | null
+  /** What waits for each endpoint and goes first. */
+  planned: PlannedTokens
   nowMs: number
   random: () => number
 }
 
 /** Prompt tokens an engine reads in a millisecond, for endpoints of which nothing is known. */
 const PREFILL_TOKENS_PER_MS = 100
-/** Milliseconds by which each request at an endpoint slows one more. */
-const SLOT_COST_MS = 4
+/**
+ * Weight of shared tokens that must be read anew: beside the request's own delay, they delay what
+ * comes after it and push other parts out of the cache.
+ */
+const UNREAD_SHARED_WEIGHT = 4
+/** Weight of prompts that are still to be read there, of which this process sees only its own. */
+const PENDING_WEIGHT = 1
+/** Milliseconds that an endpoint with all slots taken is behind an empty one. */
+const FULL_COST_MS = 600
+/**
+ * Prompt tokens that one process lets wait to be read at an endpoint: few, so that an urgent prompt
+ * soon goes next, yet enough to keep the endpoint busy until the next answer comes back.
+ */
+const MAX_PENDING_TOKENS = 4000
 /** Milliseconds by which an endpoint that always fails is put back. */
-const FAILURE_COST_MS = 400
+const FAILURE_COST_MS = 200
 const EJECTED_COST_MS = 100_000
 /** Time for which a part counts as held: what a busy engine of the users' sizes keeps. */
 const HELD_MS = 20_000
 /** Probability that the home holds the shared parts although this process did not send them. */
-const HOME_HELD_SHARE = 0.7
+const HOME_HELD_SHARE = 1
 const JITTER_MS = 1
 
 /**
  * Chooses the endpoint where the request's first event or answer is expected soonest: what is
  * ahead of it there, what of its prompt must still be read there, and how the endpoint fared.
  *
+ * The endpoint may have no room yet: a request waits for the one that holds its prompt rather than
+ * have it read again by another, unless that one is too far behind.
+ *
  * @returns null when no endpoint is left
  */
 export function chooseDirectEndpoint (request: DirectChoiceRequest, endpoints: readonly DirectEndpoint[], options: DirectChooserOptions): DirectChoice | null {
@@ -54,9 +78,10 @@
     candidates += 1
     const costMs = estimateCostMs(request, endpoint, options)
     if (best !== null && costMs >= best.costMs) continue
-    best = { endpoint, costMs, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
+    const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
+    best = { endpoint, costMs, unreadTokens, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
   }
-  return best === null ? null : { ...best, candidates }
+  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best) }
 }
 
 /** Gets the deepest part that requests share, by which they should meet at one endpoint. */
@@ -73,12 +98,19 @@
   return total - Math.max(heldTokens, HOME_HELD_SHARE * sharedTokens)
 }
 
+/** Tells whether an endpoint is expected to start the request at once. */
+function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>): boolean {
+  if (unreadTokens === 0 || endpoint.pendingTokens === 0) return true
+  return endpoint.pendingTokens + unreadTokens <= MAX_PENDING_TOKENS
+}
+
 function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, options: DirectChooserOptions): number {
   const { home, nowMs, random } = options
-  const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === home, nowMs)
-  const readMs = (endpoint.pendingTokens + unreadTokens) / PREFILL_TOKENS_PER_MS
+  const ownTokens = request.promptParts.at(-1)?.tokens ?? 0
+  const unreadShared = countUnreadTokens(request.promptParts, endpoint, endpoint === home, nowMs) - ownTokens
+  const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * (endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0))
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
-  return readMs + SLOT_COST_MS * endpoint.inFlight + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+  return tokens / PREFILL_TOKENS_PER_MS + FULL_COST_MS * endpoint.inFlight / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
 }
 
 function countTokens (parts: readonly PromptPart[]): number {
--- /dev/null
+++ b/src/policy/dispatchQueue.ts
@@ -0,0 +1,90 @@
+import { ClassShares } from './classShares'
+
+/** A request that waits at the gateway until an endpoint has room for it. */
+export interface WaitingRequest {
+  id: string
+  /** Rank by which it goes before others; 0 first. */
+  rank: number
+  /** Time at which its first event is late. */
+  dueAtMs: number
+  /** Time after which it is refused. */
+  expiresAtMs: number
+}
+
+/** Fraction of the starts that each rank gets while it has something waiting, however much of higher ranks waits. */
+const RANK_SHARE = 0.08
+
+/**
+ * Requests that wait at a gateway, in the order in which they go: by rank; inside a rank those
+ * that can still be on time before those that are late, each by the time at which they are due.
+ * Beside that each rank gets a share of the starts, so that none waits for ever.
+ *
+ * @example
+ * const queue = new DispatchQueue()
+ * queue.add({ id: 'r-1', rank: 1, dueAtMs: 300, expiresAtMs: 900 })
+ * for (const request of queue.listInOrder(nowMs)) if (startIfRoom(request)) queue.recordStart(request)
+ */
+export class DispatchQueue<Request extends WaitingRequest> {
+  readonly #byRank = new Map<number, Request[]>()
+  readonly #shares = new ClassShares()
+  #size = 0
+
+  get size (): number {
+    return this.#size
+  }
+
+  /** Counts what waits with this rank or a higher one. */
+  countUpTo (rank: number): number {
+    return [...this.#byRank].reduce((sum, [other, requests]) => other <= rank ? sum + requests.length : sum, 0)
+  }
+
+  add (request: Request): void {
+    const requests = this.#byRank.get(request.rank) ?? []
+    const index = requests.findIndex(other => other.dueAtMs > request.dueAtMs)
+    requests.splice(index === -1 ? requests.length : index, 0, request)
+    this.#byRank.set(request.rank, requests)
+    this.#shares.recordDemand(String(request.rank), RANK_SHARE)
+    this.#shares.recordQueued(String(request.rank))
+    this.#size += 1
+  }
+
+  /** Removes a request that is not to be started any more; false when it does not wait. */
+  remove (request: Request): boolean {
+    const requests = this.#byRank.get(request.rank)
+    const index = requests?.indexOf(request) ?? -1
+    if (requests === undefined || index === -1) return false
+    requests.splice(index, 1)
+    if (requests.length === 0) this.#byRank.delete(request.rank)
+    this.#shares.recordLeft(String(request.rank))
+    this.#size -= 1
+    return true
+  }
+
+  /** Takes a request out of the queue because it starts. */
+  recordStart (request: Request): void {
+    if (this.remove(request)) this.#shares.recordStart(String(request.rank), 'tier')
+  }
+
+  /** Lists what waits, in the order in which it goes. */
+  listInOrder (nowMs: number): Request[] {
+    const ranks = [...this.#byRank.keys()].sort((a, b) => a - b)
+    const inOrder = ranks.flatMap(rank => selectOnTimeFirst(this.#byRank.get(rank) ?? [], nowMs))
+    const owed = this.#shares.findOwedClass()
+    const first = owed === undefined ? undefined : this.#byRank.get(Number(owed))?.[0]
+    return first === undefined ? inOrder : [first, ...inOrder.filter(request => request !== first)]
+  }
+
+  /** Takes the requests whose time has run out. */
+  takeExpired (nowMs: number): Request[] {
+    const expired = [...this.#byRank.values()].flat().filter(request => nowMs >= request.expiresAtMs)
+    for (const request of expired) {
+      this.remove(request)
+      this.#shares.recordUnserved(String(request.rank))
+    }
+    return expired
+  }
+}
+
+function selectOnTimeFirst<Request extends WaitingRequest> (requests: Request[], nowMs: number): Request[] {
+  return [...requests.filter(request => request.dueAtMs > nowMs), ...requests.filter(request => request.dueAtMs <= nowMs)]
+}
--- a/src/relay/callerReply.ts
+++ b/src/relay/callerReply.ts
@@ -6,6 +6,17 @@
 /** How a reply ended, as the caller saw it. */
 export type ReplyEnd = 'open' | 'whole' | 'cut' | 'callerLeft'
 
+/** The head of a reply whose body an endpoint made. */
+export interface ReplyHead {
+  status: number
+  headers: HeaderList
+  /**
+   * Whether the endpoint gave the body a length or chunks. One without ends with its connection,
+   * and is passed on so: nobody here can vouch that it is whole.
+   */
+  isFramed: boolean
+}
+
 /**
  * The one reply to a request. It ends once: whole, or cut so that the caller can tell that
  * something is missing.
@@ -18,6 +29,7 @@
   #end: ReplyEnd = 'open'
   #hasBegun = false
   #sentBytes = 0
+  #isFramed = true
 
   constructor (response: ServerResponse, dialect: CallerDialect) {
     this.#response = response
@@ -50,12 +62,12 @@
   }
 
   /** Sends a whole reply. */
-  sendWhole (status: number, headers: HeaderList, body: Buffer): void {
+  sendWhole (head: ReplyHead, body: Buffer): void {
     if (this.#end !== 'open') return
+    const headers = head.isFramed ? [...head.headers, 'Content-Length', String(body.length)] : head.headers
+    this.begin({ ...head, headers })
     this.#end = 'whole'
-    this.#hasBegun = true
     this.#sentBytes += body.length
-    this.#response.writeHead(status, headers)
     this.#response.end(body)
   }
 
@@ -63,14 +75,19 @@
   refuse (refusal: Refusal): void {
     if (this.#hasBegun) return this.abort()
     const { status, headers, body } = this.#dialect.buildRefusal(refusal, this.#requestId)
-    this.sendWhole(status, headers, body)
+    this.sendWhole({ status, headers, isFramed: true }, body)
   }
 
   /** Sends the head of a reply whose body follows in parts. */
-  begin (status: number, headers: HeaderList): void {
+  begin (head: ReplyHead): void {
     if (this.#end !== 'open' || this.#hasBegun) return
     this.#hasBegun = true
-    this.#response.writeHead(status, headers)
+    this.#isFramed = head.isFramed
+    if (!head.isFramed) {
+      this.#response.useChunkedEncodingByDefault = false
+      this.#response.shouldKeepAlive = false
+    }
+    this.#response.writeHead(head.status, head.headers)
   }
 
   /** Sends a part; false when the caller is slow to read, `handleDrain` tells when it goes on. */
@@ -93,7 +110,9 @@
   abort (): void {
     if (this.#end !== 'open') return
     this.#end = 'cut'
-    this.#response.destroy()
+    // without a length an orderly close would look like the end of the body
+    if (this.#isFramed) this.#response.destroy()
+    else this.#response.socket?.resetAndDestroy()
   }
 
   #handleClose (): void {
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,4 +1,4 @@
-import { chooseDirectEndpoint, countUnreadTokens, findSharedPart } from '../policy/directChooser'
+import { chooseDirectEndpoint, findSharedPart } from '../policy/directChooser'
 import { recordSend } from '../policy/directEndpoint'
 import { decideRepeat } from '../policy/repeatDecision'
 import { sendToEndpoint } from './endpointExchange'
@@ -6,7 +6,7 @@
 
 import type { Agent } from 'node:http'
 import type { Clock } from '../base/clock'
-import type { DirectChoice } from '../policy/directChooser'
+import type { DirectChoice, PlannedTokens } from '../policy/directChooser'
 import type { SendVerdict } from '../policy/directEndpoint'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { SendOutcome } from '../policy/repeatDecision'
@@ -14,6 +14,7 @@
 import type { Refusal } from '../protocol/errorBody'
 import type { CallerReply } from './callerReply'
 import type { EndpointDialect } from './dialects'
+import type { Dispatcher } from './dispatcher'
 import type { ExchangeEnd } from './endpointExchange'
 import type { StreamPosition } from './endpointRun'
 import type { RelayObserver } from './relayObserver'
@@ -26,6 +27,7 @@
   retries: RetryWindow
   dialect: EndpointDialect
   observer: RelayObserver
+  dispatcher: Dispatcher
   /** Connections that are kept for reuse. */
   agent: Agent
 }
@@ -99,10 +101,9 @@
   /** Sends the request once; true when it is to be sent again. */
   async #runOnce (state: RelayState): Promise<boolean> {
     const { request } = state
-    const choice = this.#choose(state)
-    if (choice === null) return false
-    state.tried.add(choice.endpoint.entry.id)
-    const ended = await this.#send(state, choice)
+    const bound = await this.#acquireRoom(state)
+    if (bound === null) return false
+    const ended = await this.#send(state, bound)
     switch (ended.outcome) {
       case 'answered':
       case 'callerLeft':
@@ -121,23 +122,37 @@
     return this.#decideRepeat(state, ended.outcome, request)
   }
 
-  #choose (state: RelayState): DirectChoice | null {
-    const { directory, clock, random, observer } = this.#options
+  #choose (state: RelayState, planned: PlannedTokens): DirectChoice | null {
+    const { directory, clock, random } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
     const shared = findSharedPart(request.traits.promptParts)
     const home = shared === null ? null : directory.listHolders(request.service, shared.id, 1)[0] ?? null
-    const choice = chooseDirectEndpoint(
+    return chooseDirectEndpoint(
       { service: request.service, promptParts: request.traits.promptParts },
       directory.listReady(request.service),
-      { excluded: state.tried, home, nowMs, random }
+      { excluded: state.tried, home, planned, nowMs, random }
     )
-    if (choice !== null) observer.recordChoice(request, choice, state.attempts + 1, nowMs)
-    return choice
+  }
+
+  /** Waits for an endpoint with room and takes the room; null when there is none in time. */
+  async #acquireRoom (state: RelayState): Promise<DirectChoice | null> {
+    const { directory, dispatcher } = this.#options
+    const { request, reply } = state
+    if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
+    return await dispatcher.wait({
+      id: request.traits.requestId,
+      service: request.service,
+      rank: request.rank,
+      dueAtMs: request.arrivedAtMs + request.route.targetMs,
+      expiresAtMs: request.deadlineAtMs,
+      choose: planned => this.#choose(state, planned),
+      take: choice => this.#beginSend(state, choice)
+    }, reply.signal)
   }
 
   async #send (state: RelayState, choice: DirectChoice): Promise<EndedSend> {
-    const { clock, dialect, observer, agent } = this.#options
+    const { clock, dialect, observer, agent, dispatcher } = this.#options
     const { request, reply, position } = state
     const { endpoint } = choice
     const startedAtMs = clock.getMonotonicMs()
@@ -152,8 +167,7 @@
       abort()
     }, Math.max(0, remainingMs))
     reply.signal.addEventListener('abort', abort, { once: true })
-    const unreadTokens = this.#beginSend(state, choice)
-    let pendingTokens = unreadTokens
+    let pendingTokens = choice.unreadTokens
     const run = new EndpointRun({
       request,
       reply,
@@ -164,6 +178,7 @@
         firstMs = clock.getMonotonicMs() - request.arrivedAtMs
         endpoint.pendingTokens -= pendingTokens
         pendingTokens = 0
+        dispatcher.notifyRoom(request.service)
       },
       handleEvents: count => { events += count }
     })
@@ -184,6 +199,7 @@
     reply.signal.removeEventListener('abort', abort)
     endpoint.inFlight -= 1
     endpoint.pendingTokens -= pendingTokens
+    dispatcher.notifyRoom(request.service)
     const nowMs = clock.getMonotonicMs()
     const ended = this.#resolveEnd(state, run, end, { hasTimedOut, elapsedMs: nowMs - startedAtMs })
     if (ended.verdict !== null) recordSend(endpoint, ended.verdict, nowMs)
@@ -200,16 +216,16 @@
     return ended
   }
 
-  #beginSend (state: RelayState, choice: DirectChoice): number {
-    const { endpoint, reason } = choice
+  #beginSend (state: RelayState, choice: DirectChoice): void {
+    const { endpoint, unreadTokens } = choice
     const { promptParts } = state.request.traits
     const nowMs = this.#options.clock.getMonotonicMs()
-    const unreadTokens = countUnreadTokens(promptParts, endpoint, reason === 'prefixHome', nowMs)
+    state.tried.add(endpoint.entry.id)
+    this.#options.observer.recordChoice(state.request, choice, state.attempts + 1, nowMs)
     endpoint.prefixes.record(promptParts, nowMs)
     endpoint.inFlight += 1
     endpoint.pendingTokens += unreadTokens
     state.attempts += 1
-    return unreadTokens
   }
 
   #resolveEnd (state: RelayState, run: EndpointRun, end: ExchangeEnd, timing: { hasTimedOut: boolean, elapsedMs: number }): EndedSend {
--- a/src/relay/endpointRun.ts
+++ b/src/relay/endpointRun.ts
@@ -1,10 +1,14 @@
 import { EventSplitter } from './eventSplitter'
+import { findHeader } from './headerList'
 
-import type { CallerReply } from './callerReply'
+import type { CallerReply, ReplyHead } from './callerReply'
 import type { AnswerHead, EndpointDialect } from './dialects'
 import type { AnswerSink, ExchangeEnd, HeadDecision } from './endpointExchange'
 import type { HeaderList, RelayRequest } from './relayRequest'
 
+/** Headers that say where an answer's body ends. */
+const FRAMING_HEADERS = ['content-length', 'transfer-encoding']
+
 /** Where a stream stands that may go on at another endpoint. */
 export interface StreamPosition {
   /** Id of the last event that the caller has; null before the first. */
@@ -37,6 +41,7 @@
   #head: AnswerHead | null = null
   #rejected: RejectReason | null = null
   #hasFirst = false
+  #isFramed = true
 
   constructor (options: EndpointRunOptions) {
     this.#options = options
@@ -55,6 +60,7 @@
   handleHead (status: number, headers: HeaderList): HeadDecision {
     const head = this.#options.dialect.readAnswer(status, headers)
     this.#head = head
+    this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
     this.#rejected = this.#checkHead(head)
     if (this.#rejected !== null) return 'reject'
     return isSuccess(status) && head.isEventStream ? 'pass' : 'collect'
@@ -82,8 +88,7 @@
     const { reply } = this.#options
     this.#markFirst()
     if (end.kind === 'collected') {
-      const head = this.#head as AnswerHead
-      reply.sendWhole(head.status, [...head.headers, 'Content-Length', String(end.body.length)], end.body)
+      reply.sendWhole(this.#buildReplyHead(), end.body)
       return
     }
     this.#beginReply()
@@ -110,8 +115,12 @@
   }
 
   #beginReply (): void {
-    const head = this.#head as AnswerHead
-    this.#options.reply.begin(head.status, head.headers)
+    this.#options.reply.begin(this.#buildReplyHead())
+  }
+
+  #buildReplyHead (): ReplyHead {
+    const { status, headers } = this.#head as AnswerHead
+    return { status, headers, isFramed: this.#isFramed }
   }
 
   #markFirst (): void {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -9,6 +9,7 @@
 import { waitFor } from '../store/channels'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
+import { Dispatcher } from './dispatcher'
 import { EndpointAgent } from './endpointAgent'
 import { FleetFollower } from './fleetFollower'
 import { decideReadiness } from './readiness'
@@ -34,6 +35,13 @@
   log: DecisionLog
 }
 
+/** The `host:port` in use for each side. */
+export interface ListenAddresses {
+  callers: string
+  ready: string
+  admin: string
+}
+
 /**
  * Part of the time for revoked keys after which an unconfirmed configuration is not relied on:
  * what is left covers a request on its way to its endpoint.
@@ -64,6 +72,8 @@
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
+  readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_MS, maxIdle: MAX_IDLE_CONNECTIONS })
+  readonly #dispatcher = new Dispatcher({ clock: systemClock })
   #isLeaving = false
   #unreadyReason: UnreadyReason = 'starting'
 
@@ -96,7 +106,8 @@
       retries: this.#retries,
       dialect: endpointDialect,
       observer,
-      agent: new EndpointAgent({ idleMs: IDLE_CONNECTION_MS, maxIdle: MAX_IDLE_CONNECTIONS })
+      dispatcher: this.#dispatcher,
+      agent: this.#agent
     })
     this.#server = new RelayServer({
       clock: systemClock,
@@ -122,12 +133,13 @@
    *
    * @throws the system's error when an address is taken or not of this machine
    */
-  async start (): Promise<void> {
+  async start (): Promise<ListenAddresses> {
     const { listen } = this.#options.settings
     this.#follower.start()
-    await this.#readyListener.listen(listen.ready)
-    await this.#server.listen(listen.callers)
-    await this.#adminListener.listen(listen.admin)
+    const ready = await this.#readyListener.listen(listen.ready)
+    const callers = await this.#server.listen(listen.callers)
+    const admin = await this.#adminListener.listen(listen.admin)
+    return { ready, callers, admin }
   }
 
   /**
@@ -146,6 +158,16 @@
     log.write('notable', { event: 'drained', cutRequests: this.#relay.countInFlight(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
+  /** Ends everything at once, without waiting for requests in flight. */
+  async close (): Promise<void> {
+    this.#server.close()
+    this.#readyListener.close()
+    this.#adminListener.close()
+    this.#agent.destroy()
+    this.#dispatcher.close()
+    await this.#follower.stop()
+  }
+
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
     const freshness = this.#freshness.getVerdict()
     const reason = decideReadiness({ isLeaving: this.#isLeaving, isComplete: this.#follower.isComplete, freshness })
@@ -172,6 +194,7 @@
     this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, ...belief }) => belief))
+    this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -5,7 +5,7 @@
 import { countHeaderBytes } from './headerList'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Duplex } from 'node:stream'
 import type { Clock } from '../base/clock'
 import type { CallerBounds } from '../config/routingConfig'
@@ -42,6 +42,7 @@
   readonly #sockets = new Map<Duplex, boolean>()
   #bounds = FIRST_BOUNDS
   #isLeaving = false
+  #isClosed = false
 
   constructor (options: RelayServerOptions) {
     this.#options = options
@@ -76,15 +77,17 @@
   }
 
   /**
-   * Starts to accept connections.
+   * Starts to accept connections and returns the `host:port` in use.
    *
    * @throws the system's error when the address is taken or not of this machine
    */
-  async listen (address: ListenAddress): Promise<void> {
+  async listen (address: ListenAddress): Promise<string> {
     await new Promise<void>((resolve, reject) => {
       this.#server.once('error', reject)
       this.#server.listen({ ...address, backlog: LISTEN_BACKLOG }, resolve)
     })
+    const { address: host, port } = this.#server.address() as AddressInfo
+    return `${host}:${port}`
   }
 
   /** Ends each connection after its next answer; new ones are still served. */
@@ -94,21 +97,39 @@
 
   /** Accepts no more connections and closes those on which nothing is asked. */
   stopAccepting (): void {
+    this.#isClosed = true
     this.#server.close()
     for (const [socket, isBusy] of this.#sockets) if (!isBusy) socket.end()
   }
 
+  /** Closes everything at once. */
+  close (): void {
+    this.stopAccepting()
+    this.#server.closeAllConnections()
+  }
+
   #trackSocket (socket: Socket): void {
     this.#sockets.set(socket, false)
     socket.once('close', () => this.#sockets.delete(socket))
   }
 
+  #releaseSocket (socket: Socket): void {
+    if (!this.#sockets.has(socket)) return
+    this.#sockets.set(socket, false)
+    if (this.#isClosed) socket.end()
+  }
+
   #handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const { clock, dialect, observer } = this.#options
     const arrivedAtMs = clock.getMonotonicMs()
     request.on('error', () => {})
+    // its connection was closed before the request came: the caller sees that it was not read
+    if (!request.socket.writable) {
+      request.socket.destroy()
+      return
+    }
     this.#sockets.set(request.socket, true)
-    response.once('close', () => { if (this.#sockets.has(request.socket)) this.#sockets.set(request.socket, false) })
+    response.once('close', () => this.#releaseSocket(request.socket))
     if (this.#isLeaving) response.shouldKeepAlive = false
     const reply = new CallerReply(response, dialect)
     this.#serve(request, reply, arrivedAtMs).catch((error: Error) => {
--- /dev/null
+++ b/tests/policy/directFixtures.ts
@@ -0,0 +1,19 @@
+import { buildDirectEndpoint } from '../../src/policy/directEndpoint'
+
+import type { DirectChooserOptions } from '../../src/policy/directChooser'
+import type { DirectEndpoint, EndpointEntry } from '../../src/policy/directEndpoint'
+
+/** Builds one entry of the list of endpoints. */
+export function buildEntry (id: string, overrides: Partial<EndpointEntry> = {}): EndpointEntry {
+  return { id, service: 'engines', address: '127.0.0.1:1', domain: 'domain-a', slots: 64, state: 'ready', bornAtMs: 1, ...overrides }
+}
+
+/** Builds what is believed of an endpoint. */
+export function buildEndpoint (id: string, overrides: Partial<DirectEndpoint> = {}): DirectEndpoint {
+  return { ...buildDirectEndpoint(buildEntry(id)), ...overrides }
+}
+
+/** Builds the surroundings of one choice. */
+export function buildChooserOptions (overrides: Partial<DirectChooserOptions> = {}): DirectChooserOptions {
+  return { excluded: new Set(), home: null, planned: new Map(), nowMs: 0, random: () => 0, ...overrides }
+}
--- /dev/null
+++ b/tests/policy/endpointDirectory.spec.ts
@@ -0,0 +1,56 @@
+import { expect } from 'chai'
+
+import { EndpointDirectory } from '../../src/policy/endpointDirectory'
+import { buildEntry } from './directFixtures'
+
+const CALM = { afterOutage: false, nowMs: 0 }
+
+function listReadyIds (directory: EndpointDirectory): string[] {
+  return directory.listReady('engines').map(endpoint => endpoint.entry.id).sort()
+}
+
+describe('EndpointDirectory', () => {
+  it('should send nothing more to an endpoint that drains or is gone', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1'), buildEntry('e-2'), buildEntry('e-3')], CALM)
+    const changes = directory.applyChanges([buildEntry('e-1', { state: 'draining' })], ['e-2'])
+    expect(changes.map(change => change.kind)).to.deep.equal(['draining', 'gone'])
+    expect(listReadyIds(directory)).to.deep.equal(['e-3'])
+  })
+
+  it('should keep an entry that lapsed during an outage for a while, then take it as gone', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1'), buildEntry('e-2')], CALM)
+    directory.applyList([buildEntry('e-1')], { afterOutage: true, nowMs: 1000 })
+    expect(listReadyIds(directory)).to.deep.equal(['e-1', 'e-2'])
+    expect(directory.expire(3000)).to.deep.equal([])
+    expect(directory.expire(3400).map(change => change.kind)).to.deep.equal(['gone'])
+    expect(listReadyIds(directory)).to.deep.equal(['e-1'])
+  })
+
+  it('should keep an entry that came back after the outage', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1')], CALM)
+    directory.applyList([], { afterOutage: true, nowMs: 1000 })
+    directory.applyChanges([buildEntry('e-1')], [])
+    expect(directory.expire(9000)).to.deep.equal([])
+    expect(listReadyIds(directory)).to.deep.equal(['e-1'])
+  })
+
+  it('should take an entry that is missing without an outage as gone at once', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1')], CALM)
+    expect(directory.applyList([], CALM).map(change => change.kind)).to.deep.equal(['gone'])
+  })
+
+  it('should know nothing of an endpoint that started anew under the same id', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1')], CALM)
+    const before = directory.listReady('engines')[0]!
+    before.failures = 3
+    const changes = directory.applyChanges([buildEntry('e-1', { bornAtMs: 2 })], [])
+    expect(changes.map(change => change.kind)).to.deep.equal(['restarted'])
+    expect(directory.listReady('engines')[0]!.failures).to.equal(0)
+    expect(directory.isReady(before)).to.equal(false)
+  })
+})
--- /dev/null
+++ b/tests/relay/answers.spec.ts
@@ -0,0 +1,64 @@
+import { expect } from 'chai'
+
+import { answerWhole, buildPlatformConfig, buildRoute, refuseRequest, SEAL, sendRequest, startEndpoint, startRelay } from './relayFixture'
+
+import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+
+describe('answers of endpoints', () => {
+  let fixture: RelayFixture | undefined
+
+  afterEach(async () => {
+    await fixture?.close()
+    fixture = undefined
+  })
+
+  async function start (answer: (request: ReceivedRequest) => void, route: Record<string, unknown> = {}): Promise<EndpointFixture> {
+    const endpoint = await startEndpoint('e-1', answer)
+    fixture = await startRelay(buildPlatformConfig({ routes: [buildRoute(route)] }), [endpoint])
+    return endpoint
+  }
+
+  it('should pass status, body and signature on unchanged', async () => {
+    await start(request => answerWhole(request, 'formula 17'))
+    const answer = await sendRequest(fixture!)
+    expect(answer.text).to.match(/^HTTP\/1\.1 200 OK\r\n/)
+    expect(answer.text).to.include(SEAL)
+    expect(answer.text).to.match(/\r\n\r\nformula 17$/)
+  })
+
+  it('should leave an answer without a length without one, since nobody knows whether it is whole', async () => {
+    await start(({ socket, requestId }) => socket.end(`HTTP/1.1 200 OK\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nConnection: close\r\n\r\nhalf an ans`))
+    const answer = await sendRequest(fixture!)
+    expect(answer.text).not.to.match(/content-length|transfer-encoding/i)
+    expect(answer).to.include({ end: 'closed' })
+    expect(answer.text).to.match(/half an ans$/)
+  })
+
+  it('should not take a body that is shorter than its length for whole', async () => {
+    await start(({ socket, requestId }) => socket.end(`HTTP/1.1 200 OK\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 50\r\n\r\nhalf`), { maxAttempts: 1 })
+    const answer = await sendRequest(fixture!)
+    expect(answer.text).to.match(/^HTTP\/1\.1 502 /)
+    expect(answer.text).not.to.include(SEAL)
+  })
+
+  it("should drop an answer that shows another request's id", async () => {
+    await start(({ socket }) => socket.write(`HTTP/1.1 200 OK\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: other\r\nContent-Length: 2\r\n\r\nhi`), { maxAttempts: 1 })
+    expect((await sendRequest(fixture!)).text).to.match(/^HTTP\/1\.1 502 /)
+  })
+
+  it('should not promise that a non-idempotent request did not run when its endpoint says 503 without saying so', async () => {
+    await start(({ socket, requestId }) => socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`), { kind: 'non_idempotent' })
+    expect((await sendRequest(fixture!, { method: 'POST', body: 'x' })).text).to.match(/^HTTP\/1\.1 502 /)
+  })
+
+  it('should say when to come back when the endpoints are full', async () => {
+    await start(refuseRequest)
+    expect((await sendRequest(fixture!)).text).to.match(/^HTTP\/1\.1 503 [\s\S]*\r\nRetry-After: 0\.\d+\r\n/)
+  })
+
+  it('should run a non-idempotent request once when its connection breaks', async () => {
+    const endpoint = await start(({ socket }) => socket.resetAndDestroy(), { kind: 'non_idempotent', maxAttempts: 3 })
+    expect((await sendRequest(fixture!, { method: 'POST', body: 'x' })).text).to.match(/^HTTP\/1\.1 502 /)
+    expect(endpoint.received).to.have.length(1)
+  })
+})
--- /dev/null
+++ b/tests/relay/draining.spec.ts
@@ -0,0 +1,54 @@
+import { expect } from 'chai'
+
+import { answerWhole, buildCallerRequest, fetchStatus, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+
+import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+
+const READY_PATH = '/tanagerwick/ready'
+
+describe('a gateway that is told to stop', () => {
+  let fixture: RelayFixture | undefined
+
+  afterEach(async () => {
+    await fixture?.close()
+    fixture = undefined
+  })
+
+  async function start (answer: (request: ReceivedRequest) => void): Promise<EndpointFixture> {
+    const endpoint = await startEndpoint('e-1', answer)
+    fixture = await startRelay(undefined, [endpoint])
+    return endpoint
+  }
+
+  it('should leave the rotation at once and serve what still comes', async () => {
+    await start(request => answerWhole(request))
+    const drained = fixture!.relay.drain()
+    expect(await fetchStatus(fixture!.readyPort, READY_PATH)).to.equal(503)
+    const answer = await sendRaw(fixture!.port, buildCallerRequest())
+    expect(answer.text).to.match(/^HTTP\/1\.1 200 [\s\S]*\r\nConnection: close\r\n/)
+    await drained
+  })
+
+  it('should finish what is in flight and take nothing more on that connection', async () => {
+    const held: ReceivedRequest[] = []
+    const endpoint = await start(request => { held.push(request) })
+    const answer = sendRaw(fixture!.port, buildCallerRequest({ id: 'first' }))
+    await waitUntil('the first request at the endpoint', () => held.length === 1)
+    const drained = fixture!.relay.drain()
+    await waitUntil('the gateway to accept nothing', async () => await fetchStatus(fixture!.port, '/') === 0)
+    answerWhole(held[0]!, 'late but whole')
+    expect(await answer).to.include({ end: 'closed' })
+    expect((await answer).text).to.match(/late but whole$/)
+    await drained
+    expect(endpoint.received).to.have.length(1)
+  })
+
+  it('should not wait longer than it was given for an endpoint that does not answer', async () => {
+    const endpoint = await start(() => {})
+    sendRequest(fixture!).catch(() => {})
+    await waitUntil('the request at the endpoint', () => endpoint.received.length === 1)
+    const startedAtMs = performance.now()
+    await fixture!.relay.drain()
+    expect(performance.now() - startedAtMs).to.be.below(3000)
+  })
+})
--- /dev/null
+++ b/tests/relay/relayFixture.ts
@@ -0,0 +1,222 @@
+import http from 'node:http'
+import net from 'node:net'
+
+import { callerDialect } from '../../platform/callerDialect'
+import { endpointDialect } from '../../platform/endpointDialect'
+import { READY_PATH } from '../../platform/names'
+import { storeDecoder } from '../../platform/storeDecoder'
+import { DecisionLog } from '../../src/base/decisionLog'
+import { RelayProcess } from '../../src/relay/relayProcess'
+import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
+
+import type { AddressInfo, Server, Socket } from 'node:net'
+import type { DecisionLine } from '../../src/base/decisionLog'
+
+/** One request as an endpoint's socket got it. */
+export interface ReceivedRequest {
+  text: string
+  requestId: string
+  socket: Socket
+}
+
+export interface EndpointFixture {
+  id: string
+  address: string
+  received: ReceivedRequest[]
+  close (): void
+}
+
+export interface RelayFixture {
+  store: MemoryObjectStore
+  service: MemoryObjectService
+  relay: RelayProcess
+  port: number
+  readyPort: number
+  adminPort: number
+  lines: DecisionLine[]
+  close (): Promise<void>
+}
+
+export interface RawAnswer {
+  text: string
+  /** How the connection ended: closed in order, reset, or still open when `until` matched. */
+  end: 'closed' | 'reset' | 'open'
+}
+
+export const HOST = 'archive.example'
+export const KEY = 'key-of-the-archive'
+export const SEAL = 'Tanagerwick-Runner-Seal: 1.2.3'
+
+/** Starts an endpoint whose `answer` gets each request as raw bytes. */
+export async function startEndpoint (id: string, answer: (request: ReceivedRequest) => void): Promise<EndpointFixture> {
+  const received: ReceivedRequest[] = []
+  const sockets = new Set<Socket>()
+  const server = net.createServer(socket => {
+    sockets.add(socket)
+    socket.on('error', () => {})
+    let text = ''
+    socket.on('data', bytes => {
+      text += bytes.toString('latin1')
+      if (!isWholeRequest(text)) return
+      const request = { text, requestId: /attempt-id: (\S+)/i.exec(text)?.[1] ?? '', socket }
+      text = ''
+      received.push(request)
+      answer(request)
+    })
+  })
+  const address = await listen(server)
+  return {
+    id,
+    address,
+    received,
+    close: () => {
+      server.close()
+      for (const socket of sockets) socket.destroy()
+    }
+  }
+}
+
+/** Builds a route of the platform's configuration. */
+export function buildRoute (overrides: Record<string, unknown> = {}): Record<string, unknown> {
+  return { name: 'r-1', host: HOST, pathPrefix: '/archive/', kind: 'idempotent', timeoutMs: 2000, targetLatencyMs: 300, priority: 1, service: 'archive', maxAttempts: 2, ...overrides }
+}
+
+/** Builds a configuration of the platform. */
+export function buildPlatformConfig (overrides: Record<string, unknown> = {}): Record<string, unknown> {
+  return {
+    version: 1,
+    routes: [buildRoute()],
+    services: [{ name: 'archive', healthPath: '/health', maxConnections: 100 }],
+    limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 1000, idleTimeoutMs: 5000 },
+    tenants: [{ name: 'archivists', apiKeys: [KEY] }],
+    ...overrides
+  }
+}
+
+/** Puts the endpoint on the platform's list. */
+export function registerEndpoint (store: MemoryObjectStore, endpoint: { id: string, address: string }, overrides: Record<string, unknown> = {}): void {
+  store.put(`servers/${endpoint.id}`, { service: 'archive', address: endpoint.address, zone: 'domain-a', slots: 6, state: 'ready', seq: 1, born: 1, ...overrides })
+}
+
+/** Starts a gateway on the platform's dialects, before a store in memory. */
+export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Record<string, unknown> = {}): Promise<RelayFixture> {
+  const store = new MemoryObjectStore()
+  const service = new MemoryObjectService(store)
+  if (config !== null) store.put('config/main', config)
+  for (const endpoint of endpoints) registerEndpoint(store, endpoint)
+  const lines: DecisionLine[] = []
+  const destination = { write: (line: string) => lines.push(JSON.parse(line)) > 0, flush: () => {} }
+  const listenAny = { host: '127.0.0.1', port: 0 }
+  const relay = new RelayProcess({
+    settings: {
+      id: 'gateway-1',
+      domain: 'domain-a',
+      listen: { callers: listenAny, ready: listenAny, admin: listenAny },
+      storeUrl: 'http://127.0.0.1:1',
+      heartbeatMs: 100,
+      revocationMs: 5000,
+      stopSeconds: 3,
+      retryRatio: 0.2,
+      retryWindowSeconds: 10,
+      maxDescriptors: 4096,
+      logBytesPerSecond: 1_000_000,
+      ...settings
+    },
+    service,
+    decoder: storeDecoder,
+    callerDialect,
+    endpointDialect,
+    readyPath: READY_PATH,
+    log: new DecisionLog({ instance: 'gateway-1', bytesPerSecond: 1_000_000, destination })
+  })
+  const addresses = await relay.start()
+  const fixture: RelayFixture = {
+    store,
+    service,
+    relay,
+    port: getPort(addresses.callers),
+    readyPort: getPort(addresses.ready),
+    adminPort: getPort(addresses.admin),
+    lines,
+    close: async () => {
+      await relay.close()
+      for (const endpoint of endpoints) endpoint.close()
+    }
+  }
+  if (config !== null) await waitUntil('the gateway to be ready', async () => (await fetchStatus(fixture.readyPort, READY_PATH)) === 200)
+  return fixture
+}
+
+/** Builds a request of a caller. */
+export function buildCallerRequest (overrides: { id?: string, method?: string, target?: string, headers?: string[], body?: string, key?: string | null } = {}): string {
+  const { id = 'a-1', method = 'GET', target = '/archive/17?x=1', headers = [], body = '', key = KEY } = overrides
+  const keyLine = key === null ? [] : [`Api-Key: ${key}`]
+  const lengthLine = method === 'GET' ? [] : [`Content-Length: ${body.length}`]
+  return [`${method} ${target} HTTP/1.1`, `Host: ${HOST}`, `Tanagerwick-Request-Attempt-Id: ${id}`, 'Tanagerwick-Request-Deadline-Ms: 1500', ...keyLine, ...lengthLine, ...headers, '', body].join('\r\n')
+}
+
+/** Sends bytes on a connection of their own and reads until it ends, or until `until` matches. */
+export async function sendRaw (port: number, text: string, until?: RegExp): Promise<RawAnswer> {
+  return await new Promise(resolve => {
+    const socket = net.connect(port, '127.0.0.1', () => socket.write(text, 'latin1'))
+    let received = ''
+    const finish = (end: RawAnswer['end']) => {
+      socket.destroy()
+      resolve({ text: received, end })
+    }
+    socket.on('data', bytes => {
+      received += bytes.toString('latin1')
+      if (until?.test(received) === true) finish('open')
+    })
+    socket.on('end', () => finish('closed'))
+    socket.on('error', () => finish('reset'))
+  })
+}
+
+/** Sends one request and reads its whole answer. */
+export async function sendRequest (fixture: RelayFixture, overrides: Parameters<typeof buildCallerRequest>[0] = {}): Promise<RawAnswer> {
+  return await sendRaw(fixture.port, buildCallerRequest({ ...overrides, headers: [...overrides.headers ?? [], 'Connection: close'] }))
+}
+
+/** Answers with a whole, signed answer. */
+export function answerWhole (request: ReceivedRequest, body = 'found', status = '200 OK'): void {
+  request.socket.write(`HTTP/1.1 ${status}\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`)
+}
+
+/** Refuses without having run the request. */
+export function refuseRequest (request: ReceivedRequest): void {
+  request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: 0\r\n\r\n`)
+}
+
+export async function fetchStatus (port: number, path: string): Promise<number> {
+  return await new Promise(resolve => {
+    http.get({ host: '127.0.0.1', port, path, agent: false }, response => {
+      response.resume()
+      resolve(response.statusCode ?? 0)
+    }).on('error', () => resolve(0))
+  })
+}
+
+/** Waits until `check` holds; the mocha timeout ends the wait. */
+export async function waitUntil (awaited: string, check: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; !await check(); tries++) {
+    if (tries > 1500) throw new Error(`waited in vain for ${awaited}`)
+    await new Promise(resolve => setTimeout(resolve, 5))
+  }
+}
+
+function isWholeRequest (text: string): boolean {
+  const headEnd = text.indexOf('\r\n\r\n')
+  if (headEnd === -1) return false
+  const length = Number(/content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1] ?? 0)
+  return text.length >= headEnd + 4 + length
+}
+
+async function listen (server: Server): Promise<string> {
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+  return `127.0.0.1:${(server.address() as AddressInfo).port}`
+}
+
+function getPort (address: string): number {
+  return Number(address.slice(address.lastIndexOf(':') + 1))
+}
