Give up sends on which nothing comes; check keys again after a wait

Ruled out: giving up what may not run twice, and early silence of an engine that reads a long prompt. Change: src/policy/silence.ts decides by kind, by what the endpoint sent to others and by usual times; the admission gate is asked again before a request that waited is sent.

--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -28,6 +28,8 @@
   ejectedUntilMs: number
   /** Time until which its connections are used once only, since bytes came that belong to no request. */
   mistrustedUntilMs: number
+  /** Time of the last byte that came from it. */
+  heardAtMs: number
   /** Milliseconds an answer or a first event took lately, smoothed; 0 before the first. */
   answerMs: number
   /** Prompt parts that this process sent there lately. */
@@ -61,6 +63,7 @@
     failureRate: 0,
     ejectedUntilMs: 0,
     mistrustedUntilMs: 0,
+    heardAtMs: 0,
     answerMs: 0,
     prefixes: new PrefixMemory()
   }
--- /dev/null
+++ b/src/policy/silence.ts
@@ -0,0 +1,64 @@
+import type { RequestKind } from '../config/routingConfig'
+
+/** A send that is under way, as far as silence is judged by it. */
+export interface SilentSend {
+  kind: RequestKind
+  isRepeatable: boolean
+  /** Whether another endpoint could take the request. */
+  hasAlternative: boolean
+  sentAtMs: number
+  /** Time of the last byte of this answer; null before the first. */
+  heardAtMs: number | null
+  targetMs: number
+  betweenEventsTargetMs: number
+}
+
+/** What is known of the endpoint of a send. */
+export interface SilentEndpoint {
+  /** Time of the last byte of any answer. */
+  heardAtMs: number
+  pendingTokens: number
+}
+
+/** What to do about a send on which nothing comes. */
+export type SilenceDecision =
+  | { kind: 'wait' }
+  | { kind: 'giveUp', reason: 'endpointSilent' | 'answerLate' | 'streamStalled' }
+
+/** Time without a byte after which an endpoint with work counts as silent: several batch steps. */
+const ENDPOINT_SILENCE_MS = 800
+/** Added for each prompt token that it has yet to read, at a slow engine's rate. */
+const SILENCE_PER_TOKEN_MS = 0.05
+/** Part of the target after which the answer of a plain service is asked for elsewhere. */
+const LATE_SHARE = 0.8
+/** Usual answer times after which an answer counts as late. */
+const LATE_FACTOR = 4
+/** Pauses allowed after which a stream counts as stalled, and the least time; callers leave after twice as many. */
+const STALL_FACTOR = 4
+const MIN_STALL_MS = 1500
+
+/**
+ * Decides whether to go on waiting for an answer. Only what may be repeated is given up; an answer
+ * that may not be made twice is waited for.
+ *
+ * @param usualMs milliseconds that answers of the service usually take; 0 when none is known
+ */
+export function decideOnSilence (send: SilentSend, endpoint: SilentEndpoint, usualMs: number, nowMs: number): SilenceDecision {
+  if (!send.isRepeatable || !send.hasAlternative) return { kind: 'wait' }
+  if (send.kind === 'idempotent' && send.heardAtMs === null) return decideOnLateAnswer(send, usualMs, nowMs)
+  if (isSilent(endpoint, send.sentAtMs, nowMs)) return { kind: 'giveUp', reason: 'endpointSilent' }
+  const stallMs = Math.max(MIN_STALL_MS, STALL_FACTOR * send.betweenEventsTargetMs)
+  if (send.heardAtMs !== null && nowMs - send.heardAtMs > stallMs) return { kind: 'giveUp', reason: 'streamStalled' }
+  return { kind: 'wait' }
+}
+
+/** Tells whether an endpoint with a send since `sentAtMs` has been silent for too long. */
+export function isSilent (endpoint: SilentEndpoint, sentAtMs: number, nowMs: number): boolean {
+  const limitMs = ENDPOINT_SILENCE_MS + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
+  return nowMs - Math.max(sentAtMs, endpoint.heardAtMs) > limitMs
+}
+
+function decideOnLateAnswer (send: SilentSend, usualMs: number, nowMs: number): SilenceDecision {
+  const limitMs = Math.max(LATE_SHARE * send.targetMs, LATE_FACTOR * usualMs)
+  return nowMs - send.sentAtMs > limitMs ? { kind: 'giveUp', reason: 'answerLate' } : { kind: 'wait' }
+}
--- a/src/relay/admissionGate.ts
+++ b/src/relay/admissionGate.ts
@@ -7,7 +7,7 @@
 import type { RouteTable } from '../policy/routeTable'
 import type { FreshnessVerdict } from '../policy/viewFreshness'
 import type { ErrorCode, Refusal } from '../protocol/errorBody'
-import type { RequestTraits } from './relayRequest'
+import type { RelayRequest, RequestTraits } from './relayRequest'
 
 /** Where an admitted request goes, and for whom. */
 export interface Admission {
@@ -51,12 +51,12 @@
     return this.#admitToRoute(table, route, traits, arrivedAtMs)
   }
 
-  /** Tells whether an admitted request may still be sent, if it had to wait. */
-  checkAgain (traits: RequestTraits, admission: Admission): Refusal | null {
-    const again = this.admit(traits, this.#options.clock.getMonotonicMs())
+  /** Tells why a request that had to wait must not be sent any more; null when it may. */
+  checkAgain (request: Pick<RelayRequest, 'traits' | 'workspace' | 'arrivedAtMs'>): Refusal | null {
+    const again = this.admit(request.traits, request.arrivedAtMs)
     if (again.isErr) return again.error
-    const isSame = again.value.workspace === admission.workspace && again.value.route.shares.some(share => share.service === admission.service)
-    return isSame ? null : { code: 'configuration_stale', message: 'The configuration changed while the request waited.', execution: 'not_run', retryAfterMs: 0 }
+    if (again.value.workspace === request.workspace) return null
+    return { code: 'invalid_api_key', message: 'The key went to another workspace.', execution: 'not_run' }
   }
 
   #admitToRoute (table: RouteTable, route: Route, traits: RequestTraits, arrivedAtMs: number): Result<Admission, Refusal> {
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -19,6 +19,7 @@
 import type { StreamPosition } from './endpointRun'
 import type { RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
+import type { SilenceWatch, WatchedSend } from './silenceWatch'
 
 export interface DirectRelayOptions {
   clock: Clock
@@ -28,6 +29,9 @@
   dialect: EndpointDialect
   observer: RelayObserver
   dispatcher: Dispatcher
+  silence: SilenceWatch
+  /** Tells why a request that had to wait must not be sent any more; null when it may. */
+  checkAgain: (request: RelayRequest) => Refusal | null
   /** Connections that are kept for reuse. */
   agent: Agent
 }
@@ -137,22 +141,27 @@
 
   /** Waits for an endpoint with room and takes the room; null when there is none in time. */
   async #acquireRoom (state: RelayState): Promise<DirectChoice | null> {
-    const { directory, dispatcher } = this.#options
+    const { directory, dispatcher, checkAgain } = this.#options
     const { request, reply } = state
     if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
-    return await dispatcher.wait({
+    const choice = await dispatcher.wait({
       id: request.traits.requestId,
       service: request.service,
       rank: request.rank,
       dueAtMs: request.arrivedAtMs + request.route.targetMs,
       expiresAtMs: request.deadlineAtMs,
       choose: planned => this.#choose(state, planned),
-      take: choice => this.#beginSend(state, choice)
+      take: taken => this.#beginSend(state, taken)
     }, reply.signal)
+    const refusal = choice === null ? null : checkAgain(request)
+    if (choice === null || refusal === null) return choice
+    this.#releaseRoom(choice)
+    if (state.lastRefusal.execution === 'not_run') state.lastRefusal = refusal
+    return null
   }
 
   async #send (state: RelayState, choice: DirectChoice): Promise<EndedSend> {
-    const { clock, dialect, observer, agent, dispatcher } = this.#options
+    const { clock, dialect, observer, agent, dispatcher, silence } = this.#options
     const { request, reply, position } = state
     const { endpoint } = choice
     const startedAtMs = clock.getMonotonicMs()
@@ -162,6 +171,20 @@
     let firstMs: number | null = null
     let events = 0
     const abort = () => controller.abort()
+    let silentReason: string | null = null
+    const watched: WatchedSend = {
+      request,
+      endpoint,
+      tried: state.tried,
+      hasAttemptsLeft: state.attempts < request.route.maxAttempts,
+      sentAtMs: startedAtMs,
+      heardAtMs: null,
+      giveUp: reason => {
+        silentReason = reason
+        abort()
+      }
+    }
+    silence.add(watched)
     const timer = setTimeout(() => {
       hasTimedOut = true
       abort()
@@ -174,6 +197,7 @@
       dialect,
       position,
       abort,
+      handleBytes: () => silence.recordHeard(watched),
       handleFirst: () => {
         firstMs = clock.getMonotonicMs() - request.arrivedAtMs
         endpoint.pendingTokens -= pendingTokens
@@ -196,12 +220,13 @@
       signal: controller.signal
     }, run)
     clearTimeout(timer)
+    silence.remove(watched)
     reply.signal.removeEventListener('abort', abort)
     endpoint.inFlight -= 1
     endpoint.pendingTokens -= pendingTokens
     dispatcher.notifyRoom(request.service)
     const nowMs = clock.getMonotonicMs()
-    const ended = this.#resolveEnd(state, run, end, { hasTimedOut, elapsedMs: nowMs - startedAtMs })
+    const ended = this.#resolveEnd(state, run, end, { hasTimedOut, silentReason, elapsedMs: nowMs - startedAtMs })
     if (ended.verdict !== null) recordSend(endpoint, ended.verdict, nowMs)
     observer.recordSend(request, {
       endpointId: endpoint.entry.id,
@@ -228,7 +253,13 @@
     state.attempts += 1
   }
 
-  #resolveEnd (state: RelayState, run: EndpointRun, end: ExchangeEnd, timing: { hasTimedOut: boolean, elapsedMs: number }): EndedSend {
+  #releaseRoom ({ endpoint, unreadTokens }: DirectChoice): void {
+    endpoint.inFlight -= 1
+    endpoint.pendingTokens -= unreadTokens
+    this.#options.dispatcher.notifyRoom(endpoint.entry.service)
+  }
+
+  #resolveEnd (state: RelayState, run: EndpointRun, end: ExchangeEnd, timing: { hasTimedOut: boolean, silentReason: string | null, elapsedMs: number }): EndedSend {
     const { reply } = state
     switch (end.kind) {
       case 'collected':
@@ -240,6 +271,7 @@
       case 'aborted':
         if (run.rejected !== null) return { outcome: 'mayHaveRun', verdict: { kind: 'garbled' }, detail: run.rejected }
         if (reply.end === 'callerLeft') return { outcome: 'callerLeft', verdict: null, detail: 'the caller left' }
+        if (timing.silentReason !== null) return { outcome: 'mayHaveRun', verdict: { kind: 'failed' }, detail: timing.silentReason }
         return { outcome: timing.hasTimedOut ? 'deadline' : 'stopped', verdict: null, detail: 'the time ran out' }
     }
   }
--- a/src/relay/endpointRun.ts
+++ b/src/relay/endpointRun.ts
@@ -23,6 +23,8 @@
   reply: CallerReply
   dialect: EndpointDialect
   position: StreamPosition
+  /** Told of each sign that the endpoint is there. */
+  handleBytes: () => void
   /** Told once, when the first bytes of the body or the whole answer came. */
   handleFirst: () => void
   /** Told of whole events that were sent to the caller. */
@@ -59,6 +61,7 @@
 
   handleHead (status: number, headers: HeaderList): HeadDecision {
     const head = this.#options.dialect.readAnswer(status, headers)
+    this.#options.handleBytes()
     this.#head = head
     this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
     this.#rejected = this.#checkHead(head)
@@ -67,6 +70,7 @@
   }
 
   handleData (bytes: Buffer, resume: () => void): boolean {
+    this.#options.handleBytes()
     const whole = this.#splitter.push(bytes)
     if (this.#splitter.isOverfull) {
       this.#stop('eventTooLarge')
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -15,6 +15,7 @@
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
+import { SilenceWatch } from './silenceWatch'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
@@ -69,6 +70,7 @@
   readonly #retries: RetryWindow
   readonly #follower: FleetFollower
   readonly #relay: DirectRelay
+  readonly #silence: SilenceWatch
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -99,6 +101,7 @@
       getTable: () => this.#follower.table,
       getFreshness: () => this.#freshness.getVerdict()
     })
+    this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, log })
     this.#relay = new DirectRelay({
       clock: systemClock,
       random: Math.random,
@@ -107,6 +110,8 @@
       dialect: endpointDialect,
       observer,
       dispatcher: this.#dispatcher,
+      silence: this.#silence,
+      checkAgain: request => gate.checkAgain(request),
       agent: this.#agent
     })
     this.#server = new RelayServer({
@@ -165,6 +170,7 @@
     this.#adminListener.close()
     this.#agent.destroy()
     this.#dispatcher.close()
+    this.#silence.close()
     await this.#follower.stop()
   }
 
--- /dev/null
+++ b/src/relay/silenceWatch.ts
@@ -0,0 +1,106 @@
+import { isEjected, recordSend } from '../policy/directEndpoint'
+import { isRepeatable } from '../policy/repeatDecision'
+import { decideOnSilence, isSilent } from '../policy/silence'
+
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { DirectEndpoint } from '../policy/directEndpoint'
+import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { RelayRequest } from './relayRequest'
+
+/** One send that waits for bytes. */
+export interface WatchedSend {
+  request: RelayRequest
+  endpoint: DirectEndpoint
+  /** Endpoints that the request was at, this one included. */
+  tried: ReadonlySet<string>
+  /** Whether another send is allowed after this one. */
+  hasAttemptsLeft: boolean
+  sentAtMs: number
+  heardAtMs: number | null
+  giveUp: (reason: string) => void
+}
+
+export interface SilenceWatchOptions {
+  clock: Clock
+  directory: EndpointDirectory
+  log: DecisionLog
+}
+
+const CHECK_INTERVAL_MS = 50
+
+/** Looks over the sends under way for those on which nothing comes any more. */
+export class SilenceWatch {
+  readonly #options: SilenceWatchOptions
+  readonly #sends = new Set<WatchedSend>()
+  readonly #timer: NodeJS.Timeout
+
+  constructor (options: SilenceWatchOptions) {
+    this.#options = options
+    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS)
+    this.#timer.unref()
+  }
+
+  add (send: WatchedSend): void {
+    this.#sends.add(send)
+  }
+
+  remove (send: WatchedSend): void {
+    this.#sends.delete(send)
+  }
+
+  /** Records that bytes of the send's answer came. */
+  recordHeard (send: WatchedSend): void {
+    send.heardAtMs = this.#options.clock.getMonotonicMs()
+    send.endpoint.heardAtMs = send.heardAtMs
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+
+  #check (): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    for (const send of [...this.#sends]) {
+      this.#checkEndpoint(send, nowMs)
+      this.#checkSend(send, nowMs)
+    }
+  }
+
+  #checkEndpoint ({ endpoint, sentAtMs }: WatchedSend, nowMs: number): void {
+    if (isEjected(endpoint, nowMs) || !isSilent(endpoint, sentAtMs, nowMs)) return
+    recordSend(endpoint, { kind: 'broken' }, nowMs)
+    this.#options.log.write('notable', {
+      event: 'endpointEjected',
+      endpoint: endpoint.entry.id,
+      reason: 'silent',
+      silentMs: Math.round(nowMs - Math.max(sentAtMs, endpoint.heardAtMs)),
+      inFlight: endpoint.inFlight,
+      forMs: Math.round(endpoint.ejectedUntilMs - nowMs)
+    })
+  }
+
+  #checkSend (send: WatchedSend, nowMs: number): void {
+    const { request, endpoint } = send
+    const decision = decideOnSilence({
+      kind: request.route.kind,
+      isRepeatable: isRepeatable(request.route),
+      hasAlternative: send.hasAttemptsLeft && this.#hasAlternative(send, nowMs),
+      sentAtMs: send.sentAtMs,
+      heardAtMs: send.heardAtMs,
+      targetMs: request.route.targetMs,
+      betweenEventsTargetMs: request.route.betweenEventsTargetMs
+    }, endpoint, this.#readUsualMs(request.service), nowMs)
+    if (decision.kind === 'giveUp') send.giveUp(decision.reason)
+  }
+
+  #hasAlternative (send: WatchedSend, nowMs: number): boolean {
+    return this.#options.directory.listReady(send.request.service).some(other => !send.tried.has(other.entry.id) && !isEjected(other, nowMs))
+  }
+
+  /** Reads what an answer of the service takes at the endpoint that is fastest lately. */
+  #readUsualMs (service: string): number {
+    const known = this.#options.directory.listReady(service).map(endpoint => endpoint.answerMs).filter(answerMs => answerMs > 0)
+    return known.length === 0 ? 0 : Math.min(...known)
+  }
+}
