Watch the list of endpoints for longer at a time

Ruled out: longer watches of the configuration, whose age decides whether keys may be used. Change: the list is watched for 2 s, still found silent within the 3 s in which the platform excuses it; one failed call no longer counts as an outage of the list.

--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -34,12 +34,13 @@
 }
 
 /**
- * A watch must end well inside the time after which an unconfirmed configuration is not relied on,
- * and a silent connection be found inside the time after which a leaving endpoint takes nothing
- * more, 2 s at the users' strictest sites.
+ * A watch of the configuration must end well inside the time after which an unconfirmed one is not
+ * relied on. A watch of the endpoints must end, and a silent connection be found, within 3 s: a
+ * gateway answers again for leaving endpoints that long after its connections fell silent.
  */
+const CONFIG_WATCH_MS = 1100
+const ENDPOINT_WATCH_MS = 2000
 const TIMING: Partial<WatcherTiming> = {
-  watchMs: 1100,
   watchGraceMs: 400,
   listTimeoutMs: 1000,
   minRearmMs: 5,
@@ -50,6 +51,8 @@
 const EXPIRY_INTERVAL_MS = 100
 /** Heartbeats that must have been missed before an entry can lapse without its endpoint's doing; the platform lets three pass. */
 const LAPSE_HEARTBEATS = 2
+/** Failed calls in a row that show an outage; a single one may be a connection that fell silent. */
+const OUTAGE_FAILURES = 2
 
 /**
  * Follows the configuration and the list of endpoints in the store. While the store is away the
@@ -66,6 +69,8 @@
   #expiryTimer: NodeJS.Timeout | undefined
   #isTrusted = false
   #listReachedAtMs: number
+  /** Calls for the list that failed in a row. */
+  #listFailures = 0
 
   constructor (options: FleetFollowerOptions) {
     const { clock, service, decoder, freshness } = options
@@ -74,7 +79,7 @@
     this.#config = new PrefixWatcher({
       service,
       clock,
-      timing: TIMING,
+      timing: { ...TIMING, watchMs: CONFIG_WATCH_MS },
       prefix: decoder.configKey,
       handleList: objects => this.#applyConfig(objects),
       handleEvents: events => this.#applyConfig(events.flatMap(event => event.kind === 'put' ? [event.object] : [])),
@@ -89,15 +94,19 @@
     this.#endpoints = new PrefixWatcher({
       service,
       clock,
-      timing: TIMING,
+      timing: { ...TIMING, watchMs: ENDPOINT_WATCH_MS },
       prefix: decoder.endpointPrefix,
       handleList: objects => this.#applyEndpointList(objects),
       handleEvents: events => this.#applyEndpointEvents(events),
       handleConfirmed: () => {
         this.#listReachedAtMs = clock.getMonotonicMs()
+        this.#listFailures = 0
         this.#isListLost = this.#reportReached('endpoints', this.#isListLost)
       },
-      handleFailed: error => { this.#isListLost = this.#reportFailed('endpoints', this.#isListLost, error) },
+      handleFailed: error => {
+        this.#listFailures += 1
+        this.#isListLost = this.#reportFailed('endpoints', this.#isListLost, error)
+      },
       onError: error => this.#reportError(error)
     })
   }
@@ -142,7 +151,8 @@
   #applyEndpointList (objects: StoredObject[]): void {
     const { directory, clock, heartbeatMs } = this.#options
     const nowMs = clock.getMonotonicMs()
-    const afterOutage = nowMs - this.#listReachedAtMs > LAPSE_HEARTBEATS * heartbeatMs
+    const isLong = nowMs - this.#listReachedAtMs > LAPSE_HEARTBEATS * heartbeatMs
+    const afterOutage = isLong && this.#listFailures >= OUTAGE_FAILURES
     const entries = objects.flatMap(object => this.#decodeEndpoint(object) ?? [])
     this.#hasEndpoints = true
     this.#reportChanges(directory.applyList(entries, { afterOutage, nowMs }))
