Refuse requests that crash endpoints, reload settings, tell a request's story from logs

Cause: a request that crashes each endpoint came again through any gateway; changed settings were not read; a request's log lines had to be put together by hand. Change: CrashBlame asks for proof that the process is gone, records go through the existing PoisonRegistry; SettingsWatcher on SIGHUP and by polling, findings refuse the file whole; 'tanagerwick explain'.

--- a/src/base/decisionLog.ts
+++ b/src/base/decisionLog.ts
@@ -37,6 +37,8 @@
 const BURST_SECONDS = 4
 /** Fraction of the burst below which routine lines are sampled. */
 const SAMPLING_BELOW = 0.5
+/** Fraction of the burst that routine lines leave to the others. */
+const NOTABLE_RESERVE = 0.25
 const MAX_SAMPLING_LEVEL = 8
 const REPORT_INTERVAL_MS = 1000
 const MAX_HELD_BYTES = 1_048_576
@@ -52,7 +54,8 @@
  * log.write('notable', { event: 'requestRefused', requestId: 'r-1', reason: 'overloaded', queued: 40 })
  */
 export class DecisionLog {
-  readonly #options: DecisionLogOptions
+  readonly #instance: string
+  #bytesPerSecond: number
   readonly #clock: Clock
   readonly #destination: LogDestination
   readonly #leftOut = { notable: 0, routine: 0, unread: 0 }
@@ -63,7 +66,8 @@
   #reportedAtMs: number
 
   constructor (options: DecisionLogOptions) {
-    this.#options = options
+    this.#instance = options.instance
+    this.#bytesPerSecond = options.bytesPerSecond
     this.#clock = options.clock ?? systemClock
     this.#destination = options.destination ?? openStandardOutput()
     this.#tokens = options.bytesPerSecond * BURST_SECONDS
@@ -79,17 +83,26 @@
   write (rank: LineRank, line: DecisionLine): void {
     this.#addTokens()
     if (rank === 'routine' && !this.#isSampled(line.requestId)) return this.#countLeftOut('routine')
-    if (this.#tokens <= 0) return this.#countLeftOut(rank)
+    if (this.#tokens <= this.#getReserve(rank)) return this.#countLeftOut(rank)
     this.#put(line)
   }
 
+  /** Changes the bound in bytes a second. */
+  setBytesPerSecond (bytesPerSecond: number): void {
+    this.#bytesPerSecond = bytesPerSecond
+  }
+
   flush (): void {
     this.#destination.flush()
   }
 
+  #getReserve (rank: LineRank): number {
+    return rank === 'routine' ? NOTABLE_RESERVE * this.#bytesPerSecond * BURST_SECONDS : 0
+  }
+
   #put (line: DecisionLine): void {
     const time = new Date(this.#clock.getWallMs()).toISOString()
-    const text = `${JSON.stringify({ time, instance: this.#options.instance, ...line })}\n`
+    const text = `${JSON.stringify({ time, instance: this.#instance, ...line })}\n`
     this.#tokens -= text.length
     if (!this.#destination.write(text)) return this.#countLeftOut('unread')
     this.#totals.written += 1
@@ -107,9 +120,8 @@
 
   #addTokens (): void {
     const nowMs = this.#clock.getMonotonicMs()
-    const { bytesPerSecond } = this.#options
-    const capacity = bytesPerSecond * BURST_SECONDS
-    this.#tokens = Math.min(capacity, this.#tokens + (nowMs - this.#filledAtMs) / 1000 * bytesPerSecond)
+    const capacity = this.#bytesPerSecond * BURST_SECONDS
+    this.#tokens = Math.min(capacity, this.#tokens + (nowMs - this.#filledAtMs) / 1000 * this.#bytesPerSecond)
     this.#filledAtMs = nowMs
     if (nowMs - this.#reportedAtMs >= REPORT_INTERVAL_MS) this.#updateSampling(nowMs, capacity)
   }
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,28 @@
+import { readFileSync } from 'node:fs'
+
+import { EXIT_CODES } from '../exitCodes'
+import { formatStory, parseLogLines, selectStory } from '../requestStory'
+
+import type { CommandModule } from 'yargs'
+
+interface ExplainFlags {
+  requestId: string
+  files?: string[]
+}
+
+const STANDARD_INPUT = 0
+
+/** `tanagerwick explain`: tells from the logs of several processes what became of a request. */
+export const explainCommand: CommandModule<object, ExplainFlags> = {
+  command: 'explain <request-id> [files..]',
+  describe: 'Tell from log files, or standard input, what became of a request',
+  builder: argv => argv
+    .positional('request-id', { type: 'string', demandOption: true, describe: 'id of the request, as in its log lines' })
+    .positional('files', { type: 'string', array: true, describe: 'log files of all processes that may have seen it' }) as never,
+  handler: ({ requestId, files }) => {
+    const sources = files === undefined || files.length === 0 ? [STANDARD_INPUT] : files
+    const story = selectStory(sources.flatMap(source => parseLogLines(readFileSync(source, 'utf8'))), requestId)
+    process.stdout.write(`${formatStory(story)}\n`)
+    if (story.decisions.length === 0) process.exitCode = EXIT_CODES.findings
+  }
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -2,6 +2,7 @@
 import { hideBin } from 'yargs/helpers'
 
 import { configCommand } from './commands/config'
+import { explainCommand } from './commands/explain'
 import { gatewayCommand } from './commands/gateway'
 import { sidecarCommand } from './commands/sidecar'
 import { stateCommand } from './commands/state'
@@ -22,6 +23,7 @@
     .command(sidecarCommand)
     .command(configCommand)
     .command(stateCommand)
+    .command(explainCommand)
     .strict()
     .demandCommand(1, 'Name a command; --help lists them.')
     .fail((message, error) => { throw error ?? new UsageError(message) })
--- a/src/policy/retryWindow.ts
+++ b/src/policy/retryWindow.ts
@@ -27,7 +27,7 @@
  * if (retries.acquire('archive', nowMs)) await sendAgain()
  */
 export class RetryWindow {
-  readonly #options: RetryWindowOptions
+  #options: RetryWindowOptions
   readonly #services = new Map<string, ServiceWindow>()
 
   constructor (options: RetryWindowOptions) {
@@ -40,6 +40,12 @@
     return { requests: requests.read(nowMs), repeats: repeats.read(nowMs) }
   }
 
+  /** Changes the bounds; the counts of another window length start anew. */
+  setOptions (options: RetryWindowOptions): void {
+    if (options.windowMs !== this.#options.windowMs) this.#services.clear()
+    this.#options = options
+  }
+
   listServices (): string[] {
     return [...this.#services.keys()]
   }
--- a/src/policy/viewFreshness.ts
+++ b/src/policy/viewFreshness.ts
@@ -35,23 +35,29 @@
  * freshness.getVerdict() // { kind: 'fresh', ageMs: 3 }
  */
 export class ViewFreshness {
-  readonly #options: ViewFreshnessOptions
+  readonly #clock: Clock
+  #maxAgeMs: number
   #confirmedAt: ClockReading | null = null
 
   constructor (options: ViewFreshnessOptions) {
-    this.#options = options
+    this.#clock = options.clock
+    this.#maxAgeMs = options.maxAgeMs
   }
 
   /** Gets whether the view may be relied on now. */
   getVerdict (): FreshnessVerdict {
     if (this.#confirmedAt === null) return { kind: 'unconfirmed' }
-    const { clock, maxAgeMs } = this.#options
-    const ageMs = computeElapsedMs(this.#confirmedAt, clock)
-    if (ageMs > maxAgeMs) return { kind: 'stale', ageMs }
-    const driftMs = computeDriftMs(this.#confirmedAt, readClock(clock))
+    const ageMs = computeElapsedMs(this.#confirmedAt, this.#clock)
+    if (ageMs > this.#maxAgeMs) return { kind: 'stale', ageMs }
+    const driftMs = computeDriftMs(this.#confirmedAt, readClock(this.#clock))
     return Math.abs(driftMs) > MAX_DRIFT_MS ? { kind: 'distrusted', ageMs, driftMs } : { kind: 'fresh', ageMs }
   }
 
+  /** Changes the age after which the view must not be relied on. */
+  setMaxAge (maxAgeMs: number): void {
+    this.#maxAgeMs = maxAgeMs
+  }
+
   /** Records that the view was the newest at `startedAt`; an earlier moment than is known changes nothing. */
   recordConfirmation (startedAt: ClockReading): void {
     const isEarlier = this.#confirmedAt !== null && startedAt.monotonicMs < this.#confirmedAt.monotonicMs
--- /dev/null
+++ b/src/relay/crashGuard.ts
@@ -0,0 +1,88 @@
+import { createHash } from 'node:crypto'
+
+import { CrashBlame } from '../policy/crashBlame'
+import { PoisonRegistry } from '../store/poisonRegistry'
+
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { EndpointEntry } from '../policy/directEndpoint'
+import type { DirectoryChange } from '../policy/endpointDirectory'
+import type { Refusal } from '../protocol/errorBody'
+import type { ObjectService } from '../store/objectService'
+import type { RelayRequest } from './relayRequest'
+
+export interface CrashGuardOptions {
+  clock: Clock
+  service: ObjectService
+  log: DecisionLog
+}
+
+/** Endpoints that one request may crash before it is refused; the platform's rule names the third. */
+const CRASH_LIMIT = 3
+/** Time for which a crash is held against a request: what makes it crash endpoints is mended in longer times. */
+const RETENTION_MS = 600_000
+
+/** Refuses requests under which endpoints crash, at every gateway, by records in the store. */
+export class CrashGuard {
+  readonly #options: CrashGuardOptions
+  readonly #registry: PoisonRegistry
+  readonly #blame: CrashBlame
+
+  constructor (options: CrashGuardOptions) {
+    const { clock, service, log } = options
+    this.#options = options
+    this.#registry = new PoisonRegistry({
+      service,
+      clock,
+      retentionMs: RETENTION_MS,
+      onError: error => log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
+    })
+    this.#blame = new CrashBlame(fingerprint => this.#registry.getCrashCount(fingerprint) > 0)
+  }
+
+  start (): void {
+    this.#registry.start()
+  }
+
+  async stop (): Promise<void> {
+    await this.#registry.stop()
+  }
+
+  /** Tells why a request is refused; null when it may run. */
+  check (request: RelayRequest): Refusal | null {
+    if (this.#registry.listRecords().length === 0) return null
+    if (!this.#registry.isPoisoned(hashRequest(request), CRASH_LIMIT)) return null
+    return { code: 'request_crashes_endpoints', message: `Endpoints crashed ${CRASH_LIMIT} times while they ran this request.`, execution: 'not_run', retryAfterMs: RETENTION_MS }
+  }
+
+  /** Records a send whose connection broke after the endpoint may have begun to run it. */
+  recordBroken (entry: EndpointEntry, request: RelayRequest): void {
+    this.#blame.recordBroken(entry, hashRequest(request), this.#options.clock.getMonotonicMs())
+  }
+
+  /** Records that the endpoint's address refuses connections. */
+  recordRefusedConnection (entry: EndpointEntry): void {
+    this.#recordGone(entry)
+  }
+
+  recordChange ({ kind, entry }: DirectoryChange): void {
+    if (kind === 'gone' && entry.state === 'ready') this.#recordGone(entry)
+  }
+
+  listRecords () {
+    return this.#registry.listRecords()
+  }
+
+  #recordGone (entry: EndpointEntry): void {
+    const crash = this.#blame.recordGone(entry, this.#options.clock.getMonotonicMs())
+    if (crash === null) return
+    for (const fingerprint of crash.fingerprints) {
+      this.#registry.record({ fingerprint, endpointName: crash.endpointId, crashId: crash.crashId })
+      this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: crash.endpointId, crashId: crash.crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
+    }
+  }
+}
+
+function hashRequest ({ workspace, traits, body }: RelayRequest): string {
+  return createHash('sha256').update(JSON.stringify([workspace, traits.method, traits.host, traits.target])).update(body).digest('hex')
+}
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -7,12 +7,13 @@
 import type { Agent } from 'node:http'
 import type { Clock } from '../base/clock'
 import type { DirectChoice, PlannedTokens } from '../policy/directChooser'
-import type { SendVerdict } from '../policy/directEndpoint'
+import type { EndpointEntry, SendVerdict } from '../policy/directEndpoint'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { SendOutcome } from '../policy/repeatDecision'
 import type { RetryWindow } from '../policy/retryWindow'
 import type { Refusal } from '../protocol/errorBody'
 import type { CallerReply } from './callerReply'
+import type { CrashGuard } from './crashGuard'
 import type { EndpointDialect } from './dialects'
 import type { Dispatcher } from './dispatcher'
 import type { ExchangeEnd } from './endpointExchange'
@@ -30,6 +31,7 @@
   observer: RelayObserver
   dispatcher: Dispatcher
   silence: SilenceWatch
+  crashes: CrashGuard
   /** Tells why a request that had to wait must not be sent any more; null when it may. */
   checkAgain: (request: RelayRequest) => Refusal | null
   /** Connections that are kept for reuse. */
@@ -141,8 +143,13 @@
 
   /** Waits for an endpoint with room and takes the room; null when there is none in time. */
   async #acquireRoom (state: RelayState): Promise<DirectChoice | null> {
-    const { directory, dispatcher, checkAgain } = this.#options
+    const { directory, dispatcher, checkAgain, crashes } = this.#options
     const { request, reply } = state
+    const poison = crashes.check(request)
+    if (poison !== null) {
+      if (state.lastRefusal.execution === 'not_run') state.lastRefusal = poison
+      return null
+    }
     if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
@@ -228,6 +235,7 @@
     const nowMs = clock.getMonotonicMs()
     const ended = this.#resolveEnd(state, run, end, { hasTimedOut, silentReason, elapsedMs: nowMs - startedAtMs })
     if (ended.verdict !== null) recordSend(endpoint, ended.verdict, nowMs)
+    this.#recordCrashSigns(request, endpoint.entry, end)
     observer.recordSend(request, {
       endpointId: endpoint.entry.id,
       attempt: state.attempts,
@@ -253,6 +261,12 @@
     state.attempts += 1
   }
 
+  #recordCrashSigns (request: RelayRequest, entry: EndpointEntry, end: ExchangeEnd): void {
+    const { crashes } = this.#options
+    if (end.kind === 'broken') crashes.recordBroken(entry, request)
+    if (end.kind === 'notSent' && end.isRefused) crashes.recordRefusedConnection(entry)
+  }
+
   #releaseRoom ({ endpoint, unreadTokens }: DirectChoice): void {
     endpoint.inFlight -= 1
     endpoint.pendingTokens -= unreadTokens
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -33,8 +33,8 @@
   | { kind: 'collected', body: Buffer }
   | { kind: 'passed' }
   | { kind: 'rejected' }
-  /** No connection was made: the endpoint saw nothing. */
-  | { kind: 'notSent', message: string }
+  /** No connection was made: the endpoint saw nothing; `isRefused` when nobody listens there. */
+  | { kind: 'notSent', message: string, isRefused: boolean }
   /** The connection broke before the answer was whole. */
   | { kind: 'broken', message: string }
   /** Bytes came that are no answer in the protocol. */
@@ -137,7 +137,7 @@
     // bytes after a whole answer belong to no request; the answer itself stands
     if (this.#response?.complete === true) return
     const message = error.code === undefined ? error.message : `${error.code}: ${error.message}`
-    if (!this.#isSent) return this.#finish({ kind: 'notSent', message })
+    if (!this.#isSent) return this.#finish({ kind: 'notSent', message, isRefused: error.code === 'ECONNREFUSED' })
     this.#finish({ kind: error.code?.startsWith('HPE_') === true ? 'garbled' : 'broken', message })
   }
 
--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -29,6 +29,8 @@
   log: DecisionLog
   /** Milliseconds between the heartbeats by which endpoints keep their entries. */
   heartbeatMs: number
+  /** Told of each change of what is believed of the endpoints. */
+  handleChange: (change: DirectoryChange) => void
   /** Told of each new version of the configuration. */
   handleTable: (table: RouteTable) => void
 }
@@ -197,7 +199,9 @@
   }
 
   #reportChanges (changes: DirectoryChange[]): void {
-    for (const { kind, entry } of changes) {
+    for (const change of changes) {
+      const { kind, entry } = change
+      this.#options.handleChange(change)
       this.#options.log.write('notable', { event: 'endpointChanged', change: kind, endpoint: entry.id, service: entry.service, address: entry.address, domain: entry.domain })
     }
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -9,6 +9,7 @@
 import { waitFor } from '../store/channels'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
+import { CrashGuard } from './crashGuard'
 import { Dispatcher } from './dispatcher'
 import { EndpointAgent } from './endpointAgent'
 import { FleetFollower } from './fleetFollower'
@@ -20,6 +21,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
+import type { RetryWindowOptions } from '../policy/retryWindow'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
 import type { FleetDecoder } from './fleetFollower'
@@ -58,11 +60,14 @@
 /** Descriptors for files, the store and operators, which callers must not take. */
 const RESERVED_DESCRIPTORS = 400
 const DRAIN_POLL_MS = 25
+/** Settings that are read at the start only. */
+const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors'] as const
 const MS_PER_SECOND = 1000
 
 /** One gateway that relays requests straight to endpoints. */
 export class RelayProcess {
   readonly #options: RelayProcessOptions
+  #settings: RelaySettings
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
   readonly #directory = new EndpointDirectory()
@@ -71,6 +76,7 @@
   readonly #follower: FleetFollower
   readonly #relay: DirectRelay
   readonly #silence: SilenceWatch
+  readonly #crashes: CrashGuard
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -82,8 +88,10 @@
   constructor (options: RelayProcessOptions) {
     const { settings, log, service, decoder, callerDialect, endpointDialect } = options
     this.#options = options
+    this.#settings = settings
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
-    this.#retries = new RetryWindow({ windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, floor: 1 })
+    this.#retries = new RetryWindow(buildRetryOptions(settings))
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log })
     this.#follower = new FleetFollower({
       clock: systemClock,
       service,
@@ -92,6 +100,7 @@
       freshness: this.#freshness,
       log,
       heartbeatMs: settings.heartbeatMs,
+      handleChange: change => this.#crashes.recordChange(change),
       handleTable: table => this.#server.setBounds(table.bounds)
     })
     const observer = new RelayObserver(log, this.#metrics)
@@ -111,6 +120,7 @@
       observer,
       dispatcher: this.#dispatcher,
       silence: this.#silence,
+      crashes: this.#crashes,
       checkAgain: request => gate.checkAgain(request),
       agent: this.#agent
     })
@@ -141,19 +151,34 @@
   async start (): Promise<ListenAddresses> {
     const { listen } = this.#options.settings
     this.#follower.start()
+    this.#crashes.start()
     const ready = await this.#readyListener.listen(listen.ready)
     const callers = await this.#server.listen(listen.callers)
     const admin = await this.#adminListener.listen(listen.admin)
     return { ready, callers, admin }
   }
 
+  /**
+   * Applies changed settings to the running process.
+   *
+   * @returns the names of changed settings that need a restart
+   */
+  applySettings (settings: RelaySettings): string[] {
+    const needRestart = RESTART_SETTINGS.filter(name => JSON.stringify(settings[name]) !== JSON.stringify(this.#settings[name]))
+    this.#settings = settings
+    this.#freshness.setMaxAge(FRESH_SHARE * settings.revocationMs)
+    this.#retries.setOptions(buildRetryOptions(settings))
+    this.#options.log.setBytesPerSecond(settings.logBytesPerSecond)
+    return needRestart
+  }
+
   /**
    * Leaves the rotation while it goes on serving, then lets what is in flight finish, within the
    * time that the settings give. What is still running after that is cut with the process.
    */
   async drain (): Promise<void> {
-    const { settings, log } = this.#options
-    const stopMs = settings.stopSeconds * MS_PER_SECOND
+    const { log } = this.#options
+    const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
     const startedAtMs = systemClock.getMonotonicMs()
     this.#isLeaving = true
     this.#server.startLeaving()
@@ -171,7 +196,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#silence.close()
-    await this.#follower.stop()
+    await Promise.all([this.#follower.stop(), this.#crashes.stop()])
   }
 
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
@@ -200,12 +225,17 @@
     this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, ...belief }) => belief))
+    this.#dump.register('crashes', () => this.#crashes.listRecords())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
 }
 
+function buildRetryOptions (settings: RelaySettings): RetryWindowOptions {
+  return { windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, floor: 1 }
+}
+
 function readAgeMs (freshness: ViewFreshness): number {
   const verdict = freshness.getVerdict()
   return verdict.kind === 'unconfirmed' ? -1 : verdict.ageMs
--- /dev/null
+++ b/src/relay/settingsWatcher.ts
@@ -0,0 +1,63 @@
+import { readFileSync } from 'node:fs'
+
+import { formatFindings } from '../config/finding'
+
+import type { Result } from 'true-myth'
+import type { DecisionLog } from '../base/decisionLog'
+import type { Finding } from '../config/finding'
+
+export interface SettingsWatcherOptions<Settings> {
+  file: string
+  load: (file: string) => Result<Settings, Finding[]>
+  /** Applies new settings; returns the names of those that need a restart. */
+  apply: (settings: Settings) => string[]
+  log: DecisionLog
+}
+
+/** The platform may change the file without a signal; settings are no matter of milliseconds. */
+const CHECK_INTERVAL_MS = 2000
+
+/**
+ * Applies the settings file anew when it changed, told by a signal or not. A file with findings is
+ * refused whole, and the settings in force stay.
+ */
+export class SettingsWatcher<Settings> {
+  readonly #options: SettingsWatcherOptions<Settings>
+  readonly #timer: NodeJS.Timeout
+  #text: string | null
+
+  constructor (options: SettingsWatcherOptions<Settings>) {
+    this.#options = options
+    this.#text = readText(options.file)
+    this.#timer = setInterval(() => this.check('poll'), CHECK_INTERVAL_MS)
+    this.#timer.unref()
+  }
+
+  /** Looks at the file now. */
+  check (cause: 'poll' | 'signal'): void {
+    const { file, load, apply, log } = this.#options
+    const text = readText(file)
+    const isChanged = text !== this.#text
+    this.#text = text
+    if (!isChanged) {
+      if (cause === 'signal') log.write('notable', { event: 'settingsReloaded', cause, changed: false })
+      return
+    }
+    const loaded = load(file)
+    if (loaded.isErr) return log.write('notable', { event: 'settingsRefused', cause, findings: formatFindings(loaded.error).slice(0, 2000) })
+    log.write('notable', { event: 'settingsReloaded', cause, changed: true, needRestart: apply(loaded.value) })
+  }
+
+  close (): void {
+    clearInterval(this.#timer)
+  }
+}
+
+/** Returns null for a file that cannot be read just now, as while it is replaced. */
+function readText (file: string): string | null {
+  try {
+    return readFileSync(file, 'utf8')
+  } catch {
+    return null
+  }
+}
--- /dev/null
+++ b/tests/cli/explain.spec.ts
@@ -0,0 +1,33 @@
+import { expect } from 'chai'
+
+import { formatStory, parseLogLines, selectStory } from '../../src/cli/requestStory'
+
+function buildLine (second: number, instance: string, fields: Record<string, unknown>): string {
+  return JSON.stringify({ time: `2026-12-04T10:00:0${second}.000Z`, instance, ...fields })
+}
+
+const LOG = [
+  buildLine(1, 'g-1', { event: 'endpointChosen', requestId: 'r-1', endpoint: 'e-1', costMs: 12 }),
+  buildLine(3, 'g-1', { event: 'requestRefused', requestId: 'r-1', code: 'answer_lost' }),
+  buildLine(2, 'g-1', { event: 'endpointChanged', endpoint: 'e-1', change: 'gone' }),
+  buildLine(2, 'g-1', { event: 'endpointChanged', endpoint: 'e-9', change: 'gone' }),
+  buildLine(2, 'g-2', { event: 'endpointChanged', endpoint: 'e-1', change: 'gone' }),
+  `  2.5 g-1 ${buildLine(2, 'g-1', { event: 'sendEnded', requestId: 'r-1', endpointId: 'e-1', outcome: 'mayHaveRun' })}`,
+  'no line of the log'
+].join('\n')
+
+describe('tanagerwick explain', () => {
+  it("should tell a request's decisions in the order of time, with what its process came to believe of its endpoint", () => {
+    const story = selectStory(parseLogLines(LOG), 'r-1')
+    expect(story.decisions.map(line => line.event)).to.deep.equal(['endpointChosen', 'sendEnded', 'requestRefused'])
+    expect(story.beliefs.map(line => [line.instance, line.endpoint])).to.deep.equal([['g-1', 'e-1']])
+    expect(story.mayBeIncomplete).to.equal(false)
+    expect(formatStory(story)).to.include('endpointChosen endpoint=e-1 costMs=12')
+  })
+
+  it('should say when lines may be missing', () => {
+    const leftOut = `${LOG}\n${buildLine(2, 'g-1', { event: 'linesLeftOut', routine: 40 })}`
+    expect(formatStory(selectStory(parseLogLines(leftOut), 'r-1'))).to.match(/may be missing/)
+    expect(formatStory(selectStory(parseLogLines(leftOut), 'r-2'))).to.match(/^No line names this request\. Lines were left out/)
+  })
+})
--- /dev/null
+++ b/tests/decisionLog.spec.ts
@@ -0,0 +1,63 @@
+import { expect } from 'chai'
+
+import { ManualClock } from '../src/base/clock'
+import { DecisionLog } from '../src/base/decisionLog'
+
+interface ParsedLine {
+  event: string
+  requestId?: string
+  [field: string]: unknown
+}
+
+function buildLog (bytesPerSecond: number, isRead = true) {
+  const clock = new ManualClock(1000)
+  const lines: ParsedLine[] = []
+  let bytes = 0
+  const destination = {
+    write: (line: string) => {
+      if (!isRead) return false
+      bytes += line.length
+      lines.push(JSON.parse(line))
+      return true
+    },
+    flush: () => {}
+  }
+  const log = new DecisionLog({ instance: 'gateway-1', bytesPerSecond, clock, destination })
+  return { clock, log, lines, countBytes: () => bytes }
+}
+
+describe('DecisionLog', () => {
+  it('should stay within its bytes a second, keep failures before routine lines, and say what it left out', () => {
+    const { clock, log, lines, countBytes } = buildLog(2000)
+    for (let tick = 0; tick < 20_000; tick++) {
+      clock.advance(1)
+      log.write('routine', { event: 'endpointChosen', requestId: `r-${tick}` })
+      if (tick % 400 === 0) log.write('notable', { event: 'requestRefused', requestId: `r-${tick}` })
+    }
+    expect(countBytes()).to.be.below(2000 * (20 + 4) + 500)
+    const refused = lines.filter(line => line.event === 'requestRefused').length
+    const chosen = lines.filter(line => line.event === 'endpointChosen').length
+    expect(refused).to.be.above(40)
+    expect(chosen).to.be.below(20_000 / 8)
+    expect(lines.some(line => line.event === 'linesLeftOut' && (line.routine as number) > 0)).to.equal(true)
+  })
+
+  it('should keep the lines of the same requests at every process', () => {
+    const keptIds = [1, 2].map(() => {
+      const { clock, log, lines } = buildLog(1500)
+      for (let tick = 0; tick < 10_000; tick++) {
+        clock.advance(1)
+        log.write('routine', { event: 'endpointChosen', requestId: `r-${tick}` })
+      }
+      return lines.flatMap(line => line.requestId ?? [])
+    })
+    expect(keptIds[0]).to.deep.equal(keptIds[1])
+  })
+
+  it('should count lines that nobody reads and go on', () => {
+    const { log, lines } = buildLog(1_000_000, false)
+    for (let count = 0; count < 100; count++) log.write('notable', { event: 'requestRefused' })
+    expect(lines).to.have.length(0)
+    expect(log.counts.unread).to.equal(100)
+  })
+})
