Split one send from the relay of a request

Cause: one function held a send's timers, its silence, its judgement and its log. Ruled out: a class per outcome, which would spread one switch over six files. Figures: no behaviour measured; 29 tests of the relay pass.

--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -12,6 +12,7 @@
 import { CrashGuard } from './crashGuard'
 import { Dispatcher } from './dispatcher'
 import { EndpointAgent } from './endpointAgent'
+import { EndpointSender } from './endpointSender'
 import { FleetFollower } from './fleetFollower'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
@@ -111,18 +112,25 @@
       getFreshness: () => this.#freshness.getVerdict()
     })
     this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, log })
+    const sender = new EndpointSender({
+      clock: systemClock,
+      dialect: endpointDialect,
+      observer,
+      silence: this.#silence,
+      crashes: this.#crashes,
+      agent: this.#agent,
+      handleRoom: name => this.#dispatcher.notifyRoom(name)
+    })
     this.#relay = new DirectRelay({
       clock: systemClock,
       random: Math.random,
       directory: this.#directory,
       retries: this.#retries,
-      dialect: endpointDialect,
       observer,
       dispatcher: this.#dispatcher,
-      silence: this.#silence,
+      sender,
       crashes: this.#crashes,
-      checkAgain: request => gate.checkAgain(request),
-      agent: this.#agent
+      checkAgain: request => gate.checkAgain(request)
     })
     this.#server = new RelayServer({
       clock: systemClock,
