Eject an endpoint for silence only when two of its answers are missing

Ruled out: a longer silence for all, since a dark engine is found late then. Change: an endpoint counts as silent when two sends wait for it; a stream alone is given up after its stall time.

--- a/src/policy/silence.ts
+++ b/src/policy/silence.ts
@@ -18,6 +18,8 @@
   /** Time of the last byte of any answer. */
   heardAtMs: number
   pendingTokens: number
+  /** Sends there for which it has been silent for too long. */
+  silentSends: number
 }
 
 /** What to do about a send on which nothing comes. */
@@ -29,6 +31,7 @@
 const ENDPOINT_SILENCE_MS = 800
 /** Added for each prompt token that it has yet to read, at a slow engine's rate. */
 const SILENCE_PER_TOKEN_MS = 0.05
+const MIN_SILENT_SENDS = 2
 /** Part of the target after which the answer of a plain service is asked for elsewhere. */
 const LATE_SHARE = 0.8
 /** Usual answer times after which an answer counts as late. */
@@ -46,18 +49,28 @@
 export function decideOnSilence (send: SilentSend, endpoint: SilentEndpoint, usualMs: number, nowMs: number): SilenceDecision {
   if (!send.isRepeatable || !send.hasAlternative) return { kind: 'wait' }
   if (send.kind === 'idempotent' && send.heardAtMs === null) return decideOnLateAnswer(send, usualMs, nowMs)
-  if (isSilent(endpoint, send.sentAtMs, nowMs)) return { kind: 'giveUp', reason: 'endpointSilent' }
-  const stallMs = Math.max(MIN_STALL_MS, STALL_FACTOR * send.betweenEventsTargetMs)
-  if (send.heardAtMs !== null && nowMs - send.heardAtMs > stallMs) return { kind: 'giveUp', reason: 'streamStalled' }
-  return { kind: 'wait' }
+  if (isEndpointSilent(endpoint) && isSilent(endpoint, send.sentAtMs, nowMs)) return { kind: 'giveUp', reason: 'endpointSilent' }
+  return isStalled(send, endpoint, nowMs) ? { kind: 'giveUp', reason: 'streamStalled' } : { kind: 'wait' }
+}
+
+/** Tells whether the endpoint itself counts as silent; one send alone may be slow by itself. */
+export function isEndpointSilent (endpoint: SilentEndpoint): boolean {
+  return endpoint.silentSends >= MIN_SILENT_SENDS
 }
 
 /** Tells whether an endpoint with a send since `sentAtMs` has been silent for too long. */
-export function isSilent (endpoint: SilentEndpoint, sentAtMs: number, nowMs: number): boolean {
+export function isSilent (endpoint: Pick<SilentEndpoint, 'heardAtMs' | 'pendingTokens'>, sentAtMs: number, nowMs: number): boolean {
   const limitMs = ENDPOINT_SILENCE_MS + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
   return nowMs - Math.max(sentAtMs, endpoint.heardAtMs) > limitMs
 }
 
+/** A stream that has begun must go on; one that has not may wait for its turn while the endpoint answers others. */
+function isStalled (send: SilentSend, endpoint: SilentEndpoint, nowMs: number): boolean {
+  const stallMs = Math.max(MIN_STALL_MS, STALL_FACTOR * send.betweenEventsTargetMs)
+  if (send.heardAtMs !== null) return nowMs - send.heardAtMs > stallMs
+  return nowMs - Math.max(send.sentAtMs, endpoint.heardAtMs) > stallMs + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
+}
+
 function decideOnLateAnswer (send: SilentSend, usualMs: number, nowMs: number): SilenceDecision {
   const limitMs = Math.max(LATE_SHARE * send.targetMs, LATE_FACTOR * usualMs)
   return nowMs - send.sentAtMs > limitMs ? { kind: 'giveUp', reason: 'answerLate' } : { kind: 'wait' }
--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -48,7 +48,7 @@
   minRearmMs: 5,
   maxRearmMs: 80,
   backoffBaseMs: 40,
-  backoffCapMs: 300
+  backoffCapMs: 600
 }
 const EXPIRY_INTERVAL_MS = 100
 /** Heartbeats that must have been missed before an entry can lapse without its endpoint's doing; the platform lets three pass. */
--- a/src/relay/silenceWatch.ts
+++ b/src/relay/silenceWatch.ts
@@ -1,6 +1,6 @@
 import { isEjected, recordSend } from '../policy/directEndpoint'
 import { isRepeatable } from '../policy/repeatDecision'
-import { decideOnSilence, isSilent } from '../policy/silence'
+import { decideOnSilence, isEndpointSilent, isSilent } from '../policy/silence'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
@@ -61,26 +61,34 @@
 
   #check (): void {
     const nowMs = this.#options.clock.getMonotonicMs()
-    for (const send of [...this.#sends]) {
-      this.#checkEndpoint(send, nowMs)
-      this.#checkSend(send, nowMs)
+    const silentSends = this.#countSilent(nowMs)
+    for (const [endpoint, count] of silentSends) this.#checkEndpoint(endpoint, count, nowMs)
+    for (const send of [...this.#sends]) this.#checkSend(send, silentSends.get(send.endpoint) ?? 0, nowMs)
+  }
+
+  #countSilent (nowMs: number): Map<DirectEndpoint, number> {
+    const counts = new Map<DirectEndpoint, number>()
+    for (const { endpoint, sentAtMs } of this.#sends) {
+      if (isSilent(endpoint, sentAtMs, nowMs)) counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1)
     }
+    return counts
   }
 
-  #checkEndpoint ({ endpoint, sentAtMs }: WatchedSend, nowMs: number): void {
-    if (isEjected(endpoint, nowMs) || !isSilent(endpoint, sentAtMs, nowMs)) return
+  #checkEndpoint (endpoint: DirectEndpoint, silentSends: number, nowMs: number): void {
+    if (isEjected(endpoint, nowMs) || !isEndpointSilent({ ...endpoint, silentSends })) return
     recordSend(endpoint, { kind: 'broken' }, nowMs)
     this.#options.log.write('notable', {
       event: 'endpointEjected',
       endpoint: endpoint.entry.id,
       reason: 'silent',
-      silentMs: Math.round(nowMs - Math.max(sentAtMs, endpoint.heardAtMs)),
+      silentSends,
+      silentMs: Math.round(nowMs - endpoint.heardAtMs),
       inFlight: endpoint.inFlight,
       forMs: Math.round(endpoint.ejectedUntilMs - nowMs)
     })
   }
 
-  #checkSend (send: WatchedSend, nowMs: number): void {
+  #checkSend (send: WatchedSend, silentSends: number, nowMs: number): void {
     const { request, endpoint } = send
     const decision = decideOnSilence({
       kind: request.route.kind,
@@ -90,7 +98,7 @@
       heardAtMs: send.heardAtMs,
       targetMs: request.route.targetMs,
       betweenEventsTargetMs: request.route.betweenEventsTargetMs
-    }, endpoint, this.#readUsualMs(request.service), nowMs)
+    }, { ...endpoint, silentSends }, this.#readUsualMs(request.service), nowMs)
     if (decision.kind === 'giveUp') send.giveUp(decision.reason)
   }
 
