Order equal workspaces by route, keep room for long prompts, find the room by delay

The new waitEnded lines showed long prompts (2,000 to 10,000 unread tokens) that never fitted the 4,000 tokens of room, as short ones slipped in; the rank was 1 for all, since every workspace has one there, so late requests went behind all that were still on time; and one gateway with a third of the traffic had no more room than one with a sixth. Change: the route's rank orders requests of one workspace rank, to the endpoint as well; what waits for an endpoint keeps its room; the room grows and shrinks with the delay of prompts (readLimit.ts).

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -37,7 +37,7 @@
 }
 
 /** Prompt tokens an engine reads in a millisecond, for endpoints of which nothing is known. */
-const PREFILL_TOKENS_PER_MS = 100
+export const PREFILL_TOKENS_PER_MS = 100
 /**
  * Weight of shared tokens that must be read anew: beside the request's own delay, they delay what
  * comes after it and push other parts out of the cache.
@@ -47,11 +47,6 @@
 const PENDING_WEIGHT = 1
 /** Milliseconds that an endpoint with all slots taken is behind an empty one. */
 const FULL_COST_MS = 600
-/**
- * Prompt tokens that one process lets wait to be read at an endpoint: few, so that an urgent prompt
- * soon goes next, yet enough to keep the endpoint busy until the next answer comes back.
- */
-const MAX_PENDING_TOKENS = 4000
 /** Milliseconds by which an endpoint that always fails is put back. */
 const FAILURE_COST_MS = 200
 const EJECTED_COST_MS = 100_000
@@ -81,7 +76,7 @@
     const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
     best = { endpoint, costMs, unreadTokens, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
   }
-  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best) }
+  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best, options.planned) }
 }
 
 /** Gets the deepest part that requests share, by which they should meet at one endpoint. */
@@ -98,10 +93,14 @@
   return total - Math.max(heldTokens, HOME_HELD_SHARE * sharedTokens)
 }
 
-/** Tells whether an endpoint is expected to start the request at once. */
-function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>): boolean {
-  if (unreadTokens === 0 || endpoint.pendingTokens === 0) return true
-  return endpoint.pendingTokens + unreadTokens <= MAX_PENDING_TOKENS
+/**
+ * Tells whether an endpoint is expected to start the request at once. What waits for it and goes
+ * first keeps its room, or a long prompt would wait for ever while short ones slip in.
+ */
+function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>, planned: PlannedTokens): boolean {
+  if (unreadTokens === 0) return true
+  const aheadTokens = endpoint.pendingTokens + (planned.get(endpoint.entry.id) ?? 0)
+  return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
 }
 
 function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, options: DirectChooserOptions): number {
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -1,4 +1,5 @@
 import { PrefixMemory } from './prefixMemory'
+import { ReadLimit } from './readLimit'
 
 /** One entry of the list of endpoints, as the endpoint wrote it. */
 export interface EndpointEntry {
@@ -20,6 +21,8 @@
   inFlight: number
   /** Prompt tokens of those requests that have not given their first event. */
   pendingTokens: number
+  /** How many prompt tokens may wait to be read there. */
+  readLimit: ReadLimit
   /** Failures in a row; 0 after an answer. */
   failures: number
   /** Fraction of the latest sends that failed, smoothed. */
@@ -59,6 +62,7 @@
     entry,
     inFlight: 0,
     pendingTokens: 0,
+    readLimit: new ReadLimit(),
     failures: 0,
     failureRate: 0,
     ejectedUntilMs: 0,
--- a/src/policy/dispatchQueue.ts
+++ b/src/policy/dispatchQueue.ts
@@ -12,7 +12,7 @@
 }
 
 /** Fraction of the starts that each rank gets while it has something waiting, however much of higher ranks waits. */
-const RANK_SHARE = 0.08
+const RANK_SHARE = 0.03
 
 /**
  * Requests that wait at a gateway, in the order in which they go: by rank; inside a rank those
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -20,6 +20,7 @@
   readonly bounds: CallerBounds
   readonly #routesByHost = new Map<string, Route[]>()
   readonly #services: Map<string, RoutedService>
+  readonly #tightestTargets: Map<string, number>
   readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
 
   constructor (config: RoutingConfig) {
@@ -28,6 +29,7 @@
     this.#services = new Map(config.services.map(service => [service.name, service]))
     this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
     for (const route of config.routes) this.#addRoute(route)
+    this.#tightestTargets = buildTightestTargets(config.routes)
     for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
   }
 
@@ -46,6 +48,11 @@
     return this.#services.get(name) ?? null
   }
 
+  /** Gets the shortest target in milliseconds of the routes that lead to a service. */
+  getTightestTargetMs (service: string): number {
+    return this.#tightestTargets.get(service) ?? Infinity
+  }
+
   /** Matches a caller's key with the workspace that holds it. */
   matchKey (route: Route, key: string | null): KeyMatch {
     if (this.#workspacesByKey === null) return { kind: 'notNeeded' }
@@ -78,6 +85,29 @@
   return route.shares.at(-1)?.service ?? null
 }
 
+/** Ranks of routes told apart among the requests of one workspace rank. */
+const ROUTE_RANKS = 3
+
+/**
+ * Computes the rank by which a request goes before others: that of its workspace first, if it has
+ * one, and among equals that of its route.
+ *
+ * @example
+ * computeRank(route, { name: 'archivists', keys: [], rank: 1 }) // 3 to 5, by the route's rank
+ */
+export function computeRank (route: Route, workspace: RoutedWorkspace | null): number {
+  const rank = workspace?.rank ?? route.rank
+  return rank * ROUTE_RANKS + Math.min(ROUTE_RANKS - 1, route.rank)
+}
+
+function buildTightestTargets (routes: Route[]): Map<string, number> {
+  const targets = new Map<string, number>()
+  for (const { shares, targetMs } of routes) {
+    for (const { service } of shares) targets.set(service, Math.min(targetMs, targets.get(service) ?? Infinity))
+  }
+  return targets
+}
+
 function buildKeyIndex (workspaces: RoutedWorkspace[]): Map<string, RoutedWorkspace> {
   return new Map(workspaces.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
 }
--- a/src/relay/admissionGate.ts
+++ b/src/relay/admissionGate.ts
@@ -1,6 +1,6 @@
 import { Result } from 'true-myth'
 
-import { chooseService } from '../policy/routeTable'
+import { chooseService, computeRank } from '../policy/routeTable'
 
 import type { Clock } from '../base/clock'
 import type { Route } from '../config/routingConfig'
@@ -69,7 +69,7 @@
       route,
       service,
       workspace: workspace?.name ?? null,
-      rank: workspace?.rank ?? route.rank,
+      rank: computeRank(route, workspace),
       deadlineAtMs: arrivedAtMs + Math.min(route.timeoutMs, traits.patienceMs ?? Infinity)
     })
   }
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -107,7 +107,7 @@
 
   /** Waits for an endpoint with room and takes the room; null when there is none in time. */
   async #acquireRoom (state: RelayState): Promise<DirectChoice | null> {
-    const { directory, dispatcher, checkAgain, crashes } = this.#options
+    const { clock, directory, dispatcher, checkAgain, crashes, observer } = this.#options
     const { request, reply } = state
     const poison = crashes.check(request)
     if (poison !== null) {
@@ -115,16 +115,21 @@
       return null
     }
     if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
+    let best: DirectChoice | null = null
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
       service: request.service,
       rank: request.rank,
       dueAtMs: request.arrivedAtMs + request.route.targetMs,
       expiresAtMs: request.deadlineAtMs,
-      choose: planned => this.#choose(state, planned),
+      choose: planned => {
+        best = this.#choose(state, planned)
+        return best
+      },
       take: taken => this.#takeRoom(state, taken)
     }, reply.signal)
     if (choice === null) {
+      observer.recordWaitEnded(request, best, dispatcher.countWaiting(request.service), clock.getMonotonicMs())
       refuseUnlessRun(state, createRefused(null))
       return null
     }
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -22,7 +22,7 @@
 }
 
 /** Requests tried at most each time room may have come free, to bound its cost in a long queue. */
-const MAX_TRIED = 48
+const MAX_TRIED = 100
 const EXPIRY_INTERVAL_MS = 10
 
 /**
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,3 +1,4 @@
+import { PREFILL_TOKENS_PER_MS } from '../policy/directChooser'
 import { recordSend } from '../policy/directEndpoint'
 import { sendToEndpoint } from './endpointExchange'
 import { EndpointRun, isSuccess } from './endpointRun'
@@ -24,6 +25,10 @@
   crashes: CrashGuard
   /** Connections that are kept for reuse. */
   agent: Agent
+  /** Tightest target of a service's routes, in milliseconds. */
+  getTightestTargetMs: (service: string) => number
+  /** Requests that wait for an endpoint of the service. */
+  countWaiting: (service: string) => number
   /** Told when an endpoint has taken up a prompt or ended a request, so that it may have room. */
   handleRoom: (service: string) => void
 }
@@ -157,11 +162,26 @@
   #recordFirst (): void {
     const { clock, handleRoom } = this.#options
     const { request } = this.#order
-    this.#firstMs = clock.getMonotonicMs() - request.arrivedAtMs
+    const nowMs = clock.getMonotonicMs()
+    this.#firstMs = nowMs - request.arrivedAtMs
+    this.#recordDelay(nowMs)
     this.#releaseTokens()
     handleRoom(request.service)
   }
 
+  /** Records how long the prompt waited at the endpoint, without the time to read it. */
+  #recordDelay (nowMs: number): void {
+    const { request, choice } = this.#order
+    if (choice.unreadTokens === 0) return
+    const readMs = choice.unreadTokens / PREFILL_TOKENS_PER_MS
+    this.#endpoint.readLimit.recordFirst({
+      delayMs: nowMs - this.#startedAtMs - readMs,
+      targetMs: this.#options.getTightestTargetMs(request.service),
+      isWanted: this.#options.countWaiting(request.service) > 0,
+      nowMs
+    })
+  }
+
   #releaseTokens (): void {
     this.#endpoint.pendingTokens -= this.#pendingTokens
     this.#pendingTokens = 0
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -46,6 +46,7 @@
       event: 'endpointChosen',
       requestId: request.traits.requestId,
       route: request.route.name,
+      rank: request.rank,
       attempt,
       endpoint: endpoint.entry.id,
       reason: choice.reason,
@@ -59,6 +60,25 @@
     })
   }
 
+  /** Records that a request left the queue unsent, with the endpoint that it waited for last. */
+  recordWaitEnded (request: RelayRequest, best: DirectChoice | null, waiting: number, nowMs: number): void {
+    this.#log.write('notable', {
+      event: 'waitEnded',
+      requestId: request.traits.requestId,
+      route: request.route.name,
+      rank: request.rank,
+      waitedMs: Math.round(nowMs - request.arrivedAtMs),
+      waiting,
+      endpoint: best?.endpoint.entry.id ?? null,
+      costMs: best === null ? null : Math.round(best.costMs),
+      unreadTokens: best?.unreadTokens ?? null,
+      pendingTokens: best === null ? null : Math.round(best.endpoint.pendingTokens),
+      limitTokens: best === null ? null : Math.round(best.endpoint.readLimit.tokens),
+      inFlight: best?.endpoint.inFlight ?? null,
+      silentMs: best === null ? null : Math.round(nowMs - best.endpoint.heardAtMs)
+    })
+  }
+
   recordSend (request: RelayRequest, report: SendReport): void {
     this.#sends.add({ service: request.service, outcome: report.outcome })
     const isGood = report.outcome === 'answered'
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -119,6 +119,8 @@
       silence: this.#silence,
       crashes: this.#crashes,
       agent: this.#agent,
+      getTightestTargetMs: name => this.#follower.table?.getTightestTargetMs(name) ?? Infinity,
+      countWaiting: name => this.#dispatcher.countWaiting(name),
       handleRoom: name => this.#dispatcher.notifyRoom(name)
     })
     this.#relay = new DirectRelay({
@@ -232,7 +234,7 @@
   #registerDumps (): void {
     this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
-    this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, ...belief }) => belief))
+    this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, readLimit, ...belief }) => ({ ...belief, readLimitTokens: readLimit.tokens })))
     this.#dump.register('crashes', () => this.#crashes.listRecords())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
--- a/tests/policy/directChooser.spec.ts
+++ b/tests/policy/directChooser.spec.ts
@@ -23,6 +23,14 @@
     expect(choice).to.include({ endpoint: home, hasRoom: false })
   })
 
+  it('should not let a short prompt take the room for which a long one waits', () => {
+    const home = buildEndpoint('home', { pendingTokens: 4000 })
+    const short = { service: 'engines', promptParts: [{ id: 'note', tokens: 500 }] }
+    expect(chooseDirectEndpoint(short, [home], buildChooserOptions())).to.include({ hasRoom: true })
+    expect(chooseDirectEndpoint(short, [home], buildChooserOptions({ planned: new Map([['home', 8000]]) }))).to.include({ hasRoom: false })
+    expect(chooseDirectEndpoint(short, [buildEndpoint('home')], buildChooserOptions({ planned: new Map([['home', 8000]]) }))).to.include({ hasRoom: false })
+  })
+
   it('should go elsewhere when more waits for the home than reading the prompt again costs', () => {
     const home = buildEndpoint('home', { pendingTokens: 4000 })
     const idle = buildEndpoint('idle')
