--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -133,7 +133,8 @@
       refuseUnlessRun(state, createRefused(null))
       return null
     }
-    const refusal = checkAgain(request)
+    // what an endpoint has begun under a valid key goes on; only a first send is asked for again
+    const refusal = state.attempts > 1 ? null : checkAgain(request)
     if (refusal === null) return choice
     this.#releaseRoom(choice)
     refuseUnlessRun(state, refusal)
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -32,12 +32,11 @@
 export class Dispatcher {
   readonly #clock: Clock
   readonly #queues = new Map<string, DispatchQueue<Waiting>>()
-  readonly #timer: NodeJS.Timeout
+  /** Runs only while something waits. */
+  #timer: NodeJS.Timeout | null = null
 
   constructor (options: DispatcherOptions) {
     this.#clock = options.clock
-    this.#timer = setInterval(() => this.#expire(), EXPIRY_INTERVAL_MS)
-    this.#timer.unref()
   }
 
   /** Counts what waits for a service. */
@@ -67,6 +66,7 @@
       signal.addEventListener('abort', handleAbort, { once: true })
       queue.add(waiting)
       this.notifyRoom(request.service)
+      if (queue.size > 0) this.#timer ??= setTimeout(() => this.#expire(), EXPIRY_INTERVAL_MS)
     })
   }
 
@@ -90,15 +90,17 @@
   }
 
   close (): void {
-    clearInterval(this.#timer)
+    if (this.#timer !== null) clearTimeout(this.#timer)
   }
 
   #expire (): void {
+    this.#timer = null
     const nowMs = this.#clock.getMonotonicMs()
     for (const [service, queue] of this.#queues) {
       if (queue.size === 0) continue
       for (const waiting of queue.takeExpired(nowMs)) waiting.finish(null)
       this.notifyRoom(service)
+      if (queue.size > 0) this.#timer ??= setTimeout(() => this.#expire(), EXPIRY_INTERVAL_MS)
     }
   }
 
--- /dev/null
+++ b/standins/objects/objectsServer.ts
@@ -0,0 +1,171 @@
+import { HttpServer } from '../shared/httpServer'
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+
+/** One object in the published form of the users' platform. */
+interface KeptObject {
+  metadata: { name: string, revision: number, created: number, finalizers: string[], deleting: boolean }
+  spec: unknown
+  status: unknown
+}
+
+interface KeptEvent {
+  kind: string
+  revision: number
+  object: KeptObject
+  deleted: boolean
+}
+
+/** What the server does in place of answering well. */
+export type ObjectsFault = 'none' | 'busy' | 'limited' | 'silent' | 'reset' | 'garbled'
+
+export interface ObjectsServerOptions {
+  /** Objects that one page of a list holds. */
+  pageSize?: number
+}
+
+const PATH = /^\/tanagerwick\/objects\/([^/?]+)(?:\/([^/?]+))?(?:\?(.*))?$/
+const WATCH_POLL_MS = 5
+
+/**
+ * Stand-in of the users' platform's store, in its published protocol: lists in pages, watches that
+ * wait, conditional writes, a history that can be dropped, and outages of several kinds.
+ */
+export class ObjectsServer {
+  readonly #server: HttpServer
+  readonly #objects = new Map<string, KeptObject>()
+  readonly #pageSize: number
+  #events: KeptEvent[] = []
+  #revision = 1
+  #oldestRevision = 0
+  fault: ObjectsFault = 'none'
+  /** Calls by method and path, in order. */
+  readonly calls: string[] = []
+
+  constructor (options: ObjectsServerOptions = {}) {
+    this.#pageSize = options.pageSize ?? 500
+    this.#server = new HttpServer(async (request, response) => await this.#serve(request, response), {})
+  }
+
+  get url (): string {
+    return this.#server.url
+  }
+
+  async open (): Promise<void> {
+    await this.#server.open()
+  }
+
+  async close (): Promise<void> {
+    await this.#server.close()
+  }
+
+  /** Writes an object as an operator or an endpoint does. */
+  put (kind: string, name: string, spec: unknown): KeptObject {
+    this.#revision += 1
+    const created = this.#objects.get(`${kind}/${name}`)?.metadata.created ?? this.#revision
+    const object: KeptObject = { metadata: { name, revision: this.#revision, created, finalizers: [], deleting: false }, spec, status: null }
+    this.#objects.set(`${kind}/${name}`, object)
+    this.#events.push({ kind, revision: this.#revision, object, deleted: false })
+    return object
+  }
+
+  remove (kind: string, name: string): void {
+    const object = this.#objects.get(`${kind}/${name}`)
+    if (object === undefined) return
+    this.#objects.delete(`${kind}/${name}`)
+    this.#revision += 1
+    this.#events.push({ kind, revision: this.#revision, object, deleted: true })
+  }
+
+  /** Drops the history, so that watches from before get 410. */
+  dropHistory (): void {
+    this.#oldestRevision = this.#revision
+    this.#events = []
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.calls.push(`${request.method} ${request.url}`)
+    switch (this.fault) {
+      case 'silent': return
+      case 'reset':
+        request.socket.resetAndDestroy()
+        return
+      case 'busy': return sendJson(response, 503, {})
+      case 'limited': return sendJson(response, 429, {})
+      case 'garbled':
+        response.writeHead(200).end('{"items":')
+        return
+      case 'none': break
+    }
+    const match = PATH.exec(request.url ?? '')
+    if (match === null) return sendJson(response, 404, {})
+    const [, kind = '', name, query = ''] = match
+    const parameters = new URLSearchParams(query)
+    switch (request.method) {
+      case 'GET':
+        if (name !== undefined) return this.#sendOne(response, kind, decodeURIComponent(name))
+        if (parameters.has('watch')) return await this.#sendChanges(response, kind, parameters)
+        return this.#sendPage(response, kind, parameters.get('after'))
+      case 'POST': return this.#create(response, kind, await readJson(request))
+      case 'PUT': return this.#update(response, kind, decodeURIComponent(name ?? ''), await readJson(request))
+      case 'DELETE': return this.#delete(response, kind, decodeURIComponent(name ?? ''), parameters.get('revision'))
+      default: return sendJson(response, 405, {})
+    }
+  }
+
+  #sendOne (response: ServerResponse, kind: string, name: string): void {
+    const object = this.#objects.get(`${kind}/${name}`)
+    sendJson(response, object === undefined ? 404 : 200, object ?? {})
+  }
+
+  #sendPage (response: ServerResponse, kind: string, after: string | null): void {
+    const all = [...this.#objects].filter(([key]) => key.startsWith(`${kind}/`)).map(([, object]) => object).sort((a, b) => a.metadata.name < b.metadata.name ? -1 : 1)
+    const rest = all.filter(object => after === null || object.metadata.name > after)
+    sendJson(response, 200, { items: rest.slice(0, this.#pageSize), truncated: rest.length > this.#pageSize, currentRev: this.#revision })
+  }
+
+  async #sendChanges (response: ServerResponse, kind: string, parameters: URLSearchParams): Promise<void> {
+    const from = Number(parameters.get('watch'))
+    const untilMs = performance.now() + Number(parameters.get('waitMs') ?? 0)
+    for (;;) {
+      if (from < this.#oldestRevision) return sendJson(response, 410, {})
+      const events = this.#events.filter(event => event.kind === kind && event.revision > from)
+      if (events.length > 0 || performance.now() >= untilMs) {
+        return sendJson(response, 200, { events: events.map(({ object, deleted }) => ({ object, deleted })), currentRev: this.#revision })
+      }
+      await new Promise(resolve => setTimeout(resolve, WATCH_POLL_MS))
+    }
+  }
+
+  #create (response: ServerResponse, kind: string, body: KeptObject): void {
+    const { name } = body.metadata
+    const known = this.#objects.get(`${kind}/${name}`)
+    if (known !== undefined) return sendJson(response, 409, known)
+    sendJson(response, 200, this.put(kind, name, body.spec))
+  }
+
+  #update (response: ServerResponse, kind: string, name: string, body: KeptObject): void {
+    const known = this.#objects.get(`${kind}/${name}`)
+    if (known === undefined) return sendJson(response, 404, {})
+    if (body.metadata.revision !== undefined && body.metadata.revision !== known.metadata.revision) return sendJson(response, 409, known)
+    sendJson(response, 200, this.put(kind, name, body.spec))
+  }
+
+  #delete (response: ServerResponse, kind: string, name: string, revision: string | null): void {
+    const known = this.#objects.get(`${kind}/${name}`)
+    if (known === undefined) return sendJson(response, 404, {})
+    if (revision !== null && Number(revision) !== known.metadata.revision) return sendJson(response, 409, known)
+    this.remove(kind, name)
+    sendJson(response, 200, {})
+  }
+}
+
+function sendJson (response: ServerResponse, status: number, value: unknown): void {
+  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value))
+}
+
+async function readJson (request: IncomingMessage): Promise<KeptObject> {
+  const parts: Buffer[] = []
+  for await (const part of request) parts.push(part as Buffer)
+  return JSON.parse(Buffer.concat(parts).toString('utf8')) as KeptObject
+}
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -11,6 +11,7 @@
 
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { DecisionLine } from '../../src/base/decisionLog'
+import type { RelaySettings } from '../../src/config/processSettings'
 
 /** One request as an endpoint's socket got it. */
 export interface ReceivedRequest {
@@ -98,30 +99,35 @@
   store.put(`servers/${endpoint.id}`, { service: 'archive', address: endpoint.address, zone: 'domain-a', slots: 6, state: 'ready', seq: 1, born: 1, ...overrides })
 }
 
+/** Builds the settings of a gateway that listens where the system chooses. */
+export function buildSettings (overrides: Partial<RelaySettings> = {}): RelaySettings {
+  const listenAny = { host: '127.0.0.1', port: 0 }
+  return {
+    id: 'gateway-1',
+    domain: 'domain-a',
+    listen: { callers: listenAny, ready: listenAny, admin: listenAny },
+    storeUrl: 'http://127.0.0.1:1',
+    heartbeatMs: 100,
+    revocationMs: 5000,
+    stopSeconds: 3,
+    retryRatio: 0.2,
+    retryWindowSeconds: 10,
+    maxDescriptors: 4096,
+    logBytesPerSecond: 1_000_000,
+    ...overrides
+  }
+}
+
 /** Starts a gateway on the platform's dialects, before a store in memory. */
-export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Record<string, unknown> = {}): Promise<RelayFixture> {
+export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}): Promise<RelayFixture> {
   const store = new MemoryObjectStore()
   const service = new MemoryObjectService(store)
   if (config !== null) store.put('config/main', config)
   for (const endpoint of endpoints) registerEndpoint(store, endpoint)
   const lines: DecisionLine[] = []
   const destination = { write: (line: string) => lines.push(JSON.parse(line)) > 0, flush: () => {} }
-  const listenAny = { host: '127.0.0.1', port: 0 }
   const relay = new RelayProcess({
-    settings: {
-      id: 'gateway-1',
-      domain: 'domain-a',
-      listen: { callers: listenAny, ready: listenAny, admin: listenAny },
-      storeUrl: 'http://127.0.0.1:1',
-      heartbeatMs: 100,
-      revocationMs: 5000,
-      stopSeconds: 3,
-      retryRatio: 0.2,
-      retryWindowSeconds: 10,
-      maxDescriptors: 4096,
-      logBytesPerSecond: 1_000_000,
-      ...settings
-    },
+    settings: buildSettings(settings),
     service,
     decoder: storeDecoder,
     callerDialect,
--- a/tests/relay/silence.spec.ts
+++ b/tests/relay/silence.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { answerWhole, buildPlatformConfig, buildRoute, SEAL, sendRequest, startEndpoint, startRelay } from './relayFixture'
+import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, SEAL, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -49,6 +49,22 @@
     expect(requests[1]!.text).to.match(/\r\nLast-Event-Id: 2\r\n/)
   })
 
+  it('should go on with a stream that has begun though the configuration cannot be confirmed any more', async () => {
+    const route = { kind: 'streaming', resumable: true }
+    let closeStream = () => {}
+    const requests = await startTwo(route, request => {
+      writeEvents(request, [1], false)
+      closeStream = () => request.socket.resetAndDestroy()
+    }, request => writeEvents(request, [2], true))
+    fixture!.relay.applySettings(buildSettings({ revocationMs: 300 }))
+    const answer = sendRequest(fixture!, { method: 'POST', body: 'question' })
+    await waitUntil('the first event', () => requests.length === 1)
+    fixture!.service.setFaults({ outage: true })
+    await waitUntil('the doubt', () => fixture!.lines.some(line => line.event === 'configUnconfirmed'))
+    closeStream()
+    expect((await answer).text).to.match(/id: 2\ndata: 2\n\n\r\n0\r\n\r\n$/)
+  })
+
   it('should cut a stream that may not be resumed, so that it does not look whole', async () => {
     const requests = await startTwo({ kind: 'streaming' }, request => {
       writeEvents(request, [1, 2], false)
