End the process although nobody reads its log

Cause: a trial bench of the log with a reader that does not read hung for ten minutes: the exit waited for a write blocked in the thread pool, so a gateway behind a stalled collector would have ended only by SIGKILL. Ruled out: flushing synchronously, which blocks the same way; the library's flush, which calls back before anything is written.

--- a/src/base/decisionLog.ts
+++ b/src/base/decisionLog.ts
@@ -30,8 +30,8 @@
 /** Takes lines without blocking; false when a line was dropped. */
 export interface LogDestination {
   write (line: string): boolean
-  /** Writes out what is held, at the end of the process. */
-  flush (): void
+  /** Writes out what is held, as the last thing, then calls back; never calls back while nobody reads. */
+  flush (handleDone: () => void): void
 }
 
 const BURST_SECONDS = 4
@@ -92,8 +92,15 @@
     this.#bytesPerSecond = bytesPerSecond
   }
 
-  flush (): void {
-    this.#destination.flush()
+  /** Ends the log: writes out what is held, for at most `timeoutMs`; false when nobody reads. */
+  async flush (timeoutMs: number): Promise<boolean> {
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => resolve(false), timeoutMs)
+      this.#destination.flush(() => {
+        clearTimeout(timer)
+        resolve(true)
+      })
+    })
   }
 
   #getReserve (rank: LineRank): number {
@@ -148,12 +155,9 @@
       stream.write(line)
       return !hasDropped
     },
-    flush: () => {
-      try {
-        stream.flushSync()
-      } catch {
-        // the reader is gone or not reading; there is nowhere to report it
-      }
+    flush: handleDone => {
+      stream.once('finish', handleDone)
+      stream.end()
     }
   }
 }
--- a/tests/decisionLog.spec.ts
+++ b/tests/decisionLog.spec.ts
@@ -1,8 +1,14 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+
 import { expect } from 'chai'
 
 import { ManualClock } from '../src/base/clock'
 import { DecisionLog } from '../src/base/decisionLog'
 
+/** Runs the writer as the bundle does, as a CommonJS module. */
+const LOG_WRITER = ['--require', 'tsx/cjs', '-e', "require('./tests/fixtures/logWriter.ts')"]
+
 interface ParsedLine {
   event: string
   requestId?: string
@@ -20,7 +26,7 @@
       lines.push(JSON.parse(line))
       return true
     },
-    flush: () => {}
+    flush: (handleDone: () => void) => handleDone()
   }
   const log = new DecisionLog({ instance: 'gateway-1', bytesPerSecond, clock, destination })
   return { clock, log, lines, countBytes: () => bytes }
@@ -54,6 +60,23 @@
     expect(keptIds[0]).to.deep.equal(keptIds[1])
   })
 
+  it('should neither hold up the process nor its end while nobody reads the output', async () => {
+    const child = spawn(process.execPath, LOG_WRITER, { stdio: ['ignore', 'pipe', 'inherit'] })
+    child.stdout.pause()
+    const [, signal] = await once(child, 'exit')
+    child.stdout.destroy()
+    expect(signal).to.equal('SIGKILL')
+  })
+
+  it('should write its last lines before the process ends', async () => {
+    const child = spawn(process.execPath, LOG_WRITER, { stdio: ['ignore', 'pipe', 'inherit'] })
+    let text = ''
+    child.stdout.on('data', part => { text += part })
+    const [code] = await once(child, 'close')
+    expect(code).to.equal(0)
+    expect(text.trimEnd().split('\n').at(-1)).to.include('"event":"stopped"')
+  })
+
   it('should count lines that nobody reads and go on', () => {
     const { log, lines } = buildLog(1_000_000, false)
     for (let count = 0; count < 100; count++) log.write('notable', { event: 'requestRefused' })
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -125,7 +125,7 @@
   if (config !== null) store.put('config/main', config)
   for (const endpoint of endpoints) registerEndpoint(store, endpoint)
   const lines: DecisionLine[] = []
-  const destination = { write: (line: string) => lines.push(JSON.parse(line)) > 0, flush: () => {} }
+  const destination = { write: (line: string) => lines.push(JSON.parse(line)) > 0, flush: (handleDone: () => void) => handleDone() }
   const relay = new RelayProcess({
     settings: buildSettings(settings),
     service,
