--- a/src/config/routingConfig.ts
+++ b/src/config/routingConfig.ts
@@ -15,7 +15,7 @@
   name: string
   host: string
   /** Begins and ends with a slash. */
-  pathPrefix: string
+  prefix: string
   kind: RequestKind
   /** Whether a stream may go on at another endpoint after the last event that the caller has. */
   isResumable: boolean
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -30,7 +30,7 @@
     this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
     for (const route of config.routes) this.#addRoute(route)
     this.#tightestTargets = buildTightestTargets(config.routes)
-    for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
   }
 
   /** Number of routes over all hosts. */
@@ -41,7 +41,7 @@
   /** Finds the route of the host whose prefix is the longest one that begins `path`. */
   findRoute (host: string, path: string): Route | null {
     const routes = this.#routesByHost.get(host.toLowerCase())
-    return routes?.find(route => path.startsWith(route.pathPrefix)) ?? null
+    return routes?.find(route => path.startsWith(route.prefix)) ?? null
   }
 
   findService (name: string): RoutedService | null {
--- a/tests/policy/routeTable.spec.ts
+++ b/tests/policy/routeTable.spec.ts
@@ -8,7 +8,7 @@
   return {
     name: 'r-1',
     host: 'archive.example',
-    pathPrefix: '/a/',
+    prefix: '/a/',
     kind: 'idempotent',
     isResumable: false,
     isPublic: false,
@@ -35,7 +35,7 @@
 
 describe('RouteTable', () => {
   it('should find the longest prefix of the host, without regard to the case of the host', () => {
-    const table = new RouteTable(buildConfig({ routes: [buildRoute(), buildRoute({ name: 'r-2', pathPrefix: '/a/b/' })] }))
+    const table = new RouteTable(buildConfig({ routes: [buildRoute(), buildRoute({ name: 'r-2', prefix: '/a/b/' })] }))
     expect(table.findRoute('ARCHIVE.example', '/a/b/c')?.name).to.equal('r-2')
     expect(table.findRoute('archive.example', '/a/bc')?.name).to.equal('r-1')
     expect(table.findRoute('archive.example', '/b/')).to.equal(null)
