Remove what nothing reads

Cause: the newcomer's read found four members without a reader (token counts of a request, a queue count, a splitter's length). Change: removed. Ruled out: nothing.

--- a/src/policy/dispatchQueue.ts
+++ b/src/policy/dispatchQueue.ts
@@ -33,11 +33,6 @@
     return this.#size
   }
 
-  /** Counts what waits with this rank or a higher one. */
-  countUpTo (rank: number): number {
-    return [...this.#byRank].reduce((sum, [other, requests]) => other <= rank ? sum + requests.length : sum, 0)
-  }
-
   add (request: Request): void {
     const requests = this.#byRank.get(request.rank) ?? []
     const index = requests.findIndex(other => other.dueAtMs > request.dueAtMs)
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -21,11 +21,6 @@
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0)
 
-  /** Number of bytes of the event that is not whole yet. */
-  get pendingBytes (): number {
-    return this.#pending.length
-  }
-
   /** Whether an event has grown beyond what a stream may hold. */
   get isOverfull (): boolean {
     return this.#pending.length > MAX_PENDING_BYTES
--- a/src/relay/relayRequest.ts
+++ b/src/relay/relayRequest.ts
@@ -21,8 +21,6 @@
   resumeAfter: number | null
   /** Parts of the prompt in order; the last one is the request's own. */
   promptParts: PromptPart[]
-  promptTokens: number
-  maxOutputTokens: number
 }
 
 /** A request that was admitted, with all that its relay needs. */
