--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -71,9 +71,9 @@
   for (const endpoint of endpoints) {
     if (options.excluded.has(endpoint.entry.id)) continue
     candidates += 1
-    const costMs = estimateCostMs(request, endpoint, options)
-    if (best !== null && costMs >= best.costMs) continue
     const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
+    const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
+    if (best !== null && costMs >= best.costMs) continue
     best = { endpoint, costMs, unreadTokens, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
   }
   return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best, options.planned) }
@@ -103,10 +103,10 @@
   return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
 }
 
-function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, options: DirectChooserOptions): number {
-  const { home, nowMs, random } = options
+function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, unreadTokens: number, options: DirectChooserOptions): number {
+  const { nowMs, random } = options
   const ownTokens = request.promptParts.at(-1)?.tokens ?? 0
-  const unreadShared = countUnreadTokens(request.promptParts, endpoint, endpoint === home, nowMs) - ownTokens
+  const unreadShared = unreadTokens - ownTokens
   const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * (endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0))
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
   return tokens / PREFILL_TOKENS_PER_MS + FULL_COST_MS * endpoint.inFlight / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
--- a/src/policy/repeatDecision.ts
+++ b/src/policy/repeatDecision.ts
@@ -16,8 +16,6 @@
   kind: RequestKind
   isResumable: boolean
   outcome: SendOutcome
-  /** Whether the caller has the head of the answer. */
-  hasBegun: boolean
   /** Endpoints that the request was sent to. */
   attempts: number
   maxAttempts: number
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -1,4 +1,4 @@
-import type { CallerBounds, Route, RoutedService, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
+import type { CallerBounds, Route, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
 
 /** What a caller's key says: whose it is, that it is unknown, or that it is missing. */
 export type KeyMatch =
@@ -19,14 +19,12 @@
   readonly version: number
   readonly bounds: CallerBounds
   readonly #routesByHost = new Map<string, Route[]>()
-  readonly #services: Map<string, RoutedService>
   readonly #tightestTargets: Map<string, number>
   readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
 
   constructor (config: RoutingConfig) {
     this.version = config.version
     this.bounds = config.bounds
-    this.#services = new Map(config.services.map(service => [service.name, service]))
     this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
     for (const route of config.routes) this.#addRoute(route)
     this.#tightestTargets = buildTightestTargets(config.routes)
@@ -44,10 +42,6 @@
     return routes?.find(route => path.startsWith(route.prefix)) ?? null
   }
 
-  findService (name: string): RoutedService | null {
-    return this.#services.get(name) ?? null
-  }
-
   /** Gets the shortest target in milliseconds of the routes that lead to a service. */
   getTightestTargetMs (service: string): number {
     return this.#tightestTargets.get(service) ?? Infinity
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -212,9 +212,9 @@
 }
 
 function buildSituation (state: RelayState, outcome: EndedSend['outcome'] & SendOutcome, nowMs: number): RepeatSituation {
-  const { request, reply, attempts, failedConnects } = state
+  const { request, attempts, failedConnects } = state
   const { kind, isResumable, maxAttempts } = request.route
-  return { kind, isResumable, outcome, hasBegun: reply.hasBegun, attempts, maxAttempts, failedConnects, remainingMs: request.deadlineAtMs - nowMs }
+  return { kind, isResumable, outcome, attempts, maxAttempts, failedConnects, remainingMs: request.deadlineAtMs - nowMs }
 }
 
 /** Once a request may have run, no later refusal may say that it did not. */
--- a/src/store/objectServiceAnswers.ts
+++ b/src/store/objectServiceAnswers.ts
@@ -56,13 +56,14 @@
   }
 }
 
-function parseRetryAfterMs (answer: HttpAnswer): number {
+/** Reads after how long a rate-limited call may come again. */
+export function parseRetryAfterMs (answer: HttpAnswer): number {
   const seconds = Number(answer.headers['retry-after'])
   return Number.isFinite(seconds) && seconds >= 0 ? seconds * 1_000 : DEFAULT_RETRY_AFTER_MS
 }
 
 /** A read has no effect, so that a lost answer to it is no unknown outcome. */
-function createNoAnswer<T> (method: HttpCall['method'], message: string): CallResult<T> {
+export function createNoAnswer<T> (method: HttpCall['method'], message: string): CallResult<T> {
   return method === 'GET' ? createUnavailable(message) : Result.err({ kind: 'unknownOutcome', message })
 }
 
