Read the store by one gateway of a failure domain, and tell crashes between gateways

Ruled out: longer watches (a silent connection must be found within 1.5 s); stale reads (no evidence for keys taken away); an election or registrations in the store (calls of their own, and records to clean up). Change: gateways find each other through the addresses of the settings and exchange news every 3 s. The strongest of a domain, by the same order at each, reads the store; the others ask it by JSON-RPC for changes and for the age of its evidence, and read the store themselves as soon as it gives nothing, is old or stops. Crash records ride on the news, and go to three gateways at once.

--- a/src/base/clockReading.ts
+++ b/src/base/clockReading.ts
@@ -23,3 +23,16 @@
   const now = readClock(clock)
   return Math.max(now.monotonicMs - reading.monotonicMs, now.wallMs - reading.wallMs)
 }
+
+/**
+ * Milliseconds by which the wall clock went further than the monotonic one between two readings. A
+ * large value, either way, shows that a clock was set or that the machine was suspended.
+ */
+export function computeDriftMs (from: ClockReading, to: ClockReading): number {
+  return (to.wallMs - from.wallMs) - (to.monotonicMs - from.monotonicMs)
+}
+
+/** Gets the reading that both clocks gave `milliseconds` earlier. */
+export function computeEarlier (reading: ClockReading, milliseconds: number): ClockReading {
+  return { monotonicMs: reading.monotonicMs - milliseconds, wallMs: reading.wallMs - milliseconds }
+}
--- a/src/base/progress.ts
+++ b/src/base/progress.ts
@@ -56,6 +56,11 @@
     return Math.max(0, this.#deadlineMs - this.#clock.getMonotonicMs())
   }
 
+  /** Opens a step with a deadline of its own, which ends with this operation at the latest. */
+  openPart (title: string, timeoutMs: number): Progress {
+    return new Progress({ title, timeoutMs: Math.min(timeoutMs, this.getRemainingMs()), signal: this.signal, clock: this.#clock })
+  }
+
   /** Adds a line that an error of this operation will show. */
   log (line: string): void {
     this.#log.push(line)
--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -47,7 +47,13 @@
     ready: ListenAddress
     /** Where operators read metrics and the state dump. */
     admin: ListenAddress
+    /** Where other gateways ask for this one's view of the store; null when it is not shared. */
+    peers: ListenAddress | null
   }
+  /** Addresses of some gateways, through which the others are found. */
+  peers: string[]
+  /** Part of a core that the process may use; the strongest gateway of a domain reads the store for it. */
+  processorShare: number
   /** Base URL of the store. */
   storeUrl: string
   /** Milliseconds between the heartbeats by which endpoints keep their entries. */
--- a/src/config/processSettingsSchema.ts
+++ b/src/config/processSettingsSchema.ts
@@ -45,8 +45,11 @@
   listen: z.strictObject({
     callers: listenSchema.describe('the IP number and port for callers, such as 127.0.0.1:7100'),
     ready: listenSchema.describe('the IP number and port at which readiness is asked'),
-    admin: listenSchema.describe('the IP number and port for metrics and the state dump')
+    admin: listenSchema.describe('the IP number and port for metrics and the state dump'),
+    peers: listenSchema.nullable().default(null).describe('the IP number and port for other gateways, such as 127.0.0.1:7103')
   }),
+  peers: commonShape.peers,
+  processorShare: z.number().positive().default(1).describe('the part of a core that the process may use'),
   storeUrl: commonShape.platform,
   heartbeatMs: durationSchema.describe('the milliseconds between heartbeats of endpoints'),
   revocationMs: durationSchema.describe('the milliseconds after which a removed key must not be used'),
--- /dev/null
+++ b/src/policy/peerTable.ts
@@ -0,0 +1,98 @@
+import type { PeerRecord } from '../protocol/viewMessages'
+
+/** This gateway as others are told of it. */
+export type OwnPeerRecord = Omit<PeerRecord, 'heardAgoMs'>
+
+interface KnownPeer extends OwnPeerRecord {
+  heardAtMs: number
+  /** Time at which it last gave no view. */
+  failedAtMs: number
+}
+
+/** A gateway of which nothing was heard for this long is not counted on: several missed exchanges. */
+const EXPIRY_MS = 15_000
+/** Time for which a gateway that gave no view is not asked again; it must have been heard of since, too. */
+const SHUN_MS = 6_000
+const MAX_PEERS = 1_000
+
+/**
+ * The other gateways that this one knows, and which of its failure domain reads the store for all.
+ * Each gateway decides alone: two that decide differently cost some calls of the store and no more.
+ *
+ * @example
+ * const table = new PeerTable({ id: 'gateway-2', domain: 'a', address: '10.0.0.2:7100', processorShare: 0.5 })
+ * table.record({ id: 'gateway-1', domain: 'a', address: '10.0.0.1:7100', processorShare: 1, heardAgoMs: 0 }, nowMs)
+ * table.chooseReader(nowMs)?.id // 'gateway-1'
+ */
+export class PeerTable {
+  readonly #self: OwnPeerRecord
+  readonly #peers = new Map<string, KnownPeer>()
+
+  constructor (self: OwnPeerRecord) {
+    this.#self = self
+  }
+
+  /** Gets this gateway as others are told of it. */
+  get self (): PeerRecord {
+    return { ...this.#self, heardAgoMs: 0 }
+  }
+
+  /** Takes in what was heard of a gateway; older news than known changes nothing. */
+  record (peer: PeerRecord, nowMs: number): void {
+    if (peer.id === this.#self.id) return
+    const { heardAgoMs, ...identity } = peer
+    const heardAtMs = nowMs - heardAgoMs
+    const known = this.#peers.get(peer.id)
+    if (heardAgoMs > EXPIRY_MS || (known !== undefined && known.heardAtMs >= heardAtMs)) return
+    this.#peers.set(peer.id, { ...identity, heardAtMs, failedAtMs: known?.failedAtMs ?? -Infinity })
+    this.#removeOldest()
+  }
+
+  /** Records that a gateway answered this one. */
+  recordAnswer (id: string, nowMs: number): void {
+    const known = this.#peers.get(id)
+    if (known !== undefined) known.heardAtMs = nowMs
+  }
+
+  /** Records that a gateway gave no view, so that another source is taken for a while. */
+  recordFailure (id: string, nowMs: number): void {
+    const known = this.#peers.get(id)
+    if (known !== undefined) known.failedAtMs = nowMs
+  }
+
+  /** Lists the gateways heard of lately, of one failure domain or of all. */
+  list (nowMs: number, domain?: string): PeerRecord[] {
+    const peers: PeerRecord[] = []
+    for (const { failedAtMs: _failedAtMs, heardAtMs, ...identity } of this.#peers.values()) {
+      const heardAgoMs = Math.max(0, nowMs - heardAtMs)
+      if (heardAgoMs <= EXPIRY_MS && (domain === undefined || identity.domain === domain)) peers.push({ ...identity, heardAgoMs })
+    }
+    return peers
+  }
+
+  /** Chooses the gateway whose view this one follows; null when it reads the store itself. */
+  chooseReader (nowMs: number): OwnPeerRecord | null {
+    let best: OwnPeerRecord = this.#self
+    for (const peer of this.#peers.values()) {
+      if (isUsable(peer, nowMs) && peer.domain === this.#self.domain && isBefore(peer, best)) best = peer
+    }
+    return best === this.#self ? null : best
+  }
+
+  #removeOldest (): void {
+    if (this.#peers.size <= MAX_PEERS) return
+    const [oldest] = [...this.#peers.values()].sort((one, other) => one.heardAtMs - other.heardAtMs)
+    if (oldest !== undefined) this.#peers.delete(oldest.id)
+  }
+}
+
+function isUsable (peer: KnownPeer, nowMs: number): boolean {
+  const isShunned = nowMs < peer.failedAtMs + SHUN_MS || peer.heardAtMs <= peer.failedAtMs
+  return !isShunned && nowMs - peer.heardAtMs <= EXPIRY_MS
+}
+
+/** Orders gateways alike at all of them: the strongest first. */
+function isBefore (one: OwnPeerRecord, other: OwnPeerRecord): boolean {
+  if (one.processorShare !== other.processorShare) return one.processorShare > other.processorShare
+  return one.id < other.id
+}
--- a/src/policy/viewFreshness.ts
+++ b/src/policy/viewFreshness.ts
@@ -1,4 +1,4 @@
-import { computeElapsedMs, readClock } from '../base/clockReading'
+import { computeDriftMs, computeElapsedMs, readClock } from '../base/clockReading'
 
 import type { Clock } from '../base/clock'
 import type { ClockReading } from '../base/clockReading'
@@ -58,13 +58,14 @@
     this.#maxAgeMs = maxAgeMs
   }
 
-  /** Records that the view was the newest at `startedAt`; an earlier moment than is known changes nothing. */
-  recordConfirmation (startedAt: ClockReading): void {
-    const isEarlier = this.#confirmedAt !== null && startedAt.monotonicMs < this.#confirmedAt.monotonicMs
-    if (!isEarlier) this.#confirmedAt = startedAt
+  /**
+   * Records that the view was the newest at a moment. An earlier moment than is known changes nothing,
+   * unless the clocks disagree over the known one.
+   */
+  recordConfirmation (confirmedAt: ClockReading): void {
+    const known = this.#confirmedAt
+    const isTrusted = known !== null && Math.abs(computeDriftMs(known, readClock(this.#clock))) <= MAX_DRIFT_MS
+    const isEarlier = known !== null && confirmedAt.monotonicMs < known.monotonicMs
+    if (!isTrusted || !isEarlier) this.#confirmedAt = confirmedAt
   }
 }
-
-function computeDriftMs (from: ClockReading, to: ClockReading): number {
-  return (to.wallMs - from.wallMs) - (to.monotonicMs - from.monotonicMs)
-}
--- a/src/protocol/rpcClient.ts
+++ b/src/protocol/rpcClient.ts
@@ -25,7 +25,8 @@
 export interface RpcClientOptions {
   /** `host:port` of the peer. */
   address: string
-  fleetSecret: string
+  /** Null where the peer's address is reached by the fleet's own processes only. */
+  fleetSecret: string | null
 }
 
 export interface RpcCallOptions {
@@ -134,7 +135,7 @@
       headers: {
         'content-type': 'application/json',
         'content-length': body.length,
-        authorization: `Bearer ${this.#client.fleetSecret}`
+        ...this.#client.fleetSecret === null ? {} : { authorization: `Bearer ${this.#client.fleetSecret}` }
       }
     })
     this.#request = request
--- a/src/protocol/rpcServer.ts
+++ b/src/protocol/rpcServer.ts
@@ -31,11 +31,12 @@
  * http.createServer((request, response) => rpc.handle(request, response))
  */
 export class RpcServer {
-  readonly #secretDigest: Buffer
+  readonly #secretDigest: Buffer | null
   readonly #server = new JSONRPCServer<RpcCall>({ errorListener: () => {} })
 
-  constructor (options: { fleetSecret: string }) {
-    this.#secretDigest = Buffer.from(hashText(`Bearer ${options.fleetSecret}`))
+  /** `fleetSecret` is null where only the fleet's own processes reach the address. */
+  constructor (options: { fleetSecret: string | null }) {
+    this.#secretDigest = options.fleetSecret === null ? null : Buffer.from(hashText(`Bearer ${options.fleetSecret}`))
     this.#server.mapErrorToJSONRPCErrorResponse = (id, error) =>
       ({ jsonrpc: '2.0', id, error: { code: -32000, message: String(error?.message ?? error).slice(0, 500) } })
   }
@@ -47,6 +48,7 @@
 
   /** Whether the request shows the fleet's secret. */
   isAuthorized (request: IncomingMessage): boolean {
+    if (this.#secretDigest === null) return true
     const digest = Buffer.from(hashText(request.headers.authorization ?? ''))
     return timingSafeEqual(digest, this.#secretDigest)
   }
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -7,6 +7,7 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { EndpointEntry } from '../policy/directEndpoint'
 import type { DirectoryChange } from '../policy/endpointDirectory'
+import type { CrashRecord } from '../protocol/crashRecord'
 import type { Refusal } from '../protocol/errorBody'
 import type { ObjectService } from '../store/objectService'
 import type { RelayRequest } from './relayRequest'
@@ -15,6 +16,8 @@
   clock: Clock
   service: ObjectService
   log: DecisionLog
+  /** Told that this process has seen a crash, so that others may be told. */
+  handleCrash: () => void
 }
 
 /** Endpoints that one request may crash before it is refused; the platform's rule names the third. */
@@ -69,7 +72,15 @@
     if (kind === 'gone' && entry.state === 'ready') this.#recordGone(entry)
   }
 
-  listRecords () {
+  /** Takes in a record that another gateway told. */
+  mergeRecord (record: CrashRecord): void {
+    const before = this.#registry.getCrashCount(record.fingerprint)
+    this.#registry.merge(record)
+    const crashes = this.#registry.getCrashCount(record.fingerprint)
+    if (crashes > before) this.#options.log.write('notable', { event: 'crashLearned', fingerprint: record.fingerprint, crashes, before, limit: CRASH_LIMIT })
+  }
+
+  listRecords (): CrashRecord[] {
     return this.#registry.listRecords()
   }
 
@@ -80,6 +91,7 @@
       this.#registry.record({ fingerprint, endpointName: crash.endpointId, crashId: crash.crashId })
       this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: crash.endpointId, crashId: crash.crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
     }
+    this.#options.handleCrash()
   }
 }
 
--- /dev/null
+++ b/src/relay/peerClient.ts
@@ -0,0 +1,55 @@
+import { Result } from 'true-myth'
+import { z } from 'zod'
+
+import { RpcClient } from '../protocol/rpcClient'
+import { peerNewsSchema, viewAnswerSchema } from '../protocol/viewMessages'
+
+import type { Progress } from '../base/progress'
+import type { PeerNews, ViewAnswer } from '../protocol/viewMessages'
+import type { RpcError } from '../protocol/rpcError'
+import type { ViewReader } from '../store/sharedViewService'
+
+/** Another gateway as this one calls it; each answer is checked here before it goes further. */
+export class PeerClient implements ViewReader {
+  readonly id: string
+  readonly #client: RpcClient
+
+  constructor (options: { id: string, address: string }) {
+    this.id = options.id
+    this.#client = new RpcClient({ address: options.address, fleetSecret: null })
+  }
+
+  get address (): string {
+    return this.#client.address
+  }
+
+  async listView (prefix: string, progress: Progress): Promise<Result<ViewAnswer, string>> {
+    return await this.#call('listView', { prefix }, viewAnswerSchema, progress)
+  }
+
+  async watchView (prefix: string, afterRevision: number, waitMs: number, progress: Progress): Promise<Result<ViewAnswer, string>> {
+    return await this.#call('watchView', { prefix, afterRevision, waitMs }, viewAnswerSchema, progress)
+  }
+
+  /** Tells the other gateway this one's news and gets its own. */
+  async sendNews (news: PeerNews, progress: Progress): Promise<Result<PeerNews, string>> {
+    return await this.#call('exchangeNews', news, peerNewsSchema, progress)
+  }
+
+  close (): void {
+    this.#client.close()
+  }
+
+  async #call<T> (method: string, params: object, schema: z.ZodType<T>, progress: Progress): Promise<Result<T, string>> {
+    const waitMs = progress.getRemainingMs()
+    const answer = await this.#client.call(method, params, { progress, firstMessageMs: waitMs, silenceMs: waitMs })
+    return answer.mapErr(describeError).andThen(value => {
+      const parsed = schema.safeParse(value)
+      return parsed.success ? Result.ok<T, string>(parsed.data) : Result.err<T, string>(`its answer to '${method}' is not valid: ${z.prettifyError(parsed.error).slice(0, 300)}`)
+    })
+  }
+}
+
+function describeError (error: RpcError): string {
+  return `${error.kind}: ${error.message}`
+}
--- /dev/null
+++ b/src/relay/peerLinks.ts
@@ -0,0 +1,173 @@
+import { Progress } from '../base/progress'
+import { spreadPeriod } from '../store/backoff'
+import { BackgroundTask } from '../store/backgroundTask'
+import { PeerClient } from './peerClient'
+
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { PeerTable } from '../policy/peerTable'
+import type { CrashRecord } from '../protocol/crashRecord'
+import type { PeerNews } from '../protocol/viewMessages'
+import type { ViewReader } from '../store/sharedViewService'
+
+export interface PeerLinksOptions {
+  clock: Clock
+  random: () => number
+  table: PeerTable
+  /** Addresses known from the settings, through which the first gateways are found. */
+  seeds: readonly string[]
+  log: DecisionLog
+  listCrashes: () => CrashRecord[]
+  mergeCrash: (record: CrashRecord) => void
+}
+
+/** Time between two exchanges with another gateway; a gateway not heard of for five is not counted on. */
+const EXCHANGE_MS = 3_000
+/** All start at once: the first exchanges come sooner, so that gateways know each other before traffic. */
+const FIRST_EXCHANGE_MS = 500
+const FIRST_EXCHANGES = 6
+const CALL_TIMEOUT_MS = 1_000
+/** Clients kept, of which those with an idle connection hold a descriptor. */
+const MAX_CLIENTS = 64
+/** Gateways told at once of a new crash; each tells others in its turn. */
+const CRASH_FANOUT = 3
+/** Crash records told in one exchange, the latest ones. */
+const MAX_CRASHES_TOLD = 20
+
+/** Keeps this gateway and the others in touch: who is there, and which requests crash endpoints. */
+export class PeerLinks {
+  readonly #options: PeerLinksOptions
+  readonly #clients = new Map<string, PeerClient>()
+  readonly #task: BackgroundTask
+  #exchanges = 0
+  #seedAddresses: readonly string[]
+  /** Id of the gateway whose view is followed, as last told by the log. */
+  #readerId: string | null = null
+
+  constructor (options: PeerLinksOptions) {
+    this.#options = options
+    this.#seedAddresses = options.seeds
+    this.#task = new BackgroundTask({
+      runStep: async signal => await this.#runStep(signal),
+      onError: error => this.#reportError(error)
+    })
+  }
+
+  start (): void {
+    this.#task.start(spreadPeriod(FIRST_EXCHANGE_MS, this.#options.random))
+  }
+
+  async stop (): Promise<void> {
+    await this.#task.stop()
+    for (const client of this.#clients.values()) client.close()
+  }
+
+  setSeeds (seeds: readonly string[]): void {
+    this.#seedAddresses = seeds
+  }
+
+  /** Chooses the gateway whose view of the store is followed; null for the store itself. */
+  chooseReader (): ViewReader | null {
+    const { table, clock, log } = this.#options
+    const chosen = table.chooseReader(clock.getMonotonicMs())
+    const id = chosen?.id ?? null
+    if (id !== this.#readerId) {
+      log.write('notable', { event: 'viewSourceChanged', reader: id, before: this.#readerId })
+      this.#readerId = id
+    }
+    return chosen === null ? null : this.#openClient(chosen)
+  }
+
+  recordAnswer (reader: ViewReader): void {
+    this.#options.table.recordAnswer(reader.id, this.#options.clock.getMonotonicMs())
+  }
+
+  recordFailure (reader: ViewReader, reason: string): void {
+    const { table, clock, log } = this.#options
+    log.write('notable', { event: 'viewReaderFailed', reader: reader.id, reason })
+    table.recordFailure(reader.id, clock.getMonotonicMs())
+  }
+
+  /** Tells some gateways at once, since this one has seen an endpoint crash. */
+  notifyCrash (): void {
+    const { random, table, clock } = this.#options
+    const peers = table.list(clock.getMonotonicMs()).map(peer => ({ peer, order: random() }))
+    peers.sort((one, other) => one.order - other.order)
+    const { signal } = new AbortController()
+    const sends = peers.slice(0, CRASH_FANOUT).map(async ({ peer }) => await this.#sendNews(this.#openClient(peer), signal))
+    Promise.all(sends).catch(error => this.#reportError(error))
+  }
+
+  /** Takes in another gateway's news and returns this one's for it. */
+  receiveNews (news: PeerNews): PeerNews {
+    this.#takeNews(news)
+    return this.#buildNews(news.self.domain)
+  }
+
+  async #runStep (signal: AbortSignal): Promise<number> {
+    const { random } = this.#options
+    this.#exchanges += 1
+    const client = this.#chooseTarget()
+    if (client !== null) await this.#sendNews(client, signal)
+    return spreadPeriod(this.#exchanges < FIRST_EXCHANGES ? FIRST_EXCHANGE_MS : EXCHANGE_MS, random)
+  }
+
+  /** Takes a gateway of the own domain as often as one of the settings, so that neither is needed alone. */
+  #chooseTarget (): PeerClient | null {
+    const { table, clock, random } = this.#options
+    const { address, domain } = table.self
+    const seeds = this.#seedAddresses.filter(seed => seed !== address)
+    const near = table.list(clock.getMonotonicMs(), domain)
+    const takesSeed = seeds.length > 0 && (near.length === 0 || this.#exchanges % 2 === 1)
+    if (!takesSeed) return near.length === 0 ? null : this.#openClient(selectAny(near, random))
+    const seed = selectAny(seeds, random)
+    return this.#openClient({ id: seed, address: seed })
+  }
+
+  async #sendNews (client: PeerClient, signal: AbortSignal): Promise<void> {
+    const { table, clock } = this.#options
+    const progress = new Progress({ title: 'exchanging news', timeoutMs: CALL_TIMEOUT_MS, signal, clock })
+    // the receiver's domain is not known of a seed; what it does not need it drops
+    const answer = await client.sendNews(this.#buildNews(table.self.domain), progress)
+    if (answer.isOk) this.#takeNews(answer.value)
+  }
+
+  #takeNews (news: PeerNews): void {
+    const { table, clock, mergeCrash } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    for (const peer of [news.self, ...news.peers]) table.record(peer, nowMs)
+    for (const record of news.crashes) mergeCrash(record)
+  }
+
+  #buildNews (domain: string): PeerNews {
+    const { table, clock, listCrashes } = this.#options
+    return { self: table.self, peers: table.list(clock.getMonotonicMs(), domain), crashes: listCrashes().slice(-MAX_CRASHES_TOLD) }
+  }
+
+  #reportError (error: unknown): void {
+    this.#options.log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
+  }
+
+  #openClient ({ id, address }: { id: string, address: string }): PeerClient {
+    const key = `${id}@${address}`
+    const client = this.#clients.get(key) ?? new PeerClient({ id, address })
+    // the map's order is that of the last use
+    this.#clients.delete(key)
+    this.#clients.set(key, client)
+    this.#closeOldest()
+    return client
+  }
+
+  #closeOldest (): void {
+    if (this.#clients.size <= MAX_CLIENTS) return
+    const oldest = this.#clients.entries().next()
+    if (oldest.done === true) return
+    const [key, client] = oldest.value
+    client.close()
+    this.#clients.delete(key)
+  }
+}
+
+function selectAny<T> (items: readonly T[], random: () => number): T {
+  return items[Math.floor(random() * items.length)]!
+}
--- /dev/null
+++ b/src/relay/peerServer.ts
@@ -0,0 +1,40 @@
+import { HttpListener } from '../base/httpListener'
+import { RPC_PATH } from '../protocol/attemptMessages'
+import { RpcServer } from '../protocol/rpcServer'
+import { listViewSchema, peerNewsSchema, watchViewSchema } from '../protocol/viewMessages'
+
+import type { PeerNews } from '../protocol/viewMessages'
+import type { SharedViewService } from '../store/sharedViewService'
+
+export interface PeerServerOptions {
+  view: SharedViewService
+  /** Takes in what another gateway tells, and returns what it is told. */
+  exchangeNews: (news: PeerNews) => PeerNews
+}
+
+/** Answers the other gateways. */
+export class PeerServer {
+  readonly #listener: HttpListener
+
+  constructor (options: PeerServerOptions) {
+    const { view, exchangeNews } = options
+    // only the fleet's own processes reach this address
+    const rpc = new RpcServer({ fleetSecret: null })
+    rpc.register('listView', async params => view.answerList(listViewSchema.parse(params).prefix))
+    rpc.register('watchView', async (params, call) => {
+      const { prefix, afterRevision, waitMs } = watchViewSchema.parse(params)
+      return await view.answerWatch(prefix, afterRevision, waitMs, call.closed)
+    })
+    rpc.register('exchangeNews', async params => exchangeNews(peerNewsSchema.parse(params)))
+    this.#listener = new HttpListener({ handlers: { [RPC_PATH]: (request, response) => rpc.handle(request, response) } })
+  }
+
+  /** Starts to listen and returns the `host:port` in use. */
+  async listen (address: { host: string, port: number }): Promise<string> {
+    return await this.#listener.listen(address)
+  }
+
+  close (): void {
+    this.#listener.close()
+  }
+}
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -4,9 +4,11 @@
 import { Metrics } from '../base/metrics'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
+import { PeerTable } from '../policy/peerTable'
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { waitFor } from '../store/channels'
+import { SharedViewService } from '../store/sharedViewService'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
 import { CrashGuard } from './crashGuard'
@@ -14,6 +16,8 @@
 import { EndpointAgent } from './endpointAgent'
 import { EndpointSender } from './endpointSender'
 import { FleetFollower } from './fleetFollower'
+import { PeerLinks } from './peerLinks'
+import { PeerServer } from './peerServer'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
@@ -22,6 +26,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
+import type { OwnPeerRecord } from '../policy/peerTable'
 import type { RetryWindowOptions } from '../policy/retryWindow'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
@@ -62,7 +67,7 @@
 const RESERVED_DESCRIPTORS = 400
 const DRAIN_POLL_MS = 25
 /** Settings that are read at the start only. */
-const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors'] as const
+const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
 
 /** One gateway that relays requests straight to endpoints. */
@@ -78,6 +83,10 @@
   readonly #relay: DirectRelay
   readonly #silence: SilenceWatch
   readonly #crashes: CrashGuard
+  readonly #view: SharedViewService
+  readonly #peerTable: PeerTable
+  readonly #links: PeerLinks
+  readonly #peerServer: PeerServer
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -92,10 +101,29 @@
     this.#settings = settings
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log })
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#links.notifyCrash() })
+    this.#peerTable = new PeerTable(buildPeerRecord(settings))
+    this.#links = new PeerLinks({
+      clock: systemClock,
+      random: Math.random,
+      table: this.#peerTable,
+      seeds: settings.peers,
+      log,
+      listCrashes: () => this.#crashes.listRecords(),
+      mergeCrash: record => this.#crashes.mergeRecord(record)
+    })
+    this.#view = new SharedViewService({
+      clock: systemClock,
+      store: service,
+      prefixes: [decoder.configKey, decoder.endpointPrefix],
+      chooseReader: () => this.#links.chooseReader(),
+      handleAnswer: reader => this.#links.recordAnswer(reader),
+      handleFailure: (reader, reason) => this.#links.recordFailure(reader, reason)
+    })
+    this.#peerServer = new PeerServer({ view: this.#view, exchangeNews: news => this.#links.receiveNews(news) })
     this.#follower = new FleetFollower({
       clock: systemClock,
-      service,
+      service: this.#view,
       decoder,
       directory: this.#directory,
       freshness: this.#freshness,
@@ -165,6 +193,10 @@
     const ready = await this.#readyListener.listen(listen.ready)
     const callers = await this.#server.listen(listen.callers)
     const admin = await this.#adminListener.listen(listen.admin)
+    if (listen.peers !== null) {
+      await this.#peerServer.listen(listen.peers)
+      this.#links.start()
+    }
     return { ready, callers, admin }
   }
 
@@ -178,6 +210,7 @@
     this.#settings = settings
     this.#freshness.setMaxAge(FRESH_SHARE * settings.revocationMs)
     this.#retries.setOptions(buildRetryOptions(settings))
+    this.#links.setSeeds(settings.peers)
     this.#options.log.setBytesPerSecond(settings.logBytesPerSecond)
     return needRestart
   }
@@ -191,10 +224,13 @@
     const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
     const startedAtMs = systemClock.getMonotonicMs()
     this.#isLeaving = true
+    this.#view.stopServing()
+    const linksStopped = this.#links.stop()
     this.#server.startLeaving()
     await waitFor(Math.min(OUT_OF_ROTATION_MS, stopMs / 3))
     this.#server.stopAccepting()
     while (this.#relay.countInFlight() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_SHARE * stopMs) await waitFor(DRAIN_POLL_MS)
+    await linksStopped
     log.write('notable', { event: 'drained', cutRequests: this.#relay.countInFlight(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
@@ -203,10 +239,11 @@
     this.#server.close()
     this.#readyListener.close()
     this.#adminListener.close()
+    this.#peerServer.close()
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#silence.close()
-    await Promise.all([this.#follower.stop(), this.#crashes.stop()])
+    await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#links.stop()])
   }
 
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
@@ -236,12 +273,17 @@
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, readLimit, ...belief }) => ({ ...belief, readLimitTokens: readLimit.tokens })))
     this.#dump.register('crashes', () => this.#crashes.listRecords())
+    this.#dump.register('peers', () => this.#peerTable.list(systemClock.getMonotonicMs()))
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
 }
 
+function buildPeerRecord ({ id, domain, listen, processorShare }: RelaySettings): OwnPeerRecord {
+  return { id, domain, processorShare, address: listen.peers === null ? '' : `${listen.peers.host}:${listen.peers.port}` }
+}
+
 function buildRetryOptions (settings: RelaySettings): RetryWindowOptions {
   return { windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, floor: 1 }
 }
--- a/src/store/objectService.ts
+++ b/src/store/objectService.ts
@@ -30,6 +30,16 @@
   events: WatchEvent[]
   /** Position from which the next watch goes on. */
   revision: number
+  /** Milliseconds since the state was known to be the newest, for what another process read; 0 when absent. */
+  ageMs?: number
+}
+
+/** All objects below a prefix at one moment. */
+export interface ListedObjects {
+  objects: StoredObject[]
+  revision: number
+  /** As in `WatchBatch`. */
+  ageMs?: number
 }
 
 /** An instance on the platform's lagging list. */
@@ -57,7 +67,7 @@
  */
 export interface ObjectService {
   get (key: string, progress: Progress): Promise<Result<StoredObject | null, ObjectServiceError>>
-  list (prefix: string, progress: Progress): Promise<Result<{ objects: StoredObject[], revision: number }, ObjectServiceError>>
+  list (prefix: string, progress: Progress): Promise<Result<ListedObjects, ObjectServiceError>>
   put (key: string, value: unknown, condition: WriteCondition, progress: Progress): Promise<Result<{ version: number }, ObjectServiceError>>
   delete (key: string, version: number, progress: Progress): Promise<Result<null, ObjectServiceError>>
   watch (prefix: string, afterRevision: number, timeoutMs: number, progress: Progress): Promise<Result<WatchBatch, ObjectServiceError>>
--- a/src/store/poisonRegistry.ts
+++ b/src/store/poisonRegistry.ts
@@ -1,16 +1,17 @@
 import { systemClock } from '../base/clock'
 import { Progress } from '../base/progress'
+import { crashRecordSchema } from '../protocol/crashRecord'
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
 import { POISON_PREFIX } from './keys'
-import { crashRecordSchema, hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
+import { hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
 import { PrefixWatcher } from './prefixWatcher'
 import { TokenBucket } from './tokenBucket'
 
 import type { Clock } from '../base/clock'
 import type { ObjectService, StoredObject, WatchEvent, WriteCondition } from './objectService'
-import type { CrashRecord } from './poisonRecord'
+import type { CrashRecord } from '../protocol/crashRecord'
 
 export interface PoisonRegistryOptions {
   service: ObjectService
--- a/src/store/prefixWatcher.ts
+++ b/src/store/prefixWatcher.ts
@@ -1,5 +1,5 @@
 import { systemClock } from '../base/clock'
-import { readClock } from '../base/clockReading'
+import { computeEarlier, readClock } from '../base/clockReading'
 import { Progress } from '../base/progress'
 
 import { Backoff, spreadPeriod } from './backoff'
@@ -16,7 +16,7 @@
   handleList: (objects: StoredObject[]) => void
   /** Takes changes in the order in which they were made. */
   handleEvents: (events: WatchEvent[]) => void
-  /** Told that the view was the newest at the start of a call that has just been answered. */
+  /** Told that the view was the newest at a moment: the start of the call just answered, or before it where another process read. */
   handleConfirmed?: (startedAt: ClockReading) => void
   /** Told why a call gave nothing. */
   handleFailed?: (error: ObjectServiceError) => void
@@ -128,7 +128,7 @@
     this.#isRefreshing = false
     this.#setRevision(result.value.revision)
     handleList(result.value.objects)
-    this.#options.handleConfirmed?.(startedAt)
+    this.#options.handleConfirmed?.(computeEarlier(startedAt, result.value.ageMs ?? 0))
     return true
   }
 
@@ -142,7 +142,7 @@
     if (signal.aborted || result.value.revision < revision) return false
     this.#setRevision(result.value.revision)
     if (result.value.events.length > 0) handleEvents(result.value.events)
-    this.#options.handleConfirmed?.(startedAt)
+    this.#options.handleConfirmed?.(computeEarlier(startedAt, result.value.ageMs ?? 0))
     return true
   }
 
--- /dev/null
+++ b/src/store/viewCache.ts
@@ -0,0 +1,145 @@
+import { computeDriftMs, computeElapsedMs, readClock } from '../base/clockReading'
+
+import type { Clock } from '../base/clock'
+import type { ClockReading } from '../base/clockReading'
+import type { ViewAnswer } from '../protocol/viewMessages'
+import type { ListedObjects, StoredObject, WatchBatch, WatchEvent } from './objectService'
+
+/** What was read of the store below one prefix. */
+interface PrefixView {
+  objects: Map<string, StoredObject>
+  /** Changes since `oldestRevision`, as they came. */
+  batches: Array<{ afterRevision: number, revision: number, events: WatchEvent[] }>
+  oldestRevision: number
+  revision: number
+  confirmedAt: ClockReading
+}
+
+/** Batches kept for those who follow: many seconds of a busy store. */
+const MAX_BATCHES = 100
+/** Difference between the clocks above which the age of the view is not known; see `ViewFreshness`. */
+const MAX_DRIFT_MS = 100
+
+/**
+ * What this process has read of the store by itself, for other processes that follow it. A view whose
+ * last call failed is not handed on, and neither is one that another process read.
+ *
+ * @example
+ * cache.recordList('servers/', listed, startedAt)
+ * cache.answerList('servers/') // { kind: 'objects', objects, revision, ageMs: 3 }
+ */
+export class ViewCache {
+  readonly #clock: Clock
+  readonly #views = new Map<string, PrefixView>()
+  readonly #waiting = new Set<() => void>()
+
+  constructor (clock: Clock) {
+    this.#clock = clock
+  }
+
+  recordList (prefix: string, listed: ListedObjects, startedAt: ClockReading): void {
+    const { revision } = listed
+    const objects = new Map(listed.objects.map(object => [object.key, object]))
+    this.#views.set(prefix, { objects, batches: [], oldestRevision: revision, revision, confirmedAt: startedAt })
+    this.#notifyWaiting()
+  }
+
+  recordChanges (prefix: string, afterRevision: number, batch: WatchBatch, startedAt: ClockReading): void {
+    const view = this.#views.get(prefix)
+    if (view === undefined) return
+    if (view.revision !== afterRevision) return this.recordLost(prefix)
+    view.confirmedAt = startedAt
+    view.revision = batch.revision
+    if (batch.events.length === 0 && batch.revision === afterRevision) return
+    view.batches.push({ afterRevision, revision: batch.revision, events: batch.events })
+    if (view.batches.length > MAX_BATCHES) view.oldestRevision = view.batches.shift()!.revision
+    for (const event of batch.events) applyEvent(view.objects, event)
+    this.#notifyWaiting()
+  }
+
+  /** Records that a call failed: what is known may be old. */
+  recordLost (prefix: string): void {
+    if (this.#views.delete(prefix)) this.#notifyWaiting()
+  }
+
+  /** Drops all views, since this process does not read the store itself any more. */
+  clear (): void {
+    this.#views.clear()
+    this.#notifyWaiting()
+  }
+
+  answerList (prefix: string): ViewAnswer {
+    const view = this.#views.get(prefix)
+    if (view === undefined) return createUnavailable()
+    const ageMs = this.#computeAgeMs(view)
+    return ageMs === null ? createUnavailable() : { kind: 'objects', objects: [...view.objects.values()], revision: view.revision, ageMs }
+  }
+
+  /** Answers as soon as there is something after `afterRevision`, else after `waitMs` or when `signal` fires. */
+  async answerWatch (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ViewAnswer> {
+    const untilMs = this.#clock.getMonotonicMs() + waitMs
+    let remainingMs = waitMs
+    for (;;) {
+      const answer = this.#findChanges(prefix, afterRevision)
+      const isEmpty = answer.kind === 'changes' && answer.revision <= afterRevision
+      if (!isEmpty) return answer
+      if (remainingMs <= 0 || signal.aborted) return answer.revision < afterRevision ? createUnavailable() : answer
+      const hasNews = await this.#waitForNews(remainingMs, signal)
+      remainingMs = hasNews ? untilMs - this.#clock.getMonotonicMs() : 0
+    }
+  }
+
+  #findChanges (prefix: string, afterRevision: number): ViewAnswer {
+    const view = this.#views.get(prefix)
+    if (view === undefined) return createUnavailable()
+    const ageMs = this.#computeAgeMs(view)
+    if (ageMs === null) return createUnavailable()
+    if (afterRevision >= view.revision) return { kind: 'changes', events: [], revision: view.revision, ageMs }
+    const isBoundary = afterRevision === view.oldestRevision || view.batches.some(batch => batch.revision === afterRevision)
+    if (!isBoundary) return { kind: 'positionGone' }
+    const events = view.batches.filter(batch => batch.revision > afterRevision).flatMap(batch => batch.events)
+    return { kind: 'changes', events, revision: view.revision, ageMs }
+  }
+
+  /** Null when the clocks disagree, so that a suspension may hide in the difference. */
+  #computeAgeMs (view: PrefixView): number | null {
+    const driftMs = computeDriftMs(view.confirmedAt, readClock(this.#clock))
+    return Math.abs(driftMs) > MAX_DRIFT_MS ? null : Math.max(0, computeElapsedMs(view.confirmedAt, this.#clock))
+  }
+
+  /** Returns whether something was recorded before the time ran out. */
+  async #waitForNews (timeoutMs: number, signal: AbortSignal): Promise<boolean> {
+    return await new Promise(resolve => {
+      const finish = (hasNews: boolean) => {
+        clearTimeout(timer)
+        this.#waiting.delete(handleNews)
+        signal.removeEventListener('abort', handleAbort)
+        resolve(hasNews)
+      }
+      const handleNews = () => finish(true)
+      const handleAbort = () => finish(false)
+      const timer = setTimeout(handleAbort, timeoutMs)
+      this.#waiting.add(handleNews)
+      signal.addEventListener('abort', handleAbort, { once: true })
+    })
+  }
+
+  #notifyWaiting (): void {
+    for (const finish of [...this.#waiting]) finish()
+  }
+}
+
+function applyEvent (objects: Map<string, StoredObject>, event: WatchEvent): void {
+  switch (event.kind) {
+    case 'put':
+      objects.set(event.object.key, event.object)
+      break
+    case 'delete':
+      objects.delete(event.key)
+      break
+  }
+}
+
+function createUnavailable (): ViewAnswer {
+  return { kind: 'unavailable', reason: 'this gateway does not read the store itself now' }
+}
--- /dev/null
+++ b/tests/relay/peers.spec.ts
@@ -0,0 +1,98 @@
+import { expect } from 'chai'
+
+import { MemoryObjectStore } from '../fakes/memoryObjectService'
+import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, findPort, registerEndpoint, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+
+import type { RelaySettings } from '../../src/config/processSettings'
+import type { EndpointFixture, RelayFixture } from './relayFixture'
+
+interface PairFixture {
+  store: MemoryObjectStore
+  /** Reads the store for both. */
+  reader: RelayFixture
+  follower: RelayFixture
+}
+
+describe('gateways of one failure domain', () => {
+  let pair: PairFixture
+  let endpoint: EndpointFixture
+
+  beforeEach(async () => {
+    endpoint = await startEndpoint('e-1', request => answerWhole(request))
+    pair = await startPair(endpoint)
+  })
+
+  afterEach(async () => {
+    await pair.reader.close()
+    await pair.follower.close()
+  })
+
+  it('should read the store by one of them, and have its changes in force at the other', async () => {
+    const { store, follower } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    // the watches that were open when it began to follow end by themselves
+    await waitUntil('the last watches of its own', async () => await countCalls(follower, 1500) === 0)
+    store.put('config/main', buildPlatformConfig({ version: 2, routes: [buildRoute({ pathPrefix: '/moved/' })] }))
+    await waitUntil('the change', () => follower.lines.some(line => line.event === 'configInForce' && line.version === 2))
+    expect((await sendRequest(follower, { target: '/moved/1' })).text).to.match(/^HTTP\/1.1 200 /)
+    expect((await sendRequest(follower, { target: '/archive/1' })).text).to.match(/^HTTP\/1.1 404 /)
+  })
+
+  it('should read the store itself as soon as the reader has ended', async () => {
+    const { store, reader, follower } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    await reader.close()
+    store.put('config/main', buildPlatformConfig({ version: 2, routes: [buildRoute({ pathPrefix: '/moved/' })] }))
+    const startedAtMs = performance.now()
+    await waitUntil('the change', () => follower.lines.some(line => line.event === 'configInForce' && line.version === 2))
+    expect(performance.now() - startedAtMs).to.be.below(2000)
+  })
+
+  it('should read the store itself when only the reader has lost it', async () => {
+    const { store, reader, follower } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    reader.service.setFaults({ outage: true })
+    store.put('config/main', buildPlatformConfig({ version: 2, routes: [buildRoute({ pathPrefix: '/moved/' })] }))
+    const startedAtMs = performance.now()
+    await waitUntil('the change', () => follower.lines.some(line => line.event === 'configInForce' && line.version === 2))
+    expect(performance.now() - startedAtMs).to.be.below(2000)
+  })
+
+  it('should refuse a request that crashed endpoints at another gateway, though no write of the store arrives', async () => {
+    const { store, reader, follower } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    reader.service.setFaults({ lostWrites: 1000 })
+    store.delete('servers/e-1')
+    for (let crash = 1; crash <= 3; crash++) {
+      const crashing = await startEndpoint(`c-${crash}`, () => crashing.close())
+      registerEndpoint(store, crashing)
+      await waitUntil('the endpoint to be known', () => reader.lines.some(line => line.event === 'endpointChanged' && line.change === 'joined' && line.endpoint === crashing.id))
+      await sendRequest(reader, { id: `p-${crash}`, target: '/archive/poison' })
+      store.delete(`servers/${crashing.id}`)
+      await waitUntil('the crash to be counted', () => reader.lines.filter(line => line.event === 'crashBlamed').length === crash)
+    }
+    await waitUntil('the crashes to be told', () => follower.lines.some(line => line.event === 'crashLearned' && line.crashes === 3))
+    expect((await sendRequest(follower, { id: 'p-4', target: '/archive/poison' })).text).to.match(/^HTTP\/1\.1 503 [\s\S]*\r\nRetry-After: 600/)
+  })
+})
+
+async function startPair (endpoint: EndpointFixture): Promise<PairFixture> {
+  const store = new MemoryObjectStore()
+  const ports = [await findPort(), await findPort()]
+  const peers = [`127.0.0.1:${ports[0]}`]
+  const build = (id: string, port: number): Partial<RelaySettings> => ({ id, peers, listen: { ...buildSettings().listen, peers: { host: '127.0.0.1', port } } })
+  const reader = await startRelay(buildPlatformConfig(), [endpoint], build('gateway-1', ports[0]!), store)
+  const follower = await startRelay(buildPlatformConfig(), [], build('gateway-2', ports[1]!), store)
+  return { store, reader, follower }
+}
+
+function isFollowing (gateway: RelayFixture): boolean {
+  return gateway.lines.some(line => line.event === 'viewSourceChanged' && line.reader === 'gateway-1')
+}
+
+/** Counts the reads of the store in the next `milliseconds`, without those of crash records. */
+async function countCalls (gateway: RelayFixture, milliseconds: number): Promise<number> {
+  const before = gateway.service.log.length
+  await new Promise(resolve => setTimeout(resolve, milliseconds))
+  return gateway.service.log.slice(before).filter(call => !call.includes('poison/')).length
+}
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -105,7 +105,9 @@
   return {
     id: 'gateway-1',
     domain: 'domain-a',
-    listen: { callers: listenAny, ready: listenAny, admin: listenAny },
+    listen: { callers: listenAny, ready: listenAny, admin: listenAny, peers: null },
+    peers: [],
+    processorShare: 1,
     storeUrl: 'http://127.0.0.1:1',
     heartbeatMs: 100,
     revocationMs: 5000,
@@ -119,8 +121,7 @@
 }
 
 /** Starts a gateway on the platform's dialects, before a store in memory. */
-export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}): Promise<RelayFixture> {
-  const store = new MemoryObjectStore()
+export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}, store = new MemoryObjectStore()): Promise<RelayFixture> {
   const service = new MemoryObjectService(store)
   if (config !== null) store.put('config/main', config)
   for (const endpoint of endpoints) registerEndpoint(store, endpoint)
@@ -161,6 +162,14 @@
   return [`${method} ${target} HTTP/1.1`, `Host: ${HOST}`, `Tanagerwick-Request-Attempt-Id: ${id}`, 'Tanagerwick-Request-Deadline-Ms: 1500', ...keyLine, ...lengthLine, ...headers, '', body].join('\r\n')
 }
 
+/** Finds a port that is free now. */
+export async function findPort (): Promise<number> {
+  const server = net.createServer()
+  const port = getPort(await listen(server))
+  await new Promise(resolve => server.close(resolve))
+  return port
+}
+
 /** Sends bytes on a connection of their own and reads until it ends, or until `until` matches. */
 export async function sendRaw (port: number, text: string, until?: RegExp): Promise<RawAnswer> {
   return await new Promise(resolve => {
--- /dev/null
+++ b/tests/store/sharedViewService.spec.ts
@@ -0,0 +1,127 @@
+import { expect } from 'chai'
+import { Result } from 'true-myth'
+
+import { ManualClock } from '../../src/base/clock'
+import { Progress } from '../../src/base/progress'
+import { SharedViewService } from '../../src/store/sharedViewService'
+import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
+
+import type { ViewReader } from '../../src/store/sharedViewService'
+
+const PREFIX = 'servers/'
+
+interface SharedFixture {
+  store: MemoryObjectStore
+  clock: ManualClock
+  reader: SharedViewService
+  readerStore: MemoryObjectService
+  follower: SharedViewService
+  followerStore: MemoryObjectService
+  failures: string[]
+}
+
+/** Two processes of one domain, of which the second follows the first until it fails. */
+function buildShared (): SharedFixture {
+  const store = new MemoryObjectStore()
+  const clock = new ManualClock(1000)
+  const failures: string[] = []
+  const readerStore = new MemoryObjectService(store)
+  const followerStore = new MemoryObjectService(store)
+  const reader = new SharedViewService({ clock, store: readerStore, prefixes: [PREFIX], chooseReader: () => null, handleAnswer: () => {}, handleFailure: () => {} })
+  const link: ViewReader = {
+    id: 'reader',
+    listView: async prefix => Result.ok(reader.answerList(prefix)),
+    watchView: async (prefix, afterRevision, waitMs, progress) => Result.ok(await reader.answerWatch(prefix, afterRevision, waitMs, progress.signal))
+  }
+  const follower = new SharedViewService({
+    clock,
+    store: followerStore,
+    prefixes: [PREFIX],
+    chooseReader: () => failures.length === 0 ? link : null,
+    handleAnswer: () => {},
+    handleFailure: (_reader, reason) => failures.push(reason)
+  })
+  return { store, clock, reader, readerStore, follower, followerStore, failures }
+}
+
+function createProgress (): Progress {
+  return new Progress({ title: 'testing', timeoutMs: 2000 })
+}
+
+describe('a view of the store that gateways share', () => {
+  it('should follow changes without a call of the store', async () => {
+    const { store, reader, follower, followerStore } = buildShared()
+    store.put('servers/a', { service: 's' })
+    const listed = (await reader.list(PREFIX, createProgress())).unwrapOr({ objects: [], revision: -1 })
+    const followed = (await follower.list(PREFIX, createProgress())).unwrapOr({ objects: [], revision: -1 })
+    expect(followed.objects).to.deep.equal(listed.objects)
+    const waiting = follower.watch(PREFIX, followed.revision, 500, createProgress())
+    store.put('servers/b', { service: 's' })
+    await reader.watch(PREFIX, listed.revision, 500, createProgress())
+    expect((await waiting).unwrapOr(null)?.events).to.have.length(1)
+    expect(followerStore.calls.list + followerStore.calls.watch).to.equal(0)
+  })
+
+  it('should tell how old the view is, as the reader knows it', async () => {
+    const { clock, reader, follower } = buildShared()
+    await reader.list(PREFIX, createProgress())
+    clock.advance(700)
+    const followed = (await follower.list(PREFIX, createProgress())).unwrapOr(null)
+    expect(followed?.ageMs).to.equal(700)
+  })
+
+  it('should read the store when the reader has lost it, also in the middle of a watch', async () => {
+    const { store, reader, readerStore, follower, followerStore, failures } = buildShared()
+    const { revision } = (await reader.list(PREFIX, createProgress())).unwrapOr({ objects: [], revision: -1 })
+    await follower.list(PREFIX, createProgress())
+    const waiting = follower.watch(PREFIX, revision, 500, createProgress())
+    readerStore.setFaults({ outage: true })
+    await reader.watch(PREFIX, revision, 500, createProgress())
+    expect((await waiting).isErr).to.equal(true)
+    expect(failures).to.have.length(1)
+    store.put('servers/a', { service: 's' })
+    const direct = (await follower.list(PREFIX, createProgress())).unwrapOr({ objects: [], revision: -1 })
+    expect(direct.objects).to.have.length(1)
+    expect(followerStore.calls.list).to.equal(1)
+  })
+
+  it('should not rely on a reader whose view is old', async () => {
+    const { clock, reader, follower, failures } = buildShared()
+    await reader.list(PREFIX, createProgress())
+    clock.advance(3_001)
+    expect((await follower.list(PREFIX, createProgress())).isErr).to.equal(true)
+    expect(failures[0]).to.match(/3001 ms old/)
+  })
+
+  it('should not hand on what another process read', async () => {
+    const { reader, follower } = buildShared()
+    await reader.list(PREFIX, createProgress())
+    await follower.list(PREFIX, createProgress())
+    expect(follower.answerList(PREFIX).kind).to.equal('unavailable')
+  })
+
+  it('should send its followers elsewhere when it stops', async () => {
+    const { reader, follower, failures } = buildShared()
+    await reader.list(PREFIX, createProgress())
+    reader.stopServing()
+    expect((await follower.list(PREFIX, createProgress())).isErr).to.equal(true)
+    expect(failures).to.have.length(1)
+  })
+
+  it('should ask to list again from a position that the reader does not have', async () => {
+    const { store, reader, follower } = buildShared()
+    store.put('servers/a', {})
+    store.put('servers/b', {})
+    await reader.list(PREFIX, createProgress())
+    const watched = await follower.watch(PREFIX, 1, 100, createProgress())
+    expect(watched.isErr && watched.error.kind).to.equal('conflict')
+  })
+
+  it('should not go back to a reader that knows less than it does', async () => {
+    const { store, reader, follower, failures } = buildShared()
+    await reader.list(PREFIX, createProgress())
+    store.put('servers/a', {})
+    expect((await follower.watch(PREFIX, 1, 20, createProgress())).isErr).to.equal(true)
+    expect(failures).to.have.length(1)
+  })
+})
