Add a fault soak: real gateways, faults from outside, promises checked as it runs

Ruled out: faults built into the product (they come from proxies, signals, the store's stand-in and a preloaded shift of the time of day). Change: soak/ with a seeded plan, a checker that judges by what callers and endpoints saw, and a command; three more faults of the store's stand-in.

--- /dev/null
+++ b/soak/runSoak.ts
@@ -0,0 +1,231 @@
+import { mkdirSync } from 'node:fs'
+import { setTimeout as waitFor } from 'node:timers/promises'
+
+import { createSeededRandom } from '../standins/shared/seededRandom'
+import { Disturbances } from './disturbances'
+import { FaultInjector } from './faultInjector'
+import { SoakCaller } from './soakCaller'
+import { SoakChecker } from './soakChecker'
+import { SoakFleet } from './soakFleet'
+import { buildSoakPlan, CALM_END_MS } from './soakPlan'
+
+import type { SoakGateway } from './soakGateway'
+import type { SoakBounds, SoakFinding } from './soakChecker'
+import type { PlannedAction } from './soakPlan'
+import type { SoakRequest } from './soakRequests'
+
+export interface SoakOptions {
+  seed: number
+  durationMs: number
+  gateways: number
+  endpoints: number
+  callers: number
+  /** Folder for the settings, logs and clocks of the processes. */
+  folder: string
+  /** Told of each finding and each action as it happens. */
+  report: (line: string) => void
+}
+
+export interface SoakSummary {
+  findings: SoakFinding[]
+  requests: number
+  /** Requests by how they ended. */
+  ends: Record<string, number>
+  actions: number
+}
+
+/** Bounds of the users' present sites. */
+const BOUNDS: SoakBounds = { contactMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, stopSeconds: 8 }
+const THINK_MS = 120
+const READINESS_MS = 300
+const LAG_CHECK_MS = 50
+/** Delay of the soak's own timers above which its clocks are not relied on. */
+const MAX_LAG_MS = 100
+/** Part of the requests of the calm end that must be answered well. */
+const MIN_RECOVERED = 0.9
+/** Part of the calm end that is left for recovery. */
+const RECOVERY_MS = 4000
+const START_TIMEOUT_MS = 15_000
+
+/**
+ * Runs one seeded soak: the real gateway as processes behind proxies, callers that never stop, faults
+ * and planned work by the plan, and a checker that judges by what callers and endpoints saw.
+ */
+export async function runSoak (options: SoakOptions): Promise<SoakSummary> {
+  mkdirSync(options.folder, { recursive: true })
+  return await new Soak(options).run()
+}
+
+class Soak {
+  readonly #options: SoakOptions
+  readonly #random: () => number
+  readonly #disturbances = new Disturbances()
+  readonly #fleet: SoakFleet
+  readonly #checker: SoakChecker
+  readonly #injector: FaultInjector
+  readonly #summary: SoakSummary = { findings: [], requests: 0, ends: {}, actions: 0 }
+  readonly #recovery = { asked: 0, served: 0 }
+  #startedAtMs = 0
+  #isOver = false
+
+  constructor (options: SoakOptions) {
+    this.#options = options
+    this.#random = createSeededRandom(options.seed + 1)
+    const { gateways, endpoints, folder } = options
+    this.#fleet = new SoakFleet({
+      gateways,
+      endpoints,
+      folder,
+      bounds: BOUNDS,
+      handleRun: run => this.#checker.handleRun(run),
+      handleOwnEnd: message => this.#checker.report('endedByItself', message)
+    })
+    this.#checker = new SoakChecker({
+      bounds: BOUNDS,
+      operator: this.#fleet.operator,
+      disturbances: this.#disturbances,
+      findEndpoint: id => this.#fleet.findEndpoint(id),
+      handleFinding: finding => this.#addFinding(finding)
+    })
+    this.#injector = new FaultInjector({
+      fleet: this.#fleet,
+      disturbances: this.#disturbances,
+      bounds: BOUNDS,
+      report: (kind, message) => this.#checker.report(kind, message)
+    })
+  }
+
+  async run (): Promise<SoakSummary> {
+    const { durationMs, callers } = this.#options
+    try {
+      await this.#fleet.open()
+      await this.#waitUntilReady()
+      this.#startedAtMs = performance.now()
+      const watching = [this.#watchReadiness(), this.#watchLag()]
+      const calling = Array.from({ length: callers }, async (_, index) => await this.#runCaller(index))
+      await this.#playPlan(buildSoakPlan(this.#options))
+      await this.#injector.waitForEnd()
+      await waitFor(Math.max(CALM_END_MS, durationMs - this.#getElapsedMs()))
+      this.#isOver = true
+      await Promise.all([...calling, ...watching])
+      this.#checkRecovery()
+    } finally {
+      this.#isOver = true
+      await this.#fleet.close()
+    }
+    return this.#summary
+  }
+
+  async #waitUntilReady (): Promise<void> {
+    const untilMs = performance.now() + START_TIMEOUT_MS
+    while (!this.#fleet.gateways.every(gateway => gateway.isReady)) {
+      if (performance.now() > untilMs) throw new Error(`the gateways were not all ready within ${START_TIMEOUT_MS} ms; see their logs in ${this.#options.folder}`)
+      await Promise.all(this.#fleet.gateways.map(async gateway => await gateway.updateReadiness()))
+      await waitFor(LAG_CHECK_MS)
+    }
+  }
+
+  async #playPlan (plan: PlannedAction[]): Promise<void> {
+    for (const { atMs, action } of plan) {
+      const remainingMs = atMs - this.#getElapsedMs()
+      if (remainingMs > 0) await waitFor(remainingMs)
+      this.#options.report(`${this.#formatTime()} ${JSON.stringify(action)}`)
+      this.#summary.actions += 1
+      this.#injector.start(action)
+    }
+  }
+
+  async #runCaller (index: number): Promise<void> {
+    const caller = new SoakCaller()
+    for (let count = 0; !this.#isOver; count++) {
+      await waitFor(this.#random() * 2 * THINK_MS)
+      const gateway = this.#chooseGateway(index)
+      if (gateway === null) continue
+      await this.#sendOne(caller, gateway, this.#buildRequest(`s${this.#options.seed}-c${index}-${count}`))
+    }
+    caller.close()
+  }
+
+  async #sendOne (caller: SoakCaller, gateway: SoakGateway, request: SoakRequest): Promise<void> {
+    const sent = { request, gateway: gateway.index, lifetime: gateway.lifetime, sentAtMs: performance.now() }
+    const isRecovery = this.#isOver || this.#isRecovering(sent.sentAtMs)
+    this.#checker.handleSent(sent)
+    const end = await caller.send(gateway.callerProxy.address, request)
+    this.#checker.handleResult({ ...sent, endedAtMs: performance.now(), end })
+    const name = end.kind === 'answered' ? `answered ${end.status}` : end.kind
+    this.#summary.requests += 1
+    this.#summary.ends[name] = (this.#summary.ends[name] ?? 0) + 1
+    if (!isRecovery || request.leaveAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
+    this.#recovery.asked += 1
+    if (end.kind === 'answered' && end.status < 300) this.#recovery.served += 1
+  }
+
+  /** Whether a moment lies in the calm end, after the time left for recovery. */
+  #isRecovering (atMs: number): boolean {
+    const places = [{ kind: 'store' } as const, { kind: 'endpoints' } as const, ...this.#fleet.gateways.map(({ index }) => ({ kind: 'gateway', index } as const))]
+    const isEnd = this.#summary.actions > 0 && atMs - this.#startedAtMs > this.#options.durationMs - CALM_END_MS
+    return isEnd && this.#disturbances.isCalm(places, atMs - RECOVERY_MS, atMs)
+  }
+
+  /** A caller keeps to its gateway while that is ready, and goes on using it for a while after. */
+  #chooseGateway (index: number): SoakGateway | null {
+    const { gateways } = this.#fleet
+    const own = gateways[index % gateways.length]!
+    if (own.isRunning && (own.isReady || this.#random() < 0.5)) return own
+    const ready = gateways.filter(gateway => gateway.isReady)
+    return ready[Math.floor(this.#random() * ready.length)] ?? null
+  }
+
+  #buildRequest (requestId: string): SoakRequest {
+    const { operator } = this.#fleet
+    const random = this.#random
+    const draw = random()
+    const events = 2 + Math.floor(random() * 20)
+    const { key, workspace } = operator.chooseKey(random)
+    const common = { requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, body: '', method: 'GET' as const, deadlineMs: 1000 + Math.floor(random() * 1500), leaveAfterMs: random() < 0.05 ? random() * 300 : null }
+    if (draw < 0.3) return { ...common, kind: 'stream', target: `/stream/x?events=${events}`, events, method: 'POST', body: `prompt of ${requestId}`, deadlineMs: 3000 }
+    if (draw < 0.55) return { ...common, kind: 'once', target: '/once/x', method: 'POST', body: `order ${requestId}` }
+    if (draw < 0.75) return { ...common, kind: 'read', target: '/read/x' }
+    const version = Math.max(1, operator.current - Math.floor(random() * 4))
+    if (draw < 0.9) return { ...common, kind: 'versioned', target: `/v${version}/x`, routeVersion: version }
+    return { ...common, kind: 'read', target: '/read/x', key: `key-v${version}`, workspace: operator.versionedWorkspace, keyVersion: version }
+  }
+
+  async #watchReadiness (): Promise<void> {
+    while (!this.#isOver) {
+      await Promise.all(this.#fleet.gateways.map(async gateway => await gateway.updateReadiness()))
+      await waitFor(READINESS_MS)
+    }
+  }
+
+  async #watchLag (): Promise<void> {
+    while (!this.#isOver) {
+      const fromMs = performance.now()
+      await waitFor(LAG_CHECK_MS)
+      const untilMs = performance.now()
+      if (untilMs - fromMs > LAG_CHECK_MS + MAX_LAG_MS) {
+        this.#disturbances.recordHeldUp(fromMs, untilMs)
+        this.#options.report(`${this.#formatTime()} the soak itself was held up for ${Math.round(untilMs - fromMs)} ms`)
+      }
+    }
+  }
+
+  #checkRecovery (): void {
+    const { asked, served } = this.#recovery
+    if (asked > 0 && served < MIN_RECOVERED * asked) this.#checker.report('notRecovered', `${served} of ${asked} requests were served after all faults had ended`)
+    if (asked === 0) this.#checker.report('notRecovered', 'no request was sent after all faults had ended')
+  }
+
+  #addFinding (finding: SoakFinding): void {
+    this.#summary.findings.push(finding)
+    this.#options.report(`${this.#formatTime()} FINDING ${finding.kind}: ${finding.message}`)
+  }
+
+  #getElapsedMs (): number {
+    return performance.now() - this.#startedAtMs
+  }
+
+  #formatTime (): string {
+    return `${(this.#getElapsedMs() / 1000).toFixed(2).padStart(8)} s`
+  }
+}
--- /dev/null
+++ b/soak/soakCaller.ts
@@ -0,0 +1,101 @@
+import http from 'node:http'
+
+import { HEADERS } from '../platform/names'
+
+import type { IncomingMessage } from 'node:http'
+import type { SoakRequest } from './soakRequests'
+
+/** How a request ended for its caller. */
+export type CallerEnd =
+  | { kind: 'answered', status: number, isSigned: boolean, body: string, retryAfter: string | null }
+  /** The connection ended before a whole answer. */
+  | { kind: 'broken', message: string }
+  /** The caller left before an answer, as planned. */
+  | { kind: 'left' }
+  /** Nothing came until long after the deadline. */
+  | { kind: 'unanswered' }
+
+export interface CallerResult {
+  request: SoakRequest
+  /** Gateway to which it was sent, and which of its processes. */
+  gateway: number
+  lifetime: number
+  sentAtMs: number
+  endedAtMs: number
+  end: CallerEnd
+}
+
+export const HOST = 'soak.example'
+/** Time after the deadline in which a caller still waits, to see whether it is left without an answer. */
+const PATIENCE_MS = 1500
+const MAX_IDLE_MS = 4000
+
+/** One caller that keeps its connections to the gateways for many requests. */
+export class SoakCaller {
+  readonly #agents = new Map<string, http.Agent>()
+
+  /** Sends a request through `address` and resolves when it has ended, in whatever way. */
+  async send (address: string, request: SoakRequest): Promise<CallerEnd> {
+    return await new Promise(resolve => {
+      const [host, port] = address.split(':')
+      const outgoing = http.request({
+        host,
+        port,
+        method: request.method,
+        path: request.target,
+        agent: this.#openAgent(address),
+        headers: {
+          Host: HOST,
+          [HEADERS.requestId]: request.requestId,
+          [HEADERS.remainingMs]: String(request.deadlineMs),
+          [HEADERS.key]: request.key,
+          // a caller may try to name a workspace of its choice
+          [HEADERS.workspace]: 'forged',
+          ...request.method === 'POST' ? { 'Content-Length': request.body.length } : {}
+        }
+      })
+      const finish = (end: CallerEnd) => {
+        clearTimeout(patience)
+        clearTimeout(leave)
+        resolve(end)
+      }
+      const patience = setTimeout(() => {
+        finish({ kind: 'unanswered' })
+        outgoing.destroy()
+      }, request.deadlineMs + PATIENCE_MS)
+      const leave = request.leaveAfterMs === null
+        ? undefined
+        : setTimeout(() => {
+          finish({ kind: 'left' })
+          outgoing.destroy()
+        }, request.leaveAfterMs)
+      outgoing.on('error', error => finish({ kind: 'broken', message: error.message }))
+      outgoing.on('response', response => readAnswer(response, finish))
+      outgoing.end(request.body)
+    })
+  }
+
+  close (): void {
+    for (const agent of this.#agents.values()) agent.destroy()
+  }
+
+  #openAgent (address: string): http.Agent {
+    const known = this.#agents.get(address)
+    if (known !== undefined) return known
+    const agent = new http.Agent({ keepAlive: true, maxSockets: 1, timeout: MAX_IDLE_MS })
+    this.#agents.set(address, agent)
+    return agent
+  }
+}
+
+function readAnswer (response: IncomingMessage, finish: (end: CallerEnd) => void): void {
+  let body = ''
+  response.setEncoding('utf8')
+  response.on('data', (text: string) => { body += text })
+  response.on('error', error => finish({ kind: 'broken', message: error.message }))
+  response.on('end', () => {
+    if (!response.complete) return finish({ kind: 'broken', message: 'the answer was cut' })
+    const signature = response.headers[HEADERS.signature.toLowerCase()]
+    finish({ kind: 'answered', status: response.statusCode ?? 0, isSigned: signature !== undefined, body, retryAfter: response.headers['retry-after'] ?? null })
+  })
+}
--- /dev/null
+++ b/soak/soakEndpoint.ts
@@ -0,0 +1,144 @@
+import { createServer } from 'node:http'
+import { setTimeout as sleep } from 'node:timers/promises'
+
+import { HEADERS } from '../platform/names'
+import { FaultProxy } from './faultProxy'
+import { buildAnswer, buildEvent } from './soakRequests'
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** One request as an endpoint began to run it. */
+export interface SoakRun {
+  requestId: string
+  endpointId: string
+  method: string
+  target: string
+  body: string
+  workspace: string | null
+  hasKey: boolean
+  startedAtMs: number
+}
+
+/** What an endpoint does wrong. */
+export type EndpointFault = 'none' | 'failing' | 'cutting' | 'losing' | 'garbling' | 'refusing' | 'slow'
+
+export interface SoakEndpointOptions {
+  id: string
+  service: string
+  handleRun: (run: SoakRun) => void
+}
+
+const SERVICE_MS = 25
+const SLOW_MS = 600
+const EVENT_MS = 20
+
+/** An endpoint in the platform's published dialect, behind a proxy; it records what it runs. */
+export class SoakEndpoint {
+  readonly id: string
+  readonly service: string
+  readonly bornAtMs = Date.now()
+  readonly #options: SoakEndpointOptions
+  readonly #server: Server
+  proxy!: FaultProxy
+  fault: EndpointFault = 'none'
+  /** Reads the reads of `Date.now` above as well as this: time from which it should get nothing. */
+  drainedAtMs: number | null = null
+
+  constructor (options: SoakEndpointOptions) {
+    this.id = options.id
+    this.service = options.service
+    this.#options = options
+    this.#server = createServer({ keepAliveTimeout: 8000 }, (request, response) => {
+      this.#serve(request, response).catch(() => response.destroy())
+    })
+  }
+
+  async open (): Promise<void> {
+    await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
+    this.proxy = new FaultProxy(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`)
+    await this.proxy.open()
+  }
+
+  /** Ends at once, with all that runs. */
+  async kill (): Promise<void> {
+    this.#server.closeAllConnections()
+    this.#server.close()
+    await this.proxy.close()
+  }
+
+  async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const body = await readText(request)
+    const requestId = readHeader(request, HEADERS.requestId) ?? ''
+    const expected = readHeader(request, HEADERS.expectedEndpoint)
+    response.setHeader(HEADERS.requestId, requestId)
+    if (expected !== null && expected !== this.id) return refuse(response, 421)
+    if (this.fault === 'refusing') return refuse(response, 503)
+    this.#options.handleRun({
+      requestId,
+      endpointId: this.id,
+      method: request.method ?? '',
+      target: request.url ?? '',
+      body,
+      workspace: readHeader(request, HEADERS.workspace),
+      hasKey: readHeader(request, HEADERS.key) !== null,
+      startedAtMs: performance.now()
+    })
+    await sleep(this.fault === 'slow' ? SLOW_MS : SERVICE_MS)
+    if (this.fault === 'losing') {
+      request.socket.resetAndDestroy()
+      return
+    }
+    response.setHeader(HEADERS.signature, `${this.id}.${requestId}`)
+    if (this.fault === 'failing') {
+      response.writeHead(500).end('the endpoint failed')
+      return
+    }
+    const url = new URL(request.url ?? '', 'http://endpoint')
+    if (url.searchParams.has('events')) await this.#sendEvents(request, response, requestId, Number(url.searchParams.get('events')))
+    else this.#sendBody(request, response, buildAnswer(requestId, request.url ?? '', body))
+  }
+
+  #sendBody (request: IncomingMessage, response: ServerResponse, answer: string): void {
+    switch (this.fault) {
+      case 'garbling':
+        request.socket.end('HTTP/1.1 20 banana\r\n\r\n')
+        return
+      case 'cutting':
+        response.writeHead(200, { 'content-length': answer.length })
+        response.write(answer.slice(0, answer.length / 2), () => request.socket.destroy())
+        return
+      default:
+        response.writeHead(200, { 'content-length': answer.length }).end(answer)
+    }
+  }
+
+  async #sendEvents (request: IncomingMessage, response: ServerResponse, requestId: string, count: number): Promise<void> {
+    const from = Number(readHeader(request, HEADERS.lastEventId) ?? 0)
+    response.writeHead(200, { 'content-type': 'text/event-stream' })
+    for (let index = from + 1; index <= count && !response.destroyed; index++) {
+      if (this.fault === 'cutting' && index === Math.ceil(count / 2)) {
+        response.write(buildEvent(requestId, index).slice(0, 6), () => request.socket.destroy())
+        return
+      }
+      response.write(buildEvent(requestId, index))
+      await sleep(EVENT_MS)
+    }
+    response.end()
+  }
+}
+
+function refuse (response: ServerResponse, status: number): void {
+  response.writeHead(status, { [HEADERS.notRun]: '1', 'content-length': 0 }).end()
+}
+
+function readHeader (request: IncomingMessage, name: string): string | null {
+  const value = request.headers[name.toLowerCase()]
+  return typeof value === 'string' ? value : null
+}
+
+async function readText (request: IncomingMessage): Promise<string> {
+  const parts: Buffer[] = []
+  for await (const part of request) parts.push(part as Buffer)
+  return Buffer.concat(parts).toString('utf8')
+}
--- /dev/null
+++ b/soak/soakFleet.ts
@@ -0,0 +1,99 @@
+import { createServer } from 'node:net'
+
+import { ObjectsServer } from '../standins/objects/objectsServer'
+import { SoakEndpoint } from './soakEndpoint'
+import { SoakGateway } from './soakGateway'
+import { SoakOperator } from './soakOperator'
+
+import type { AddressInfo } from 'node:net'
+import type { SoakBounds } from './soakChecker'
+import type { SoakRun } from './soakEndpoint'
+
+export interface SoakFleetOptions {
+  gateways: number
+  endpoints: number
+  folder: string
+  bounds: SoakBounds
+  handleRun: (run: SoakRun) => void
+  handleOwnEnd: (message: string) => void
+}
+
+const DOMAINS = 2
+
+/** The fleet of a soak: gateways as processes, and the store and endpoints as stand-ins. */
+export class SoakFleet {
+  readonly #options: SoakFleetOptions
+  readonly store = new ObjectsServer()
+  readonly operator = new SoakOperator(this.store)
+  readonly gateways: SoakGateway[] = []
+  /** The endpoint in each place; one that left stays known by its id. */
+  readonly endpoints: SoakEndpoint[] = []
+  readonly #endpointsById = new Map<string, SoakEndpoint>()
+  #endpointCount = 0
+
+  constructor (options: SoakFleetOptions) {
+    this.#options = options
+  }
+
+  async open (): Promise<void> {
+    await this.store.open()
+    this.operator.publishNext()
+    for (let place = 0; place < this.#options.endpoints; place++) this.endpoints.push(await this.openEndpoint(place))
+    for (const endpoint of this.endpoints) this.operator.registerEndpoint(endpoint)
+    await this.#openGateways()
+  }
+
+  /** Opens a new endpoint for a place; it is not on the list yet. */
+  async openEndpoint (place: number): Promise<SoakEndpoint> {
+    this.#endpointCount += 1
+    const service = place % 2 === 0 ? 'engine' : 'desk'
+    const endpoint = new SoakEndpoint({ id: `${service}-${place}-${this.#endpointCount}`, service, handleRun: this.#options.handleRun })
+    await endpoint.open()
+    this.#endpointsById.set(endpoint.id, endpoint)
+    return endpoint
+  }
+
+  findEndpoint (id: string): SoakEndpoint {
+    const endpoint = this.#endpointsById.get(id)
+    if (endpoint === undefined) throw new Error(`no endpoint was called '${id}'`)
+    return endpoint
+  }
+
+  async close (): Promise<void> {
+    await Promise.all(this.gateways.map(async gateway => await gateway.close()))
+    await Promise.all([...this.#endpointsById.values()].map(async endpoint => await endpoint.kill()))
+    await this.store.close()
+  }
+
+  async #openGateways (): Promise<void> {
+    const { gateways: count, folder, bounds, handleOwnEnd } = this.#options
+    const ports = await findPorts(4 * count)
+    const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.0.1:${ports[4 * index + 3]!}`)
+    for (let index = 0; index < count; index++) {
+      const [callers, ready, admin, peers] = ports.slice(4 * index, 4 * index + 4) as [number, number, number, number]
+      this.gateways.push(new SoakGateway({
+        index,
+        domain: `domain-${index % DOMAINS}`,
+        ports: { callers, ready, admin, peers },
+        seeds,
+        storeAddress: new URL(this.store.url).host,
+        folder,
+        bounds,
+        handleOwnEnd
+      }))
+    }
+    await Promise.all(this.gateways.map(async gateway => await gateway.open()))
+  }
+}
+
+/** Finds ports that are free, all held at once so that they differ. */
+async function findPorts (count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => createServer())
+  const ports: number[] = []
+  for (const server of servers) {
+    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
+    ports.push((server.address() as AddressInfo).port)
+  }
+  await Promise.all(servers.map(async server => await new Promise(resolve => server.close(resolve))))
+  return ports
+}
--- /dev/null
+++ b/soak/soakGateway.ts
@@ -0,0 +1,153 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { createWriteStream, writeFileSync } from 'node:fs'
+import http from 'node:http'
+import path from 'node:path'
+
+import { READY_PATH } from '../platform/names'
+import { FaultProxy } from './faultProxy'
+
+import type { ChildProcess } from 'node:child_process'
+
+export interface SoakGatewayOptions {
+  index: number
+  domain: string
+  /** Ports for callers, readiness, operators and other gateways. */
+  ports: { callers: number, ready: number, admin: number, peers: number }
+  /** Addresses of the gateways that all know from the settings. */
+  seeds: string[]
+  storeAddress: string
+  folder: string
+  bounds: { revocationMs: number, stopSeconds: number }
+  /** Told when the process ended though nothing was done to it. */
+  handleOwnEnd: (message: string) => void
+}
+
+const PROGRAM = 'target/gateway.cjs'
+const CLOCK_SHIFT = path.join('soak', 'shiftClock.cjs')
+const READY_TIMEOUT_MS = 500
+
+/** One gateway of the soak: the real program, its proxies, and the signals it gets. */
+export class SoakGateway {
+  readonly index: number
+  readonly #options: SoakGatewayOptions
+  readonly callerProxy: FaultProxy
+  readonly storeProxy: FaultProxy
+  readonly #clockFile: string
+  readonly #settingsFile: string
+  #child: ChildProcess | null = null
+  #isEndExpected = false
+  /** Counts the processes that this gateway has had. */
+  lifetime = 0
+  isReady = false
+  #reloads = 0
+
+  constructor (options: SoakGatewayOptions) {
+    this.index = options.index
+    this.#options = options
+    this.callerProxy = new FaultProxy(`127.0.0.1:${options.ports.callers}`)
+    this.storeProxy = new FaultProxy(options.storeAddress)
+    this.#clockFile = path.join(options.folder, `clock-${options.index}`)
+    this.#settingsFile = path.join(options.folder, `gateway-${options.index}.yaml`)
+  }
+
+  get isRunning (): boolean {
+    return this.#child !== null
+  }
+
+  async open (): Promise<void> {
+    await this.callerProxy.open()
+    await this.storeProxy.open()
+    this.setClockOffset(0)
+    this.writeSettings()
+    this.start()
+  }
+
+  start (): void {
+    this.lifetime += 1
+    this.#isEndExpected = false
+    const { folder, index } = this.#options
+    const child = spawn(process.execPath, ['--require', `./${CLOCK_SHIFT}`, PROGRAM], {
+      env: { ...process.env, TANAGERWICK_NODE_FILE: this.#settingsFile, SOAK_CLOCK_FILE: this.#clockFile },
+      stdio: ['ignore', 'pipe', 'pipe']
+    })
+    const log = createWriteStream(path.join(folder, `gateway-${index}.log`), { flags: 'a' })
+    child.stdout.pipe(log, { end: false })
+    child.stderr.pipe(log, { end: false })
+    child.once('close', (code, signal) => {
+      log.end()
+      if (this.#child === child) this.#child = null
+      this.isReady = false
+      if (!this.#isEndExpected) this.#options.handleOwnEnd(`gateway ${index} ended by itself with ${code ?? signal}`)
+    })
+    this.#child = child
+  }
+
+  sendSignal (signal: NodeJS.Signals): void {
+    if (signal === 'SIGKILL' || signal === 'SIGTERM') this.#isEndExpected = true
+    this.#child?.kill(signal)
+  }
+
+  /** Waits for the process to end; false when it still runs after `timeoutMs`. */
+  async waitForEnd (timeoutMs: number): Promise<boolean> {
+    const child = this.#child
+    if (child === null) return true
+    const ended = once(child, 'close').then(() => true)
+    let timer: NodeJS.Timeout | undefined
+    const expired = new Promise<boolean>(resolve => { timer = setTimeout(() => resolve(false), timeoutMs) })
+    const isEnded = await Promise.race([ended, expired])
+    clearTimeout(timer)
+    return isEnded
+  }
+
+  /** Shifts the time of day that the process reads. */
+  setClockOffset (milliseconds: number): void {
+    writeFileSync(this.#clockFile, String(milliseconds))
+  }
+
+  /** Writes the settings anew, each time with another bound of the log. */
+  writeSettings (): void {
+    const { index, domain, ports, seeds, bounds } = this.#options
+    this.#reloads += 1
+    writeFileSync(this.#settingsFile, JSON.stringify({
+      id: `gateway-${index}`,
+      domain,
+      listen: {
+        callers: `127.0.0.1:${ports.callers}`,
+        ready: `127.0.0.1:${ports.ready}`,
+        admin: `127.0.0.1:${ports.admin}`,
+        peers: `127.0.0.1:${ports.peers}`
+      },
+      peers: seeds,
+      processorShare: 1 + index / 100,
+      storeUrl: `http://${this.storeProxy.address}`,
+      heartbeatMs: 1000,
+      revocationMs: bounds.revocationMs,
+      stopSeconds: bounds.stopSeconds,
+      retryRatio: 0.2,
+      retryWindowSeconds: 10,
+      maxDescriptors: 4096,
+      logBytesPerSecond: 500_000 + this.#reloads
+    }))
+  }
+
+  /** Asks as a balancer does whether the gateway takes new connections. */
+  async updateReadiness (): Promise<void> {
+    this.isReady = await new Promise(resolve => {
+      const request = http.get({ host: '127.0.0.1', port: this.#options.ports.ready, path: READY_PATH, agent: false, timeout: READY_TIMEOUT_MS }, response => {
+        response.resume()
+        resolve(response.statusCode === 200)
+      })
+      request.on('timeout', () => request.destroy())
+      request.on('error', () => resolve(false))
+    })
+  }
+
+  async close (): Promise<void> {
+    this.sendSignal('SIGCONT')
+    this.sendSignal('SIGKILL')
+    await this.waitForEnd(2000)
+    await this.callerProxy.close()
+    await this.storeProxy.close()
+  }
+}
--- /dev/null
+++ b/soak/soakOperator.ts
@@ -0,0 +1,94 @@
+import { HOST } from './soakCaller'
+
+import type { ObjectsServer } from '../standins/objects/objectsServer'
+import type { SoakEndpoint } from './soakEndpoint'
+
+/** One configuration of the soak, as the store acknowledged it. */
+export interface SoakVersion {
+  version: number
+  acknowledgedAtMs: number
+}
+
+const WORKSPACES = ['perfumers', 'evaluators', 'foremen']
+/** A version's own route and key stay for this many versions, its own included. */
+export const VERSION_LIFE = 2
+const DRAIN_LINGER_MS = 500
+
+/** Writes configurations and the list of endpoints, as the users' operators and endpoints do. */
+export class SoakOperator {
+  readonly #store: ObjectsServer
+  readonly #versions: SoakVersion[] = []
+
+  constructor (store: ObjectsServer) {
+    this.#store = store
+  }
+
+  get current (): number {
+    return this.#versions.at(-1)?.version ?? 0
+  }
+
+  /** Puts the next version in force: its own route and key join, those of two versions before go. */
+  publishNext (): void {
+    const version = this.current + 1
+    const own = Array.from({ length: VERSION_LIFE }, (_, age) => version - age).filter(number => number > 0)
+    this.#store.put('config', 'main', {
+      version,
+      routes: [
+        buildRoute('stream', { kind: 'streaming', resumable: true, service: 'engine', timeoutMs: 4000, maxAttempts: 3 }),
+        buildRoute('once', { kind: 'non_idempotent' }),
+        buildRoute('read', {}),
+        ...own.map(number => buildRoute(`v${number}`, {}))
+      ],
+      services: [{ name: 'engine', healthPath: '/health', maxConnections: 200 }, { name: 'desk', healthPath: '/health', maxConnections: 200 }],
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 2000, idleTimeoutMs: 5000 },
+      tenants: WORKSPACES.map((name, index) => ({ name, apiKeys: [`key-${name}`, ...index === 0 ? own.map(number => `key-v${number}`) : []] }))
+    })
+    this.#versions.push({ version, acknowledgedAtMs: performance.now() })
+  }
+
+  /** Gets when a version's successor that lacks its route and key was acknowledged; null before. */
+  getRemovedAtMs (version: number): number | null {
+    return this.#versions.find(other => other.version === version + VERSION_LIFE)?.acknowledgedAtMs ?? null
+  }
+
+  getAcknowledgedAtMs (version: number): number {
+    return this.#versions.find(other => other.version === version)?.acknowledgedAtMs ?? Infinity
+  }
+
+  /** Chooses a key at random among those that every version holds. */
+  chooseKey (random: () => number): { key: string, workspace: string } {
+    const workspace = WORKSPACES[Math.floor(random() * WORKSPACES.length)]!
+    return { key: `key-${workspace}`, workspace }
+  }
+
+  /** Workspace that holds the keys which come and go. */
+  get versionedWorkspace (): string {
+    return WORKSPACES[0]!
+  }
+
+  registerEndpoint (endpoint: SoakEndpoint): void {
+    this.#putEndpoint(endpoint, 'ready')
+  }
+
+  removeEndpoint (endpoint: SoakEndpoint): void {
+    this.#store.remove('servers', endpoint.id)
+  }
+
+  /** Tells that an endpoint leaves, and takes it away when the time for that is over. */
+  async drainEndpoint (endpoint: SoakEndpoint, drainMs: number, waitFor: (milliseconds: number) => Promise<void>): Promise<void> {
+    this.#putEndpoint(endpoint, 'draining')
+    endpoint.drainedAtMs = performance.now()
+    await waitFor(drainMs + DRAIN_LINGER_MS)
+    this.removeEndpoint(endpoint)
+  }
+
+  #putEndpoint (endpoint: SoakEndpoint, state: 'ready' | 'draining'): void {
+    this.#store.put('servers', endpoint.id, {
+      service: endpoint.service, address: endpoint.proxy.address, zone: 'domain-a', slots: 8, state, seq: 1, born: endpoint.bornAtMs
+    })
+  }
+}
+
+function buildRoute (name: string, overrides: Record<string, unknown>): Record<string, unknown> {
+  return { name, host: HOST, pathPrefix: `/${name}/`, kind: 'idempotent', timeoutMs: 2500, targetLatencyMs: 300, priority: 1, service: 'desk', maxAttempts: 2, ...overrides }
+}
--- /dev/null
+++ b/soak/soakPlan.ts
@@ -0,0 +1,111 @@
+import { createSeededRandom } from '../standins/shared/seededRandom'
+
+/** Something that a soak does to the fleet. */
+export type SoakAction =
+  /** Planned work: signals, settings, configurations and endpoints that leave. */
+  | { kind: 'stopGateway', gateway: number }
+  | { kind: 'stopAllInTurn' }
+  | { kind: 'reloadSettings', gateway: number, hasSignal: boolean }
+  | { kind: 'changeConfig', count: number, gapMs: number }
+  | { kind: 'replaceEndpoint', endpoint: number }
+  /** Faults. */
+  | { kind: 'killGateway', gateway: number, downMs: number }
+  | { kind: 'killAll', downMs: number }
+  | { kind: 'pauseGateway', gateway: number, forMs: number }
+  | { kind: 'shiftClock', gateway: number, byMs: number, forMs: number | null }
+  | { kind: 'disturbLink', link: LinkName, index: number, how: LinkFault, forMs: number }
+  | { kind: 'disturbStore', how: StoreFault, forMs: number }
+  | { kind: 'crashEndpoint', endpoint: number, downMs: number }
+  | { kind: 'disturbEndpoint', endpoint: number, how: EndpointFaultName, forMs: number }
+
+export type LinkName = 'callers' | 'store' | 'endpoint'
+export type LinkFault = 'reset' | 'silence' | 'delay' | 'cutForth' | 'cutBack' | 'cutBoth'
+export type StoreFault = 'busy' | 'limited' | 'silent' | 'reset' | 'garbled' | 'slow' | 'lostAnswers' | 'lateWrites' | 'forget' | 'lapse'
+export type EndpointFaultName = 'failing' | 'cutting' | 'losing' | 'garbling' | 'refusing' | 'slow'
+
+export interface PlannedAction {
+  atMs: number
+  action: SoakAction
+}
+
+export interface SoakPlanOptions {
+  seed: number
+  durationMs: number
+  gateways: number
+  endpoints: number
+}
+
+const WARM_UP_MS = 2500
+const TROUBLE_MS = 9000
+/** Faults have ended for long enough before planned work for every bound to hold again. */
+const SETTLE_MS = 4500
+const PLANNED_MS = 6000
+/** Undisturbed end, in which everything must be served again. */
+export const CALM_END_MS = 8000
+const MAX_GAP_MS = 1500
+const MAX_FAULT_MS = 2500
+
+const LINKS: readonly LinkName[] = ['callers', 'store', 'endpoint']
+const LINK_FAULTS: readonly LinkFault[] = ['reset', 'silence', 'delay', 'cutForth', 'cutBack', 'cutBoth']
+const STORE_FAULTS: readonly StoreFault[] = ['busy', 'limited', 'silent', 'reset', 'garbled', 'slow', 'lostAnswers', 'lateWrites', 'forget', 'lapse']
+const ENDPOINT_FAULTS: readonly EndpointFaultName[] = ['failing', 'cutting', 'losing', 'garbling', 'refusing', 'slow']
+const CLOCK_STEPS_MS = [-30_000, -4000, -700, 700, 4000, 30_000]
+
+/**
+ * Builds what a soak does and when: times of overlapping faults and planned work by turns with times
+ * of planned work alone. The same seed gives the same plan.
+ */
+export function buildSoakPlan (options: SoakPlanOptions): PlannedAction[] {
+  const random = createSeededRandom(options.seed)
+  const plan: PlannedAction[] = []
+  const endMs = options.durationMs - CALM_END_MS
+  let atMs = WARM_UP_MS
+  while (atMs < endMs) {
+    atMs = addActions(plan, atMs, Math.min(endMs, atMs + TROUBLE_MS), random, () => random() < 0.7 ? chooseFault(options, random) : chooseWork(options, random))
+    atMs = addActions(plan, atMs + SETTLE_MS, Math.min(endMs, atMs + SETTLE_MS + PLANNED_MS), random, () => chooseWork(options, random))
+  }
+  return plan
+}
+
+function addActions (plan: PlannedAction[], fromMs: number, untilMs: number, random: () => number, choose: () => SoakAction): number {
+  for (let atMs = fromMs + random() * MAX_GAP_MS; atMs < untilMs; atMs += random() * MAX_GAP_MS) plan.push({ atMs, action: choose() })
+  return Math.max(fromMs, untilMs)
+}
+
+function chooseWork (options: SoakPlanOptions, random: () => number): SoakAction {
+  const gateway = chooseIndex(options.gateways, random)
+  switch (chooseIndex(6, random)) {
+    case 0: return { kind: 'stopGateway', gateway }
+    case 1: return { kind: 'stopAllInTurn' }
+    case 2: return { kind: 'reloadSettings', gateway, hasSignal: random() < 0.5 }
+    case 3: return { kind: 'replaceEndpoint', endpoint: chooseIndex(options.endpoints, random) }
+    default: return { kind: 'changeConfig', count: 1 + chooseIndex(3, random), gapMs: 50 + random() * 800 }
+  }
+}
+
+function chooseFault (options: SoakPlanOptions, random: () => number): SoakAction {
+  const gateway = chooseIndex(options.gateways, random)
+  const endpoint = chooseIndex(options.endpoints, random)
+  const forMs = 200 + random() * MAX_FAULT_MS
+  switch (chooseIndex(9, random)) {
+    case 0: return { kind: 'killGateway', gateway, downMs: random() * 1500 }
+    case 1: return { kind: 'killAll', downMs: random() * 1000 }
+    case 2: return { kind: 'pauseGateway', gateway, forMs: 2 * forMs }
+    case 3: return { kind: 'shiftClock', gateway, byMs: chooseAny(CLOCK_STEPS_MS, random), forMs: random() < 0.5 ? null : forMs }
+    case 4: return { kind: 'disturbStore', how: chooseAny(STORE_FAULTS, random), forMs: 2 * forMs }
+    case 5: return { kind: 'crashEndpoint', endpoint, downMs: random() * 2000 }
+    case 6: return { kind: 'disturbEndpoint', endpoint, how: chooseAny(ENDPOINT_FAULTS, random), forMs }
+    default: {
+      const link = chooseAny(LINKS, random)
+      return { kind: 'disturbLink', link, index: link === 'endpoint' ? endpoint : gateway, how: chooseAny(LINK_FAULTS, random), forMs }
+    }
+  }
+}
+
+function chooseIndex (count: number, random: () => number): number {
+  return Math.floor(random() * count)
+}
+
+function chooseAny<T> (items: readonly T[], random: () => number): T {
+  return items[chooseIndex(items.length, random)]!
+}
--- a/standins/objects/objectsServer.ts
+++ b/standins/objects/objectsServer.ts
@@ -1,6 +1,10 @@
+import { ServerResponse } from 'node:http'
+import { Readable } from 'node:stream'
+import { setTimeout as waitFor } from 'node:timers/promises'
+
 import { HttpServer } from '../shared/httpServer'
 
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage } from 'node:http'
 
 /** One object in the published form of the users' platform. */
 interface KeptObject {
@@ -9,6 +13,9 @@
   status: unknown
 }
 
+/** What serving needs of a request, whether its connection is still there or not. */
+type ServedRequest = Pick<IncomingMessage, 'method' | 'url'> & AsyncIterable<unknown>
+
 interface KeptEvent {
   kind: string
   revision: number
@@ -18,6 +25,12 @@
 
 /** What the server does in place of answering well. */
 export type ObjectsFault = 'none' | 'busy' | 'limited' | 'silent' | 'reset' | 'garbled'
+  /** Answers come late. */
+  | 'slow'
+  /** Writes are done and their answers lost. */
+  | 'lostAnswers'
+  /** Writes get no answer and are done later, if their condition still holds. */
+  | 'lateWrites'
 
 export interface ObjectsServerOptions {
   /** Objects that one page of a list holds. */
@@ -26,6 +39,8 @@
 
 const PATH = /^\/tanagerwick\/objects\/([^/?]+)(?:\/([^/?]+))?(?:\?(.*))?$/
 const WATCH_POLL_MS = 5
+const SLOW_MS = 800
+const LATE_WRITE_MS = 2000
 
 /**
  * Stand-in of the users' platform's store, in its published protocol: lists in pages, watches that
@@ -95,8 +110,27 @@
       case 'garbled':
         response.writeHead(200).end('{"items":')
         return
+      case 'slow':
+        await waitFor(SLOW_MS)
+        break
+      case 'lostAnswers':
+      case 'lateWrites':
+        if (request.method !== 'GET') return await this.#dropWriteAnswer(request, this.fault === 'lateWrites' ? LATE_WRITE_MS : 0)
+        break
       case 'none': break
     }
+    await this.#serveWell(request, response)
+  }
+
+  /** Does a write whose answer never comes. */
+  async #dropWriteAnswer (request: IncomingMessage, delayMs: number): Promise<void> {
+    const body = await readText(request)
+    await waitFor(delayMs)
+    await this.#serveWell(Object.assign(Readable.from([Buffer.from(body)]), { method: request.method, url: request.url }), new ServerResponse(request))
+    request.socket.resetAndDestroy()
+  }
+
+  async #serveWell (request: ServedRequest, response: ServerResponse): Promise<void> {
     const match = PATH.exec(request.url ?? '')
     if (match === null) return sendJson(response, 404, {})
     const [, kind = '', name, query = ''] = match
@@ -164,8 +198,12 @@
   response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(value))
 }
 
-async function readJson (request: IncomingMessage): Promise<KeptObject> {
+async function readJson (request: AsyncIterable<unknown>): Promise<KeptObject> {
+  return JSON.parse(await readText(request)) as KeptObject
+}
+
+async function readText (request: AsyncIterable<unknown>): Promise<string> {
   const parts: Buffer[] = []
   for await (const part of request) parts.push(part as Buffer)
-  return JSON.parse(Buffer.concat(parts).toString('utf8')) as KeptObject
+  return Buffer.concat(parts).toString('utf8')
 }
--- /dev/null
+++ b/tests/soak/soakChecker.spec.ts
@@ -0,0 +1,168 @@
+import { expect } from 'chai'
+
+import { Disturbances } from '../../soak/disturbances'
+import { SoakChecker } from '../../soak/soakChecker'
+import { SoakOperator } from '../../soak/soakOperator'
+import { buildAnswer } from '../../soak/soakRequests'
+import { ObjectsServer } from '../../standins/objects/objectsServer'
+
+import type { CallerEnd } from '../../soak/soakCaller'
+import type { SentRequest, SoakFinding } from '../../soak/soakChecker'
+import type { SoakEndpoint, SoakRun } from '../../soak/soakEndpoint'
+import type { SoakRequest } from '../../soak/soakRequests'
+
+const BOUNDS = { contactMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, stopSeconds: 8 }
+
+interface CheckerFixture {
+  checker: SoakChecker
+  operator: SoakOperator
+  disturbances: Disturbances
+  endpoint: { id: string, drainedAtMs: number | null }
+  findings: SoakFinding[]
+}
+
+function buildChecker (): CheckerFixture {
+  const operator = new SoakOperator(new ObjectsServer())
+  operator.publishNext()
+  const disturbances = new Disturbances()
+  const endpoint = { id: 'desk-1', drainedAtMs: null }
+  const findings: SoakFinding[] = []
+  const checker = new SoakChecker({ bounds: BOUNDS, operator, disturbances, findEndpoint: () => endpoint as SoakEndpoint, handleFinding: finding => findings.push(finding) })
+  return { checker, operator, disturbances, endpoint, findings }
+}
+
+function buildSent (overrides: Partial<SoakRequest> = {}, sentAtMs = performance.now()): SentRequest {
+  const request: SoakRequest = {
+    requestId: 'r-1', kind: 'once', method: 'POST', target: '/once/x', body: 'order', key: 'key-perfumers', workspace: 'perfumers', keyVersion: null, routeVersion: null, events: 0, deadlineMs: 1000, leaveAfterMs: null, ...overrides
+  }
+  return { request, gateway: 0, lifetime: 1, sentAtMs }
+}
+
+function buildRun ({ request }: SentRequest, overrides: Partial<SoakRun> = {}): SoakRun {
+  const { requestId, method, target, body, workspace } = request
+  return { requestId, endpointId: 'desk-1', method, target, body, workspace, hasKey: false, startedAtMs: performance.now(), ...overrides }
+}
+
+function buildGoodEnd ({ request }: SentRequest): CallerEnd {
+  return { kind: 'answered', status: 200, isSigned: true, body: buildAnswer(request.requestId, request.target, request.body), retryAfter: null }
+}
+
+function buildRefusal (status: number): CallerEnd {
+  return { kind: 'answered', status, isSigned: false, body: '', retryAfter: '1' }
+}
+
+describe("the soak's checker", () => {
+  let fixture: CheckerFixture
+
+  beforeEach(() => { fixture = buildChecker() })
+
+  function listKinds (): string[] {
+    return fixture.findings.map(finding => finding.kind)
+  }
+
+  function play (sent: SentRequest, runs: Array<Partial<SoakRun>>, end: CallerEnd): void {
+    fixture.checker.handleSent(sent)
+    for (const run of runs) fixture.checker.handleRun(buildRun(sent, run))
+    fixture.checker.handleResult({ ...sent, endedAtMs: performance.now(), end })
+  }
+
+  it('should find nothing in a request that ran once and was answered', () => {
+    const sent = buildSent()
+    play(sent, [{}], buildGoodEnd(sent))
+    expect(listKinds()).to.deep.equal([])
+  })
+
+  it("should find another request's answer, a cut one and an unsigned one", () => {
+    const other = buildGoodEnd(buildSent({ requestId: 'r-2' }))
+    play(buildSent(), [{}], other)
+    const cut = buildGoodEnd(buildSent())
+    play(buildSent(), [], cut.kind === 'answered' ? { ...cut, body: cut.body.slice(0, -1) } : cut)
+    play(buildSent(), [], { ...buildGoodEnd(buildSent()), isSigned: false } as CallerEnd)
+    expect(listKinds()).to.include('wrongAnswer').and.have.length.at.least(3)
+  })
+
+  it('should find a second run of what may run once, and allow it for what may be repeated', () => {
+    const once = buildSent()
+    play(once, [{}, { endpointId: 'desk-2' }], buildGoodEnd(once))
+    const read = buildSent({ requestId: 'r-2', kind: 'read' })
+    play(read, [{}, { endpointId: 'desk-2' }], buildGoodEnd(read))
+    expect(listKinds()).to.deep.equal(['duplicateRun'])
+  })
+
+  it('should find a run of what was answered as not run, before and after the answer', () => {
+    play(buildSent(), [{}], buildRefusal(503))
+    const late = buildSent({ requestId: 'r-2' })
+    play(late, [], buildRefusal(429))
+    fixture.checker.handleRun(buildRun(late))
+    expect(listKinds()).to.deep.equal(['ranThoughNotRun', 'ranThoughNotRun'])
+  })
+
+  it('should find a forged workspace, a key passed on and a changed request', () => {
+    const sent = buildSent()
+    fixture.checker.handleSent(sent)
+    fixture.checker.handleRun(buildRun(sent, { workspace: 'forged' }))
+    expect(listKinds()).to.deep.equal(['wrongWorkspace'])
+    const second = buildSent({ requestId: 'r-2' })
+    fixture.checker.handleSent(second)
+    fixture.checker.handleRun(buildRun(second, { hasKey: true, target: '/once/y' }))
+    expect(listKinds()).to.deep.equal(['wrongWorkspace', 'alteredRequest', 'wrongWorkspace'])
+    fixture.checker.handleRun(buildRun(buildSent({ requestId: 'nobody' })))
+    expect(listKinds()).to.have.length(4)
+  })
+
+  it('should find a removed key in use, also where everything is disturbed', () => {
+    fixture.operator.publishNext()
+    fixture.operator.publishNext()
+    fixture.disturbances.begin({ kind: 'gateway', index: 0 })
+    const sent = buildSent({ kind: 'read', key: 'key-v1', keyVersion: 1 }, performance.now() + 5100)
+    play(sent, [{}], buildGoodEnd(sent))
+    expect(listKinds()).to.deep.equal(['removedKeyUsed'])
+  })
+
+  it('should find an endpoint used long after it began to leave, unless something is disturbed', () => {
+    fixture.endpoint.drainedAtMs = performance.now() - 5000
+    const sent = buildSent()
+    play(sent, [{}], buildGoodEnd(sent))
+    expect(listKinds()).to.deep.equal(['drainedEndpointUsed'])
+    fixture.disturbances.begin({ kind: 'store' })
+    const second = buildSent({ requestId: 'r-2' })
+    play(second, [{}], buildGoodEnd(second))
+    expect(listKinds()).to.have.length(1)
+  })
+
+  it('should find a removed route that runs and a present one that is unknown', () => {
+    fixture.operator.publishNext()
+    fixture.operator.publishNext()
+    const removed = buildSent({ kind: 'versioned', target: '/v1/x', routeVersion: 1 }, performance.now() + 2200)
+    play(removed, [{}], buildGoodEnd(removed))
+    expect(listKinds()).to.deep.equal(['staleConfig'])
+    const present = buildSent({ requestId: 'r-2', kind: 'versioned', target: '/v3/x', routeVersion: 3 }, performance.now() + 2200)
+    play(present, [], buildRefusal(404))
+    expect(listKinds()).to.deep.equal(['staleConfig', 'staleConfig'])
+    play(buildSent({ requestId: 'r-3' }), [], buildRefusal(401))
+    expect(listKinds()).to.have.length(3)
+  })
+
+  it('should find a process that goes back behind a version that it served', () => {
+    fixture.operator.publishNext()
+    fixture.operator.publishNext()
+    const newest = buildSent({ kind: 'versioned', target: '/v3/x', routeVersion: 3 })
+    play(newest, [{}], buildGoodEnd(newest))
+    const before = buildSent({ requestId: 'r-2', kind: 'versioned', target: '/v1/x', routeVersion: 1 }, performance.now() + 300)
+    play(before, [{}], buildGoodEnd(before))
+    expect(listKinds()).to.deep.equal(['configWentBack'])
+    const other = { ...buildSent({ requestId: 'r-3', kind: 'versioned', target: '/v1/x', routeVersion: 1 }, performance.now() + 300), lifetime: 2 }
+    play(other, [{}], buildGoodEnd(other))
+    expect(listKinds()).to.have.length(1)
+  })
+
+  it('should find a request without an answer and one that was cut, but not at a disturbed gateway', () => {
+    play(buildSent(), [{}], { kind: 'unanswered' })
+    play(buildSent({ requestId: 'r-2' }), [{}], { kind: 'broken', message: 'reset' })
+    expect(listKinds()).to.deep.equal(['noAnswer', 'lostAnswer'])
+    fixture.disturbances.begin({ kind: 'gateway', index: 0 })
+    play(buildSent({ requestId: 'r-3' }), [{}], { kind: 'unanswered' })
+    play(buildSent({ requestId: 'r-4' }), [{}], { kind: 'broken', message: 'reset' })
+    expect(listKinds()).to.have.length(2)
+  })
+})
