--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -9,6 +9,7 @@
 import { SoakFleet } from './soakFleet'
 import { buildSoakPlan, CALM_END_MS } from './soakPlan'
 
+import type { CallerEnd } from './soakCaller'
 import type { SoakGateway } from './soakGateway'
 import type { SoakBounds, SoakFinding } from './soakChecker'
 import type { PlannedAction } from './soakPlan'
@@ -152,7 +153,7 @@
     this.#checker.handleSent(sent)
     const end = await caller.send(gateway.callerProxy.address, request)
     this.#checker.handleResult({ ...sent, endedAtMs: performance.now(), end })
-    const name = end.kind === 'answered' ? `answered ${end.status}` : end.kind
+    const name = describeEnd(end)
     this.#summary.requests += 1
     this.#summary.ends[name] = (this.#summary.ends[name] ?? 0) + 1
     if (!isRecovery || request.leaveAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
@@ -229,3 +230,12 @@
     return `${(this.#getElapsedMs() / 1000).toFixed(2).padStart(8)} s`
   }
 }
+
+function describeEnd (end: CallerEnd): string {
+  switch (end.kind) {
+    case 'answered': return `answered ${end.status}`
+    case 'broken': return `broken: ${end.message}`
+    case 'left':
+    case 'unanswered': return end.kind
+  }
+}
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -168,8 +168,9 @@
     if (seen !== null && newest > 0 && seen.version >= newest) this.#report('configWentBack', `${describeSent(result)} was answered ${status} after version ${seen.version} was seen there`)
   }
 
-  /** Around planned work nothing that an endpoint got may be cut. */
+  /** Bytes that are no answer never come; around planned work nothing that an endpoint got may be cut. */
   #checkBroken (result: CallerResult, message: string): void {
+    if (message.startsWith('Parse Error')) this.#report('wrongAnswer', `${describeSent(result)} got what is no answer: ${message}`)
     const runs = this.#runs.get(result.request.requestId) ?? []
     if (runs.length === 0) return
     if (this.#isCalm([toPlace(result), { kind: 'store' }, { kind: 'endpoints' }], result, result.endedAtMs)) this.#report('lostAnswer', `${describeSent(result)} ran at ${runs[0]!.endpointId} and its caller's connection broke: ${message}`)
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from 'node:http'
+import { setImmediate as waitForTurn } from 'node:timers/promises'
 
 import { readBody } from '../protocol/bodyReader'
 import { CallerReply } from './callerReply'
@@ -153,6 +154,7 @@
       if (body.error.kind === 'refused') this.#refuse(reply, traits.value, body.error.refusal)
       return
     }
+    await waitForInput()
     const admission = gate.admit(traits.value, arrivedAtMs)
     if (admission.isErr) return this.#refuse(reply, traits.value, admission.error)
     const relayRequest: RelayRequest = { traits: traits.value, body: body.value, arrivedAtMs, ...admission.value }
@@ -179,3 +181,12 @@
     socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
   }
 }
+
+/**
+ * Lets the process read what else has come. When it is behind, a caller's leaving waits in the socket
+ * after the request, and a request whose caller has left must not be sent on.
+ */
+async function waitForInput (): Promise<void> {
+  await waitForTurn()
+  await waitForTurn()
+}
--- a/tests/relay/admission.spec.ts
+++ b/tests/relay/admission.spec.ts
@@ -1,3 +1,6 @@
+import { once } from 'node:events'
+import net from 'node:net'
+
 import { expect } from 'chai'
 
 import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, HOST, KEY, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
@@ -60,6 +63,13 @@
     expect((await sendRequest(fixture)).text).to.match(/^HTTP\/1\.1 503 [\s\S]*Retry-After: /)
   })
 
+  it('should state the length of a refusal once', async () => {
+    await start()
+    const answer = await sendRequest(fixture!, { key: 'unknown' })
+    expect(answer.text).to.match(/^HTTP\/1.1 401 /)
+    expect(answer.text.match(/^content-length: /gim)).to.have.length(1)
+  })
+
   it('should refuse a body above the configured bound', async () => {
     await start()
     expect((await sendRequest(fixture!, { method: 'POST', body: 'x'.repeat(70_000) })).text).to.match(/^HTTP\/1\.1 413 /)
@@ -104,6 +114,19 @@
     fixture = undefined
   })
 
+  it('should not send on a request whose caller left before it was read', async () => {
+    const endpoint = await start()
+    const callers = Array.from({ length: 20 }, () => net.connect(fixture!.port, '127.0.0.1'))
+    await Promise.all(callers.map(async caller => await once(caller, 'connect')))
+    // the gateway reads nothing before this turn ends: request and leaving wait in the socket together
+    callers.forEach((caller, index) => caller.end(buildCallerRequest({ id: `left-${index}` })))
+    const untilMs = performance.now() + 50
+    while (performance.now() < untilMs);
+    await Promise.all(callers.map(async caller => await once(caller.resume(), 'close')))
+    expect((await sendRequest(fixture!, { id: 'after' })).text).to.match(/^HTTP\/1.1 200/)
+    expect(endpoint.received.map(request => request.requestId)).to.deep.equal(['after'])
+  })
+
   it('should write no key and no body to the log', async () => {
     await start()
     await sendRequest(fixture!, { method: 'POST', body: 'secret formula' })
--- a/tests/soak/soakChecker.spec.ts
+++ b/tests/soak/soakChecker.spec.ts
@@ -81,6 +81,12 @@
     expect(listKinds()).to.include('wrongAnswer').and.have.length.at.least(3)
   })
 
+  it('should find bytes that are no answer', () => {
+    fixture.disturbances.begin({ kind: 'gateway', index: 0 })
+    play(buildSent(), [], { kind: 'broken', message: 'Parse Error: Duplicate Content-Length' })
+    expect(listKinds()).to.deep.equal(['wrongAnswer'])
+  })
+
   it('should find a second run of what may run once, and allow it for what may be repeated', () => {
     const once = buildSent()
     play(once, [{}, { endpointId: 'desk-2' }], buildGoodEnd(once))
