Take endpoints that answer other gateways for alive, share loads and connections, bound passes over the queue

Followers also left a reader that was behind them in the store's revisions though nothing of the kind had changed. Change: gateways tell each other every 0.4 s what they have at endpoints and when they last heard of them; an endpoint that others hear is not silent, a load above the slots counts, and each keeps to its share of an endpoint's connections. Passes over the queue come every 5 ms at most and keep choices for 40 ms. A reader that is behind confirms an unchanged position. Log lines are one typed union; a bench of the log; soak: ports below the outgoing range, longer outages of the store, planned work without restarts.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,8 @@
   dataPath: 'dataPath.mjs',
   capacity: 'capacity/main.mjs',
   lunch: 'lunch/main.mjs',
-  decisions: 'decisions.mjs'
+  decisions: 'decisions.mjs',
+  log: 'log.mjs'
 }
 
 const flags = yargs(hideBin(process.argv))
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -1,11 +1,9 @@
-import { createServer } from 'node:net'
-
 import { ObjectsServer } from '../standins/objects/objectsServer'
+import { findFreePorts } from '../standins/shared/freePorts'
 import { SoakEndpoint } from './soakEndpoint'
 import { SoakGateway } from './soakGateway'
 import { SoakOperator } from './soakOperator'
 
-import type { AddressInfo } from 'node:net'
 import type { SoakBounds } from './soakChecker'
 import type { SoakRun } from './soakEndpoint'
 
@@ -67,7 +65,7 @@
 
   async #openGateways (): Promise<void> {
     const { gateways: count, folder, bounds, handleOwnEnd } = this.#options
-    const ports = await findPorts(4 * count)
+    const ports = await findFreePorts(4 * count)
     const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.0.1:${ports[4 * index + 3]!}`)
     for (let index = 0; index < count; index++) {
       const [callers, ready, admin, peers] = ports.slice(4 * index, 4 * index + 4) as [number, number, number, number]
@@ -85,15 +83,3 @@
     await Promise.all(this.gateways.map(async gateway => await gateway.open()))
   }
 }
-
-/** Finds ports that are free, all held at once so that they differ. */
-async function findPorts (count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer())
-  const ports: number[] = []
-  for (const server of servers) {
-    await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-    ports.push((server.address() as AddressInfo).port)
-  }
-  await Promise.all(servers.map(async server => await new Promise(resolve => server.close(resolve))))
-  return ports
-}
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -44,6 +44,8 @@
 export const CALM_END_MS = 8000
 const MAX_GAP_MS = 1500
 const MAX_FAULT_MS = 2500
+/** The store is away for longer than a removed key may be used. */
+const STORE_FACTOR = 4
 
 const LINKS: readonly LinkName[] = ['callers', 'store', 'endpoint']
 const LINK_FAULTS: readonly LinkFault[] = ['reset', 'silence', 'delay', 'cutForth', 'cutBack', 'cutBoth']
@@ -62,7 +64,9 @@
   let atMs = WARM_UP_MS
   while (atMs < endMs) {
     atMs = addActions(plan, atMs, Math.min(endMs, atMs + TROUBLE_MS), random, () => random() < 0.7 ? chooseFault(options, random) : chooseWork(options, random))
-    atMs = addActions(plan, atMs + SETTLE_MS, Math.min(endMs, atMs + SETTLE_MS + PLANNED_MS), random, () => chooseWork(options, random))
+    // a gateway that restarts is asked for no bound in time, so that some times of planned work go without
+    const choosePlanned = random() < 0.5 ? chooseWork : chooseChange
+    atMs = addActions(plan, atMs + SETTLE_MS, Math.min(endMs, atMs + SETTLE_MS + PLANNED_MS), random, () => choosePlanned(options, random))
   }
   return plan
 }
@@ -73,12 +77,18 @@
 }
 
 function chooseWork (options: SoakPlanOptions, random: () => number): SoakAction {
-  const gateway = chooseIndex(options.gateways, random)
   switch (chooseIndex(6, random)) {
-    case 0: return { kind: 'stopGateway', gateway }
+    case 0: return { kind: 'stopGateway', gateway: chooseIndex(options.gateways, random) }
     case 1: return { kind: 'stopAllInTurn' }
-    case 2: return { kind: 'reloadSettings', gateway, hasSignal: random() < 0.5 }
-    case 3: return { kind: 'replaceEndpoint', endpoint: chooseIndex(options.endpoints, random) }
+    default: return chooseChange(options, random)
+  }
+}
+
+/** Planned work under which every gateway goes on. */
+function chooseChange (options: SoakPlanOptions, random: () => number): SoakAction {
+  switch (chooseIndex(4, random)) {
+    case 0: return { kind: 'reloadSettings', gateway: chooseIndex(options.gateways, random), hasSignal: random() < 0.5 }
+    case 1: return { kind: 'replaceEndpoint', endpoint: chooseIndex(options.endpoints, random) }
     default: return { kind: 'changeConfig', count: 1 + chooseIndex(3, random), gapMs: 50 + random() * 800 }
   }
 }
@@ -92,12 +102,12 @@
     case 1: return { kind: 'killAll', downMs: random() * 1000 }
     case 2: return { kind: 'pauseGateway', gateway, forMs: 2 * forMs }
     case 3: return { kind: 'shiftClock', gateway, byMs: chooseAny(CLOCK_STEPS_MS, random), forMs: random() < 0.5 ? null : forMs }
-    case 4: return { kind: 'disturbStore', how: chooseAny(STORE_FAULTS, random), forMs: 2 * forMs }
+    case 4: return { kind: 'disturbStore', how: chooseAny(STORE_FAULTS, random), forMs: STORE_FACTOR * forMs }
     case 5: return { kind: 'crashEndpoint', endpoint, downMs: random() * 2000 }
     case 6: return { kind: 'disturbEndpoint', endpoint, how: chooseAny(ENDPOINT_FAULTS, random), forMs }
     default: {
       const link = chooseAny(LINKS, random)
-      return { kind: 'disturbLink', link, index: link === 'endpoint' ? endpoint : gateway, how: chooseAny(LINK_FAULTS, random), forMs }
+      return { kind: 'disturbLink', link, index: link === 'endpoint' ? endpoint : gateway, how: chooseAny(LINK_FAULTS, random), forMs: link === 'store' ? STORE_FACTOR * forMs : forMs }
     }
   }
 }
--- a/src/base/decisionLog.ts
+++ b/src/base/decisionLog.ts
@@ -1,16 +1,10 @@
 import { SonicBoom } from 'sonic-boom'
 
 import { systemClock } from './clock'
+import { getRequestId } from './decisionEvents'
 
 import type { Clock } from './clock'
-
-/** A line of the decision log: what was decided or believed, with the inputs that decided it. */
-export interface DecisionLine {
-  event: string
-  /** Id of the request that the decision touches; absent for what a process believes. */
-  requestId?: string
-  [field: string]: unknown
-}
+import type { DecisionLine } from './decisionEvents'
 
 /**
  * How much a line matters when not all can be written: changes of belief and failures are kept
@@ -51,7 +45,7 @@
  *
  * @example
  * const log = new DecisionLog({ instance: 'gateway-1', bytesPerSecond: 65_536 })
- * log.write('notable', { event: 'requestRefused', requestId: 'r-1', reason: 'overloaded', queued: 40 })
+ * log.write('notable', { event: 'crashLearned', fingerprint, crashes: 3, before: 2, limit: 3 })
  */
 export class DecisionLog {
   readonly #instance: string
@@ -82,7 +76,7 @@
 
   write (rank: LineRank, line: DecisionLine): void {
     this.#addTokens()
-    if (rank === 'routine' && !this.#isSampled(line.requestId)) return this.#countLeftOut('routine')
+    if (rank === 'routine' && !this.#isSampled(getRequestId(line))) return this.#countLeftOut('routine')
     if (this.#tokens <= this.#getReserve(rank)) return this.#countLeftOut(rank)
     this.#put(line)
   }
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -1,6 +1,7 @@
 import { isEjected } from './directEndpoint'
 
 import type { DirectEndpoint } from './directEndpoint'
+import type { EndpointLoad } from './loadBoard'
 import type { PromptPart } from './prefixMemory'
 
 /** What the choice needs to know of a request. */
@@ -18,6 +19,8 @@
   candidates: number
   /** Prompt tokens that the endpoint would have to read for the request. */
   unreadTokens: number
+  /** Requests that other gateways have there. */
+  othersInFlight: number
   /** Whether the endpoint is expected to start the request at once. */
   hasRoom: boolean
 }
@@ -32,10 +35,17 @@
   home: DirectEndpoint | null
   /** What waits for each endpoint and goes first. */
   planned: PlannedTokens
+  /** Gets what other gateways have at an endpoint, as lately told. */
+  getOthers: (endpointId: string) => EndpointLoad
+  /** Requests that this gateway may have at one endpoint: its share of the connections there. */
+  maxInFlight: number
   nowMs: number
   random: () => number
 }
 
+/** What decides whether an endpoint has room for one more request of this gateway. */
+export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'maxInFlight'>
+
 /** Prompt tokens an engine reads in a millisecond, for endpoints of which nothing is known. */
 export const PREFILL_TOKENS_PER_MS = 100
 /**
@@ -43,7 +53,7 @@
  * comes after it and push other parts out of the cache.
  */
 const UNREAD_SHARED_WEIGHT = 4
-/** Weight of prompts that are still to be read there, of which this process sees only its own. */
+/** Weight of this gateway's prompts that are still to be read there. */
 const PENDING_WEIGHT = 1
 /** Milliseconds that an endpoint with all slots taken is behind an empty one. */
 const FULL_COST_MS = 600
@@ -74,9 +84,18 @@
     const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
     const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
     if (best !== null && costMs >= best.costMs) continue
-    best = { endpoint, costMs, unreadTokens, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
+    const othersInFlight = options.getOthers(endpoint.entry.id).inFlight
+    best = { endpoint, costMs, unreadTokens, othersInFlight, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
   }
-  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best, options.planned) }
+  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best, options) }
+}
+
+/**
+ * Looks again whether the endpoint of an earlier choice has room now, without a new choice. A request
+ * that waits chooses anew only from time to time, since a choice weighs every endpoint.
+ */
+export function updateRoom (choice: DirectChoice, room: RoomOptions): DirectChoice {
+  return { ...choice, hasRoom: hasRoom(choice, room) }
 }
 
 /** Gets the deepest part that requests share, by which they should meet at one endpoint. */
@@ -97,19 +116,30 @@
  * Tells whether an endpoint is expected to start the request at once. What waits for it and goes
  * first keeps its room, or a long prompt would wait for ever while short ones slip in.
  */
-function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>, planned: PlannedTokens): boolean {
+function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>, { planned, maxInFlight }: RoomOptions): boolean {
+  if (endpoint.inFlight >= maxInFlight) return false
   if (unreadTokens === 0) return true
   const aheadTokens = endpoint.pendingTokens + (planned.get(endpoint.entry.id) ?? 0)
   return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
 }
 
 function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, unreadTokens: number, options: DirectChooserOptions): number {
-  const { nowMs, random } = options
+  const { nowMs, random, getOthers } = options
+  const others = getOthers(endpoint.entry.id)
   const ownTokens = request.promptParts.at(-1)?.tokens ?? 0
   const unreadShared = unreadTokens - ownTokens
-  const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * (endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0))
+  const pendingTokens = endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0)
+  const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
-  return tokens / PREFILL_TOKENS_PER_MS + FULL_COST_MS * endpoint.inFlight / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+  return tokens / PREFILL_TOKENS_PER_MS + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+}
+
+/**
+ * Requests that must wait for a slot there. Below that the others' load must not count: it would send
+ * prompts away from the endpoint that holds them, to be read again elsewhere.
+ */
+function countExcess ({ entry, inFlight }: DirectEndpoint, others: EndpointLoad): number {
+  return Math.max(0, inFlight + others.inFlight - entry.slots)
 }
 
 function countTokens (parts: readonly PromptPart[]): number {
--- a/src/policy/peerTable.ts
+++ b/src/policy/peerTable.ts
@@ -79,6 +79,23 @@
     return best === this.#self ? null : best
   }
 
+  /** Chooses, for each other failure domain, the gateway that reads for it. */
+  listOtherReaders (nowMs: number): OwnPeerRecord[] {
+    const readers = new Map<string, OwnPeerRecord>()
+    for (const peer of this.#peers.values()) {
+      if (peer.domain === this.#self.domain || !isUsable(peer, nowMs)) continue
+      const best = readers.get(peer.domain)
+      if (best === undefined || isBefore(peer, best)) readers.set(peer.domain, peer)
+    }
+    return [...readers.values()]
+  }
+
+  /** Lists what another gateway should know: those of its domain, and who reads for each other one. */
+  listFor (domain: string, nowMs: number): PeerRecord[] {
+    const readers = new Set(this.listOtherReaders(nowMs).map(peer => peer.id))
+    return this.list(nowMs).filter(peer => peer.domain === domain || readers.has(peer.id))
+  }
+
   #removeOldest (): void {
     if (this.#peers.size <= MAX_PEERS) return
     const [oldest] = [...this.#peers.values()].sort((one, other) => one.heardAtMs - other.heardAtMs)
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -20,6 +20,7 @@
   readonly bounds: CallerBounds
   readonly #routesByHost = new Map<string, Route[]>()
   readonly #tightestTargets: Map<string, number>
+  readonly #maxConnections: Map<string, number>
   readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
 
   constructor (config: RoutingConfig) {
@@ -28,6 +29,7 @@
     this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
     for (const route of config.routes) this.#addRoute(route)
     this.#tightestTargets = buildTightestTargets(config.routes)
+    this.#maxConnections = new Map(config.services.map(service => [service.name, service.maxConnections]))
     for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
   }
 
@@ -47,6 +49,11 @@
     return this.#tightestTargets.get(service) ?? Infinity
   }
 
+  /** Gets the connections that each endpoint of a service accepts, from all gateways together. */
+  getMaxConnections (service: string): number {
+    return this.#maxConnections.get(service) ?? Infinity
+  }
+
   /** Matches a caller's key with the workspace that holds it. */
   matchKey (route: Route, key: string | null): KeyMatch {
     if (this.#workspacesByKey === null) return { kind: 'notNeeded' }
--- a/src/policy/silence.ts
+++ b/src/policy/silence.ts
@@ -15,8 +15,10 @@
 
 /** What is known of the endpoint of a send. */
 export interface SilentEndpoint {
-  /** Time of the last byte of any answer. */
+  /** Time of the last byte of any answer that came to this gateway. */
   heardAtMs: number
+  /** Time at which another gateway had bytes from it, as lately told; -Infinity when none did. */
+  heardByOthersAtMs: number
   pendingTokens: number
   /** Sends there for which it has been silent for too long. */
   silentSends: number
@@ -32,6 +34,10 @@
 /** Added for each prompt token that it has yet to read, at a slow engine's rate. */
 const SILENCE_PER_TOKEN_MS = 0.05
 const MIN_SILENT_SENDS = 2
+/** Age of what gateways tell each other of an endpoint: two exchanges and the way between domains. */
+const TOLD_LAG_MS = 1200
+/** Factor on the time for a stream's first event at an endpoint that answers other gateways: it is busy. */
+const BUSY_FACTOR = 2
 /** Part of the target after which the answer of a plain service is asked for elsewhere. */
 const LATE_SHARE = 0.8
 /** Usual answer times after which an answer counts as late. */
@@ -58,17 +64,24 @@
   return endpoint.silentSends >= MIN_SILENT_SENDS
 }
 
-/** Tells whether an endpoint with a send since `sentAtMs` has been silent for too long. */
-export function isSilent (endpoint: Pick<SilentEndpoint, 'heardAtMs' | 'pendingTokens'>, sentAtMs: number, nowMs: number): boolean {
-  const limitMs = ENDPOINT_SILENCE_MS + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
-  return nowMs - Math.max(sentAtMs, endpoint.heardAtMs) > limitMs
+/**
+ * Tells whether an endpoint with a send since `sentAtMs` has been silent for too long. One that answers
+ * other gateways is not silent: with many gateways each has but few sends there, which may all wait
+ * behind the others'.
+ */
+export function isSilent (endpoint: Omit<SilentEndpoint, 'silentSends'>, sentAtMs: number, nowMs: number): boolean {
+  const { heardAtMs, heardByOthersAtMs, pendingTokens } = endpoint
+  const limitMs = ENDPOINT_SILENCE_MS + SILENCE_PER_TOKEN_MS * pendingTokens
+  return nowMs - Math.max(sentAtMs, heardAtMs) > limitMs && nowMs - heardByOthersAtMs > limitMs + TOLD_LAG_MS
 }
 
 /** A stream that has begun must go on; one that has not may wait for its turn while the endpoint answers others. */
 function isStalled (send: SilentSend, endpoint: SilentEndpoint, nowMs: number): boolean {
   const stallMs = Math.max(MIN_STALL_MS, STALL_FACTOR * send.betweenEventsTargetMs)
   if (send.heardAtMs !== null) return nowMs - send.heardAtMs > stallMs
-  return nowMs - Math.max(send.sentAtMs, endpoint.heardAtMs) > stallMs + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
+  const isBusy = nowMs - endpoint.heardByOthersAtMs <= ENDPOINT_SILENCE_MS + TOLD_LAG_MS
+  const limitMs = (isBusy ? BUSY_FACTOR : 1) * stallMs + SILENCE_PER_TOKEN_MS * endpoint.pendingTokens
+  return nowMs - Math.max(send.sentAtMs, endpoint.heardAtMs) > limitMs
 }
 
 function decideOnLateAnswer (send: SilentSend, usualMs: number, nowMs: number): SilenceDecision {
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -63,3 +63,18 @@
 })
 
 export type PeerNews = z.infer<typeof peerNewsSchema>
+
+/** Loads of endpoints: id, requests there, prompt tokens still to be read, milliseconds since its last byte. */
+const loadsSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))
+
+/** What two gateways tell each other of the load that they know of, the other's own left out. */
+export const loadNewsSchema = z.object({
+  teller: z.string(),
+  /** Failure domain of the teller, when it speaks for all gateways there. */
+  domain: z.string().nullable(),
+  /** Gateways whose load is in `loads`. */
+  gateways: z.number(),
+  loads: loadsSchema
+})
+
+export type LoadNews = z.infer<typeof loadNewsSchema>
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,9 +1,11 @@
-import { chooseDirectEndpoint, findSharedPart } from '../policy/directChooser'
+import { chooseDirectEndpoint, findSharedPart, updateRoom } from '../policy/directChooser'
+import { isEjected } from '../policy/directEndpoint'
 import { decideRepeat } from '../policy/repeatDecision'
 
 import type { Clock } from '../base/clock'
 import type { DirectChoice, PlannedTokens } from '../policy/directChooser'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { LoadBoard } from '../policy/loadBoard'
 import type { RepeatSituation, SendOutcome } from '../policy/repeatDecision'
 import type { RetryWindow } from '../policy/retryWindow'
 import type { Refusal } from '../protocol/errorBody'
@@ -19,6 +21,10 @@
   clock: Clock
   random: () => number
   directory: EndpointDirectory
+  /** What the other gateways have at the endpoints. */
+  loads: LoadBoard
+  /** Connections that each endpoint of a service accepts, from all gateways together. */
+  getMaxConnections: (service: string) => number
   retries: RetryWindow
   observer: RelayObserver
   dispatcher: Dispatcher
@@ -44,6 +50,8 @@
 
 /** Wait before a caller comes back to a service with no free endpoint, when the endpoint does not say. */
 const DEFAULT_RETRY_AFTER_MS = 300
+/** Time for which a request that waits keeps to the endpoint it chose: short beside every target. */
+const CHOICE_KEPT_MS = 40
 
 /**
  * Relays requests straight to endpoints, without a sidecar: waits for an endpoint with room, sends,
@@ -116,6 +124,7 @@
     }
     if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
     let best: DirectChoice | null = null
+    let chosenAtMs = -Infinity
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
       service: request.service,
@@ -123,7 +132,12 @@
       dueAtMs: request.arrivedAtMs + request.route.targetMs,
       expiresAtMs: request.deadlineAtMs,
       choose: planned => {
-        best = this.#choose(state, planned)
+        const nowMs = clock.getMonotonicMs()
+        if (best !== null && nowMs - chosenAtMs < CHOICE_KEPT_MS && this.#isUsable(best, nowMs)) best = updateRoom(best, { planned, maxInFlight: this.#getMaxInFlight(request) })
+        else {
+          best = this.#choose(state, planned)
+          chosenAtMs = nowMs
+        }
         return best
       },
       take: taken => this.#takeRoom(state, taken)
@@ -142,7 +156,7 @@
   }
 
   #choose (state: RelayState, planned: PlannedTokens): DirectChoice | null {
-    const { directory, clock, random } = this.#options
+    const { directory, clock, random, loads } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
     const shared = findSharedPart(request.traits.promptParts)
@@ -150,10 +164,20 @@
     return chooseDirectEndpoint(
       { service: request.service, promptParts: request.traits.promptParts },
       directory.listReady(request.service),
-      { excluded: state.tried, home, planned, nowMs, random }
+      { excluded: state.tried, home, planned, maxInFlight: this.#getMaxInFlight(request), getOthers: id => loads.getOthers(id), nowMs, random }
     )
   }
 
+  /** This gateway's share of the connections that an endpoint accepts from all. */
+  #getMaxInFlight ({ service }: RelayRequest): number {
+    const { getMaxConnections, loads } = this.#options
+    return Math.max(1, Math.floor(getMaxConnections(service) / loads.countGateways()))
+  }
+
+  #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
+    return this.#options.directory.isReady(endpoint) && !isEjected(endpoint, nowMs)
+  }
+
   #takeRoom (state: RelayState, choice: DirectChoice): void {
     const { clock, observer } = this.#options
     const { endpoint, unreadTokens } = choice
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -17,12 +17,24 @@
   clock: Clock
 }
 
+interface ServiceQueue {
+  queue: DispatchQueue<Waiting>
+  passedAtMs: number
+  /** Set while the next pass is due. */
+  passTimer: NodeJS.Timeout | null
+}
+
 interface Waiting extends DispatchRequest {
   finish: (choice: DirectChoice | null) => void
 }
 
 /** Requests tried at most each time room may have come free, to bound its cost in a long queue. */
 const MAX_TRIED = 100
+/**
+ * Least time between two passes over the queue of a service. Room comes free with each first event and
+ * each end; a pass for each would take the whole processor of a small instance in a burst.
+ */
+const PASS_INTERVAL_MS = 5
 const EXPIRY_INTERVAL_MS = 10
 
 /**
@@ -31,7 +43,7 @@
  */
 export class Dispatcher {
   readonly #clock: Clock
-  readonly #queues = new Map<string, DispatchQueue<Waiting>>()
+  readonly #queues = new Map<string, ServiceQueue>()
   /** Runs only while something waits. */
   #timer: NodeJS.Timeout | null = null
 
@@ -41,16 +53,17 @@
 
   /** Counts what waits for a service. */
   countWaiting (service: string): number {
-    return this.#queues.get(service)?.size ?? 0
+    return this.#queues.get(service)?.queue.size ?? 0
   }
 
   listServices (): Array<{ service: string, waiting: number }> {
-    return [...this.#queues].map(([service, queue]) => ({ service, waiting: queue.size }))
+    return [...this.#queues].map(([service, { queue }]) => ({ service, waiting: queue.size }))
   }
 
   /** Waits for an endpoint with room; null when the time ran out or `signal` fired. */
   async wait (request: DispatchRequest, signal: AbortSignal): Promise<DirectChoice | null> {
-    const queue = this.#openQueue(request.service)
+    const opened = this.#openQueue(request.service)
+    const { queue } = opened
     return await new Promise(resolve => {
       const handleAbort = () => {
         queue.remove(waiting)
@@ -64,18 +77,36 @@
         }
       }
       signal.addEventListener('abort', handleAbort, { once: true })
+      const isFirst = queue.size === 0
       queue.add(waiting)
-      this.notifyRoom(request.service)
+      if (isFirst) this.#runPass(opened)
+      else this.notifyRoom(request.service)
       if (queue.size > 0) this.#timer ??= setTimeout(() => this.#expire(), EXPIRY_INTERVAL_MS)
     })
   }
 
-  /** Starts what has room now; call it whenever room may have come free. */
+  /** Starts what has room; call it whenever room may have come free. */
   notifyRoom (service: string): void {
-    const queue = this.#queues.get(service)
-    if (queue === undefined || queue.size === 0) return
+    const opened = this.#queues.get(service)
+    if (opened === undefined || opened.queue.size === 0 || opened.passTimer !== null) return
+    const sinceMs = this.#clock.getMonotonicMs() - opened.passedAtMs
+    if (sinceMs >= PASS_INTERVAL_MS) this.#runPass(opened)
+    else opened.passTimer = setTimeout(() => this.#runPass(opened), PASS_INTERVAL_MS - sinceMs)
+  }
+
+  close (): void {
+    if (this.#timer !== null) clearTimeout(this.#timer)
+    for (const { passTimer } of this.#queues.values()) if (passTimer !== null) clearTimeout(passTimer)
+  }
+
+  #runPass (opened: ServiceQueue): void {
+    const { queue } = opened
+    const nowMs = this.#clock.getMonotonicMs()
+    if (opened.passTimer !== null) clearTimeout(opened.passTimer)
+    opened.passTimer = null
+    opened.passedAtMs = nowMs
     const planned: PlannedTokens = new Map()
-    for (const waiting of queue.listInOrder(this.#clock.getMonotonicMs()).slice(0, MAX_TRIED)) {
+    for (const waiting of queue.listInOrder(nowMs).slice(0, MAX_TRIED)) {
       const choice = waiting.choose(planned)
       if (choice === null) continue
       const { id } = choice.endpoint.entry
@@ -89,14 +120,10 @@
     }
   }
 
-  close (): void {
-    if (this.#timer !== null) clearTimeout(this.#timer)
-  }
-
   #expire (): void {
     this.#timer = null
     const nowMs = this.#clock.getMonotonicMs()
-    for (const [service, queue] of this.#queues) {
+    for (const [service, { queue }] of this.#queues) {
       if (queue.size === 0) continue
       for (const waiting of queue.takeExpired(nowMs)) waiting.finish(null)
       this.notifyRoom(service)
@@ -104,10 +131,10 @@
     }
   }
 
-  #openQueue (service: string): DispatchQueue<Waiting> {
+  #openQueue (service: string): ServiceQueue {
     const known = this.#queues.get(service)
     if (known !== undefined) return known
-    const opened = new DispatchQueue<Waiting>()
+    const opened: ServiceQueue = { queue: new DispatchQueue<Waiting>(), passedAtMs: -Infinity, passTimer: null }
     this.#queues.set(service, opened)
     return opened
   }
--- /dev/null
+++ b/src/relay/loadLinks.ts
@@ -0,0 +1,125 @@
+import { Progress } from '../base/progress'
+import { spreadPeriod } from '../store/backoff'
+import { BackgroundTask } from '../store/backgroundTask'
+
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { EndpointLoad, LoadBoard, LoadReport } from '../policy/loadBoard'
+import type { PeerTable } from '../policy/peerTable'
+import type { LoadNews } from '../protocol/viewMessages'
+import type { PeerClient } from './peerClient'
+
+export interface LoadLinksOptions {
+  clock: Clock
+  random: () => number
+  table: PeerTable
+  board: LoadBoard
+  directory: EndpointDirectory
+  log: DecisionLog
+  openClient: (peer: { id: string, address: string }) => PeerClient
+}
+
+const EXCHANGE_MS = 400
+const CALL_TIMEOUT_MS = 600
+/** Bytes a second that one gateway sends to others at most; the period grows to keep to it. */
+const MAX_BYTES_PER_SECOND = 20_000
+const MS_PER_SECOND = 1000
+/** Longer ago tells nothing, and not at all is told as this. */
+const MAX_HEARD_AGO_MS = 60_000
+
+/**
+ * Tells the gateways of what each has at the endpoints: those of a failure domain tell the one that
+ * reads the store for them, and these tell each other, each for its domain.
+ */
+export class LoadLinks {
+  readonly #options: LoadLinksOptions
+  readonly #task: BackgroundTask
+  /** Gateways that told this one their own load lately, with their domain. */
+  readonly #tellers = new Map<string, string | null>()
+  #sentBytes = 0
+
+  constructor (options: LoadLinksOptions) {
+    this.#options = options
+    this.#task = new BackgroundTask({
+      runStep: async signal => await this.#runStep(signal),
+      onError: error => options.log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
+    })
+  }
+
+  start (): void {
+    this.#task.start(spreadPeriod(EXCHANGE_MS, this.#options.random))
+  }
+
+  async stop (): Promise<void> {
+    await this.#task.stop()
+  }
+
+  /** Takes in another gateway's load and returns what it does not know of. */
+  receiveLoads (news: LoadNews): LoadNews {
+    this.#takeLoads(news)
+    return news.domain === null ? this.#buildForMember(news.teller) : this.#buildForDomain()
+  }
+
+  async #runStep (signal: AbortSignal): Promise<number> {
+    const { table, clock, board, random } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    board.expire(nowMs)
+    this.#sentBytes = 0
+    const reader = table.chooseReader(nowMs)
+    const sends = reader !== null
+      ? [this.#send(reader, this.#buildOwn(), signal)]
+      : table.listOtherReaders(nowMs).map(async peer => await this.#send(peer, this.#buildForDomain(), signal))
+    await Promise.all(sends)
+    return spreadPeriod(Math.max(EXCHANGE_MS, MS_PER_SECOND * this.#sentBytes / MAX_BYTES_PER_SECOND), random)
+  }
+
+  async #send (peer: { id: string, address: string }, news: LoadNews, signal: AbortSignal): Promise<void> {
+    const { openClient, clock } = this.#options
+    this.#sentBytes += JSON.stringify(news).length
+    const progress = new Progress({ title: 'exchanging loads', timeoutMs: CALL_TIMEOUT_MS, signal, clock })
+    const answer = await openClient(peer).sendLoads(news, progress)
+    if (answer.isOk) this.#takeLoads(answer.value)
+  }
+
+  #takeLoads ({ teller, domain, gateways, loads }: LoadNews): void {
+    const { board, clock } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs }]))
+    board.record(domain ?? teller, report, nowMs, gateways)
+    this.#tellers.set(domain ?? teller, domain)
+  }
+
+  /** This gateway's load, for the one that reads for its domain. */
+  #buildOwn (): LoadNews {
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(this.#listOwn()) }
+  }
+
+  /** The load of all gateways of this domain, for another domain. */
+  #buildForDomain (): LoadNews {
+    return this.#buildSum(this.#options.table.self.domain, teller => this.#tellers.get(teller) !== null)
+  }
+
+  /** All load but that of one gateway of this domain, for it. */
+  #buildForMember (member: string): LoadNews {
+    return this.#buildSum(null, teller => teller === member)
+  }
+
+  #buildSum (domain: string | null, isLeftOut: (teller: string) => boolean): LoadNews {
+    const { board, table } = this.#options
+    return { teller: table.self.id, domain, gateways: board.countGateways(isLeftOut), loads: this.#toTuples(board.buildSum(this.#listOwn(), isLeftOut)) }
+  }
+
+  #listOwn (): LoadReport {
+    const own = new Map<string, EndpointLoad>()
+    for (const { entry, inFlight, pendingTokens, heardAtMs } of this.#options.directory.listAll()) {
+      if (inFlight > 0) own.set(entry.id, { inFlight, pendingTokens, heardAtMs })
+    }
+    return own
+  }
+
+  #toTuples (report: LoadReport): LoadNews['loads'] {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    return [...report].map(([id, { inFlight, pendingTokens, heardAtMs }]) => [id, inFlight, Math.round(pendingTokens), Math.round(Math.min(MAX_HEARD_AGO_MS, nowMs - heardAtMs))])
+  }
+}
--- a/src/relay/peerClient.ts
+++ b/src/relay/peerClient.ts
@@ -2,10 +2,10 @@
 import { z } from 'zod'
 
 import { RpcClient } from '../protocol/rpcClient'
-import { peerNewsSchema, viewAnswerSchema } from '../protocol/viewMessages'
+import { loadNewsSchema, peerNewsSchema, viewAnswerSchema } from '../protocol/viewMessages'
 
 import type { Progress } from '../base/progress'
-import type { PeerNews, ViewAnswer } from '../protocol/viewMessages'
+import type { LoadNews, PeerNews, ViewAnswer } from '../protocol/viewMessages'
 import type { RpcError } from '../protocol/rpcError'
 import type { ViewReader } from '../store/sharedViewService'
 
@@ -36,6 +36,11 @@
     return await this.#call('exchangeNews', news, peerNewsSchema, progress)
   }
 
+  /** Tells the other gateway the load that this one knows of and gets what it knows. */
+  async sendLoads (loads: LoadNews, progress: Progress): Promise<Result<LoadNews, string>> {
+    return await this.#call('exchangeLoads', loads, loadNewsSchema, progress)
+  }
+
   close (): void {
     this.#client.close()
   }
--- a/src/relay/peerLinks.ts
+++ b/src/relay/peerLinks.ts
@@ -75,7 +75,7 @@
       log.write('notable', { event: 'viewSourceChanged', reader: id, before: this.#readerId })
       this.#readerId = id
     }
-    return chosen === null ? null : this.#openClient(chosen)
+    return chosen === null ? null : this.openClient(chosen)
   }
 
   recordAnswer (reader: ViewReader): void {
@@ -94,7 +94,7 @@
     const peers = table.list(clock.getMonotonicMs()).map(peer => ({ peer, order: random() }))
     peers.sort((one, other) => one.order - other.order)
     const { signal } = new AbortController()
-    const sends = peers.slice(0, CRASH_FANOUT).map(async ({ peer }) => await this.#sendNews(this.#openClient(peer), signal))
+    const sends = peers.slice(0, CRASH_FANOUT).map(async ({ peer }) => await this.#sendNews(this.openClient(peer), signal))
     Promise.all(sends).catch(error => this.#reportError(error))
   }
 
@@ -119,9 +119,9 @@
     const seeds = this.#seedAddresses.filter(seed => seed !== address)
     const near = table.list(clock.getMonotonicMs(), domain)
     const takesSeed = seeds.length > 0 && (near.length === 0 || this.#exchanges % 2 === 1)
-    if (!takesSeed) return near.length === 0 ? null : this.#openClient(selectAny(near, random))
+    if (!takesSeed) return near.length === 0 ? null : this.openClient(selectAny(near, random))
     const seed = selectAny(seeds, random)
-    return this.#openClient({ id: seed, address: seed })
+    return this.openClient({ id: seed, address: seed })
   }
 
   async #sendNews (client: PeerClient, signal: AbortSignal): Promise<void> {
@@ -141,14 +141,15 @@
 
   #buildNews (domain: string): PeerNews {
     const { table, clock, listCrashes } = this.#options
-    return { self: table.self, peers: table.list(clock.getMonotonicMs(), domain), crashes: listCrashes().slice(-MAX_CRASHES_TOLD) }
+    return { self: table.self, peers: table.listFor(domain, clock.getMonotonicMs()), crashes: listCrashes().slice(-MAX_CRASHES_TOLD) }
   }
 
   #reportError (error: unknown): void {
     this.#options.log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
   }
 
-  #openClient ({ id, address }: { id: string, address: string }): PeerClient {
+  /** Gets the connection to another gateway. */
+  openClient ({ id, address }: { id: string, address: string }): PeerClient {
     const key = `${id}@${address}`
     const client = this.#clients.get(key) ?? new PeerClient({ id, address })
     // the map's order is that of the last use
--- a/src/relay/peerServer.ts
+++ b/src/relay/peerServer.ts
@@ -1,15 +1,16 @@
 import { HttpListener } from '../base/httpListener'
 import { RPC_PATH } from '../protocol/attemptMessages'
 import { RpcServer } from '../protocol/rpcServer'
-import { listViewSchema, peerNewsSchema, watchViewSchema } from '../protocol/viewMessages'
+import { listViewSchema, loadNewsSchema, peerNewsSchema, watchViewSchema } from '../protocol/viewMessages'
 
-import type { PeerNews } from '../protocol/viewMessages'
+import type { LoadNews, PeerNews } from '../protocol/viewMessages'
 import type { SharedViewService } from '../store/sharedViewService'
 
 export interface PeerServerOptions {
   view: SharedViewService
   /** Takes in what another gateway tells, and returns what it is told. */
   exchangeNews: (news: PeerNews) => PeerNews
+  exchangeLoads: (news: LoadNews) => LoadNews
 }
 
 /** Answers the other gateways. */
@@ -17,7 +18,7 @@
   readonly #listener: HttpListener
 
   constructor (options: PeerServerOptions) {
-    const { view, exchangeNews } = options
+    const { view, exchangeNews, exchangeLoads } = options
     // only the fleet's own processes reach this address
     const rpc = new RpcServer({ fleetSecret: null })
     rpc.register('listView', async params => view.answerList(listViewSchema.parse(params).prefix))
@@ -26,6 +27,7 @@
       return await view.answerWatch(prefix, afterRevision, waitMs, call.closed)
     })
     rpc.register('exchangeNews', async params => exchangeNews(peerNewsSchema.parse(params)))
+    rpc.register('exchangeLoads', async params => exchangeLoads(loadNewsSchema.parse(params)))
     this.#listener = new HttpListener({ handlers: { [RPC_PATH]: (request, response) => rpc.handle(request, response) } })
   }
 
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -54,6 +54,7 @@
       candidates: choice.candidates,
       inFlight: endpoint.inFlight,
       pendingTokens: Math.round(endpoint.pendingTokens),
+      othersInFlight: choice.othersInFlight,
       failureRate: Number(endpoint.failureRate.toFixed(2)),
       heldMs: Math.round(nowMs - request.arrivedAtMs),
       remainingMs: Math.round(request.deadlineAtMs - nowMs)
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -4,6 +4,7 @@
 import { Metrics } from '../base/metrics'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
+import { LoadBoard } from '../policy/loadBoard'
 import { PeerTable } from '../policy/peerTable'
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
@@ -16,6 +17,7 @@
 import { EndpointAgent } from './endpointAgent'
 import { EndpointSender } from './endpointSender'
 import { FleetFollower } from './fleetFollower'
+import { LoadLinks } from './loadLinks'
 import { PeerLinks } from './peerLinks'
 import { PeerServer } from './peerServer'
 import { decideReadiness } from './readiness'
@@ -86,6 +88,8 @@
   readonly #view: SharedViewService
   readonly #peerTable: PeerTable
   readonly #links: PeerLinks
+  readonly #loads = new LoadBoard()
+  readonly #loadLinks: LoadLinks
   readonly #peerServer: PeerServer
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
@@ -120,7 +124,20 @@
       handleAnswer: reader => this.#links.recordAnswer(reader),
       handleFailure: (reader, reason) => this.#links.recordFailure(reader, reason)
     })
-    this.#peerServer = new PeerServer({ view: this.#view, exchangeNews: news => this.#links.receiveNews(news) })
+    this.#loadLinks = new LoadLinks({
+      clock: systemClock,
+      random: Math.random,
+      table: this.#peerTable,
+      board: this.#loads,
+      directory: this.#directory,
+      log,
+      openClient: peer => this.#links.openClient(peer)
+    })
+    this.#peerServer = new PeerServer({
+      view: this.#view,
+      exchangeNews: news => this.#links.receiveNews(news),
+      exchangeLoads: news => this.#loadLinks.receiveLoads(news)
+    })
     this.#follower = new FleetFollower({
       clock: systemClock,
       service: this.#view,
@@ -139,7 +156,7 @@
       getTable: () => this.#follower.table,
       getFreshness: () => this.#freshness.getVerdict()
     })
-    this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, log })
+    this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, loads: this.#loads, log })
     const sender = new EndpointSender({
       clock: systemClock,
       dialect: endpointDialect,
@@ -155,6 +172,8 @@
       clock: systemClock,
       random: Math.random,
       directory: this.#directory,
+      loads: this.#loads,
+      getMaxConnections: name => this.#follower.table?.getMaxConnections(name) ?? Infinity,
       retries: this.#retries,
       observer,
       dispatcher: this.#dispatcher,
@@ -196,6 +215,7 @@
     if (listen.peers !== null) {
       await this.#peerServer.listen(listen.peers)
       this.#links.start()
+      this.#loadLinks.start()
     }
     return { ready, callers, admin }
   }
@@ -225,7 +245,7 @@
     const startedAtMs = systemClock.getMonotonicMs()
     this.#isLeaving = true
     this.#view.stopServing()
-    const linksStopped = this.#links.stop()
+    const linksStopped = Promise.all([this.#links.stop(), this.#loadLinks.stop()])
     this.#server.startLeaving()
     await waitFor(Math.min(OUT_OF_ROTATION_MS, stopMs / 3))
     this.#server.stopAccepting()
@@ -243,7 +263,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#silence.close()
-    await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#links.stop()])
+    await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#links.stop(), this.#loadLinks.stop()])
   }
 
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
--- a/src/relay/silenceWatch.ts
+++ b/src/relay/silenceWatch.ts
@@ -6,6 +6,8 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { DirectEndpoint } from '../policy/directEndpoint'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { LoadBoard } from '../policy/loadBoard'
+import type { SilentEndpoint } from '../policy/silence'
 import type { RelayRequest } from './relayRequest'
 
 /** One send that waits for bytes. */
@@ -24,6 +26,8 @@
 export interface SilenceWatchOptions {
   clock: Clock
   directory: EndpointDirectory
+  /** What other gateways tell of the endpoints. */
+  loads: LoadBoard
   log: DecisionLog
 }
 
@@ -69,13 +73,13 @@
   #countSilent (nowMs: number): Map<DirectEndpoint, number> {
     const counts = new Map<DirectEndpoint, number>()
     for (const { endpoint, sentAtMs } of this.#sends) {
-      if (isSilent(endpoint, sentAtMs, nowMs)) counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1)
+      if (isSilent(this.#describeEndpoint(endpoint), sentAtMs, nowMs)) counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1)
     }
     return counts
   }
 
   #checkEndpoint (endpoint: DirectEndpoint, silentSends: number, nowMs: number): void {
-    if (isEjected(endpoint, nowMs) || !isEndpointSilent({ ...endpoint, silentSends })) return
+    if (isEjected(endpoint, nowMs) || !isEndpointSilent({ ...this.#describeEndpoint(endpoint), silentSends })) return
     recordSend(endpoint, { kind: 'broken' }, nowMs)
     this.#options.log.write('notable', {
       event: 'endpointEjected',
@@ -83,6 +87,7 @@
       reason: 'silent',
       silentSends,
       silentMs: Math.round(nowMs - endpoint.heardAtMs),
+      silentToOthersMs: Math.round(nowMs - this.#options.loads.getOthers(endpoint.entry.id).heardAtMs),
       inFlight: endpoint.inFlight,
       forMs: Math.round(endpoint.ejectedUntilMs - nowMs)
     })
@@ -98,10 +103,14 @@
       heardAtMs: send.heardAtMs,
       targetMs: request.route.targetMs,
       betweenEventsTargetMs: request.route.betweenEventsTargetMs
-    }, { ...endpoint, silentSends }, this.#readUsualMs(request.service), nowMs)
+    }, { ...this.#describeEndpoint(endpoint), silentSends }, this.#readUsualMs(request.service), nowMs)
     if (decision.kind === 'giveUp') send.giveUp(decision.reason)
   }
 
+  #describeEndpoint ({ entry, heardAtMs, pendingTokens }: DirectEndpoint): Omit<SilentEndpoint, 'silentSends'> {
+    return { heardAtMs, pendingTokens, heardByOthersAtMs: this.#options.loads.getOthers(entry.id).heardAtMs }
+  }
+
   #hasAlternative (send: WatchedSend, nowMs: number): boolean {
     return this.#options.directory.listReady(send.request.service).some(other => !send.tried.has(other.entry.id) && !isEjected(other, nowMs))
   }
--- a/src/store/viewCache.ts
+++ b/src/store/viewCache.ts
@@ -83,7 +83,8 @@
       const answer = this.#findChanges(prefix, afterRevision)
       const isEmpty = answer.kind === 'changes' && answer.revision <= afterRevision
       if (!isEmpty) return answer
-      if (remainingMs <= 0 || signal.aborted) return answer.revision < afterRevision ? createUnavailable() : answer
+      // a follower that is ahead knows all that this view had at its confirmation: that is confirmed too
+      if (remainingMs <= 0 || signal.aborted) return { ...answer, revision: afterRevision }
       const hasNews = await this.#waitForNews(remainingMs, signal)
       remainingMs = hasNews ? untilMs - this.#clock.getMonotonicMs() : 0
     }
--- /dev/null
+++ b/standins/shared/freePorts.ts
@@ -0,0 +1,36 @@
+import { createServer } from 'node:net'
+
+import type { Server } from 'node:net'
+
+/** Below the ports that the system gives to outgoing connections, which may take a free one at any time. */
+const FIRST_PORT = 12_000
+const LAST_PORT = 30_000
+/** Processes that look for ports at the same time begin in different places. */
+const STEP_PER_PROCESS = 97
+
+let nextOffset = process.pid * STEP_PER_PROCESS
+
+/** Finds ports of loopback that are free and stay so until something listens there. */
+export async function findFreePorts (count: number): Promise<number[]> {
+  const ports: number[] = []
+  while (ports.length < count) {
+    const port = FIRST_PORT + nextOffset % (LAST_PORT - FIRST_PORT)
+    nextOffset += 1
+    if (await isFree(port)) ports.push(port)
+  }
+  return ports
+}
+
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer()
+  const isListening = await new Promise<boolean>(resolve => {
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => resolve(true))
+  })
+  if (isListening) await closeServer(server)
+  return isListening
+}
+
+async function closeServer (server: Server): Promise<void> {
+  await new Promise(resolve => server.close(resolve))
+}
