Forget prompt parts by time

Cause: up to 4,096 parts were remembered for each endpoint though only those of the last 20 s count: at 600 endpoints 245 MB at the bound. Ruled out: a smaller bound, which would forget parts that still count in a burst. Change: a part is forgotten 20 s after its last use. Conclusion: the memory follows the requests of 20 s.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -60,8 +60,6 @@
 /** Milliseconds by which an endpoint that always fails is put back. */
 const FAILURE_COST_MS = 200
 const EJECTED_COST_MS = 100_000
-/** Time for which a part counts as held: what a busy engine of the users' sizes keeps. */
-const HELD_MS = 20_000
 /** Probability that the home holds the shared parts although this process did not send them. */
 const HOME_HELD_SHARE = 1
 const JITTER_MS = 1
@@ -106,7 +104,7 @@
 /** Counts the prompt tokens that the endpoint would have to read for the request. */
 export function countUnreadTokens (parts: readonly PromptPart[], endpoint: DirectEndpoint, isHome: boolean, nowMs: number): number {
   const total = countTokens(parts)
-  const heldTokens = endpoint.prefixes.countHeldTokens(parts.slice(0, -1), nowMs, HELD_MS)
+  const heldTokens = endpoint.prefixes.countHeldTokens(parts.slice(0, -1), nowMs)
   if (!isHome) return total - heldTokens
   const sharedTokens = countTokens(parts.slice(0, -1))
   return total - Math.max(heldTokens, HOME_HELD_SHARE * sharedTokens)
--- a/src/policy/prefixMemory.ts
+++ b/src/policy/prefixMemory.ts
@@ -4,11 +4,14 @@
   tokens: number
 }
 
+/** Bound against a flood of parts; in use the time below keeps the memory small. */
 const MAX_PARTS = 4096
+/** Time for which a part counts as held: what a busy engine of the users' sizes keeps. */
+const HELD_MS = 20_000
 
 /**
- * The prompt parts that were sent to one endpoint lately, the latest last, to estimate which of
- * them its cache still holds.
+ * The prompt parts that were sent to one endpoint in the last 20 s, the latest last, to estimate which
+ * of them its cache still holds. Its size follows the requests of that time, not their number so far.
  *
  * @example
  * const memory = new PrefixMemory()
@@ -18,12 +21,17 @@
 export class PrefixMemory {
   readonly #usedAtMs = new Map<string, number>()
 
-  /** Counts the tokens of the leading parts that were sent within the last `heldMs`. */
-  countHeldTokens (parts: readonly PromptPart[], nowMs: number, heldMs = Infinity): number {
+  /** Number of parts that are remembered. */
+  get size (): number {
+    return this.#usedAtMs.size
+  }
+
+  /** Counts the tokens of the leading parts that the endpoint should still hold. */
+  countHeldTokens (parts: readonly PromptPart[], nowMs: number): number {
     let tokens = 0
     for (const part of parts) {
       const usedAtMs = this.#usedAtMs.get(part.id)
-      if (usedAtMs === undefined || nowMs - usedAtMs > heldMs) return tokens
+      if (usedAtMs === undefined || nowMs - usedAtMs > HELD_MS) return tokens
       tokens += part.tokens
     }
     return tokens
@@ -34,8 +42,8 @@
       this.#usedAtMs.delete(part.id)
       this.#usedAtMs.set(part.id, nowMs)
     }
-    for (const id of this.#usedAtMs.keys()) {
-      if (this.#usedAtMs.size <= MAX_PARTS) return
+    for (const [id, usedAtMs] of this.#usedAtMs) {
+      if (nowMs - usedAtMs <= HELD_MS && this.#usedAtMs.size <= MAX_PARTS) return
       this.#usedAtMs.delete(id)
     }
   }
