Wait at a stop for requests that are still being read

The end of draining counted relayed requests only; one that was still being read, or waited for its turn of the event loop (since the change for callers that have left), was sent on in the moment in which the process ended. Change: draining waits for every connection with a request; a connection accepted in the turn of the stop is ended. The soak lets callers notice a planned end before it counts the restart as a disturbance, and changes the configuration during long outages of the store. Figures: the new test fails before and passes after.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -19,6 +19,8 @@
 /** Time in which entries that lapsed with the store are back. */
 const LAPSE_BACK_MS = 1500
 const RESTART_MS = 100
+/** Time in which callers notice the end of a process. */
+const END_SEEN_MS = 150
 
 /** Does to a fleet what the plan says, and remembers where it is disturbed by it. */
 export class FaultInjector {
@@ -92,6 +94,8 @@
         gateway.sendSignal('SIGKILL')
         await gateway.waitForEnd(stopMs)
       }
+      // what the process cut at its end is to be seen as cut by planned work
+      await waitFor(END_SEEN_MS)
       await this.#disturbWhile(place, async () => {
         gateway.start()
         await waitFor(RESTART_MS)
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -46,6 +46,9 @@
 const MAX_FAULT_MS = 2500
 /** The store is away for longer than a removed key may be used. */
 const STORE_FACTOR = 4
+const LONG_OUTAGE_MS = 5500
+/** Takes away the keys of two versions while the store is away. */
+const CHANGE_DURING_OUTAGE: SoakAction = { kind: 'changeConfig', count: 2, gapMs: 100 }
 
 const LINKS: readonly LinkName[] = ['callers', 'store', 'endpoint']
 const LINK_FAULTS: readonly LinkFault[] = ['reset', 'silence', 'delay', 'cutForth', 'cutBack', 'cutBoth']
@@ -71,8 +74,18 @@
   return plan
 }
 
+/** Whether gateways are without the store for long enough for a removed key to live too long. */
+function isLongOutage (action: SoakAction): boolean {
+  const isStoreAway = action.kind === 'disturbStore' || (action.kind === 'disturbLink' && action.link === 'store')
+  return isStoreAway && action.forMs > LONG_OUTAGE_MS
+}
+
 function addActions (plan: PlannedAction[], fromMs: number, untilMs: number, random: () => number, choose: () => SoakAction): number {
-  for (let atMs = fromMs + random() * MAX_GAP_MS; atMs < untilMs; atMs += random() * MAX_GAP_MS) plan.push({ atMs, action: choose() })
+  for (let atMs = fromMs + random() * MAX_GAP_MS; atMs < untilMs; atMs += random() * MAX_GAP_MS) {
+    const action = choose()
+    plan.push({ atMs, action })
+    if (isLongOutage(action)) plan.push({ atMs, action: CHANGE_DURING_OUTAGE })
+  }
   return Math.max(fromMs, untilMs)
 }
 
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -249,9 +249,9 @@
     this.#server.startLeaving()
     await waitFor(Math.min(OUT_OF_ROTATION_MS, stopMs / 3))
     this.#server.stopAccepting()
-    while (this.#relay.countInFlight() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_SHARE * stopMs) await waitFor(DRAIN_POLL_MS)
+    while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_SHARE * stopMs) await waitFor(DRAIN_POLL_MS)
     await linksStopped
-    log.write('notable', { event: 'drained', cutRequests: this.#relay.countInFlight(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+    log.write('notable', { event: 'drained', cutRequests: this.#server.countBusy(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
   /** Ends everything at once, without waiting for requests in flight. */
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -70,6 +70,11 @@
     return this.#sockets.size
   }
 
+  /** Counts the connections with a request that is being read or has no whole answer yet. */
+  countBusy (): number {
+    return [...this.#sockets.values()].filter(isBusy => isBusy).length
+  }
+
   /** Takes the bounds of the configuration in force. */
   setBounds (bounds: CallerBounds): void {
     this.#bounds = bounds
@@ -112,6 +117,8 @@
   #trackSocket (socket: Socket): void {
     this.#sockets.set(socket, false)
     socket.once('close', () => this.#sockets.delete(socket))
+    // it was accepted in the same turn in which the process stopped to accept
+    if (this.#isClosed) socket.end()
   }
 
   #releaseSocket (socket: Socket): void {
--- a/tests/relay/draining.spec.ts
+++ b/tests/relay/draining.spec.ts
@@ -1,3 +1,5 @@
+import net from 'node:net'
+
 import { expect } from 'chai'
 
 import { answerWhole, buildCallerRequest, fetchStatus, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
@@ -43,6 +45,27 @@
     expect(endpoint.received).to.have.length(1)
   })
 
+  it('should wait for a request that is still being read when nothing else is in flight', async () => {
+    const endpoint = await start(request => answerWhole(request))
+    const text = buildCallerRequest({ id: 'slow', method: 'POST', body: 'half of it' })
+    const caller = net.connect(fixture!.port, '127.0.0.1')
+    let received = ''
+    caller.on('data', bytes => { received += bytes.toString() })
+    caller.write(text.slice(0, -5))
+    // the gateway has read the head once it answers a later connection
+    await sendRequest(fixture!, { id: 'other' })
+    let isDrained = false
+    const drained = fixture!.relay.drain().then(() => { isDrained = true })
+    await waitUntil('the gateway to accept nothing', async () => await fetchStatus(fixture!.port, '/') === 0)
+    await new Promise(resolve => setTimeout(resolve, 100))
+    expect(isDrained).to.equal(false)
+    caller.write(text.slice(-5))
+    await drained
+    await waitUntil('the answer', () => received.startsWith('HTTP/1.1 200'))
+    expect(endpoint.received.map(request => request.requestId)).to.include('slow')
+    caller.destroy()
+  })
+
   it('should not wait longer than it was given for an endpoint that does not answer', async () => {
     const endpoint = await start(() => {})
     sendRequest(fixture!).catch(() => {})
