Wire what gateways share in a module of its own

Cause: the constructor of the gateway's process had grown by five parts that belong together. Ruled out: a change of behaviour; the 39 tests of the relay pass as before. Change: PeerSide holds the peer table, the links, the shared view, the loads and their server.

--- /dev/null
+++ b/src/relay/peerSide.ts
@@ -0,0 +1,111 @@
+import { LoadBoard } from '../policy/loadBoard'
+import { PeerTable } from '../policy/peerTable'
+import { SharedViewService } from '../store/sharedViewService'
+import { LoadLinks } from './loadLinks'
+import { PeerLinks } from './peerLinks'
+import { PeerServer } from './peerServer'
+
+import type { Clock } from '../base/clock'
+import type { DecisionLog } from '../base/decisionLog'
+import type { RelaySettings } from '../config/processSettings'
+import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { OwnPeerRecord } from '../policy/peerTable'
+import type { PeerRecord } from '../protocol/viewMessages'
+import type { ObjectService } from '../store/objectService'
+import type { CrashGuard } from './crashGuard'
+
+export interface PeerSideOptions {
+  clock: Clock
+  random: () => number
+  settings: RelaySettings
+  store: ObjectService
+  /** Prefixes of the store that one gateway of a failure domain reads for the others. */
+  prefixes: readonly string[]
+  directory: EndpointDirectory
+  crashes: CrashGuard
+  log: DecisionLog
+}
+
+/** All that a gateway shares with others: its view of the store, crashes of endpoints, and loads. */
+export class PeerSide {
+  readonly #options: PeerSideOptions
+  readonly #table: PeerTable
+  readonly #links: PeerLinks
+  readonly #loadLinks: LoadLinks
+  readonly #server: PeerServer
+  /** The store, read through another gateway where there is one. */
+  readonly view: SharedViewService
+  /** What the other gateways have at the endpoints. */
+  readonly loads = new LoadBoard()
+
+  constructor (options: PeerSideOptions) {
+    const { clock, random, settings, store, prefixes, directory, crashes, log } = options
+    this.#options = options
+    this.#table = new PeerTable(buildOwnRecord(settings))
+    this.#links = new PeerLinks({
+      clock,
+      random,
+      table: this.#table,
+      seeds: settings.peers,
+      log,
+      listCrashes: () => crashes.listRecords(),
+      mergeCrash: record => crashes.mergeRecord(record)
+    })
+    this.#loadLinks = new LoadLinks({ clock, random, table: this.#table, board: this.loads, directory, log, openClient: peer => this.#links.openClient(peer) })
+    this.view = new SharedViewService({
+      clock,
+      store,
+      prefixes,
+      chooseReader: () => this.#links.chooseReader(),
+      handleAnswer: reader => this.#links.recordAnswer(reader),
+      handleFailure: (reader, reason) => this.#links.recordFailure(reader, reason)
+    })
+    this.#server = new PeerServer({
+      view: this.view,
+      exchangeNews: news => this.#links.receiveNews(news),
+      exchangeLoads: news => this.#loadLinks.receiveLoads(news)
+    })
+  }
+
+  /**
+   * Starts to answer other gateways and to look for them; does nothing when the settings share nothing.
+   *
+   * @throws the system's error when the address is taken or not of this machine
+   */
+  async start (): Promise<void> {
+    const { peers } = this.#options.settings.listen
+    if (peers === null) return
+    await this.#server.listen(peers)
+    this.#links.start()
+    this.#loadLinks.start()
+  }
+
+  /** Sends those who follow this gateway elsewhere, and tells nobody any more that it is there. */
+  async startLeaving (): Promise<void> {
+    this.view.stopServing()
+    await Promise.all([this.#links.stop(), this.#loadLinks.stop()])
+  }
+
+  async close (): Promise<void> {
+    this.#server.close()
+    await this.startLeaving()
+  }
+
+  setSeeds (seeds: readonly string[]): void {
+    this.#links.setSeeds(seeds)
+  }
+
+  /** Tells other gateways at once that an endpoint crashed. */
+  notifyCrash (): void {
+    this.#links.notifyCrash()
+  }
+
+  /** Lists the gateways heard of lately, for the state dump. */
+  listPeers (): PeerRecord[] {
+    return this.#table.list(this.#options.clock.getMonotonicMs())
+  }
+}
+
+function buildOwnRecord ({ id, domain, listen, processorShare }: RelaySettings): OwnPeerRecord {
+  return { id, domain, processorShare, address: listen.peers === null ? '' : `${listen.peers.host}:${listen.peers.port}` }
+}
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -4,12 +4,9 @@
 import { Metrics } from '../base/metrics'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
-import { LoadBoard } from '../policy/loadBoard'
-import { PeerTable } from '../policy/peerTable'
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { waitFor } from '../store/channels'
-import { SharedViewService } from '../store/sharedViewService'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
 import { CrashGuard } from './crashGuard'
@@ -17,9 +14,7 @@
 import { EndpointAgent } from './endpointAgent'
 import { EndpointSender } from './endpointSender'
 import { FleetFollower } from './fleetFollower'
-import { LoadLinks } from './loadLinks'
-import { PeerLinks } from './peerLinks'
-import { PeerServer } from './peerServer'
+import { PeerSide } from './peerSide'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
@@ -28,7 +23,6 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
-import type { OwnPeerRecord } from '../policy/peerTable'
 import type { RetryWindowOptions } from '../policy/retryWindow'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
@@ -85,12 +79,7 @@
   readonly #relay: DirectRelay
   readonly #silence: SilenceWatch
   readonly #crashes: CrashGuard
-  readonly #view: SharedViewService
-  readonly #peerTable: PeerTable
-  readonly #links: PeerLinks
-  readonly #loads = new LoadBoard()
-  readonly #loadLinks: LoadLinks
-  readonly #peerServer: PeerServer
+  readonly #peers: PeerSide
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -105,42 +94,20 @@
     this.#settings = settings
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#links.notifyCrash() })
-    this.#peerTable = new PeerTable(buildPeerRecord(settings))
-    this.#links = new PeerLinks({
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#peers.notifyCrash() })
+    this.#peers = new PeerSide({
       clock: systemClock,
       random: Math.random,
-      table: this.#peerTable,
-      seeds: settings.peers,
-      log,
-      listCrashes: () => this.#crashes.listRecords(),
-      mergeCrash: record => this.#crashes.mergeRecord(record)
-    })
-    this.#view = new SharedViewService({
-      clock: systemClock,
+      settings,
       store: service,
       prefixes: [decoder.configKey, decoder.endpointPrefix],
-      chooseReader: () => this.#links.chooseReader(),
-      handleAnswer: reader => this.#links.recordAnswer(reader),
-      handleFailure: (reader, reason) => this.#links.recordFailure(reader, reason)
-    })
-    this.#loadLinks = new LoadLinks({
-      clock: systemClock,
-      random: Math.random,
-      table: this.#peerTable,
-      board: this.#loads,
       directory: this.#directory,
-      log,
-      openClient: peer => this.#links.openClient(peer)
-    })
-    this.#peerServer = new PeerServer({
-      view: this.#view,
-      exchangeNews: news => this.#links.receiveNews(news),
-      exchangeLoads: news => this.#loadLinks.receiveLoads(news)
+      crashes: this.#crashes,
+      log
     })
     this.#follower = new FleetFollower({
       clock: systemClock,
-      service: this.#view,
+      service: this.#peers.view,
       decoder,
       directory: this.#directory,
       freshness: this.#freshness,
@@ -156,7 +123,7 @@
       getTable: () => this.#follower.table,
       getFreshness: () => this.#freshness.getVerdict()
     })
-    this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, loads: this.#loads, log })
+    this.#silence = new SilenceWatch({ clock: systemClock, directory: this.#directory, loads: this.#peers.loads, log })
     const sender = new EndpointSender({
       clock: systemClock,
       dialect: endpointDialect,
@@ -172,7 +139,7 @@
       clock: systemClock,
       random: Math.random,
       directory: this.#directory,
-      loads: this.#loads,
+      loads: this.#peers.loads,
       getMaxConnections: name => this.#follower.table?.getMaxConnections(name) ?? Infinity,
       retries: this.#retries,
       observer,
@@ -212,11 +179,7 @@
     const ready = await this.#readyListener.listen(listen.ready)
     const callers = await this.#server.listen(listen.callers)
     const admin = await this.#adminListener.listen(listen.admin)
-    if (listen.peers !== null) {
-      await this.#peerServer.listen(listen.peers)
-      this.#links.start()
-      this.#loadLinks.start()
-    }
+    await this.#peers.start()
     return { ready, callers, admin }
   }
 
@@ -230,7 +193,7 @@
     this.#settings = settings
     this.#freshness.setMaxAge(FRESH_SHARE * settings.revocationMs)
     this.#retries.setOptions(buildRetryOptions(settings))
-    this.#links.setSeeds(settings.peers)
+    this.#peers.setSeeds(settings.peers)
     this.#options.log.setBytesPerSecond(settings.logBytesPerSecond)
     return needRestart
   }
@@ -244,13 +207,12 @@
     const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
     const startedAtMs = systemClock.getMonotonicMs()
     this.#isLeaving = true
-    this.#view.stopServing()
-    const linksStopped = Promise.all([this.#links.stop(), this.#loadLinks.stop()])
+    const peersLeft = this.#peers.startLeaving()
     this.#server.startLeaving()
     await waitFor(Math.min(OUT_OF_ROTATION_MS, stopMs / 3))
     this.#server.stopAccepting()
     while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_SHARE * stopMs) await waitFor(DRAIN_POLL_MS)
-    await linksStopped
+    await peersLeft
     log.write('notable', { event: 'drained', cutRequests: this.#server.countBusy(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
@@ -259,11 +221,10 @@
     this.#server.close()
     this.#readyListener.close()
     this.#adminListener.close()
-    this.#peerServer.close()
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#silence.close()
-    await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#links.stop(), this.#loadLinks.stop()])
+    await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
@@ -293,17 +254,13 @@
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, readLimit, ...belief }) => ({ ...belief, readLimitTokens: readLimit.tokens })))
     this.#dump.register('crashes', () => this.#crashes.listRecords())
-    this.#dump.register('peers', () => this.#peerTable.list(systemClock.getMonotonicMs()))
+    this.#dump.register('peers', () => this.#peers.listPeers())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.readUse(service, systemClock.getMonotonicMs()) })))
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
 }
 
-function buildPeerRecord ({ id, domain, listen, processorShare }: RelaySettings): OwnPeerRecord {
-  return { id, domain, processorShare, address: listen.peers === null ? '' : `${listen.peers.host}:${listen.peers.port}` }
-}
-
 function buildRetryOptions (settings: RelaySettings): RetryWindowOptions {
   return { windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, floor: 1 }
 }
