--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -54,7 +54,8 @@
         return
       case 'reloadSettings':
         fleet.gateways[action.gateway]!.writeSettings()
-        if (action.hasSignal && !this.#busy.has(action.gateway)) fleet.gateways[action.gateway]!.sendSignal('SIGHUP')
+        // before the runtime itself is up the signal ends any process
+        if (action.hasSignal && fleet.gateways[action.gateway]!.isUp) fleet.gateways[action.gateway]!.sendSignal('SIGHUP')
         return
       case 'changeConfig':
         for (let change = 0; change < action.count; change++) {
--- a/soak/soakGateway.ts
+++ b/soak/soakGateway.ts
@@ -37,6 +37,7 @@
   readonly #settingsFile: string
   #child: ChildProcess | null = null
   #isEndExpected = false
+  #hasWritten = false
   /** Counts the processes that this gateway has had. */
   lifetime = 0
   isReady = false
@@ -55,6 +56,11 @@
     return this.#child !== null
   }
 
+  /** Whether the process runs and has begun to write its log. */
+  get isUp (): boolean {
+    return this.#child !== null && this.#hasWritten
+  }
+
   async open (): Promise<void> {
     await this.callerProxy.open()
     await this.storeProxy.open()
@@ -66,12 +72,14 @@
   start (): void {
     this.lifetime += 1
     this.#isEndExpected = false
+    this.#hasWritten = false
     const { folder, index } = this.#options
     const child = spawn(process.execPath, ['--require', `./${CLOCK_SHIFT}`, PROGRAM], {
       env: { ...process.env, TANAGERWICK_NODE_FILE: this.#settingsFile, SOAK_CLOCK_FILE: this.#clockFile },
       stdio: ['ignore', 'pipe', 'pipe']
     })
     const log = createWriteStream(path.join(folder, `gateway-${index}.log`), { flags: 'a' })
+    child.stdout.once('data', () => { if (this.#child === child) this.#hasWritten = true })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
     child.once('close', (code, signal) => {
