--- a/soak/main.ts
+++ b/soak/main.ts
@@ -4,33 +4,34 @@
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
+import { SOAK_REGRESSIONS } from './regressions'
 import { runSoak } from './runSoak'
 
 const MS_PER_MINUTE = 60_000
 
+interface SoakFlags {
+  gateways: number
+  endpoints: number
+  callers: number
+  logs: string | undefined
+}
+
 yargs(hideBin(process.argv))
   .scriptName('soak')
   .strict()
   .command('$0', 'gateways as processes, under faults from outside, with their promises checked', {
     seed: { type: 'number', default: 1, describe: 'the same seed gives the same plan' },
     minutes: { type: 'number', default: 1 },
+    regressions: { type: 'boolean', default: false, describe: 'play the seeds that once found a fault, in place of one seed' },
     gateways: { type: 'number', default: 4, describe: 'processes; each takes about 70 MB' },
     endpoints: { type: 'number', default: 6 },
     callers: { type: 'number', default: 24 },
     logs: { type: 'string', describe: 'folder for logs, settings and clocks of the processes' }
   }, async argv => {
-    const summary = await runSoak({
-      seed: argv.seed,
-      durationMs: argv.minutes * MS_PER_MINUTE,
-      gateways: argv.gateways,
-      endpoints: argv.endpoints,
-      callers: argv.callers,
-      folder: argv.logs ?? path.join(tmpdir(), `tanagerwick-soak-${process.pid}`),
-      report: line => process.stdout.write(`${line}\n`)
-    })
-    const { findings, requests, actions, ends } = summary
-    process.stdout.write(`seed ${argv.seed}: ${findings.length} findings, ${requests} requests, ${actions} actions; ${JSON.stringify(ends)}\n`)
-    process.exitCode = findings.length === 0 ? 0 : 1
+    const runs = argv.regressions ? SOAK_REGRESSIONS : [{ seed: argv.seed, minutes: argv.minutes }]
+    let findings = 0
+    for (const { seed, minutes } of runs) findings += await playSeed(seed, minutes, argv)
+    process.exitCode = findings === 0 ? 0 : 1
   })
   .fail((message, error) => { throw error ?? new Error(message) })
   .parseAsync()
@@ -38,3 +39,19 @@
     process.stderr.write(`${error.stack ?? error.message}\n`)
     process.exitCode = 1
   })
+
+/** Plays one seed and prints what it found; returns the number of findings. */
+async function playSeed (seed: number, minutes: number, flags: SoakFlags): Promise<number> {
+  const { gateways, endpoints, callers, logs } = flags
+  const { findings, requests, actions, ends } = await runSoak({
+    seed,
+    durationMs: minutes * MS_PER_MINUTE,
+    gateways,
+    endpoints,
+    callers,
+    folder: logs ?? path.join(tmpdir(), `tanagerwick-soak-${process.pid}-${seed}`),
+    report: line => process.stdout.write(`${line}\n`)
+  })
+  process.stdout.write(`seed ${seed}: ${findings.length} findings, ${requests} requests, ${actions} actions; ${JSON.stringify(ends)}\n`)
+  return findings.length
+}
