Have a view for others as soon as a gateway begins to read the store

Cause: a gateway that began to read the store by itself in the middle of a watch had no view to hand on until its next list, so that those who chose it failed every few seconds and read the store themselves; one that was stopping could hand on a view again after its next list. Ruled out: the order of the peers (each chose the same reader). Change: such a gateway lists anew when it is asked; one that stops answers nothing.

--- a/src/store/sharedViewService.ts
+++ b/src/store/sharedViewService.ts
@@ -41,6 +41,7 @@
 const READER_WATCH_MS = 1_100
 /** Time since the last question after which nobody follows this process any more. */
 const FOLLOWED_MS = 10_000
+const LEAVING: ViewAnswer = { kind: 'unavailable', reason: 'this gateway stops' }
 
 /**
  * The store, read through another process of the failure domain where there is one, so that the calls
@@ -73,6 +74,8 @@
   async watch (prefix: string, afterRevision: number, timeoutMs: number, progress: Progress): Promise<CallResult<WatchBatch>> {
     const reader = this.#chooseReader(prefix)
     if (reader !== null) return await this.#watchByReader(reader, prefix, afterRevision, Math.min(timeoutMs, PEER_WATCH_MS), progress)
+    // a process that others follow lists anew when it began to read by itself in the middle of a watch
+    if (this.#isFollowed() && !this.#cache.hasView(prefix)) return Result.err({ kind: 'conflict', current: null })
     const startedAt = readClock(this.#options.clock)
     const waitMs = this.#isFollowed() ? Math.min(timeoutMs, READER_WATCH_MS) : timeoutMs
     const batch = await this.#options.store.watch(prefix, afterRevision, waitMs, progress)
@@ -99,12 +102,14 @@
 
   /** Answers a process that follows this one. */
   answerList (prefix: string): ViewAnswer {
+    if (this.#isLeaving) return LEAVING
     this.#followedAtMs = this.#options.clock.getMonotonicMs()
     return this.#cache.answerList(prefix)
   }
 
   /** Answers a process that follows this one, as soon as there is something new. */
   async answerWatch (prefix: string, afterRevision: number, waitMs: number, signal: AbortSignal): Promise<ViewAnswer> {
+    if (this.#isLeaving) return LEAVING
     this.#followedAtMs = this.#options.clock.getMonotonicMs()
     return await this.#cache.answerWatch(prefix, afterRevision, Math.min(waitMs, PEER_WATCH_MS), signal)
   }
@@ -128,7 +133,7 @@
   }
 
   #isFollowed (): boolean {
-    return this.#options.clock.getMonotonicMs() - this.#followedAtMs < FOLLOWED_MS
+    return !this.#isLeaving && this.#options.clock.getMonotonicMs() - this.#followedAtMs < FOLLOWED_MS
   }
 
   async #listByReader (reader: ViewReader, prefix: string, progress: Progress): Promise<CallResult<ListedObjects>> {
--- a/src/store/viewCache.ts
+++ b/src/store/viewCache.ts
@@ -68,6 +68,11 @@
     this.#notifyWaiting()
   }
 
+  /** Whether there is a view of the prefix to hand on. */
+  hasView (prefix: string): boolean {
+    return this.#views.has(prefix)
+  }
+
   answerList (prefix: string): ViewAnswer {
     const view = this.#views.get(prefix)
     if (view === undefined) return createUnavailable()
--- a/tests/store/sharedViewService.spec.ts
+++ b/tests/store/sharedViewService.spec.ts
@@ -100,12 +100,28 @@
     expect(follower.answerList(PREFIX).kind).to.equal('unavailable')
   })
 
+  it('should have a view for others soon after it began to read the store itself', async () => {
+    const { store, reader, follower, failures } = buildShared()
+    store.put('servers/a', {})
+    await reader.list(PREFIX, createProgress())
+    const { revision } = (await follower.list(PREFIX, createProgress())).unwrapOr({ objects: [], revision: -1 })
+    failures.push('it is not followed any more')
+    follower.answerList(PREFIX)
+    const watched = await follower.watch(PREFIX, revision, 10, createProgress())
+    expect(watched.isErr && watched.error.kind).to.equal('conflict')
+    await follower.list(PREFIX, createProgress())
+    expect(follower.answerList(PREFIX)).to.include({ kind: 'objects', revision })
+    expect((await follower.watch(PREFIX, revision, 10, createProgress())).isOk).to.equal(true)
+  })
+
   it('should send its followers elsewhere when it stops', async () => {
     const { reader, follower, failures } = buildShared()
     await reader.list(PREFIX, createProgress())
     reader.stopServing()
     expect((await follower.list(PREFIX, createProgress())).isErr).to.equal(true)
     expect(failures).to.have.length(1)
+    await reader.list(PREFIX, createProgress())
+    expect(reader.answerList(PREFIX).kind).to.equal('unavailable')
   })
 
   it('should ask to list again from a position that the reader does not have', async () => {
