Keep an endpoint leaving that the platform lists so

Each load report of the endpoint's sidecar, which does not know of the list, set it back to not leaving until the next list came. Ruled out: the list itself (the gateway had shown it as draining before the requests). Change: what the platform lists and what the endpoint says are kept apart; either is enough.

--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -118,7 +118,7 @@
     })
     this.table.setPlacements(placements)
     for (const { record } of this.#members.values()) {
-      if (record.leaving) this.table.recordDraining(record.endpointName, true)
+      this.table.recordDraining(record.endpointName, record.leaving)
     }
   }
 }
--- a/src/policy/endpointTable.ts
+++ b/src/policy/endpointTable.ts
@@ -85,7 +85,7 @@
     if (view === undefined) return
     view.load = load
     view.reportedAtMs = nowMs
-    view.draining = load.draining
+    view.draining = load.draining || view.listedLeaving
   }
 
   /** Records that the endpoint refused or displaced a request of `tier` and asked not to be offered more for a time. */
@@ -120,10 +120,12 @@
     view.ejectedUntilMs = nowMs + Math.min(MAX_EJECTION_MS, FIRST_EJECTION_MS * 2 ** (view.failures - 1))
   }
 
-  /** Records whether the endpoint is leaving; it is then offered nothing. */
-  recordDraining (name: string, draining: boolean): void {
+  /** Records whether the platform lists the endpoint as leaving; it is then offered nothing, whatever it says itself. */
+  recordDraining (name: string, isLeaving: boolean): void {
     const view = this.#views.get(name)
-    if (view !== undefined) view.draining = draining
+    if (view === undefined) return
+    view.listedLeaving = isLeaving
+    view.draining = isLeaving || (view.load?.draining ?? false)
   }
 
   #addPlacement (placement: EndpointPlacement, byTarget: Map<string, EndpointView[]>): void {
@@ -159,6 +161,7 @@
     failures: 0,
     ejectedUntilMs: 0,
     draining: false,
+    listedLeaving: false,
     firstTokenMs: 0,
     answerMs: 0,
     refusedTier: 0,
--- a/src/policy/endpointView.ts
+++ b/src/policy/endpointView.ts
@@ -14,7 +14,10 @@
   failures: number
   /** Time until which the endpoint is offered requests only after all others. */
   ejectedUntilMs: number
+  /** Whether it is leaving, by its own word or the platform's list. */
   draining: boolean
+  /** Whether the platform lists it as leaving. */
+  listedLeaving: boolean
   /** Measured milliseconds from start to first token, smoothed; 0 before the first. */
   firstTokenMs: number
   /** Measured milliseconds from start to the end of an answer, smoothed; 0 before the first. */
