Tell a failure of the soak itself from a finding

Cause: an action of the soak that threw was reported as a process that ended by itself. Ruled out: nothing else. Change: a kind of its own; a comment that said nothing.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -35,7 +35,7 @@
 
   /** Begins an action; its end comes later. */
   start (action: SoakAction): void {
-    const run = this.#apply(action).catch((error: Error) => this.#options.report('endedByItself', `the soak failed at '${action.kind}': ${error.stack ?? error.message}`))
+    const run = this.#apply(action).catch((error: Error) => this.#options.report('soakFailed', `the soak failed at '${action.kind}': ${error.stack ?? error.message}`))
     this.#running.add(run)
     run.finally(() => this.#running.delete(run)).catch(() => {})
   }
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -11,6 +11,8 @@
   | 'wrongAnswer' | 'duplicateRun' | 'ranThoughNotRun' | 'wrongWorkspace' | 'alteredRequest' | 'removedKeyUsed'
   | 'drainedEndpointUsed' | 'staleConfig' | 'configWentBack' | 'noAnswer' | 'lostAnswer' | 'slowStop' | 'endedByItself'
   | 'notRecovered'
+  /** The soak itself failed, so that it shows nothing of the product. */
+  | 'soakFailed'
 
 export interface SoakFinding {
   kind: SoakFindingKind
--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -42,7 +42,7 @@
   readonly #server: Server
   proxy!: FaultProxy
   fault: EndpointFault = 'none'
-  /** Reads the reads of `Date.now` above as well as this: time from which it should get nothing. */
+  /** Time at which it told that it leaves; null while it does not. */
   drainedAtMs: number | null = null
 
   constructor (options: SoakEndpointOptions) {
