Make one piece of what stood twice: clock drift, readers of domains, the disturbing proxy

Cause: a reading of the whole change. The drift of the clocks was judged by the same constant in two places; the strongest gateway of a domain was found by two loops; the soak's proxy repeated the stand-in relay of connections; the count of gateways was added up for each waiting request in each pass over the queue, and the others' load looked up twice for an endpoint. Ruled out: a change of behaviour. The soak's gateway keeps its own start of a process: the shared one does not tell by which signal a process ended. Change: hasDrifted in clockReading; one loop in PeerTable; the count kept with the reports; choice details built once; FaultProxy in standins/network in place of TcpRelay, whose tests it passes unchanged.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -1,7 +1,7 @@
 import { setTimeout as waitFor } from 'node:timers/promises'
 
 import type { Disturbances, Place } from './disturbances'
-import type { FaultProxy } from './faultProxy'
+import type { FaultProxy } from '../standins/network/faultProxy'
 import type { SoakBounds, SoakFindingKind } from './soakChecker'
 import type { SoakFleet } from './soakFleet'
 import type { SoakGateway } from './soakGateway'
--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -2,11 +2,12 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
 import { HEADERS } from '../platform/names'
-import { FaultProxy } from './faultProxy'
+import { startFaultProxy } from '../standins/network/faultProxy'
 import { buildAnswer, buildEvent } from './soakRequests'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import type { FaultProxy } from '../standins/network/faultProxy'
 
 /** One request as an endpoint began to run it. */
 export interface SoakRun {
@@ -56,8 +57,7 @@
 
   async open (): Promise<void> {
     await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
-    this.proxy = new FaultProxy(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`)
-    await this.proxy.open()
+    this.proxy = await startFaultProxy(`127.0.0.1:${(this.#server.address() as AddressInfo).port}`)
   }
 
   /** Ends at once, with all that runs. */
--- a/soak/soakGateway.ts
+++ b/soak/soakGateway.ts
@@ -5,7 +5,7 @@
 import path from 'node:path'
 
 import { READY_PATH } from '../platform/names'
-import { FaultProxy } from './faultProxy'
+import { FaultProxy } from '../standins/network/faultProxy'
 
 import type { ChildProcess } from 'node:child_process'
 
--- a/src/base/clockReading.ts
+++ b/src/base/clockReading.ts
@@ -32,6 +32,17 @@
   return (to.wallMs - from.wallMs) - (to.monotonicMs - from.monotonicMs)
 }
 
+/**
+ * Difference between the clocks' progress above which one of them was set or the machine was
+ * suspended. A slewed clock gains at most 0.05%, hence 2.5 ms within the longest age of 5 s.
+ */
+const MAX_DRIFT_MS = 100
+
+/** Whether a clock was set or the machine was suspended since `reading`, so that its age is not known. */
+export function hasDrifted (reading: ClockReading, clock: Clock): boolean {
+  return Math.abs(computeDriftMs(reading, readClock(clock))) > MAX_DRIFT_MS
+}
+
 /** Gets the reading that both clocks gave `milliseconds` earlier. */
 export function computeEarlier (reading: ClockReading, milliseconds: number): ClockReading {
   return { monotonicMs: reading.monotonicMs - milliseconds, wallMs: reading.wallMs - milliseconds }
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -74,7 +74,7 @@
  * @returns null when no endpoint is left
  */
 export function chooseDirectEndpoint (request: DirectChoiceRequest, endpoints: readonly DirectEndpoint[], options: DirectChooserOptions): DirectChoice | null {
-  let best: DirectChoice | null = null
+  let best: Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'> | null = null
   let candidates = 0
   for (const endpoint of endpoints) {
     if (options.excluded.has(endpoint.entry.id)) continue
@@ -82,10 +82,16 @@
     const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
     const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
     if (best !== null && costMs >= best.costMs) continue
-    const othersInFlight = options.getOthers(endpoint.entry.id).inFlight
-    best = { endpoint, costMs, unreadTokens, othersInFlight, hasRoom: true, reason: endpoint === options.home ? 'prefixHome' : 'leastCost', candidates }
+    best = { endpoint, costMs, unreadTokens }
+  }
+  if (best === null) return null
+  return {
+    ...best,
+    candidates,
+    reason: best.endpoint === options.home ? 'prefixHome' : 'leastCost',
+    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight,
+    hasRoom: hasRoom(best, options)
   }
-  return best === null ? null : { ...best, candidates, hasRoom: hasRoom(best, options) }
 }
 
 /**
--- a/src/policy/loadBoard.ts
+++ b/src/policy/loadBoard.ts
@@ -33,6 +33,7 @@
 export class LoadBoard {
   readonly #reports = new Map<string, Told>()
   #sum: LoadReport = new Map()
+  #gatewayCount = 1
 
   /** Takes in what one teller has, alone or for all `gateways` that it speaks for. */
   record (teller: string, report: LoadReport, nowMs: number, gateways = 1): void {
@@ -44,6 +45,12 @@
   expire (nowMs: number): void {
     for (const [teller, { atMs }] of this.#reports) if (nowMs - atMs > EXPIRY_MS) this.#reports.delete(teller)
     this.#sum = addReports([...this.#reports.values()].map(({ report }) => report))
+    this.#gatewayCount = this.countGateways(() => false)
+  }
+
+  /** Number of gateways that are known, this one included; each choice of an endpoint asks for it. */
+  get gatewayCount (): number {
+    return this.#gatewayCount
   }
 
   /** Gets what the others have at an endpoint. */
@@ -52,7 +59,7 @@
   }
 
   /** Counts the gateways that are known, this one included, without those of some tellers. */
-  countGateways (isLeftOut: (teller: string) => boolean = () => false): number {
+  countGateways (isLeftOut: (teller: string) => boolean): number {
     return [...this.#reports].reduce((sum, [teller, { gateways }]) => isLeftOut(teller) ? sum : sum + gateways, 1)
   }
 
--- a/src/policy/peerTable.ts
+++ b/src/policy/peerTable.ts
@@ -72,22 +72,13 @@
 
   /** Chooses the gateway whose view this one follows; null when it reads the store itself. */
   chooseReader (nowMs: number): OwnPeerRecord | null {
-    let best: OwnPeerRecord = this.#self
-    for (const peer of this.#peers.values()) {
-      if (isUsable(peer, nowMs) && peer.domain === this.#self.domain && isBefore(peer, best)) best = peer
-    }
-    return best === this.#self ? null : best
+    const reader = this.#findReaders(nowMs).get(this.#self.domain)
+    return reader === undefined || reader === this.#self ? null : reader
   }
 
   /** Chooses, for each other failure domain, the gateway that reads for it. */
   listOtherReaders (nowMs: number): OwnPeerRecord[] {
-    const readers = new Map<string, OwnPeerRecord>()
-    for (const peer of this.#peers.values()) {
-      if (peer.domain === this.#self.domain || !isUsable(peer, nowMs)) continue
-      const best = readers.get(peer.domain)
-      if (best === undefined || isBefore(peer, best)) readers.set(peer.domain, peer)
-    }
-    return [...readers.values()]
+    return [...this.#findReaders(nowMs).values()].filter(reader => reader.domain !== this.#self.domain)
   }
 
   /** Lists what another gateway should know: those of its domain, and who reads for each other one. */
@@ -96,6 +87,16 @@
     return this.list(nowMs).filter(peer => peer.domain === domain || readers.has(peer.id))
   }
 
+  /** Finds the strongest usable gateway of each failure domain, this one included. */
+  #findReaders (nowMs: number): Map<string, OwnPeerRecord> {
+    const readers = new Map([[this.#self.domain, this.#self]])
+    for (const peer of this.#peers.values()) {
+      const best = readers.get(peer.domain)
+      if (isUsable(peer, nowMs) && (best === undefined || isBefore(peer, best))) readers.set(peer.domain, peer)
+    }
+    return readers
+  }
+
   #removeOldest (): void {
     if (this.#peers.size <= MAX_PEERS) return
     const [oldest] = [...this.#peers.values()].sort((one, other) => one.heardAtMs - other.heardAtMs)
--- a/src/policy/viewFreshness.ts
+++ b/src/policy/viewFreshness.ts
@@ -1,4 +1,4 @@
-import { computeDriftMs, computeElapsedMs, readClock } from '../base/clockReading'
+import { computeDriftMs, computeElapsedMs, hasDrifted, readClock } from '../base/clockReading'
 
 import type { Clock } from '../base/clock'
 import type { ClockReading } from '../base/clockReading'
@@ -17,12 +17,6 @@
   maxAgeMs: number
 }
 
-/**
- * Difference between the clocks' progress above which one of them was set or the machine was
- * suspended. A slewed clock gains at most 0.05%, hence 2.5 ms within the longest age of 5 s.
- */
-const MAX_DRIFT_MS = 100
-
 /**
  * Knows as of which moment a view was last confirmed to be the newest. The moment is the start of
  * the call that confirmed it: what changed while the answer was under way may not be in it.
@@ -49,8 +43,8 @@
     if (this.#confirmedAt === null) return { kind: 'unconfirmed' }
     const ageMs = computeElapsedMs(this.#confirmedAt, this.#clock)
     if (ageMs > this.#maxAgeMs) return { kind: 'stale', ageMs }
-    const driftMs = computeDriftMs(this.#confirmedAt, readClock(this.#clock))
-    return Math.abs(driftMs) > MAX_DRIFT_MS ? { kind: 'distrusted', ageMs, driftMs } : { kind: 'fresh', ageMs }
+    if (!hasDrifted(this.#confirmedAt, this.#clock)) return { kind: 'fresh', ageMs }
+    return { kind: 'distrusted', ageMs, driftMs: computeDriftMs(this.#confirmedAt, readClock(this.#clock)) }
   }
 
   /** Changes the age after which the view must not be relied on. */
@@ -64,8 +58,7 @@
    */
   recordConfirmation (confirmedAt: ClockReading): void {
     const known = this.#confirmedAt
-    const isTrusted = known !== null && Math.abs(computeDriftMs(known, readClock(this.#clock))) <= MAX_DRIFT_MS
-    const isEarlier = known !== null && confirmedAt.monotonicMs < known.monotonicMs
-    if (!isTrusted || !isEarlier) this.#confirmedAt = confirmedAt
+    const isKept = known !== null && confirmedAt.monotonicMs < known.monotonicMs && !hasDrifted(known, this.#clock)
+    if (!isKept) this.#confirmedAt = confirmedAt
   }
 }
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -171,7 +171,7 @@
   /** This gateway's share of the connections that an endpoint accepts from all. */
   #getMaxInFlight ({ service }: RelayRequest): number {
     const { getMaxConnections, loads } = this.#options
-    return Math.max(1, Math.floor(getMaxConnections(service) / loads.countGateways()))
+    return Math.max(1, Math.floor(getMaxConnections(service) / loads.gatewayCount))
   }
 
   #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
--- a/src/store/viewCache.ts
+++ b/src/store/viewCache.ts
@@ -1,4 +1,4 @@
-import { computeDriftMs, computeElapsedMs, readClock } from '../base/clockReading'
+import { computeElapsedMs, hasDrifted } from '../base/clockReading'
 
 import type { Clock } from '../base/clock'
 import type { ClockReading } from '../base/clockReading'
@@ -17,8 +17,6 @@
 
 /** Batches kept for those who follow: many seconds of a busy store. */
 const MAX_BATCHES = 100
-/** Difference between the clocks above which the age of the view is not known; see `ViewFreshness`. */
-const MAX_DRIFT_MS = 100
 
 /**
  * What this process has read of the store by itself, for other processes that follow it. A view whose
@@ -109,8 +107,7 @@
 
   /** Null when the clocks disagree, so that a suspension may hide in the difference. */
   #computeAgeMs (view: PrefixView): number | null {
-    const driftMs = computeDriftMs(view.confirmedAt, readClock(this.#clock))
-    return Math.abs(driftMs) > MAX_DRIFT_MS ? null : Math.max(0, computeElapsedMs(view.confirmedAt, this.#clock))
+    return hasDrifted(view.confirmedAt, this.#clock) ? null : Math.max(0, computeElapsedMs(view.confirmedAt, this.#clock))
   }
 
   /** Returns whether something was recorded before the time ran out. */
--- a/soak/faultProxy.ts
+++ b/standins/network/faultProxy.ts
@@ -58,8 +58,7 @@
  * resets, cuts of one way or both, and connections that fall silent for good.
  *
  * @example
- * const proxy = new FaultProxy('127.0.0.1:7100')
- * await proxy.open()
+ * const proxy = await startFaultProxy('127.0.0.1:7100')
  * proxy.setCut(['back'])
  */
 export class FaultProxy {
@@ -79,6 +78,10 @@
     return this.#address
   }
 
+  countConnections (): number {
+    return this.#pairs.size
+  }
+
   async open (): Promise<void> {
     await new Promise<void>(resolve => this.#server.listen(0, '127.0.0.1', resolve))
     this.#address = `127.0.0.1:${(this.#server.address() as AddressInfo).port}`
@@ -127,3 +130,10 @@
     far.on('close', dropPair)
   }
 }
+
+/** Starts a proxy of the connections to `target`, a `host:port`. */
+export async function startFaultProxy (target: string): Promise<FaultProxy> {
+  const proxy = new FaultProxy(target)
+  await proxy.open()
+  return proxy
+}
--- a/tests/fleet/processFailures.spec.ts
+++ b/tests/fleet/processFailures.spec.ts
@@ -2,11 +2,12 @@
 
 import { Progress } from '../../src/base/progress'
 import { toSidecarKey } from '../../src/store/membershipRecords'
-import { TcpRelay } from '../../standins/network/tcpRelay'
+import { startFaultProxy } from '../../standins/network/faultProxy'
 import { countExecutions, findLongPrompt, LONG, waitRunning } from './answers'
 import { callService, getExpectedAnswer, sendChat } from './callers'
 import { startFleet, waitUntil } from './fleetFixture'
 
+import type { FaultProxy } from '../../standins/network/faultProxy'
 import type { Fleet } from './fleetFixture'
 import type { FleetProcess } from './fleetProcess'
 
@@ -103,7 +104,7 @@
 
   it('should give the kept answer when the caller\'s connection went silent', async () => {
     fleet = await startFleet({ gateways: 2, engines: [], services: [SLOW_DESK] })
-    const relay = await startRelay(fleet.gateways[0]!)
+    const relay = await startFaultProxy(fleet.gateways[0]!.address)
     const lost = new AbortController()
     const booking = fetch(`http://${relay.address}/services/desk/bookings`, {
       method: 'POST',
@@ -142,15 +143,9 @@
   return fleet.desks.flatMap(desk => desk.getRecord().executions).filter(execution => execution.method === 'POST').length
 }
 
-async function startRelay (target: FleetProcess): Promise<TcpRelay> {
-  const relay = new TcpRelay(target.address)
-  await relay.open()
-  return relay
-}
-
 /** Registers a relay in a sidecar's place, so that gateways reach the sidecar through it. */
-async function startRelayBefore (fleet: Fleet, sidecar: FleetProcess, endpointName: string): Promise<TcpRelay> {
-  const relay = await startRelay(sidecar)
+async function startRelayBefore (fleet: Fleet, sidecar: FleetProcess, endpointName: string): Promise<FaultProxy> {
+  const relay = await startFaultProxy(sidecar.address)
   const progress = new Progress({ title: 'registering a relay', timeoutMs: 5000 })
   const key = toSidecarKey(endpointName)
   const current = (await fleet.service.get(key, progress)).unwrapOr(null)
--- a/tests/policy/loadBoard.spec.ts
+++ b/tests/policy/loadBoard.spec.ts
@@ -40,7 +40,7 @@
     const board = new LoadBoard()
     board.record('g-1', new Map(), 0)
     board.record('domain-b', new Map(), 0, 9)
-    expect(board.countGateways()).to.equal(11)
+    expect(board.gatewayCount).to.equal(11)
     expect(board.countGateways(teller => teller === 'domain-b')).to.equal(2)
   })
 
--- a/tests/soak/faultProxy.spec.ts
+++ b/tests/standins/faultProxy.spec.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 
-import { FaultProxy } from '../../soak/faultProxy'
+import { FaultProxy } from '../../standins/network/faultProxy'
 import { waitUntil } from '../relay/relayFixture'
 
 import type { AddressInfo, Server, Socket } from 'node:net'
--- a/tests/standins/tcpRelay.spec.ts
+++ b/tests/standins/faultProxySilence.spec.ts
@@ -3,12 +3,12 @@
 
 import { expect } from 'chai'
 
-import { startTcpRelay } from '../../standins/network/tcpRelay'
+import { startFaultProxy } from '../../standins/network/faultProxy'
 
 import type { AddressInfo, Socket } from 'node:net'
-import type { TcpRelay } from '../../standins/network/tcpRelay'
+import type { FaultProxy } from '../../standins/network/faultProxy'
 
-describe('TcpRelay', () => {
+describe('FaultProxy', () => {
   it('should leave open connections silent in both ways while new ones work', async () => {
     await withRelay(async (relay, accepted) => {
       const lost = await openConnection(relay)
@@ -33,7 +33,7 @@
 })
 
 /** A relay before a server that echoes, with the connections that the server accepted. */
-async function withRelay (test: (relay: TcpRelay, accepted: Socket[]) => Promise<void>): Promise<void> {
+async function withRelay (test: (relay: FaultProxy, accepted: Socket[]) => Promise<void>): Promise<void> {
   const accepted: Socket[] = []
   const server = createServer(socket => {
     accepted.push(socket)
@@ -41,7 +41,7 @@
     socket.pipe(socket)
   })
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve))
-  const relay = await startTcpRelay(`127.0.0.1:${(server.address() as AddressInfo).port}`)
+  const relay = await startFaultProxy(`127.0.0.1:${(server.address() as AddressInfo).port}`)
   try {
     await test(relay, accepted)
   } finally {
@@ -51,7 +51,7 @@
   }
 }
 
-async function openConnection (relay: TcpRelay): Promise<Socket> {
+async function openConnection (relay: FaultProxy): Promise<Socket> {
   const [host, port] = relay.address.split(':')
   const socket = connect({ host, port: Number(port) })
   socket.on('error', () => {})
