Read crash records anew before a suspect starts; leave time to repeat a silent first call

Ruled out: a crash that was not recognised (all three were logged as crashes), a record not stored (the first gateway answered "poison"). Change: a sidecar reads the stored record once more before it starts a request that crashed an endpoint before (none else asks the store), and checks again right before the start. The first call of a class not seen yet may be silent for a third of the remaining time; if that was too short, the next waits on. A sidecar that knows no crash at all may still start while two are being stored.

--- a/src/policy/classDurations.ts
+++ b/src/policy/classDurations.ts
@@ -4,6 +4,11 @@
 export class ClassDurations {
   readonly #byClass = new Map<string, DurationDistribution>()
 
+  /** Tells whether an answer of the class has been recorded. */
+  has (className: string): boolean {
+    return this.#byClass.has(className)
+  }
+
   /** Gets the milliseconds within which the fraction `quantile` of the class's answers ended, or `initialMs` before any did. */
   getQuantile (className: string, quantile: number, initialMs: number): number {
     return this.#byClass.get(className)?.getQuantile(quantile, initialMs) ?? initialMs
--- a/src/sidecar/attemptRunner.ts
+++ b/src/sidecar/attemptRunner.ts
@@ -13,6 +13,8 @@
 const MIN_SILENCE_MS = 4000
 const LONGEST_QUANTILE = 0.99
 const SILENCE_FACTOR = 3
+/** Part of the remaining time for the first answer of a class not seen before, so that a repeat has time. */
+const FIRST_ANSWER_SHARE = 1 / 3
 const UNAVAILABLE_RETRY_MS = 1000
 const HTTP_TOO_MANY = 429
 const HTTP_UNAVAILABLE = 503
@@ -24,6 +26,10 @@
   waitCrashShared (attempt: Attempt): Promise<void>
   /** Gets the endpoint crashes counted against the attempt's fingerprint. */
   getCrashCount (attempt: Attempt): number
+  /** Settles when crashes that others stored are known here too, or could not be read in a short time. */
+  readCrashes (attempt: Attempt): Promise<void>
+  /** Returns the outcome that refuses the attempt, or null when it may run now. */
+  checkAdmission (attempt: Attempt): AttemptOutcome | null
 }
 
 export interface AttemptRunnerOptions {
@@ -39,6 +45,8 @@
 /** Takes a dispatched attempt through claim, run and outcome. */
 export class AttemptRunner {
   readonly #options: AttemptRunnerOptions
+  /** Classes whose first answer did not come in its part of the time: they may be slow. */
+  readonly #slowClasses = new Set<string>()
 
   constructor (options: AttemptRunnerOptions) {
     this.#options = options
@@ -47,6 +55,13 @@
   /** Runs `attempt` to its end; never rejects. */
   async run (attempt: Attempt): Promise<void> {
     try {
+      const { observer } = this.#options
+      if (observer.getCrashCount(attempt) > 0) {
+        // The watch tells of crashes a little late, and a caller refused a moment ago may ask again at once.
+        await observer.readCrashes(attempt)
+        const refusal = observer.checkAdmission(attempt)
+        if (refusal !== null) return attempt.end(refusal)
+      }
       if (shouldClaim(attempt)) await this.#runClaimed(attempt)
       else await this.#runAtEndpoint(attempt)
     } catch (error) {
@@ -122,8 +137,10 @@
     const { params } = attempt
     if (params.target.kind === 'chat') return MIN_SILENCE_MS
     if (!params.idempotent) return remainingMs
-    const usualMs = this.#options.durations.getQuantile(params.className, LONGEST_QUANTILE, remainingMs)
-    return Math.min(remainingMs, Math.max(MIN_SILENCE_MS, SILENCE_FACTOR * usualMs))
+    const { durations } = this.#options
+    const firstMs = this.#slowClasses.has(params.className) ? remainingMs : FIRST_ANSWER_SHARE * remainingMs
+    const limitMs = durations.has(params.className) ? SILENCE_FACTOR * durations.getQuantile(params.className, LONGEST_QUANTILE, remainingMs) : firstMs
+    return Math.min(remainingMs, Math.max(MIN_SILENCE_MS, limitMs))
   }
 
   async #decideOutcome (attempt: Attempt, end: EndpointEnd, bootId: string | null): Promise<AttemptOutcome> {
@@ -138,6 +155,7 @@
         return createFailed('endpointError', `the endpoint answered ${end.status}: ${end.message}`)
       case 'silent':
         if (!attempt.params.idempotent) return { kind: 'mayHaveRun', reason: 'endpointSilent', retryAfterMs: UNAVAILABLE_RETRY_MS }
+        if (!this.#options.durations.has(attempt.params.className)) this.#slowClasses.add(attempt.params.className)
         return createFailed('endpointError', end.message)
       case 'broken': return await this.#decideBroken(attempt, end.message, bootId)
       default: return end satisfies never
--- a/src/sidecar/sidecarProcess.ts
+++ b/src/sidecar/sidecarProcess.ts
@@ -159,7 +159,12 @@
         const progress = new Progress({ title: 'sharing a crash', timeoutMs: SHARE_TIMEOUT_MS })
         await this.#crashes.waitWritten(attempt.params.fingerprint, progress).catch(() => {})
       },
-      getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint)
+      getCrashCount: (attempt: Attempt) => this.#guard.getCrashCount(attempt.params.fingerprint),
+      readCrashes: async (attempt: Attempt) => {
+        const progress = new Progress({ title: 'reading a crash record', timeoutMs: SHARE_TIMEOUT_MS })
+        await this.#crashes.readStored(attempt.params.fingerprint, progress)
+      },
+      checkAdmission: (attempt: Attempt) => this.#guard.checkAdmission(attempt)
     }
     this.#dump.register('configGeneration', () => config.getCurrent()?.generation ?? 0)
     this.#dump.register('configuration', () => config.getState())
--- a/src/store/poisonRegistry.ts
+++ b/src/store/poisonRegistry.ts
@@ -134,6 +134,12 @@
     await progress.wait('the crash record to be stored', written)
   }
 
+  /** Reads what is stored under `fingerprint`, ahead of the watch; without an answer nothing changes. */
+  async readStored (fingerprint: string, progress: Progress): Promise<void> {
+    const stored = await this.#options.service.get(toPoisonKey(fingerprint), progress)
+    if (stored.isOk && stored.value !== null) this.#adopt(stored.value)
+  }
+
   /** Crashes known under `fingerprint` that have not expired. */
   getCrashCount (fingerprint: string): number {
     const told = this.#toldCounts.get(fingerprint)
--- a/tests/fleet/endpointFailures.spec.ts
+++ b/tests/fleet/endpointFailures.spec.ts
@@ -98,6 +98,16 @@
     expect(result.elapsedMs).to.be.below(10_000)
   })
 
+  it('should repeat an idempotent call that went silent before its endpoint had answered any of its class', async () => {
+    fleet = await startFleet({ engines: [], services: [{ serviceMs: 300 }, { serviceMs: 300 }] })
+    const answer = callService(fleet.gateways[0]!, 'desk/status', { method: 'GET' })
+    await waitUntil('the call to run', () => findExecuting(fleet) !== undefined)
+    await findExecuting(fleet)!.host.setFaults({ freeze: true })
+    const result = await answer
+    expect(result.status).to.equal(200)
+    expect(result.elapsedMs).to.be.below(10_000)
+  })
+
   it('should repeat an idempotent call whose answer is lost', async () => {
     fleet = await startFleet({ engines: [], services: [{}, {}] })
     await fleet.desks[0]!.host.setFaults({ executeThenLoseAnswer: 1 })
--- /dev/null
+++ b/tests/sidecar/attemptRunner.spec.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai'
+
+import { ManualClock } from '../../src/base/clock'
+import { ClassDurations } from '../../src/policy/classDurations'
+import { AttemptRunner } from '../../src/sidecar/attemptRunner'
+import { createNotRun } from '../../src/sidecar/outcomes'
+import { makeAttempt } from './attemptFixture'
+
+import type { Attempt } from '../../src/sidecar/attempt'
+import type { EndpointMonitor } from '../../src/sidecar/endpoint/endpointMonitor'
+import type { EndpointEnd, EndpointRunOptions } from '../../src/sidecar/endpoint/endpointRun'
+
+const DEADLINE_MS = 21_000
+const COMPLETED: EndpointEnd = { kind: 'completed', status: 200, contentType: 'text/plain' }
+const SILENT: EndpointEnd = { kind: 'silent', message: 'nothing came' }
+
+describe('AttemptRunner', () => {
+  it('should look for crashes that others stored before it runs what crashed an endpoint once', async () => {
+    const { runner, runs, looks } = makeRunner({ crashCount: 1, refusal: createNotRun('poison', 0) })
+    const attempt = makeAttempt('a')
+    await runner.run(attempt)
+    expect([looks, runs.length, attempt.outcome]).to.deep.equal([['a'], 0, createNotRun('poison', 0)])
+  })
+
+  it('should run what crashed an endpoint once when nothing further is stored', async () => {
+    const { runner, runs, looks } = makeRunner({ crashCount: 1 })
+    await runner.run(makeAttempt('a'))
+    expect([looks, runs.length]).to.deep.equal([['a'], 1])
+  })
+
+  it('should not ask the store about a request without crashes', async () => {
+    const { runner, looks } = makeRunner({})
+    await runner.run(makeAttempt('a'))
+    expect(looks).to.deep.equal([])
+  })
+
+  it('should leave time for a repeat when a repeatable call of a class not seen before goes silent', async () => {
+    const { runner, runs } = makeRunner({ ends: [SILENT] })
+    const attempt = makeCall('a')
+    await runner.run(attempt)
+    expect(runs[0]!.silenceMs).to.equal(DEADLINE_MS / 3)
+    expect(attempt.outcome).to.include({ kind: 'failedAfterStart', reason: 'endpointError' })
+  })
+
+  it('should wait for the whole answer of a class whose first answer did not come in that time', async () => {
+    const { runner, runs } = makeRunner({ ends: [SILENT, COMPLETED] })
+    await runner.run(makeCall('a'))
+    await runner.run(makeCall('b'))
+    expect(runs[1]!.silenceMs).to.equal(DEADLINE_MS)
+  })
+
+  it('should wait until the deadline for a call that may run once only', async () => {
+    const { runner, runs } = makeRunner({})
+    await runner.run(makeCall('a', { idempotent: false }))
+    expect(runs[0]!.silenceMs).to.equal(DEADLINE_MS)
+  })
+})
+
+interface RunnerCase {
+  crashCount?: number
+  refusal?: ReturnType<typeof createNotRun>
+  ends?: EndpointEnd[]
+}
+
+function makeRunner (given: RunnerCase): { runner: AttemptRunner, runs: EndpointRunOptions[], looks: string[] } {
+  const runs: EndpointRunOptions[] = []
+  const looks: string[] = []
+  const runner = new AttemptRunner({
+    clock: new ManualClock(),
+    durations: new ClassDurations(),
+    monitor: { bootId: 'boot-1' } as unknown as EndpointMonitor,
+    claims: { claim: async () => { throw new Error('no claim is expected') } },
+    endpoint: {
+      run: async options => {
+        runs.push(options)
+        return given.ends?.[runs.length - 1] ?? COMPLETED
+      },
+      close: () => {}
+    },
+    observer: {
+      recordTokenInterval: () => {},
+      waitCrashShared: async () => {},
+      getCrashCount: () => given.crashCount ?? 0,
+      readCrashes: async attempt => { looks.push(attempt.id) },
+      checkAdmission: () => given.refusal ?? null
+    }
+  })
+  return { runner, runs, looks }
+}
+
+function makeCall (id: string, fields: { idempotent?: boolean } = {}): Attempt {
+  const target = { kind: 'service' as const, service: 'desk', method: 'GET', path: '/', contentType: 'text/plain', bodyBase64: '' }
+  return makeAttempt(id, { target, remainingMs: DEADLINE_MS, ...fields })
+}
--- a/tests/store/poisonRegistry.spec.ts
+++ b/tests/store/poisonRegistry.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 
+import { Progress } from '../../src/base/progress'
 import { PoisonRegistry } from '../../src/store/poisonRegistry'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createFakeTime, createRandom } from './platformFixtures'
@@ -51,6 +52,28 @@
     expect(second!.getCrashCount('f1')).to.equal(2)
   })
 
+  it('should know at once what others stored when it looks, whatever its watch has shown', async () => {
+    const service = new MemoryObjectService(store)
+    service.setFaults({ holdWatches: true })
+    const [first, second] = [startRegistry(), startRegistry(service)]
+    await time.advance(1_000)
+    first!.record(createCrash('boot-1'))
+    first!.record(createCrash('boot-2'))
+    await time.advance(1_000)
+    expect(second!.getCrashCount('f1')).to.equal(0)
+    await second!.readStored('f1', new Progress({ title: 'looking', timeoutMs: 100 }))
+    expect(second!.getCrashCount('f1')).to.equal(2)
+  })
+
+  it('should go on with what it knows when the store does not answer its look', async () => {
+    const service = new MemoryObjectService(store)
+    service.setFaults({ outage: true })
+    const registry = startRegistry(service)
+    registry.record(createCrash('boot-1'))
+    await registry.readStored('f1', new Progress({ title: 'looking', timeoutMs: 100 }))
+    expect(registry.getCrashCount('f1')).to.equal(1)
+  })
+
   it('should keep records while the service is down and write them when it is back', async () => {
     const service = new MemoryObjectService(store)
     const registry = startRegistry(service)
