Give membership a folder of its own

Cause: src/store held both the store client and what is registered through it; the platform issue asks for names that say what a folder is. Ruled out: moving peerTable and peerLinks too: they are the relay's own exchange between gateways and import nothing of it. Change: membershipDirectory, membershipRecords and registration move to src/membership with their test; lint says who may import it. No code changed.

--- a/bench/capacity/controlPath.ts
+++ b/bench/capacity/controlPath.ts
@@ -1,7 +1,7 @@
 import { startPlatform } from '../../standins/platform/platformServer'
 import { Progress } from '../../src/base/progress'
 import { HttpObjectService } from '../../src/store/httpObjectService'
-import { toSidecarKey } from '../../src/store/membershipRecords'
+import { toSidecarKey } from '../../src/membership/membershipRecords'
 import { formatNumber, printTable } from '../shared/measuredTable'
 import { measureInChild } from './childMeasure'
 import { FLEET } from './fleetSize'
--- a/lint/importBoundaries.mjs
+++ b/lint/importBoundaries.mjs
@@ -8,10 +8,11 @@
   config: ['protocol'],
   policy: ['protocol', 'config'],
   store: ['protocol', 'config'],
-  gateway: ['protocol', 'config', 'policy', 'store'],
-  sidecar: ['protocol', 'config', 'policy', 'store'],
+  membership: ['protocol', 'config', 'store'],
+  gateway: ['protocol', 'config', 'policy', 'store', 'membership'],
+  sidecar: ['protocol', 'config', 'policy', 'store', 'membership'],
   relay: ['protocol', 'config', 'policy', 'store'],
-  cli: ['protocol', 'config', 'policy', 'store', 'gateway', 'sidecar', 'relay']
+  cli: ['protocol', 'config', 'policy', 'store', 'membership', 'gateway', 'sidecar', 'relay']
 }
 
 /** Literals of the platform's wire protocol, which only `platform/` may know. */
--- a/src/cli/commands/configStatus.ts
+++ b/src/cli/commands/configStatus.ts
@@ -1,7 +1,7 @@
 import { SECRET_VARIABLE } from '../../config/loadProcessSettings'
 import { readManifest } from '../../store/configReader'
 import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../../store/keys'
-import { registrationSchema } from '../../store/membershipRecords'
+import { registrationSchema } from '../../membership/membershipRecords'
 import { runBounded } from '../../store/runBounded'
 import { parseAddresses, PLATFORM_OPTIONS, withPlatform } from '../configCommandInput'
 import { EXIT_CODES } from '../exitCodes'
--- a/src/gateway/fleetView.ts
+++ b/src/gateway/fleetView.ts
@@ -5,7 +5,7 @@
 
 import type { Clock } from '../base/clock'
 import type { FleetConfig } from '../config/fleetConfig'
-import type { SidecarRecord } from '../store/membershipRecords'
+import type { SidecarRecord } from '../membership/membershipRecords'
 import type { AttemptTarget } from '../protocol/attemptMessages'
 import type { CallerRequest } from './callerRequest'
 import type { PeerPatience } from './sidecarPeer'
--- a/src/store/membershipDirectory.ts
+++ b/src/membership/membershipDirectory.ts
@@ -1,13 +1,12 @@
 import { Progress } from '../base/progress'
-
-import { Backoff, spreadPeriod } from './backoff'
-import { BackgroundTask } from './backgroundTask'
-import { SIDECARS_PREFIX } from './keys'
+import { Backoff, spreadPeriod } from '../store/backoff'
+import { BackgroundTask } from '../store/backgroundTask'
+import { SIDECARS_PREFIX } from '../store/keys'
+import { PrefixWatcher } from '../store/prefixWatcher'
 import { registrationSchema } from './membershipRecords'
-import { PrefixWatcher } from './prefixWatcher'
 
 import type { SidecarRecord } from './membershipRecords'
-import type { ListedInstance, ObjectService, StoredObject, WatchEvent } from './objectService'
+import type { ListedInstance, ObjectService, StoredObject, WatchEvent } from '../store/objectService'
 
 export interface MembershipDirectoryOptions {
   service: ObjectService
--- a/src/store/membershipRecords.ts
+++ b/src/membership/membershipRecords.ts
@@ -1,6 +1,6 @@
 import { z } from 'zod'
 
-import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from './keys'
+import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../store/keys'
 
 /** What a process writes of itself at the platform when it starts. */
 export const registrationSchema = z.object({
--- a/src/store/registration.ts
+++ b/src/membership/registration.ts
@@ -1,12 +1,11 @@
 import { createId } from '../base/identifiers'
 import { Progress } from '../base/progress'
-
-import { Backoff } from './backoff'
-import { BackgroundTask } from './backgroundTask'
+import { Backoff } from '../store/backoff'
+import { BackgroundTask } from '../store/backgroundTask'
 import { toGatewayKey, toSidecarKey } from './membershipRecords'
 
 import type { RegistrationRecord } from './membershipRecords'
-import type { ObjectService, StoredObject } from './objectService'
+import type { ObjectService, StoredObject } from '../store/objectService'
 
 export interface RegistrationOptions {
   service: ObjectService
--- a/tests/fleet/processFailures.spec.ts
+++ b/tests/fleet/processFailures.spec.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai'
 
 import { Progress } from '../../src/base/progress'
-import { toSidecarKey } from '../../src/store/membershipRecords'
+import { toSidecarKey } from '../../src/membership/membershipRecords'
 import { startFaultProxy } from '../../standins/network/faultProxy'
 import { countExecutions, findLongPrompt, LONG, waitRunning } from './answers'
 import { callService, getExpectedAnswer, sendChat } from './callers'
--- a/tests/store/membershipDirectory.spec.ts
+++ b/tests/membership/membershipDirectory.spec.ts
@@ -1,12 +1,12 @@
 import { expect } from 'chai'
 
-import { MembershipDirectory } from '../../src/store/membershipDirectory'
-import { Registration } from '../../src/store/registration'
+import { MembershipDirectory } from '../../src/membership/membershipDirectory'
+import { Registration } from '../../src/membership/registration'
 import { MemoryObjectService } from '../fakes/memoryObjectService'
-import { createFakeTime, createProgress, createRandom } from './platformFixtures'
+import { createFakeTime, createProgress, createRandom } from '../store/platformFixtures'
 
-import type { RegistrationOptions } from '../../src/store/registration'
-import type { FakeTime } from './platformFixtures'
+import type { RegistrationOptions } from '../../src/membership/registration'
+import type { FakeTime } from '../store/platformFixtures'
 
 type Instance = RegistrationOptions['instance']
 
--- a/tests/store/serviceLoad.spec.ts
+++ b/tests/store/serviceLoad.spec.ts
@@ -2,7 +2,7 @@
 
 import { Backoff } from '../../src/store/backoff'
 import { Lease } from '../../src/store/lease'
-import { MembershipDirectory } from '../../src/store/membershipDirectory'
+import { MembershipDirectory } from '../../src/membership/membershipDirectory'
 import { MemoryObjectService, MemoryObjectStore } from '../fakes/memoryObjectService'
 import { createFakeTime, createRandom } from './platformFixtures'
 
