Write unexpected errors to the decision log in one place

Ruled out: sharing with the own deployment's logger, another library object with other levels. Change: DecisionLog.writeError; 1,000 characters, with the stack.

--- a/src/base/decisionLog.ts
+++ b/src/base/decisionLog.ts
@@ -35,6 +35,7 @@
 const NOTABLE_RESERVE = 0.25
 const MAX_SAMPLING_LEVEL = 8
 const REPORT_INTERVAL_MS = 1000
+const MAX_ERROR_CHARACTERS = 1000
 const MAX_HELD_BYTES = 1_048_576
 
 /**
@@ -81,6 +82,12 @@
     this.#put(line)
   }
 
+  /** Writes an error that no decision accounts for, with where it arose. */
+  writeError (error: unknown): void {
+    const text = String((error as Error | null)?.stack ?? error)
+    this.write('notable', { event: 'unexpectedError', message: text.slice(0, MAX_ERROR_CHARACTERS) })
+  }
+
   /** Changes the bound in bytes a second. */
   setBytesPerSecond (bytesPerSecond: number): void {
     this.#bytesPerSecond = bytesPerSecond
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -38,7 +38,7 @@
       service,
       clock,
       retentionMs: RETENTION_MS,
-      onError: error => log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
+      onError: error => log.writeError(error)
     })
     this.#blame = new CrashBlame(fingerprint => this.#registry.getCrashCount(fingerprint) > 0)
   }
--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -91,7 +91,7 @@
         this.#checkTrust()
       },
       handleFailed: error => { this.#isConfigLost = this.#reportFailed('configuration', this.#isConfigLost, error) },
-      onError: error => this.#reportError(error)
+      onError: error => this.#options.log.writeError(error)
     })
     this.#endpoints = new PrefixWatcher({
       service,
@@ -109,7 +109,7 @@
         this.#listFailures += 1
         this.#isListLost = this.#reportFailed('endpoints', this.#isListLost, error)
       },
-      onError: error => this.#reportError(error)
+      onError: error => this.#options.log.writeError(error)
     })
   }
 
@@ -215,8 +215,4 @@
     if (!wasLost) this.#options.log.write('notable', { event: 'dependencyLost', dependency: `store, ${view}`, error })
     return true
   }
-
-  #reportError (error: unknown): void {
-    this.#options.log.write('notable', { event: 'unexpectedError', message: String((error as Error)?.stack ?? error).slice(0, 500) })
-  }
 }
--- a/src/relay/loadLinks.ts
+++ b/src/relay/loadLinks.ts
@@ -43,7 +43,7 @@
     this.#options = options
     this.#task = new BackgroundTask({
       runStep: async signal => await this.#runStep(signal),
-      onError: error => options.log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
+      onError: error => options.log.writeError(error)
     })
   }
 
--- a/src/relay/peerLinks.ts
+++ b/src/relay/peerLinks.ts
@@ -49,7 +49,7 @@
     this.#seedAddresses = options.seeds
     this.#task = new BackgroundTask({
       runStep: async signal => await this.#runStep(signal),
-      onError: error => this.#reportError(error)
+      onError: error => this.#options.log.writeError(error)
     })
   }
 
@@ -95,7 +95,7 @@
     peers.sort((one, other) => one.order - other.order)
     const { signal } = new AbortController()
     const sends = peers.slice(0, CRASH_FANOUT).map(async ({ peer }) => await this.#sendNews(this.openClient(peer), signal))
-    Promise.all(sends).catch(error => this.#reportError(error))
+    Promise.all(sends).catch(error => this.#options.log.writeError(error))
   }
 
   /** Takes in another gateway's news and returns this one's for it. */
@@ -144,10 +144,6 @@
     return { self: table.self, peers: table.listFor(domain, clock.getMonotonicMs()), crashes: listCrashes().slice(-MAX_CRASHES_TOLD) }
   }
 
-  #reportError (error: unknown): void {
-    this.#options.log.write('notable', { event: 'unexpectedError', message: String(error).slice(0, 500) })
-  }
-
   /** Gets the connection to another gateway. */
   openClient ({ id, address }: { id: string, address: string }): PeerClient {
     const key = `${id}@${address}`
