Keep a sixth of a service's endpoints for light prompts

Change: where a service has six endpoints or more, a sixth of them, the same at all gateways, is kept for prompts under a third of the service's mean size. Heavy prompts have their homes among the others; light ones prefer the kept ones until other gateways fill them.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -3,18 +3,20 @@
 import type { DirectEndpoint } from './directEndpoint'
 import type { EndpointLoad } from './loadBoard'
 import type { PromptPart } from './prefixMemory'
+import type { PromptSize } from './promptSizes'
 
 /** What the choice needs to know of a request. */
 export interface DirectChoiceRequest {
   service: string
   /** Parts of the prompt in order; the last one is the request's own. Empty for a plain service. */
   promptParts: readonly PromptPart[]
+  size: PromptSize
 }
 
 /** The endpoint chosen, with what decided it. */
 export interface DirectChoice {
   endpoint: DirectEndpoint
-  reason: 'prefixHome' | 'leastCost'
+  reason: 'prefixHome' | 'prefixStandIn' | 'leastCost'
   costMs: number
   candidates: number
   /** Prompt tokens that the endpoint would have to read for the request. */
@@ -31,8 +33,13 @@
 export interface DirectChooserOptions {
   /** Endpoints that do not come into question, since the request was there already. */
   excluded: ReadonlySet<string>
-  /** The endpoint that should hold the request's shared parts; null when nothing is shared. */
-  home: DirectEndpoint | null
+  /**
+   * Endpoints at which the request's shared parts meet: their home, and the one that takes its place
+   * while the home is behind, the same for all gateways. Empty when nothing is shared.
+   */
+  holders: readonly DirectEndpoint[]
+  /** Endpoints kept for light prompts. */
+  reservedIds: ReadonlySet<string>
   /** What waits for each endpoint and goes first. */
   planned: PlannedTokens
   /** Gets what other gateways have at an endpoint, as lately told. */
@@ -59,9 +66,15 @@
 const FULL_COST_MS = 600
 /** Milliseconds by which an endpoint that always fails is put back. */
 const FAILURE_COST_MS = 200
+/** Milliseconds by which a light prompt prefers an endpoint that is kept for such, and a heavy one shuns it. */
+const LIGHT_GAIN_MS = 300
+const HEAVY_COST_MS = 3000
 const EJECTED_COST_MS = 100_000
-/** Probability that the home holds the shared parts although this process did not send them. */
-const HOME_HELD_SHARE = 1
+/** Probabilities that the home and the one in its place hold the shared parts although this process did not send them. */
+const HELD_SHARES = [1, 0.5]
+const HOLDER_REASONS = ['prefixHome', 'prefixStandIn'] as const
+/** Endpoints at which a shared part meets. */
+export const HOLDER_COUNT = HELD_SHARES.length
 const JITTER_MS = 1
 
 /**
@@ -79,7 +92,7 @@
   for (const endpoint of endpoints) {
     if (options.excluded.has(endpoint.entry.id)) continue
     candidates += 1
-    const unreadTokens = countUnreadTokens(request.promptParts, endpoint, endpoint === options.home, options.nowMs)
+    const unreadTokens = countUnreadTokens(request.promptParts, endpoint, HELD_SHARES[options.holders.indexOf(endpoint)] ?? 0, options.nowMs)
     const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
     if (best !== null && costMs >= best.costMs) continue
     best = { endpoint, costMs, unreadTokens }
@@ -88,7 +101,7 @@
   return {
     ...best,
     candidates,
-    reason: best.endpoint === options.home ? 'prefixHome' : 'leastCost',
+    reason: HOLDER_REASONS[options.holders.indexOf(best.endpoint)] ?? 'leastCost',
     othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight,
     hasRoom: hasRoom(best, options)
   }
@@ -107,13 +120,15 @@
   return parts.at(-2) ?? null
 }
 
-/** Counts the prompt tokens that the endpoint would have to read for the request. */
-export function countUnreadTokens (parts: readonly PromptPart[], endpoint: DirectEndpoint, isHome: boolean, nowMs: number): number {
-  const total = countTokens(parts)
-  const heldTokens = endpoint.prefixes.countHeldTokens(parts.slice(0, -1), nowMs)
-  if (!isHome) return total - heldTokens
-  const sharedTokens = countTokens(parts.slice(0, -1))
-  return total - Math.max(heldTokens, HOME_HELD_SHARE * sharedTokens)
+/**
+ * Counts the prompt tokens that the endpoint is expected to read for the request.
+ *
+ * @param heldShare probability that it holds the shared parts although this process did not send them
+ */
+export function countUnreadTokens (parts: readonly PromptPart[], endpoint: DirectEndpoint, heldShare: number, nowMs: number): number {
+  const sharedParts = parts.slice(0, -1)
+  const heldTokens = endpoint.prefixes.countHeldTokens(sharedParts, nowMs)
+  return countTokens(parts) - Math.max(heldTokens, Math.round(heldShare * countTokens(sharedParts)))
 }
 
 /**
@@ -135,7 +150,14 @@
   const pendingTokens = endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0)
   const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
-  return tokens / PREFILL_TOKENS_PER_MS + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+  return tokens / PREFILL_TOKENS_PER_MS + computeGroupCostMs(request, endpoint, others, options) + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+}
+
+function computeGroupCostMs ({ size }: DirectChoiceRequest, { entry }: DirectEndpoint, others: EndpointLoad, { reservedIds }: DirectChooserOptions): number {
+  if (reservedIds.size === 0) return 0
+  const isReserved = reservedIds.has(entry.id)
+  if (size === 'heavy') return isReserved ? HEAVY_COST_MS : 0
+  return isReserved ? FULL_COST_MS * Math.min(others.inFlight, entry.slots) / entry.slots : LIGHT_GAIN_MS
 }
 
 /**
@@ -146,6 +168,6 @@
   return Math.max(0, inFlight + others.inFlight - entry.slots)
 }
 
-function countTokens (parts: readonly PromptPart[]): number {
+export function countTokens (parts: readonly PromptPart[]): number {
   return parts.reduce((sum, part) => sum + part.tokens, 0)
 }
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -2,6 +2,7 @@
 import { buildDirectEndpoint } from './directEndpoint'
 
 import type { DirectEndpoint, EndpointEntry } from './directEndpoint'
+import type { PromptSize } from './promptSizes'
 
 /** A change of what is believed of the endpoints, for the log. */
 export type DirectoryChange =
@@ -15,14 +16,20 @@
 
 interface ServiceIndex {
   endpoints: DirectEndpoint[]
-  ring: AffinityRing
+  /** Endpoints by the size of the prompts that they are for. */
+  bySize: Record<PromptSize, AffinityRing>
+  reservedIds: ReadonlySet<string>
 }
 
+/** Part of a service's endpoints that is kept for light prompts. */
+const RESERVED_SHARE = 1 / 6
+
 /**
  * How long an entry that lapsed during an outage of the list may take to come back: the platform
  * says about two seconds, and a little is added for its own delay.
  */
 const LAPSE_GRACE_MS = 2300
+const NONE: ReadonlySet<string> = new Set()
 
 /**
  * The endpoints that a gateway reaches directly, as the platform lists them. An entry that is
@@ -48,11 +55,16 @@
   }
 
   /** Lists the first `count` ready endpoints that should hold `prefix`, the preferred one first. */
-  listHolders (service: string, prefix: string, count: number): DirectEndpoint[] {
-    const ids = this.#byService.get(service)?.ring.findHolders(prefix, count) ?? []
+  listHolders (service: string, prefix: string, size: PromptSize, count: number): DirectEndpoint[] {
+    const ids = this.#byService.get(service)?.bySize[size].findHolders(prefix, count) ?? []
     return ids.flatMap(id => this.#endpoints.get(id) ?? [])
   }
 
+  /** Gets the ids of the endpoints that are kept for light prompts. */
+  getReservedIds (service: string): ReadonlySet<string> {
+    return this.#byService.get(service)?.reservedIds ?? NONE
+  }
+
   /** Tells whether the endpoint still takes new requests as the same process. */
   isReady (endpoint: DirectEndpoint): boolean {
     return this.#endpoints.get(endpoint.entry.id) === endpoint && endpoint.entry.state === 'ready'
@@ -124,5 +136,12 @@
 }
 
 function buildServiceIndex (endpoints: DirectEndpoint[]): ServiceIndex {
-  return { endpoints, ring: new AffinityRing(endpoints.map(endpoint => endpoint.entry.id)) }
+  const ids = endpoints.map(endpoint => endpoint.entry.id).sort()
+  const reserved = ids.slice(0, Math.floor(RESERVED_SHARE * ids.length))
+  const others = ids.slice(reserved.length)
+  return {
+    endpoints,
+    bySize: { light: new AffinityRing(reserved.length > 0 ? reserved : ids), heavy: new AffinityRing(others) },
+    reservedIds: new Set(reserved)
+  }
 }
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,5 +1,6 @@
-import { chooseDirectEndpoint, findSharedPart, updateRoom } from '../policy/directChooser'
+import { chooseDirectEndpoint, countTokens, findSharedPart, HOLDER_COUNT, updateRoom } from '../policy/directChooser'
 import { isEjected } from '../policy/directEndpoint'
+import { PromptSizes } from '../policy/promptSizes'
 import { decideRepeat } from '../policy/repeatDecision'
 
 import type { Clock } from '../base/clock'
@@ -50,6 +51,7 @@
 
 /** Wait before a caller comes back to a service with no free endpoint, when the endpoint does not say. */
 const DEFAULT_RETRY_AFTER_MS = 300
+const NONE: ReadonlySet<string> = new Set()
 /** Time for which a request that waits keeps to the endpoint it chose: short beside every target. */
 const CHOICE_KEPT_MS = 40
 
@@ -59,6 +61,7 @@
  */
 export class DirectRelay {
   readonly #options: DirectRelayOptions
+  readonly #sizes = new PromptSizes()
   #inFlight = 0
 
   constructor (options: DirectRelayOptions) {
@@ -75,6 +78,7 @@
     const { clock, observer, retries } = this.#options
     const state = createState(request, reply)
     retries.recordRequest(request.service, clock.getMonotonicMs())
+    this.#sizes.record(request.service, countTokens(request.traits.promptParts))
     this.#inFlight += 1
     try {
       while (reply.end === 'open' && await this.#runOnce(state));
@@ -160,11 +164,13 @@
     const { request } = state
     const nowMs = clock.getMonotonicMs()
     const shared = findSharedPart(request.traits.promptParts)
-    const home = shared === null ? null : directory.listHolders(request.service, shared.id, 1)[0] ?? null
+    const { promptParts } = request.traits
+    const size = this.#sizes.getSize(request.service, countTokens(promptParts))
+    const holders = shared === null ? [] : directory.listHolders(request.service, shared.id, size, HOLDER_COUNT)
     return chooseDirectEndpoint(
-      { service: request.service, promptParts: request.traits.promptParts },
+      { service: request.service, promptParts, size },
       directory.listReady(request.service),
-      { excluded: state.tried, home, planned, maxInFlight: this.#getMaxInFlight(request), getOthers: id => loads.getOthers(id), nowMs, random }
+      { excluded: state.tried, holders, reservedIds: promptParts.length === 0 ? NONE : directory.getReservedIds(request.service), planned, maxInFlight: this.#getMaxInFlight(request), getOthers: id => loads.getOthers(id), nowMs, random }
     )
   }
 
--- a/tests/policy/directChooser.spec.ts
+++ b/tests/policy/directChooser.spec.ts
@@ -2,30 +2,30 @@
 
 import { chooseDirectEndpoint } from '../../src/policy/directChooser'
 import { recordSend } from '../../src/policy/directEndpoint'
-import { buildChooserOptions, buildEndpoint } from './directFixtures'
+import { buildChoiceRequest, buildChooserOptions, buildEndpoint } from './directFixtures'
 
 import type { PromptPart } from '../../src/policy/prefixMemory'
 
 const PROMPT: PromptPart[] = [{ id: 'history', tokens: 13_000 }, { id: 'question', tokens: 1000 }]
-const PROMPT_REQUEST = { service: 'engines', promptParts: PROMPT }
-const PLAIN_REQUEST = { service: 'archive', promptParts: [] }
+const PROMPT_REQUEST = buildChoiceRequest({ promptParts: PROMPT })
+const PLAIN_REQUEST = buildChoiceRequest({ service: 'archive' })
 
 describe('the choice among endpoints reached directly', () => {
   it('should meet at the home of the shared part', () => {
     const endpoints = [buildEndpoint('e-1'), buildEndpoint('e-2')]
-    const choice = chooseDirectEndpoint(PROMPT_REQUEST, endpoints, buildChooserOptions({ home: endpoints[1]! }))
+    const choice = chooseDirectEndpoint(PROMPT_REQUEST, endpoints, buildChooserOptions({ holders: [endpoints[1]!] }))
     expect(choice).to.include({ endpoint: endpoints[1], reason: 'prefixHome', unreadTokens: 1000, hasRoom: true })
   })
 
   it('should wait for the home while its prompts are read rather than have the prompt read again elsewhere', () => {
     const home = buildEndpoint('home', { pendingTokens: 12_000, inFlight: 2 })
-    const choice = chooseDirectEndpoint(PROMPT_REQUEST, [home, buildEndpoint('idle')], buildChooserOptions({ home }))
+    const choice = chooseDirectEndpoint(PROMPT_REQUEST, [home, buildEndpoint('idle')], buildChooserOptions({ holders: [home] }))
     expect(choice).to.include({ endpoint: home, hasRoom: false })
   })
 
   it('should not let a short prompt take the room for which a long one waits', () => {
     const home = buildEndpoint('home', { pendingTokens: 4000 })
-    const short = { service: 'engines', promptParts: [{ id: 'note', tokens: 500 }] }
+    const short = buildChoiceRequest({ promptParts: [{ id: 'note', tokens: 500 }] })
     expect(chooseDirectEndpoint(short, [home], buildChooserOptions())).to.include({ hasRoom: true })
     expect(chooseDirectEndpoint(short, [home], buildChooserOptions({ planned: new Map([['home', 8000]]) }))).to.include({ hasRoom: false })
     expect(chooseDirectEndpoint(short, [buildEndpoint('home')], buildChooserOptions({ planned: new Map([['home', 8000]]) }))).to.include({ hasRoom: false })
@@ -35,7 +35,15 @@
     const home = buildEndpoint('home', { pendingTokens: 4000 })
     const idle = buildEndpoint('idle')
     const planned = new Map([['home', 1_000_000]])
-    expect(chooseDirectEndpoint(PROMPT_REQUEST, [home, idle], buildChooserOptions({ home, planned }))).to.include({ endpoint: idle, hasRoom: true })
+    expect(chooseDirectEndpoint(PROMPT_REQUEST, [home, idle], buildChooserOptions({ holders: [home], planned }))).to.include({ endpoint: idle, hasRoom: true })
+  })
+
+  it('should leave a home that is behind for the endpoint that takes its place at all gateways', () => {
+    const home = buildEndpoint('home', { pendingTokens: 4000 })
+    const [idle, standIn] = [buildEndpoint('idle'), buildEndpoint('standIn', { inFlight: 8 })]
+    const planned = new Map([['home', 1_000_000]])
+    const choice = chooseDirectEndpoint(PROMPT_REQUEST, [home, idle, standIn], buildChooserOptions({ holders: [home, standIn], planned }))
+    expect(choice).to.include({ endpoint: standIn, reason: 'prefixStandIn' })
   })
 
   it('should go where the fewest requests are in flight when nothing is shared', () => {
@@ -43,6 +51,28 @@
     expect(chooseDirectEndpoint(PLAIN_REQUEST, endpoints, buildChooserOptions())?.endpoint).to.equal(endpoints[1])
   })
 
+  describe('with endpoints that are kept for light prompts', () => {
+    const LIGHT_REQUEST = buildChoiceRequest({ promptParts: [{ id: 'note', tokens: 1000 }], size: 'light' })
+    const reservedIds = new Set(['kept'])
+
+    it('should send a light prompt there although another endpoint is idle', () => {
+      const [kept, idle] = [buildEndpoint('kept', { inFlight: 8 }), buildEndpoint('idle')]
+      expect(chooseDirectEndpoint(LIGHT_REQUEST, [idle, kept], buildChooserOptions({ reservedIds }))?.endpoint).to.equal(kept)
+    })
+
+    it('should send a light prompt elsewhere when other gateways fill them', () => {
+      const [kept, idle] = [buildEndpoint('kept'), buildEndpoint('idle')]
+      const getOthers = (id: string) => ({ inFlight: id === 'kept' ? 60 : 0, pendingTokens: 0, heardAtMs: 0 })
+      expect(chooseDirectEndpoint(LIGHT_REQUEST, [idle, kept], buildChooserOptions({ reservedIds, getOthers }))?.endpoint).to.equal(idle)
+    })
+
+    it('should send a heavy prompt there only when nothing else is left', () => {
+      const [kept, busy] = [buildEndpoint('kept'), buildEndpoint('busy', { inFlight: 60, pendingTokens: 20_000 })]
+      expect(chooseDirectEndpoint(PROMPT_REQUEST, [kept, busy], buildChooserOptions({ reservedIds }))?.endpoint).to.equal(busy)
+      expect(chooseDirectEndpoint(PROMPT_REQUEST, [kept, busy], buildChooserOptions({ reservedIds, excluded: new Set(['busy']) }))?.endpoint).to.equal(kept)
+    })
+  })
+
   it('should put an endpoint back that fails, and last one that was ejected', () => {
     const failing = buildEndpoint('failing')
     const ejected = buildEndpoint('ejected')
--- a/tests/policy/directFixtures.ts
+++ b/tests/policy/directFixtures.ts
@@ -1,6 +1,6 @@
 import { buildDirectEndpoint } from '../../src/policy/directEndpoint'
 
-import type { DirectChooserOptions } from '../../src/policy/directChooser'
+import type { DirectChoiceRequest, DirectChooserOptions } from '../../src/policy/directChooser'
 import type { DirectEndpoint, EndpointEntry } from '../../src/policy/directEndpoint'
 
 /** Builds one entry of the list of endpoints. */
@@ -13,7 +13,12 @@
   return { ...buildDirectEndpoint(buildEntry(id)), ...overrides }
 }
 
+/** Builds a request as the choice sees it. */
+export function buildChoiceRequest (overrides: Partial<DirectChoiceRequest> = {}): DirectChoiceRequest {
+  return { service: 'engines', promptParts: [], size: 'heavy', ...overrides }
+}
+
 /** Builds the surroundings of one choice. */
 export function buildChooserOptions (overrides: Partial<DirectChooserOptions> = {}): DirectChooserOptions {
-  return { excluded: new Set(), home: null, planned: new Map(), getOthers: () => ({ inFlight: 0, pendingTokens: 0, heardAtMs: -Infinity }), maxInFlight: Infinity, nowMs: 0, random: () => 0, ...overrides }
+  return { excluded: new Set(), holders: [], reservedIds: new Set(), planned: new Map(), getOthers: () => ({ inFlight: 0, pendingTokens: 0, heardAtMs: -Infinity }), maxInFlight: Infinity, nowMs: 0, random: () => 0, ...overrides }
 }
--- a/tests/policy/endpointDirectory.spec.ts
+++ b/tests/policy/endpointDirectory.spec.ts
@@ -9,6 +9,12 @@
   return directory.listReady('engines').map(endpoint => endpoint.entry.id).sort()
 }
 
+function buildFilledDirectory (count: number): EndpointDirectory {
+  const directory = new EndpointDirectory()
+  directory.applyList(Array.from({ length: count }, (_, index) => buildEntry(`e-${index + 1}`)), CALM)
+  return directory
+}
+
 describe('EndpointDirectory', () => {
   it('should send nothing more to an endpoint that drains or is gone', () => {
     const directory = new EndpointDirectory()
@@ -43,6 +49,16 @@
     expect(directory.applyList([], CALM).map(change => change.kind)).to.deep.equal(['gone'])
   })
 
+  it('should keep a sixth of the endpoints for light prompts, and none of a few', () => {
+    const many = buildFilledDirectory(12)
+    const kept = many.getReservedIds('engines')
+    expect([kept.size, buildFilledDirectory(5).getReservedIds('engines').size]).to.deep.equal([2, 0])
+    for (let prefix = 0; prefix < 50; prefix++) {
+      const [light, heavy] = (['light', 'heavy'] as const).map(size => many.listHolders('engines', `prefix-${prefix}`, size, 1)[0]!.entry.id)
+      expect([kept.has(light!), kept.has(heavy!)]).to.deep.equal([true, false])
+    }
+  })
+
   it('should know nothing of an endpoint that started anew under the same id', () => {
     const directory = new EndpointDirectory()
     directory.applyList([buildEntry('e-1')], CALM)
--- a/tests/policy/loadBoard.spec.ts
+++ b/tests/policy/loadBoard.spec.ts
@@ -2,11 +2,11 @@
 
 import { chooseDirectEndpoint } from '../../src/policy/directChooser'
 import { LoadBoard } from '../../src/policy/loadBoard'
-import { buildChooserOptions, buildEndpoint } from './directFixtures'
+import { buildChoiceRequest, buildChooserOptions, buildEndpoint } from './directFixtures'
 
 import type { LoadReport } from '../../src/policy/loadBoard'
 
-const PROMPT_REQUEST = { service: 'engines', promptParts: [{ id: 'hot', tokens: 6000 }, { id: 'question', tokens: 1000 }] }
+const PROMPT_REQUEST = buildChoiceRequest({ promptParts: [{ id: 'hot', tokens: 6000 }, { id: 'question', tokens: 1000 }] })
 
 function buildReport (id: string, inFlight: number, pendingTokens = 0): LoadReport {
   return new Map([[id, { inFlight, pendingTokens, heardAtMs: 0 }]])
@@ -46,15 +46,15 @@
 
   it('should keep to the share of connections at an endpoint', () => {
     const full = buildEndpoint('e-1', { inFlight: 4 })
-    expect(chooseDirectEndpoint({ service: 'archive', promptParts: [] }, [full], buildChooserOptions({ maxInFlight: 4 }))).to.include({ hasRoom: false })
-    expect(chooseDirectEndpoint({ service: 'archive', promptParts: [] }, [full], buildChooserOptions({ maxInFlight: 5 }))).to.include({ hasRoom: true })
+    expect(chooseDirectEndpoint(buildChoiceRequest({ service: 'archive' }), [full], buildChooserOptions({ maxInFlight: 4 }))).to.include({ hasRoom: false })
+    expect(chooseDirectEndpoint(buildChoiceRequest({ service: 'archive' }), [full], buildChooserOptions({ maxInFlight: 5 }))).to.include({ hasRoom: true })
   })
 
   it('should keep to the home of a prompt while it has slots, however many others are there', () => {
     const home = buildEndpoint('home')
     const board = new LoadBoard()
     board.record('domain-b', buildReport('home', 60, 50_000), 0)
-    const options = buildChooserOptions({ home, getOthers: id => board.getOthers(id) })
+    const options = buildChooserOptions({ holders: [home], getOthers: id => board.getOthers(id) })
     expect(chooseDirectEndpoint(PROMPT_REQUEST, [home, buildEndpoint('idle')], options)?.endpoint).to.equal(home)
   })
 
@@ -62,7 +62,7 @@
     const home = buildEndpoint('home')
     const idle = buildEndpoint('idle')
     const board = new LoadBoard()
-    const choose = () => chooseDirectEndpoint(PROMPT_REQUEST, [home, idle], buildChooserOptions({ home, getOthers: id => board.getOthers(id) }))
+    const choose = () => chooseDirectEndpoint(PROMPT_REQUEST, [home, idle], buildChooserOptions({ holders: [home], getOthers: id => board.getOthers(id) }))
     expect(choose()?.endpoint).to.equal(home)
     for (let gateway = 1; gateway <= 30; gateway++) board.record(`g-${gateway}`, buildReport('home', 4, 4000), 0)
     expect(choose()?.endpoint).to.equal(idle)
