End the soak when it has ended, and name the alternate home

A profile after the end showed the store's stand-in still polling for watches whose readers had left, and one to three sockets, destroyed and not closed, of the proxies. Ruled out: gateways or callers left over (all processes had ended; the turning code was the stand-in's alone). Change: a watch of the stand-in ends with its connection; the command ends its process once its result is written. The reason "prefixStandIn" is now "prefixAlternate", since a stand-in is something else here; glossary. Conclusion: why destroyed sockets of a reset proxy stay is not known.

--- a/soak/main.ts
+++ b/soak/main.ts
@@ -31,7 +31,8 @@
     const runs = argv.regressions ? SOAK_REGRESSIONS : [{ seed: argv.seed, minutes: argv.minutes }]
     let findings = 0
     for (const { seed, minutes } of runs) findings += await playSeed(seed, minutes, argv)
-    process.exitCode = findings === 0 ? 0 : 1
+    // sockets that a proxy reset before they were connected never close and would keep the process alive
+    process.stdout.write('', () => process.exit(findings === 0 ? 0 : 1))
   })
   .fail((message, error) => { throw error ?? new Error(message) })
   .parseAsync()
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -16,7 +16,7 @@
 /** The endpoint chosen, with what decided it. */
 export interface DirectChoice {
   endpoint: DirectEndpoint
-  reason: 'prefixHome' | 'prefixStandIn' | 'leastCost'
+  reason: 'prefixHome' | 'prefixAlternate' | 'leastCost'
   costMs: number
   candidates: number
   /** Prompt tokens that the endpoint would have to read for the request. */
@@ -34,8 +34,8 @@
   /** Endpoints that do not come into question, since the request was there already. */
   excluded: ReadonlySet<string>
   /**
-   * Endpoints at which the request's shared parts meet: their home, and the one that takes its place
-   * while the home is behind, the same for all gateways. Empty when nothing is shared.
+   * Endpoints at which the request's shared parts meet: their home, and their alternate,
+   * for when the home is behind, the same at all gateways. Empty when nothing is shared.
    */
   holders: readonly DirectEndpoint[]
   /** Endpoints kept for light prompts. */
@@ -70,9 +70,9 @@
 const LIGHT_GAIN_MS = 300
 const HEAVY_COST_MS = 3000
 const EJECTED_COST_MS = 100_000
-/** Probabilities that the home and the one in its place hold the shared parts although this process did not send them. */
+/** Probabilities that the home and its alternate hold the shared parts although this process did not send them. */
 const HELD_SHARES = [1, 0.5]
-const HOLDER_REASONS = ['prefixHome', 'prefixStandIn'] as const
+const HOLDER_REASONS = ['prefixHome', 'prefixAlternate'] as const
 /** Endpoints at which a shared part meets. */
 export const HOLDER_COUNT = HELD_SHARES.length
 const JITTER_MS = 1
--- a/standins/objects/objectsServer.ts
+++ b/standins/objects/objectsServer.ts
@@ -161,7 +161,7 @@
   async #sendChanges (response: ServerResponse, kind: string, parameters: URLSearchParams): Promise<void> {
     const from = Number(parameters.get('watch'))
     const untilMs = performance.now() + Number(parameters.get('waitMs') ?? 0)
-    for (;;) {
+    while (!response.destroyed) {
       if (from < this.#oldestRevision) return sendJson(response, 410, {})
       const events = this.#events.filter(event => event.kind === kind && event.revision > from)
       if (events.length > 0 || performance.now() >= untilMs) {
--- a/tests/policy/directChooser.spec.ts
+++ b/tests/policy/directChooser.spec.ts
@@ -38,12 +38,12 @@
     expect(chooseDirectEndpoint(PROMPT_REQUEST, [home, idle], buildChooserOptions({ holders: [home], planned }))).to.include({ endpoint: idle, hasRoom: true })
   })
 
-  it('should leave a home that is behind for the endpoint that takes its place at all gateways', () => {
+  it('should leave a home that is behind for its alternate, the same at all gateways', () => {
     const home = buildEndpoint('home', { pendingTokens: 4000 })
-    const [idle, standIn] = [buildEndpoint('idle'), buildEndpoint('standIn', { inFlight: 8 })]
+    const [idle, alternate] = [buildEndpoint('idle'), buildEndpoint('alternate', { inFlight: 8 })]
     const planned = new Map([['home', 1_000_000]])
-    const choice = chooseDirectEndpoint(PROMPT_REQUEST, [home, idle, standIn], buildChooserOptions({ holders: [home, standIn], planned }))
-    expect(choice).to.include({ endpoint: standIn, reason: 'prefixStandIn' })
+    const choice = chooseDirectEndpoint(PROMPT_REQUEST, [home, idle, alternate], buildChooserOptions({ holders: [home, alternate], planned }))
+    expect(choice).to.include({ endpoint: alternate, reason: 'prefixAlternate' })
   })
 
   it('should go where the fewest requests are in flight when nothing is shared', () => {
