Let a late small prompt go where there is room

Ruled out: counting them at the rate that is seen (each gateway has but one prompt there at a time); leaving for all sizes (large prompts read anew are what fills the engines). Change: a prompt below its service's mean size that is later than its target chooses among endpoints with room first. Dear: late light prompts leave the endpoints kept for them too.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -46,6 +46,8 @@
   getOthers: (endpointId: string) => EndpointLoad
   /** Requests that this gateway may have at one endpoint: its share of the connections there. */
   maxInFlight: number
+  /** Whether an endpoint with room is chosen before one without, whatever is cached where. */
+  needsRoom: boolean
   nowMs: number
   random: () => number
 }
@@ -53,6 +55,8 @@
 /** What decides whether an endpoint has room for one more request of this gateway. */
 export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'maxInFlight'>
 
+type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens' | 'hasRoom'>
+
 /** Prompt tokens an engine reads in a millisecond, for endpoints of which nothing is known. */
 export const PREFILL_TOKENS_PER_MS = 100
 /**
@@ -87,23 +91,22 @@
  * @returns null when no endpoint is left
  */
 export function chooseDirectEndpoint (request: DirectChoiceRequest, endpoints: readonly DirectEndpoint[], options: DirectChooserOptions): DirectChoice | null {
-  let best: Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'> | null = null
+  let best: Candidate | null = null
   let candidates = 0
   for (const endpoint of endpoints) {
     if (options.excluded.has(endpoint.entry.id)) continue
     candidates += 1
     const unreadTokens = countUnreadTokens(request.promptParts, endpoint, HELD_SHARES[options.holders.indexOf(endpoint)] ?? 0, options.nowMs)
     const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
-    if (best !== null && costMs >= best.costMs) continue
-    best = { endpoint, costMs, unreadTokens }
+    const candidate = { endpoint, costMs, unreadTokens, hasRoom: hasRoom({ endpoint, unreadTokens }, options) }
+    if (best === null || isBetter(candidate, best, options.needsRoom)) best = candidate
   }
   if (best === null) return null
   return {
     ...best,
     candidates,
     reason: HOLDER_REASONS[options.holders.indexOf(best.endpoint)] ?? 'leastCost',
-    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight,
-    hasRoom: hasRoom(best, options)
+    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight
   }
 }
 
@@ -142,6 +145,11 @@
   return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
 }
 
+function isBetter (one: Candidate, other: Candidate, needsRoom: boolean): boolean {
+  if (needsRoom && one.hasRoom !== other.hasRoom) return one.hasRoom
+  return one.costMs < other.costMs
+}
+
 function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, unreadTokens: number, options: DirectChooserOptions): number {
   const { nowMs, random, getOthers } = options
   const others = getOthers(endpoint.entry.id)
--- a/src/policy/promptSizes.ts
+++ b/src/policy/promptSizes.ts
@@ -23,6 +23,11 @@
     this.#means.set(service, mean + SMOOTHING * (tokens - mean))
   }
 
+  /** Tells whether a prompt is smaller than the service's mean one. */
+  isBelowMean (service: string, tokens: number): boolean {
+    return tokens < (this.#means.get(service) ?? 0)
+  }
+
   /** Gets how a prompt of so many tokens compares with what the service is asked lately. */
   getSize (service: string, tokens: number): PromptSize {
     return tokens < LIGHT_SHARE * (this.#means.get(service) ?? 0) ? 'light' : 'heavy'
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -163,17 +163,32 @@
     const { directory, clock, random, loads } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
-    const shared = findSharedPart(request.traits.promptParts)
     const { promptParts } = request.traits
+    const shared = findSharedPart(promptParts)
     const size = this.#sizes.getSize(request.service, countTokens(promptParts))
     const holders = shared === null ? [] : directory.listHolders(request.service, shared.id, size, HOLDER_COUNT)
     return chooseDirectEndpoint(
       { service: request.service, promptParts, size },
       directory.listReady(request.service),
-      { excluded: state.tried, holders, reservedIds: promptParts.length === 0 ? NONE : directory.getReservedIds(request.service), planned, maxInFlight: this.#getMaxInFlight(request), getOthers: id => loads.getOthers(id), nowMs, random }
+      {
+        excluded: state.tried,
+        holders,
+        reservedIds: promptParts.length === 0 ? NONE : directory.getReservedIds(request.service),
+        planned,
+        getOthers: id => loads.getOthers(id),
+        maxInFlight: this.#getMaxInFlight(request),
+        needsRoom: this.#isOverdue(request, nowMs),
+        nowMs,
+        random
+      }
     )
   }
 
+  /** A prompt smaller than most that is late goes where it can start, lest larger ones begin before it. */
+  #isOverdue ({ service, arrivedAtMs, route, traits }: RelayRequest, nowMs: number): boolean {
+    return nowMs - arrivedAtMs > route.targetMs && this.#sizes.isBelowMean(service, countTokens(traits.promptParts))
+  }
+
   /** This gateway's share of the connections that an endpoint accepts from all. */
   #getMaxInFlight ({ service }: RelayRequest): number {
     const { getMaxConnections, loads } = this.#options
--- a/tests/policy/directChooser.spec.ts
+++ b/tests/policy/directChooser.spec.ts
@@ -46,6 +46,14 @@
     expect(choice).to.include({ endpoint: alternate, reason: 'prefixAlternate' })
   })
 
+  it('should go where there is room, whatever is held elsewhere, when the prompt must start', () => {
+    const home = buildEndpoint('home', { pendingTokens: 12_000 })
+    const [full, idle] = [buildEndpoint('full', { pendingTokens: 12_000 }), buildEndpoint('idle')]
+    const choose = (needsRoom: boolean) => chooseDirectEndpoint(PROMPT_REQUEST, [home, full, idle], buildChooserOptions({ holders: [home], needsRoom }))
+    expect([choose(false)?.endpoint, choose(true)?.endpoint]).to.deep.equal([home, idle])
+    expect(chooseDirectEndpoint(PROMPT_REQUEST, [home, full], buildChooserOptions({ holders: [home], needsRoom: true }))?.endpoint).to.equal(home)
+  })
+
   it('should go where the fewest requests are in flight when nothing is shared', () => {
     const endpoints = [buildEndpoint('e-1', { inFlight: 3 }), buildEndpoint('e-2', { inFlight: 1 })]
     expect(chooseDirectEndpoint(PLAIN_REQUEST, endpoints, buildChooserOptions())?.endpoint).to.equal(endpoints[1])
