Count a prompt once a choice, and let the chooser know plain requests

The choice counted the shared and own tokens of a prompt, which are the same everywhere, anew for each endpoint, and asked each for room though only a late small prompt needs it. That plain services have no kept endpoints stood as a special case in the relay, with an empty set of its own beside the directory's. Where nothing is kept, one ring was built twice at each change of the list. Ruled out: the 22 pairs of like shape that are not boilerplate: options, fields and constructors, no logic that is the same; nothing to share. Change: the prompt is counted before the loop; room is asked for where it decides; the chooser leaves out kept endpoints for requests without a prompt; one ring serves both sizes where nothing is kept. No behaviour changes; one test more, no assertion touched.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -55,7 +55,14 @@
 /** What decides whether an endpoint has room for one more request of this gateway. */
 export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'maxInFlight'>
 
-type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens' | 'hasRoom'>
+type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'>
+
+/** What the choice weighs of a prompt, the same at each endpoint. */
+interface PromptCounts {
+  sharedParts: readonly PromptPart[]
+  sharedTokens: number
+  ownTokens: number
+}
 
 /** Prompt tokens an engine reads in a millisecond, for endpoints of which nothing is known. */
 export const PREFILL_TOKENS_PER_MS = 100
@@ -91,22 +98,24 @@
  * @returns null when no endpoint is left
  */
 export function chooseDirectEndpoint (request: DirectChoiceRequest, endpoints: readonly DirectEndpoint[], options: DirectChooserOptions): DirectChoice | null {
+  const prompt = countPrompt(request.promptParts)
   let best: Candidate | null = null
   let candidates = 0
   for (const endpoint of endpoints) {
     if (options.excluded.has(endpoint.entry.id)) continue
     candidates += 1
-    const unreadTokens = countUnreadTokens(request.promptParts, endpoint, HELD_SHARES[options.holders.indexOf(endpoint)] ?? 0, options.nowMs)
-    const costMs = estimateCostMs(request, endpoint, unreadTokens, options)
-    const candidate = { endpoint, costMs, unreadTokens, hasRoom: hasRoom({ endpoint, unreadTokens }, options) }
-    if (best === null || isBetter(candidate, best, options.needsRoom)) best = candidate
+    const unreadTokens = countUnreadTokens(prompt, endpoint, options)
+    const costMs = estimateCostMs(request, endpoint, { ownTokens: prompt.ownTokens, unreadShared: unreadTokens - prompt.ownTokens }, options)
+    const candidate = { endpoint, costMs, unreadTokens }
+    if (best === null || isBetter(candidate, best, options)) best = candidate
   }
   if (best === null) return null
   return {
     ...best,
     candidates,
     reason: HOLDER_REASONS[options.holders.indexOf(best.endpoint)] ?? 'leastCost',
-    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight
+    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight,
+    hasRoom: hasRoom(best, options)
   }
 }
 
@@ -123,15 +132,16 @@
   return parts.at(-2) ?? null
 }
 
-/**
- * Counts the prompt tokens that the endpoint is expected to read for the request.
- *
- * @param heldShare probability that it holds the shared parts although this process did not send them
- */
-export function countUnreadTokens (parts: readonly PromptPart[], endpoint: DirectEndpoint, heldShare: number, nowMs: number): number {
+function countPrompt (parts: readonly PromptPart[]): PromptCounts {
   const sharedParts = parts.slice(0, -1)
+  return { sharedParts, sharedTokens: countTokens(sharedParts), ownTokens: parts.at(-1)?.tokens ?? 0 }
+}
+
+/** Counts the prompt tokens that the endpoint is expected to read for the request. */
+function countUnreadTokens ({ sharedParts, sharedTokens, ownTokens }: PromptCounts, endpoint: DirectEndpoint, { holders, nowMs }: DirectChooserOptions): number {
+  const heldShare = HELD_SHARES[holders.indexOf(endpoint)] ?? 0
   const heldTokens = endpoint.prefixes.countHeldTokens(sharedParts, nowMs)
-  return countTokens(parts) - Math.max(heldTokens, Math.round(heldShare * countTokens(sharedParts)))
+  return ownTokens + sharedTokens - Math.max(heldTokens, Math.round(heldShare * sharedTokens))
 }
 
 /**
@@ -145,24 +155,23 @@
   return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
 }
 
-function isBetter (one: Candidate, other: Candidate, needsRoom: boolean): boolean {
-  if (needsRoom && one.hasRoom !== other.hasRoom) return one.hasRoom
-  return one.costMs < other.costMs
+function isBetter (one: Candidate, other: Candidate, options: DirectChooserOptions): boolean {
+  if (!options.needsRoom) return one.costMs < other.costMs
+  const oneHasRoom = hasRoom(one, options)
+  return oneHasRoom === hasRoom(other, options) ? one.costMs < other.costMs : oneHasRoom
 }
 
-function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, unreadTokens: number, options: DirectChooserOptions): number {
+function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, { ownTokens, unreadShared }: { ownTokens: number, unreadShared: number }, options: DirectChooserOptions): number {
   const { nowMs, random, getOthers } = options
   const others = getOthers(endpoint.entry.id)
-  const ownTokens = request.promptParts.at(-1)?.tokens ?? 0
-  const unreadShared = unreadTokens - ownTokens
   const pendingTokens = endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0)
   const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
   return tokens / PREFILL_TOKENS_PER_MS + computeGroupCostMs(request, endpoint, others, options) + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
 }
 
-function computeGroupCostMs ({ size }: DirectChoiceRequest, { entry }: DirectEndpoint, others: EndpointLoad, { reservedIds }: DirectChooserOptions): number {
-  if (reservedIds.size === 0) return 0
+function computeGroupCostMs ({ promptParts, size }: DirectChoiceRequest, { entry }: DirectEndpoint, others: EndpointLoad, { reservedIds }: DirectChooserOptions): number {
+  if (promptParts.length === 0 || reservedIds.size === 0) return 0
   const isReserved = reservedIds.has(entry.id)
   if (size === 'heavy') return isReserved ? HEAVY_COST_MS : 0
   return isReserved ? FULL_COST_MS * Math.min(others.inFlight, entry.slots) / entry.slots : LIGHT_GAIN_MS
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -138,10 +138,7 @@
 function buildServiceIndex (endpoints: DirectEndpoint[]): ServiceIndex {
   const ids = endpoints.map(endpoint => endpoint.entry.id).sort()
   const reserved = ids.slice(0, Math.floor(RESERVED_SHARE * ids.length))
-  const others = ids.slice(reserved.length)
-  return {
-    endpoints,
-    bySize: { light: new AffinityRing(reserved.length > 0 ? reserved : ids), heavy: new AffinityRing(others) },
-    reservedIds: new Set(reserved)
-  }
+  const heavy = new AffinityRing(ids.slice(reserved.length))
+  const light = reserved.length > 0 ? new AffinityRing(reserved) : heavy
+  return { endpoints, bySize: { light, heavy }, reservedIds: new Set(reserved) }
 }
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -51,7 +51,6 @@
 
 /** Wait before a caller comes back to a service with no free endpoint, when the endpoint does not say. */
 const DEFAULT_RETRY_AFTER_MS = 300
-const NONE: ReadonlySet<string> = new Set()
 /** Time for which a request that waits keeps to the endpoint it chose: short beside every target. */
 const CHOICE_KEPT_MS = 40
 
@@ -163,32 +162,30 @@
     const { directory, clock, random, loads } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
-    const { promptParts } = request.traits
+    const { service, route, arrivedAtMs, traits: { promptParts } } = request
     const shared = findSharedPart(promptParts)
-    const size = this.#sizes.getSize(request.service, countTokens(promptParts))
-    const holders = shared === null ? [] : directory.listHolders(request.service, shared.id, size, HOLDER_COUNT)
+    const tokens = countTokens(promptParts)
+    const size = this.#sizes.getSize(service, tokens)
+    const holders = shared === null ? [] : directory.listHolders(service, shared.id, size, HOLDER_COUNT)
+    // a prompt smaller than most that is late goes where it can start, lest larger ones begin before it
+    const needsRoom = nowMs - arrivedAtMs > route.targetMs && this.#sizes.isBelowMean(service, tokens)
     return chooseDirectEndpoint(
-      { service: request.service, promptParts, size },
-      directory.listReady(request.service),
+      { service, promptParts, size },
+      directory.listReady(service),
       {
         excluded: state.tried,
         holders,
-        reservedIds: promptParts.length === 0 ? NONE : directory.getReservedIds(request.service),
+        reservedIds: directory.getReservedIds(service),
         planned,
         getOthers: id => loads.getOthers(id),
         maxInFlight: this.#getMaxInFlight(request),
-        needsRoom: this.#isOverdue(request, nowMs),
+        needsRoom,
         nowMs,
         random
       }
     )
   }
 
-  /** A prompt smaller than most that is late goes where it can start, lest larger ones begin before it. */
-  #isOverdue ({ service, arrivedAtMs, route, traits }: RelayRequest, nowMs: number): boolean {
-    return nowMs - arrivedAtMs > route.targetMs && this.#sizes.isBelowMean(service, countTokens(traits.promptParts))
-  }
-
   /** This gateway's share of the connections that an endpoint accepts from all. */
   #getMaxInFlight ({ service }: RelayRequest): number {
     const { getMaxConnections, loads } = this.#options
--- a/tests/policy/directChooser.spec.ts
+++ b/tests/policy/directChooser.spec.ts
@@ -74,6 +74,11 @@
       expect(chooseDirectEndpoint(LIGHT_REQUEST, [idle, kept], buildChooserOptions({ reservedIds, getOthers }))?.endpoint).to.equal(idle)
     })
 
+    it('should not tell endpoints apart for a request without a prompt', () => {
+      const [kept, busy] = [buildEndpoint('kept'), buildEndpoint('busy', { inFlight: 1 })]
+      expect(chooseDirectEndpoint(PLAIN_REQUEST, [busy, kept], buildChooserOptions({ reservedIds }))?.endpoint).to.equal(kept)
+    })
+
     it('should send a heavy prompt there only when nothing else is left', () => {
       const [kept, busy] = [buildEndpoint('kept'), buildEndpoint('busy', { inFlight: 60, pendingTokens: 20_000 })]
       expect(chooseDirectEndpoint(PROMPT_REQUEST, [kept, busy], buildChooserOptions({ reservedIds }))?.endpoint).to.equal(busy)
