Believe endpoints that say they leave or want nothing for a while

Cause: two things are new on the wire. An endpoint that leaves says so in every answer (Server-Leaving), before or without the platform's list; one that turns a request away with 503 may name a time (Retry-After) in which it wants nothing more from this machine. Neither was read: the time went to the caller only. Ruled out: treating a quiet endpoint as ejected (it is full, not broken; its connections and rank stay), and keeping the notice of leaving in the belief that goes with the list's entry (an entry may lapse and come back). Change: the endpoint's dialect reads both. A notice of leaving is kept by id and start, yields to a new start only, and goes to other gateways with the loads; an endpoint that goes after it is not taken for crashed. A quiet endpoint has no room and costs the rest of its time; requests bound there choose anew; when all are quiet beyond a caller's deadline it is refused at once and told when the first takes requests again. Both write a log line; notices stand in the state dump.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -51,6 +51,16 @@
     firstMs: number | null
     events: number
   }
+  /** An endpoint turned a request away and named a time for which it wants nothing more. */
+  | {
+    event: 'endpointQuiet'
+    requestId: string
+    endpoint: string
+    askedMs: number
+    /** Milliseconds for which it is left alone from now on. */
+    forMs: number
+    inFlight: number
+  }
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** `inputs` of the decision stand beside the fields named here. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
@@ -60,6 +70,8 @@
 export type BeliefEvent =
   | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
+  /** `requestId` is that of the answer that said so; absent when another gateway told it. */
+  | { event: 'endpointLeaving', requestId: string | undefined, endpoint: string, bornAtMs: number, source: string, saidAgoMs: number }
   | { event: 'endpointEntryIgnored', endpoint: string, revision: number }
   | { event: 'crashBlamed', fingerprint: string, endpoint: string, crashId: string, crashes: number, limit: number }
   | { event: 'crashLearned', fingerprint: string, crashes: number, before: number, limit: number }
--- a/src/cli/requestStory.ts
+++ b/src/cli/requestStory.ts
@@ -19,7 +19,7 @@
 
 /** Beliefs that hold for a while before they touch a request. */
 const BELIEFS_BEFORE_MS = 5000
-const BELIEF_EVENTS = new Set(['endpointChanged', 'endpointEjected', 'configInForce', 'configUnconfirmed', 'configConfirmed', 'crashBlamed', 'dependencyLost', 'dependencyRegained', 'started', 'stopping', 'drained', 'settingsReloaded', 'settingsRefused'])
+const BELIEF_EVENTS = new Set(['endpointChanged', 'endpointEjected', 'endpointLeaving', 'endpointQuiet', 'configInForce', 'configUnconfirmed', 'configConfirmed', 'crashBlamed', 'dependencyLost', 'dependencyRegained', 'started', 'stopping', 'drained', 'settingsReloaded', 'settingsRefused'])
 const FIRST_FIELDS = new Set(['time', 'instance', 'event', 'requestId'])
 
 /**
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -1,4 +1,5 @@
 import { isEjected } from './directEndpoint'
+import { isQuiet } from './quietTime'
 
 import type { DirectEndpoint } from './directEndpoint'
 import type { EndpointLoad } from './loadBoard'
@@ -53,7 +54,7 @@
 }
 
 /** What decides whether an endpoint has room for one more request of this gateway. */
-export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'maxInFlight'>
+export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'maxInFlight' | 'nowMs'>
 
 type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'>
 
@@ -148,8 +149,8 @@
  * Tells whether an endpoint is expected to start the request at once. What waits for it and goes
  * first keeps its room, or a long prompt would wait for ever while short ones slip in.
  */
-function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>, { planned, maxInFlight }: RoomOptions): boolean {
-  if (endpoint.inFlight >= maxInFlight) return false
+function hasRoom ({ endpoint, unreadTokens }: Pick<DirectChoice, 'endpoint' | 'unreadTokens'>, { planned, maxInFlight, nowMs }: RoomOptions): boolean {
+  if (endpoint.inFlight >= maxInFlight || isQuiet(endpoint, nowMs)) return false
   if (unreadTokens === 0) return true
   const aheadTokens = endpoint.pendingTokens + (planned.get(endpoint.entry.id) ?? 0)
   return aheadTokens === 0 || aheadTokens + unreadTokens <= endpoint.readLimit.tokens
@@ -167,7 +168,8 @@
   const pendingTokens = endpoint.pendingTokens + (options.planned.get(endpoint.entry.id) ?? 0)
   const tokens = ownTokens + UNREAD_SHARED_WEIGHT * unreadShared + PENDING_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
-  return tokens / PREFILL_TOKENS_PER_MS + computeGroupCostMs(request, endpoint, others, options) + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + random() * JITTER_MS
+  const quietMs = Math.max(0, endpoint.quietUntilMs - nowMs)
+  return tokens / PREFILL_TOKENS_PER_MS + computeGroupCostMs(request, endpoint, others, options) + FULL_COST_MS * (endpoint.inFlight + countExcess(endpoint, others)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + quietMs + random() * JITTER_MS
 }
 
 function computeGroupCostMs ({ promptParts, size }: DirectChoiceRequest, { entry }: DirectEndpoint, others: EndpointLoad, { reservedIds }: DirectChooserOptions): number {
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -29,6 +29,8 @@
   failureRate: number
   /** Time until which it comes after all others. */
   ejectedUntilMs: number
+  /** Time until which it asked this process to send nothing. */
+  quietUntilMs: number
   /** Time until which its connections are used once only, since bytes came that belong to no request. */
   mistrustedUntilMs: number
   /** Time of the last byte that came from it. */
@@ -66,6 +68,7 @@
     failures: 0,
     failureRate: 0,
     ejectedUntilMs: 0,
+    quietUntilMs: 0,
     mistrustedUntilMs: 0,
     heardAtMs: 0,
     answerMs: 0,
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -1,7 +1,9 @@
 import { AffinityRing } from './affinityRing'
 import { buildDirectEndpoint } from './directEndpoint'
+import { LeavingMemory } from './leavingMemory'
 
 import type { DirectEndpoint, EndpointEntry } from './directEndpoint'
+import type { LeavingNotice } from './leavingMemory'
 import type { PromptSize } from './promptSizes'
 
 /** A change of what is believed of the endpoints, for the log. */
@@ -12,7 +14,8 @@
   | { kind: 'readyAgain', entry: EndpointEntry }
   /** Its entry went while the list could not be read; it has some time to come back. */
   | { kind: 'lapsed', entry: EndpointEntry }
-  | { kind: 'gone', entry: EndpointEntry }
+  /** `wasLeaving` when it had said so in an answer before its entry went. */
+  | { kind: 'gone', entry: EndpointEntry, wasLeaving: boolean }
 
 interface ServiceIndex {
   endpoints: DirectEndpoint[]
@@ -43,6 +46,7 @@
 export class EndpointDirectory {
   readonly #endpoints = new Map<string, DirectEndpoint>()
   readonly #lapsedUntilMs = new Map<string, number>()
+  readonly #leaving = new LeavingMemory()
   #byService = new Map<string, ServiceIndex>()
 
   listAll (): DirectEndpoint[] {
@@ -67,7 +71,19 @@
 
   /** Tells whether the endpoint still takes new requests as the same process. */
   isReady (endpoint: DirectEndpoint): boolean {
-    return this.#endpoints.get(endpoint.entry.id) === endpoint && endpoint.entry.state === 'ready'
+    return this.#endpoints.get(endpoint.entry.id) === endpoint && this.#canTakeRequests(endpoint)
+  }
+
+  /** Takes in that an endpoint is leaving; false when it was known. */
+  recordLeaving (notice: LeavingNotice): boolean {
+    const isNew = this.#leaving.record(notice)
+    if (isNew) this.#buildIndex()
+    return isNew
+  }
+
+  /** Lists what is known to leave while the list still calls it ready. */
+  listLeaving (): LeavingNotice[] {
+    return this.listAll().flatMap(({ entry }) => entry.state === 'ready' ? this.#leaving.get(entry.id, entry.bornAtMs) ?? [] : [])
   }
 
   /** Takes the whole list; what is not in it is gone, or has lapsed if the list was out of reach. */
@@ -121,13 +137,19 @@
     const endpoint = this.#endpoints.get(id)
     this.#endpoints.delete(id)
     this.#lapsedUntilMs.delete(id)
-    return endpoint === undefined ? [] : [{ kind: 'gone', entry: endpoint.entry }]
+    if (endpoint === undefined) return []
+    const { entry } = endpoint
+    return [{ kind: 'gone', entry, wasLeaving: this.#leaving.has(id, entry.bornAtMs) }]
+  }
+
+  #canTakeRequests ({ entry }: DirectEndpoint): boolean {
+    return entry.state === 'ready' && !this.#leaving.has(entry.id, entry.bornAtMs)
   }
 
   #buildIndex (): void {
     const byService = new Map<string, DirectEndpoint[]>()
     for (const endpoint of this.#endpoints.values()) {
-      if (endpoint.entry.state !== 'ready') continue
+      if (!this.#canTakeRequests(endpoint)) continue
       const { service } = endpoint.entry
       byService.set(service, [...byService.get(service) ?? [], endpoint])
     }
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -68,8 +68,9 @@
     this.#recordGone(entry)
   }
 
-  recordChange ({ kind, entry }: DirectoryChange): void {
-    if (kind === 'gone' && entry.state === 'ready') this.#recordGone(entry)
+  /** Takes an endpoint that goes without having said that it leaves for crashed. */
+  recordChange (change: DirectoryChange): void {
+    if (change.kind === 'gone' && change.entry.state === 'ready' && !change.wasLeaving) this.#recordGone(change.entry)
   }
 
   /** Takes in a record that another gateway told. */
--- a/src/relay/dialects.ts
+++ b/src/relay/dialects.ts
@@ -37,6 +37,10 @@
   /** Whether another endpoint than the expected one has the address. */
   isWrongEndpoint: boolean
   retryAfterMs: number | null
+  /** Whether the endpoint says that it is about to stop. */
+  isLeaving: boolean
+  /** Milliseconds for which the endpoint, turning the request away, wants nothing more from this process. */
+  quietMs: number | null
   isEventStream: boolean
   /** Headers to pass on to the caller. */
   headers: HeaderList
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,10 +1,12 @@
 import { chooseDirectEndpoint, countTokens, findSharedPart, HOLDER_COUNT, updateRoom } from '../policy/directChooser'
 import { isEjected } from '../policy/directEndpoint'
 import { PromptSizes } from '../policy/promptSizes'
+import { findQuietRestMs, isQuiet } from '../policy/quietTime'
 import { decideRepeat } from '../policy/repeatDecision'
 
 import type { Clock } from '../base/clock'
 import type { DirectChoice, PlannedTokens } from '../policy/directChooser'
+import type { DirectEndpoint } from '../policy/directEndpoint'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { LoadBoard } from '../policy/loadBoard'
 import type { RepeatSituation, SendOutcome } from '../policy/repeatDecision'
@@ -118,14 +120,20 @@
 
   /** Waits for an endpoint with room and takes the room; null when there is none in time. */
   async #acquireRoom (state: RelayState): Promise<DirectChoice | null> {
-    const { clock, directory, dispatcher, checkAgain, crashes, observer } = this.#options
+    const { clock, dispatcher, checkAgain, crashes, observer } = this.#options
     const { request, reply } = state
     const poison = crashes.check(request)
     if (poison !== null) {
       refuseUnlessRun(state, poison)
       return null
     }
-    if (directory.listReady(request.service).every(endpoint => state.tried.has(endpoint.entry.id))) return null
+    const untried = this.#listUntried(state)
+    if (untried.length === 0) return null
+    const quietMs = findQuietRestMs(untried, clock.getMonotonicMs())
+    if (quietMs !== null && clock.getMonotonicMs() + quietMs >= request.deadlineAtMs) {
+      refuseUnlessRun(state, createRefused(quietMs))
+      return null
+    }
     let best: DirectChoice | null = null
     let chosenAtMs = -Infinity
     const choice = await dispatcher.wait({
@@ -136,7 +144,7 @@
       expiresAtMs: request.deadlineAtMs,
       choose: planned => {
         const nowMs = clock.getMonotonicMs()
-        if (best !== null && nowMs - chosenAtMs < CHOICE_KEPT_MS && this.#isUsable(best, nowMs)) best = updateRoom(best, { planned, maxInFlight: this.#getMaxInFlight(request) })
+        if (best !== null && nowMs - chosenAtMs < CHOICE_KEPT_MS && this.#isUsable(best, nowMs)) best = updateRoom(best, { planned, maxInFlight: this.#getMaxInFlight(request), nowMs })
         else {
           best = this.#choose(state, planned)
           chosenAtMs = nowMs
@@ -147,7 +155,7 @@
     }, reply.signal)
     if (choice === null) {
       observer.recordWaitEnded(request, best, dispatcher.countWaiting(request.service), clock.getMonotonicMs())
-      refuseUnlessRun(state, createRefused(null))
+      refuseUnlessRun(state, createRefused(findQuietRestMs(this.#listUntried(state), clock.getMonotonicMs())))
       return null
     }
     // what an endpoint has begun under a valid key goes on; only a first send is asked for again
@@ -158,6 +166,10 @@
     return null
   }
 
+  #listUntried ({ request, tried }: RelayState): DirectEndpoint[] {
+    return this.#options.directory.listReady(request.service).filter(endpoint => !tried.has(endpoint.entry.id))
+  }
+
   #choose (state: RelayState, planned: PlannedTokens): DirectChoice | null {
     const { directory, clock, random, loads } = this.#options
     const { request } = state
@@ -193,7 +205,7 @@
   }
 
   #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
-    return this.#options.directory.isReady(endpoint) && !isEjected(endpoint, nowMs)
+    return this.#options.directory.isReady(endpoint) && !isEjected(endpoint, nowMs) && !isQuiet(endpoint, nowMs)
   }
 
   #takeRoom (state: RelayState, choice: DirectChoice): void {
--- a/src/relay/endpointRun.ts
+++ b/src/relay/endpointRun.ts
@@ -23,6 +23,8 @@
   reply: CallerReply
   dialect: EndpointDialect
   position: StreamPosition
+  /** Told of the head of an answer that belongs to the request. */
+  handleHead: (head: AnswerHead) => void
   /** Told of each sign that the endpoint is there. */
   handleBytes: () => void
   /** Told once, when the first bytes of the body or the whole answer came. */
@@ -66,6 +68,7 @@
     this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
     this.#rejected = this.#checkHead(head)
     if (this.#rejected !== null) return 'reject'
+    this.#options.handleHead(head)
     return isSuccess(status) && head.isEventStream ? 'pass' : 'collect'
   }
 
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,5 +1,6 @@
 import { PREFILL_TOKENS_PER_MS } from '../policy/directChooser'
 import { recordSend } from '../policy/directEndpoint'
+import { recordQuiet } from '../policy/quietTime'
 import { sendToEndpoint } from './endpointExchange'
 import { EndpointRun, isSuccess } from './endpointRun'
 
@@ -10,7 +11,7 @@
 import type { SendOutcome } from '../policy/repeatDecision'
 import type { CallerReply } from './callerReply'
 import type { CrashGuard } from './crashGuard'
-import type { EndpointDialect } from './dialects'
+import type { AnswerHead, EndpointDialect } from './dialects'
 import type { EndpointSend, ExchangeEnd } from './endpointExchange'
 import type { StreamPosition } from './endpointRun'
 import type { RelayObserver } from './relayObserver'
@@ -29,6 +30,8 @@
   getTightestTargetMs: (service: string) => number
   /** Requests that wait for an endpoint of the service. */
   countWaiting: (service: string) => number
+  /** Told that an endpoint said in its answer to a request that it is leaving. */
+  handleLeaving: (endpoint: DirectEndpoint, request: RelayRequest) => void
   /** Told when an endpoint has taken up a prompt or ended a request, so that it may have room. */
   handleRoom: (service: string) => void
 }
@@ -102,6 +105,7 @@
       dialect: options.dialect,
       position: order.position,
       abort: () => this.#controller.abort(),
+      handleHead: head => this.#recordNotices(head),
       handleBytes: () => options.silence.recordHeard(this.#watched),
       handleFirst: () => this.#recordFirst(),
       handleEvents: count => { this.#events += count }
@@ -159,6 +163,19 @@
     this.#controller.abort()
   }
 
+  /** Takes in what the endpoint says of itself, whatever became of the request. */
+  #recordNotices ({ isWrongEndpoint, isLeaving, quietMs }: AnswerHead): void {
+    // another endpoint at the address speaks for itself, not for the one that was asked
+    if (isWrongEndpoint) return
+    const { clock, observer, handleLeaving } = this.#options
+    const { request } = this.#order
+    if (isLeaving) handleLeaving(this.#endpoint, request)
+    if (quietMs === null) return
+    const nowMs = clock.getMonotonicMs()
+    recordQuiet(this.#endpoint, quietMs, nowMs)
+    observer.recordQuiet(request, this.#endpoint, quietMs, nowMs)
+  }
+
   #recordFirst (): void {
     const { clock, handleRoom } = this.#options
     const { request } = this.#order
--- a/src/relay/loadLinks.ts
+++ b/src/relay/loadLinks.ts
@@ -5,6 +5,7 @@
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { LeavingNotice } from '../policy/leavingMemory'
 import type { EndpointLoad, LoadBoard, LoadReport } from '../policy/loadBoard'
 import type { PeerTable } from '../policy/peerTable'
 import type { LoadNews } from '../protocol/viewMessages'
@@ -17,6 +18,8 @@
   board: LoadBoard
   directory: EndpointDirectory
   log: DecisionLog
+  /** Told of an endpoint that another gateway knows to leave. */
+  handleLeaving: (notice: LeavingNotice) => void
   openClient: (peer: { id: string, address: string }) => PeerClient
 }
 
@@ -82,17 +85,18 @@
     if (answer.isOk) this.#takeLoads(answer.value)
   }
 
-  #takeLoads ({ teller, domain, gateways, loads }: LoadNews): void {
-    const { board, clock } = this.#options
+  #takeLoads ({ teller, domain, gateways, loads, leaving }: LoadNews): void {
+    const { board, clock, handleLeaving } = this.#options
     const nowMs = clock.getMonotonicMs()
     const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs }]))
     board.record(domain ?? teller, report, nowMs, gateways)
     this.#tellers.set(domain ?? teller, domain)
+    for (const [id, bornAtMs, saidAgoMs] of leaving) handleLeaving({ id, bornAtMs, source: 'peer', saidAtMs: nowMs - saidAgoMs })
   }
 
   /** This gateway's load, for the one that reads for its domain. */
   #buildOwn (): LoadNews {
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(this.#listOwn()) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(this.#listOwn()), leaving: this.#listLeaving() }
   }
 
   /** The load of all gateways of this domain, for another domain. */
@@ -107,7 +111,7 @@
 
   #buildSum (domain: string | null, isLeftOut: (teller: string) => boolean): LoadNews {
     const { board, table } = this.#options
-    return { teller: table.self.id, domain, gateways: board.countGateways(isLeftOut), loads: this.#toTuples(board.buildSum(this.#listOwn(), isLeftOut)) }
+    return { teller: table.self.id, domain, gateways: board.countGateways(isLeftOut), loads: this.#toTuples(board.buildSum(this.#listOwn(), isLeftOut)), leaving: this.#listLeaving() }
   }
 
   #listOwn (): LoadReport {
@@ -118,6 +122,11 @@
     return own
   }
 
+  #listLeaving (): LoadNews['leaving'] {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    return this.#options.directory.listLeaving().map(({ id, bornAtMs, saidAtMs }) => [id, bornAtMs, Math.max(0, Math.round(nowMs - saidAtMs))])
+  }
+
   #toTuples (report: LoadReport): LoadNews['loads'] {
     const nowMs = this.#options.clock.getMonotonicMs()
     return [...report].map(([id, { inFlight, pendingTokens, heardAtMs }]) => [id, inFlight, Math.round(pendingTokens), Math.round(Math.min(MAX_HEARD_AGO_MS, nowMs - heardAtMs))])
--- a/src/relay/peerSide.ts
+++ b/src/relay/peerSide.ts
@@ -9,6 +9,7 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
+import type { LeavingNotice } from '../policy/leavingMemory'
 import type { OwnPeerRecord } from '../policy/peerTable'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
@@ -23,6 +24,8 @@
   prefixes: readonly string[]
   directory: EndpointDirectory
   crashes: CrashGuard
+  /** Told of an endpoint that another gateway knows to leave. */
+  handleLeaving: (notice: LeavingNotice) => void
   log: DecisionLog
 }
 
@@ -39,7 +42,7 @@
   readonly loads = new LoadBoard()
 
   constructor (options: PeerSideOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, handleLeaving, log } = options
     this.#options = options
     this.#table = new PeerTable(buildOwnRecord(settings))
     this.#links = new PeerLinks({
@@ -51,7 +54,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadLinks = new LoadLinks({ clock, random, table: this.#table, board: this.loads, directory, log, openClient: peer => this.#links.openClient(peer) })
+    this.#loadLinks = new LoadLinks({ clock, random, table: this.#table, board: this.loads, directory, handleLeaving, log, openClient: peer => this.#links.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -2,6 +2,8 @@
 import type { LabeledHistogram } from '../base/labeledHistogram'
 import type { Counter, Metrics } from '../base/metrics'
 import type { DirectChoice } from '../policy/directChooser'
+import type { DirectEndpoint } from '../policy/directEndpoint'
+import type { LeavingNotice } from '../policy/leavingMemory'
 import type { RepeatDecision, SendOutcome } from '../policy/repeatDecision'
 import type { Refusal } from '../protocol/errorBody'
 import type { CallerReply } from './callerReply'
@@ -87,6 +89,23 @@
     this.#log.write(isGood ? 'routine' : 'notable', { event: 'sendEnded', requestId: request.traits.requestId, service: request.service, ...report })
   }
 
+  /** Records that an endpoint turned a request away and wants nothing more for a while. */
+  recordQuiet (request: RelayRequest, { entry, inFlight, quietUntilMs }: DirectEndpoint, askedMs: number, nowMs: number): void {
+    this.#log.write('notable', {
+      event: 'endpointQuiet',
+      requestId: request.traits.requestId,
+      endpoint: entry.id,
+      askedMs: Math.round(askedMs),
+      forMs: Math.round(quietUntilMs - nowMs),
+      inFlight
+    })
+  }
+
+  /** Records that an endpoint is leaving; `requestId` is that of the answer that said so. */
+  recordLeaving ({ id, bornAtMs, source, saidAtMs }: LeavingNotice, requestId: string | undefined, nowMs: number): void {
+    this.#log.write('notable', { event: 'endpointLeaving', requestId, endpoint: id, bornAtMs, source, saidAgoMs: Math.round(nowMs - saidAtMs) })
+  }
+
   /** Records whether a request is sent once more. */
   recordRepeat (request: RelayRequest, decision: RepeatDecision, isGranted: boolean): void {
     const outcome = decision.kind === 'end' ? decision.reason : isGranted ? 'repeated' : 'budgetSpent'
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -23,6 +23,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
+import type { LeavingNotice } from '../policy/leavingMemory'
 import type { RetryWindowOptions } from '../policy/retryWindow'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
@@ -72,6 +73,7 @@
   #settings: RelaySettings
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
+  readonly #observer: RelayObserver
   readonly #directory = new EndpointDirectory()
   readonly #freshness: ViewFreshness
   readonly #retries: RetryWindow
@@ -92,6 +94,7 @@
     const { settings, log, service, decoder, callerDialect, endpointDialect } = options
     this.#options = options
     this.#settings = settings
+    this.#observer = new RelayObserver(log, this.#metrics)
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
     this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#peers.notifyCrash() })
@@ -103,6 +106,7 @@
       prefixes: [decoder.configKey, decoder.endpointPrefix],
       directory: this.#directory,
       crashes: this.#crashes,
+      handleLeaving: notice => this.#recordLeaving(notice),
       log
     })
     this.#follower = new FleetFollower({
@@ -116,7 +120,7 @@
       handleChange: change => this.#crashes.recordChange(change),
       handleTable: table => this.#server.setBounds(table.bounds)
     })
-    const observer = new RelayObserver(log, this.#metrics)
+    const observer = this.#observer
     const gate = new AdmissionGate({
       clock: systemClock,
       random: Math.random,
@@ -132,6 +136,7 @@
       crashes: this.#crashes,
       agent: this.#agent,
       getTightestTargetMs: name => this.#follower.table?.getTightestTargetMs(name) ?? Infinity,
+      handleLeaving: ({ entry }, request) => this.#recordLeaving({ id: entry.id, bornAtMs: entry.bornAtMs, source: 'answer', saidAtMs: systemClock.getMonotonicMs() }, request.traits.requestId),
       countWaiting: name => this.#dispatcher.countWaiting(name),
       handleRoom: name => this.#dispatcher.notifyRoom(name)
     })
@@ -227,6 +232,11 @@
     await Promise.all([this.#follower.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
+  /** Takes in that an endpoint leaves; `requestId` is that of the answer that said so. */
+  #recordLeaving (notice: LeavingNotice, requestId?: string): void {
+    if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
+  }
+
   #answerReady (_request: IncomingMessage, response: ServerResponse): void {
     const freshness = this.#freshness.getVerdict()
     const reason = decideReadiness({ isLeaving: this.#isLeaving, isComplete: this.#follower.isComplete, freshness })
@@ -253,6 +263,7 @@
     this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#follower.table?.version ?? null, routes: this.#follower.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixes: _prefixes, readLimit, ...belief }) => ({ ...belief, readLimitTokens: readLimit.tokens })))
+    this.#dump.register('leaving', () => this.#directory.listLeaving())
     this.#dump.register('crashes', () => this.#crashes.listRecords())
     this.#dump.register('peers', () => this.#peers.listPeers())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
--- /dev/null
+++ b/tests/relay/leaving.spec.ts
@@ -0,0 +1,85 @@
+import { expect } from 'chai'
+
+import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, registerEndpoint, SEAL, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+
+import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+
+const LEAVING = 'Server-Leaving: 1'
+
+function answerLeaving ({ socket, requestId }: ReceivedRequest, status = '200 OK', headers: string[] = []): void {
+  socket.write([`HTTP/1.1 ${status}`, SEAL, LEAVING, `Tanagerwick-Request-Attempt-Id: ${requestId}`, ...headers, 'Content-Length: 4', '', 'last'].join('\r\n'))
+}
+
+describe('an endpoint whose answers say that it is leaving', () => {
+  let fixture: RelayFixture | undefined
+
+  afterEach(async () => {
+    await fixture?.close()
+    fixture = undefined
+  })
+
+  /** Starts a gateway that knows one endpoint, and a second one that is not on the list yet. */
+  async function start (answer: (request: ReceivedRequest) => void, config?: unknown): Promise<{ leaver: EndpointFixture, other: EndpointFixture }> {
+    const leaver = await startEndpoint('e-1', answer)
+    const other = await startEndpoint('e-2', request => answerWhole(request))
+    fixture = await startRelay(config, [leaver])
+    return { leaver, other }
+  }
+
+  async function list (endpoint: EndpointFixture, overrides: Record<string, unknown> = {}): Promise<void> {
+    const { store, lines } = fixture!
+    const before = lines.length
+    registerEndpoint(store, endpoint, overrides)
+    await waitUntil('the entry to be read', () => lines.slice(before).some(line => line.event === 'endpointChanged' && line.endpoint === endpoint.id))
+  }
+
+  it('should get nothing more once the answer was passed on, on kept connections too', async () => {
+    const { leaver, other } = await start(request => answerLeaving(request))
+    expect((await sendRequest(fixture!, { id: 'r-0' })).text).to.match(/last$/)
+    await list(other)
+    for (let index = 1; index <= 6; index++) expect((await sendRequest(fixture!, { id: `r-${index}` })).text).to.match(/found$/)
+    expect(leaver.received).to.have.length(1)
+    expect(fixture!.lines.filter(line => line.event === 'endpointLeaving')).to.have.length(1)
+  })
+
+  it('should get no repeat and nothing that waits when it says so in a refusal or a failure', async () => {
+    for (const [status, ...headers] of [['503 Service Unavailable', 'Tanagerwick-Not-Executed: 1'], ['500 Internal Server Error']]) {
+      const { leaver } = await start(request => answerLeaving(request, status, headers))
+      await sendRequest(fixture!, { id: 'r-0' })
+      expect((await sendRequest(fixture!, { id: 'r-1' })).text).to.match(/^HTTP\/1\.1 503 /)
+      expect(leaver.received).to.have.length(1)
+      await fixture!.close()
+    }
+  })
+
+  it('should go on with what runs there when the head of a stream says so', async () => {
+    let stream: ReceivedRequest | undefined
+    const config = buildPlatformConfig({ routes: [buildRoute({ kind: 'streaming', resumable: true, targetGapMs: 200 })] })
+    const { leaver, other } = await start(request => {
+      stream = request
+      request.socket.write(`HTTP/1.1 200 OK\r\n${SEAL}\r\n${LEAVING}\r\nContent-Type: text/event-stream\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nTransfer-Encoding: chunked\r\n\r\n`)
+    }, config)
+    const answer = sendRaw(fixture!.port, buildCallerRequest({ id: 's-0', headers: ['Connection: close'] }))
+    await waitUntil('the notice', () => fixture!.lines.some(line => line.event === 'endpointLeaving'))
+    await list(other)
+    await sendRequest(fixture!, { id: 's-1' })
+    const event = 'id: 1\ndata: whole\n\n'
+    stream!.socket.write(`${event.length.toString(16)}\r\n${event}\r\n0\r\n\r\n`)
+    expect((await answer).text).to.contain('data: whole')
+    expect([leaver.received.length, other.received.length]).to.deep.equal([1, 1])
+  })
+
+  it('should get requests again after a new start under its id, not before', async () => {
+    const { leaver, other } = await start(request => leaver.received.length === 1 ? answerLeaving(request) : answerWhole(request, 'anew'))
+    await sendRequest(fixture!, { id: 'r-0' })
+    fixture!.store.delete('servers/e-1')
+    await waitUntil('the entry to go', () => fixture!.lines.some(line => line.event === 'endpointChanged' && line.change === 'gone'))
+    await list(leaver)
+    await list(other)
+    for (let index = 1; index <= 4; index++) expect((await sendRequest(fixture!, { id: `r-${index}` })).text).to.match(/found$/)
+    fixture!.store.delete('servers/e-2')
+    await waitUntil('the other to go', () => fixture!.lines.some(line => line.event === 'endpointChanged' && line.change === 'gone' && line.endpoint === 'e-2'))
+    await list(leaver, { born: 2 })
+    expect((await sendRequest(fixture!, { id: 'r-9' })).text).to.match(/anew$/)
+  })
+})
--- a/tests/relay/peers.spec.ts
+++ b/tests/relay/peers.spec.ts
@@ -2,7 +2,7 @@
 
 import { findFreePorts } from '../../standins/shared/freePorts'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
-import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, registerEndpoint, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, registerEndpoint, SEAL, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { RelaySettings } from '../../src/config/processSettings'
 import type { EndpointFixture, RelayFixture } from './relayFixture'
@@ -59,6 +59,20 @@
     expect(performance.now() - startedAtMs).to.be.below(2000)
   })
 
+  it('should send nothing to an endpoint that told another gateway that it leaves', async () => {
+    const { store, reader, follower } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    const leaver = await startEndpoint('e-9', ({ socket, requestId }) => socket.write(`HTTP/1.1 200 OK\r\n${SEAL}\r\nServer-Leaving: 1\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 4\r\n\r\nlast`))
+    store.delete('servers/e-1')
+    registerEndpoint(store, leaver)
+    await waitUntil('the endpoint to be known', () => [reader, follower].every(gateway => gateway.lines.some(line => line.event === 'endpointChanged' && line.endpoint === 'e-9')))
+    await sendRequest(follower, { id: 'l-1' })
+    await waitUntil('the notice to be told', () => reader.lines.some(line => line.event === 'endpointLeaving' && line.source === 'peer'))
+    expect((await sendRequest(reader, { id: 'l-2' })).text).to.match(/^HTTP\/1\.1 503 /)
+    expect(leaver.received).to.have.length(1)
+    leaver.close()
+  })
+
   it('should refuse a request that crashed endpoints at another gateway, though no write of the store arrives', async () => {
     const { store, reader, follower } = pair
     await waitUntil('the follower to follow', () => isFollowing(follower))
--- /dev/null
+++ b/tests/relay/quiet.spec.ts
@@ -0,0 +1,53 @@
+import { expect } from 'chai'
+
+import { answerWhole, sendRequest, startEndpoint, startRelay } from './relayFixture'
+
+import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+
+function refuseFor ({ socket, requestId }: ReceivedRequest, retryAfter: string): void {
+  socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nRetry-After: ${retryAfter}\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`)
+}
+
+describe('an endpoint that turns a request away with Retry-After', () => {
+  let fixture: RelayFixture | undefined
+
+  afterEach(async () => {
+    await fixture?.close()
+    fixture = undefined
+  })
+
+  async function startFull (retryAfter: string, others: EndpointFixture[] = []): Promise<EndpointFixture> {
+    const full = await startEndpoint('e-1', request => full.received.length === 1 ? refuseFor(request, retryAfter) : answerWhole(request, 'room'))
+    fixture = await startRelay(undefined, [full, ...others])
+    return full
+  }
+
+  it('should get nothing from this gateway for that time while others take requests', async () => {
+    const other = await startEndpoint('e-2', request => answerWhole(request))
+    const full = await startFull('2', [other])
+    for (let index = 0; full.received.length === 0; index++) await sendRequest(fixture!, { id: `r-${index}` })
+    for (let index = 0; index < 20; index++) expect((await sendRequest(fixture!, { id: `s-${index}` })).text).to.match(/found$/)
+    expect(full.received).to.have.length(1)
+    expect(fixture!.lines.some(line => line.event === 'endpointQuiet' && line.endpoint === 'e-1' && line.askedMs === 2000)).to.equal(true)
+  })
+
+  it('should get what waits for it once the time is over, and not before', async () => {
+    const full = await startFull('0.4')
+    await sendRequest(fixture!, { id: 'r-0' })
+    const sentAtMs = performance.now()
+    expect((await sendRequest(fixture!, { id: 'r-1' })).text).to.match(/room$/)
+    expect(performance.now() - sentAtMs).to.be.within(300, 1000)
+    expect(full.received).to.have.length(2)
+  })
+
+  it('should have callers refused at once, and told when to come back, when nothing else serves in their time', async () => {
+    const full = await startFull('30')
+    await sendRequest(fixture!, { id: 'r-0' })
+    const sentAtMs = performance.now()
+    const { text } = await sendRequest(fixture!, { id: 'r-1' })
+    expect(text).to.match(/^HTTP\/1\.1 503 /)
+    expect(Number(/Retry-After: (\S+)/i.exec(text)?.[1])).to.be.within(28, 30)
+    expect(performance.now() - sentAtMs).to.be.below(300)
+    expect(full.received).to.have.length(1)
+  })
+})
