Reset connections of requests that nobody waits for any more

Its endpoint had crashed while the bytes were under way; the gateway had given the request up at its deadline, but closed the connection in order, and the system went on sending what it still held until the endpoint was back (it answered 421 then). The trace: sent 8.765, deadline 9.530, reaches the endpoint 12.316 s. Ruled out: the gateway's processor (0.11 of a core), a pass over the queue: the request had left the gateway before its client left. Change: an exchange that is given up or rejected resets its connection.

--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -94,6 +94,16 @@
 
   readonly #handleAbort = (): void => {
     this.#finish({ kind: 'aborted' })
+    this.#abortConnection()
+  }
+
+  /**
+   * Resets the connection. Closing it would leave bytes with the system that go out seconds later, when
+   * a broken link works again, and the endpoint would run a request that nobody waits for.
+   */
+  #abortConnection (): void {
+    const socket = this.#request?.socket ?? null
+    if (socket !== null && !socket.connecting) socket.resetAndDestroy()
     this.#request?.destroy()
   }
 
@@ -108,7 +118,7 @@
     const decision = this.#sink.handleHead(response.statusCode ?? 0, response.rawHeaders)
     if (decision === 'reject') {
       this.#finish({ kind: 'rejected' })
-      this.#request?.destroy()
+      this.#abortConnection()
       return
     }
     response.on('data', (bytes: Buffer) => decision === 'collect' ? this.#addPart(bytes) : this.#relayPart(response, bytes))
