Serve connections that were accepted just before a planned stop

Ruled out: kept connections (one request each here), requests in flight. Change: a connection on which nothing was asked yet has 300 ms for its first request once the gateway accepts no more; it counts as busy until then, so that the process waits for it. Conclusion: what is left in the system's queue of new connections when the address closes is reset unread, which callers can tell.

--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -28,19 +28,24 @@
   maxConnections: number
 }
 
+/** What happens on a connection: nothing was asked yet, something is asked, or nothing any more. */
+type SocketUse = 'fresh' | 'busy' | 'idle'
+
 /** Bounds until the first configuration says others. */
 const FIRST_BOUNDS: CallerBounds = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000 }
 /** Header bytes that the parser reads at most; the configuration's bound lies below. */
 const MAX_PARSED_HEADER_BYTES = 65_536
 const LISTEN_BACKLOG = 4096
 const CHECK_INTERVAL_MS = 500
+/** Time that a connection accepted just before the stop has for its first request, which is under way by then. */
+const FRESH_GRACE_MS = 300
 
 /** The callers' side of requests that are relayed straight to endpoints. */
 export class RelayServer {
   readonly #options: RelayServerOptions
   readonly #server: Server
-  /** Open connections, with whether a request is being answered on them. */
-  readonly #sockets = new Map<Duplex, boolean>()
+  /** Open connections by what happens on them. */
+  readonly #sockets = new Map<Duplex, SocketUse>()
   #bounds = FIRST_BOUNDS
   #isLeaving = false
   #isClosed = false
@@ -70,9 +75,9 @@
     return this.#sockets.size
   }
 
-  /** Counts the connections with a request that is being read or has no whole answer yet. */
+  /** Counts the connections with a request that is on its way, is being read or has no whole answer yet. */
   countBusy (): number {
-    return [...this.#sockets.values()].filter(isBusy => isBusy).length
+    return [...this.#sockets.values()].filter(use => use !== 'idle').length
   }
 
   /** Takes the bounds of the configuration in force. */
@@ -105,7 +110,10 @@
   stopAccepting (): void {
     this.#isClosed = true
     this.#server.close()
-    for (const [socket, isBusy] of this.#sockets) if (!isBusy) socket.end()
+    for (const [socket, use] of this.#sockets) {
+      if (use === 'idle') socket.end()
+      else if (use === 'fresh') this.#scheduleFreshEnd(socket)
+    }
   }
 
   /** Closes everything at once. */
@@ -115,18 +123,27 @@
   }
 
   #trackSocket (socket: Socket): void {
-    this.#sockets.set(socket, false)
+    this.#sockets.set(socket, 'fresh')
     socket.once('close', () => this.#sockets.delete(socket))
     // it was accepted in the same turn in which the process stopped to accept
-    if (this.#isClosed) socket.end()
+    if (this.#isClosed) this.#scheduleFreshEnd(socket)
   }
 
   #releaseSocket (socket: Socket): void {
     if (!this.#sockets.has(socket)) return
-    this.#sockets.set(socket, false)
+    this.#sockets.set(socket, 'idle')
     if (this.#isClosed) socket.end()
   }
 
+  /** Ends a connection on which nothing is asked soon. */
+  #scheduleFreshEnd (socket: Duplex): void {
+    setTimeout(() => {
+      if (this.#sockets.get(socket) !== 'fresh') return
+      this.#sockets.set(socket, 'idle')
+      socket.end()
+    }, FRESH_GRACE_MS).unref()
+  }
+
   #handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const { clock, dialect, observer } = this.#options
     const arrivedAtMs = clock.getMonotonicMs()
@@ -136,7 +153,7 @@
       request.socket.destroy()
       return
     }
-    this.#sockets.set(request.socket, true)
+    this.#sockets.set(request.socket, 'busy')
     response.once('close', () => this.#releaseSocket(request.socket))
     if (this.#isLeaving) response.shouldKeepAlive = false
     const reply = new CallerReply(response, dialect)
@@ -181,7 +198,7 @@
 
   /** Answers bytes that are no request and closes their connection. */
   #refuseBytes (socket: Duplex): void {
-    if (!socket.writable || this.#sockets.get(socket) === true) {
+    if (!socket.writable || this.#sockets.get(socket) === 'busy') {
       socket.destroy()
       return
     }
--- a/tests/relay/draining.spec.ts
+++ b/tests/relay/draining.spec.ts
@@ -66,6 +66,23 @@
     caller.destroy()
   })
 
+  it('should cut off nobody whom it accepted while callers keep coming', async () => {
+    await start(request => setTimeout(() => answerWhole(request), 20))
+    const answers: Array<ReturnType<typeof sendRaw>> = []
+    const timer = setInterval(() => { for (let index = 0; index < 5; index++) answers.push(sendRaw(fixture!.port, buildCallerRequest({ id: `r-${answers.length}` }))) }, 5)
+    await new Promise(resolve => setTimeout(resolve, 100))
+    await fixture!.relay.drain()
+    await new Promise(resolve => setTimeout(resolve, 50))
+    clearInterval(timer)
+    const ended = await Promise.all(answers)
+    // whoever comes after the gateway has stopped to accept finds no connection; nobody gets less than an answer
+    const unanswered = ended.filter(({ text }) => !/^HTTP\/1\.1 200 [^]*found$/.test(text))
+    expect(unanswered.every(({ text, end }) => text === '' && end === 'reset')).to.equal(true)
+    const firstRefused = ended.findIndex(({ text }) => text === '')
+    expect(ended.slice(firstRefused).every(({ text }) => text === '')).to.equal(true)
+    expect(firstRefused).to.be.above(100)
+  })
+
   it('should not wait longer than it was given for an endpoint that does not answer', async () => {
     const endpoint = await start(() => {})
     sendRequest(fixture!).catch(() => {})
