Read whether a caller has left before its request is sent on

A timer that finds room for a waiting request runs before the process reads its sockets, so that the caller's leaving lay unread in one of them. The admission looked once, at arrival only. Ruled out: the wait for room itself, which ends with the caller's signal as soon as that was read. Change: after the wait, the process reads what has come before the bytes go out; a caller that left gives its room back. Figures: a test holds the process up until room and leaving come together; without the change the endpoint gets the request. Conclusion: what a client's own clock says is still not known here; a request that lay unread in its socket counts from its reading on.

--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -3,6 +3,7 @@
 import { PromptSizes } from '../policy/promptSizes'
 import { findQuietRestMs, isQuiet } from '../policy/quietTime'
 import { decideRepeat } from '../policy/repeatDecision'
+import { waitForInput } from './pendingInput'
 
 import type { Clock } from '../base/clock'
 import type { DirectChoice, PlannedTokens } from '../policy/directChooser'
@@ -95,6 +96,11 @@
     const { request, reply, tried, position } = state
     const choice = await this.#acquireRoom(state)
     if (choice === null) return false
+    await waitForInput()
+    if (reply.end !== 'open') {
+      this.#releaseRoom(choice)
+      return false
+    }
     const ended = await this.#options.sender.send({ request, reply, choice, position, tried, attempt: state.attempts })
     switch (ended.outcome) {
       case 'answered':
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,9 +1,9 @@
 import { createServer } from 'node:http'
-import { setImmediate as waitForTurn } from 'node:timers/promises'
 
 import { readBody } from '../protocol/bodyReader'
 import { CallerReply } from './callerReply'
 import { countHeaderBytes } from './headerList'
+import { waitForInput } from './pendingInput'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
@@ -205,12 +205,3 @@
     socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
   }
 }
-
-/**
- * Lets the process read what else has come. When it is behind, a caller's leaving waits in the socket
- * after the request, and a request whose caller has left must not be sent on.
- */
-async function waitForInput (): Promise<void> {
-  await waitForTurn()
-  await waitForTurn()
-}
--- a/tests/relay/callerLeft.spec.ts
+++ b/tests/relay/callerLeft.spec.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 
-import { buildCallerRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { buildCallerRequest, registerEndpoint, sendRaw, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { EndpointFixture, RelayFixture } from './relayFixture'
 
@@ -30,6 +30,28 @@
     expect(ends).to.deep.equal(['ECONNRESET'])
   })
 
+  it('should not be sent on when the gateway was held up and has not read that its caller left', async () => {
+    const { port, lines } = fixture
+    let isFull = true
+    const quiet = await startEndpoint('e-2', request => {
+      if (isFull) request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nRetry-After: 0.4\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: 0\r\n\r\n`)
+      isFull = false
+    })
+    registerEndpoint(fixture.store, quiet)
+    fixture.store.delete('servers/e-1')
+    await waitUntil('the endpoint to be known', () => lines.filter(line => line.event === 'endpointChanged').length === 3)
+    const quietAtMs = performance.now()
+    await sendRaw(port, buildCallerRequest({ id: 'refused', headers: ['Connection: close'] }))
+    const caller = net.connect(port, '127.0.0.1', () => caller.write(buildCallerRequest({ id: 'gone' })))
+    await new Promise(resolve => setTimeout(resolve, 200))
+    caller.destroy()
+    // the process is busy until the endpoint takes requests again, so that its leaving and the room come together
+    while (performance.now() - quietAtMs < 600);
+    await waitUntil('the end of the request', () => lines.some(line => line.event === 'requestEnded' && line.requestId === 'gone'))
+    expect(quiet.received.map(({ requestId }) => requestId)).to.deep.equal(['refused'])
+    quiet.close()
+  })
+
   it('should be taken back so as well when its time runs out', async () => {
     const caller = net.connect(fixture.port, '127.0.0.1', () => caller.write(buildCallerRequest().replace('Deadline-Ms: 1500', 'Deadline-Ms: 200')))
     await waitUntil('the end of the connection', () => ends.length > 0)
