Count a waiting request as late from its latest start on

Cause: the queue puts what can be on time before what is late, by the time at which the first event or the answer is due. Under overload it so starts each request just before that moment, too late to be on time, in place of one that still could be. Ruled out: another order by rank or arrival; those stand. Change: a request counts as late from the time at which it would have to start: its own prompt's reading and some steps before the first event, the usual answer of a plain service before its answer. Figures: a test plays a plain service at twice its capacity on a virtual clock: of half that can be answered at all nine tenths are in time (below a fifth of all counted from the due time).

--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -64,6 +64,12 @@
     return ids.flatMap(id => this.#endpoints.get(id) ?? [])
   }
 
+  /** Gets the milliseconds that an answer takes at the endpoint that is fastest lately; 0 when none is known. */
+  getUsualAnswerMs (service: string): number {
+    const known = this.listReady(service).map(endpoint => endpoint.answerMs).filter(answerMs => answerMs > 0)
+    return known.length === 0 ? 0 : Math.min(...known)
+  }
+
   /** Gets the ids of the endpoints that are kept for light prompts. */
   getReservedIds (service: string): ReadonlySet<string> {
     return this.#byService.get(service)?.reservedIds ?? NONE
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,5 +1,6 @@
 import { chooseDirectEndpoint, countTokens, findSharedPart, HOLDER_COUNT, updateRoom } from '../policy/directChooser'
 import { isEjected } from '../policy/directEndpoint'
+import { computeLatestStart } from '../policy/latestStart'
 import { PromptSizes } from '../policy/promptSizes'
 import { findQuietRestMs, isQuiet } from '../policy/quietTime'
 import { decideRepeat } from '../policy/repeatDecision'
@@ -146,7 +147,7 @@
       id: request.traits.requestId,
       service: request.service,
       rank: request.rank,
-      dueAtMs: request.arrivedAtMs + request.route.targetMs,
+      dueAtMs: this.#computeDueAt(request, request.traits.promptParts.at(-1)?.tokens ?? 0),
       expiresAtMs: request.deadlineAtMs,
       choose: planned => {
         const nowMs = clock.getMonotonicMs()
@@ -172,6 +173,11 @@
     return null
   }
 
+  #computeDueAt ({ arrivedAtMs, route, service }: RelayRequest, tokens: number): number {
+    const usualAnswerMs = tokens > 0 ? 0 : this.#options.directory.getUsualAnswerMs(service)
+    return computeLatestStart({ arrivedAtMs, targetMs: route.targetMs, tokens, usualAnswerMs })
+  }
+
   #listUntried ({ request, tried }: RelayState): DirectEndpoint[] {
     return this.#options.directory.listReady(request.service).filter(endpoint => !tried.has(endpoint.entry.id))
   }
--- a/src/relay/silenceWatch.ts
+++ b/src/relay/silenceWatch.ts
@@ -104,7 +104,7 @@
       heardAtMs: send.heardAtMs,
       targetMs: request.route.targetMs,
       betweenEventsTargetMs: request.route.betweenEventsTargetMs
-    }, { ...this.#describeEndpoint(endpoint), silentSends }, this.#readUsualMs(request.service), nowMs)
+    }, { ...this.#describeEndpoint(endpoint), silentSends }, this.#options.directory.getUsualAnswerMs(request.service), nowMs)
     if (decision.kind === 'giveUp') send.giveUp(decision.reason)
   }
 
@@ -115,10 +115,4 @@
   #hasAlternative (send: WatchedSend, nowMs: number): boolean {
     return this.#options.directory.listReady(send.request.service).some(other => !send.tried.has(other.entry.id) && !isEjected(other, nowMs) && !isQuiet(other, nowMs))
   }
-
-  /** Reads what an answer of the service takes at the endpoint that is fastest lately. */
-  #readUsualMs (service: string): number {
-    const known = this.#options.directory.listReady(service).map(endpoint => endpoint.answerMs).filter(answerMs => answerMs > 0)
-    return known.length === 0 ? 0 : Math.min(...known)
-  }
 }
--- /dev/null
+++ b/tests/policy/latestStart.spec.ts
@@ -0,0 +1,43 @@
+import { expect } from 'chai'
+
+import { DispatchQueue } from '../../src/policy/dispatchQueue'
+import { computeLatestStart } from '../../src/policy/latestStart'
+
+const SERVICE_MS = 85
+const TARGET_MS = 390
+const DEADLINE_MS = 1500
+const SLOTS = 6
+
+/** Plays calls of a plain service that come faster than its slots serve them; returns the part that is answered in time. */
+function simulateOverload (load: number, usualAnswerMs: number): number {
+  const queue = new DispatchQueue()
+  const endsAtMs: number[] = []
+  let answeredInTime = 0
+  let owed = 0
+  let calls = 0
+  for (let nowMs = 0; nowMs < 6000; nowMs++) {
+    for (owed += load * SLOTS / SERVICE_MS; owed >= 1; owed--) {
+      queue.add({ id: `c-${calls++}`, rank: 1, dueAtMs: computeLatestStart({ arrivedAtMs: nowMs, targetMs: TARGET_MS, tokens: 0, usualAnswerMs }), expiresAtMs: nowMs + DEADLINE_MS })
+    }
+    queue.takeExpired(nowMs)
+    while (endsAtMs.length > 0 && endsAtMs[0]! <= nowMs) endsAtMs.shift()
+    for (const call of queue.listInOrder(nowMs).slice(0, SLOTS - endsAtMs.length)) {
+      queue.recordStart(call)
+      endsAtMs.push(nowMs + SERVICE_MS)
+      if (nowMs + SERVICE_MS <= call.expiresAtMs - DEADLINE_MS + TARGET_MS) answeredInTime += 1
+    }
+  }
+  return answeredInTime / calls
+}
+
+describe('the latest start of a request', () => {
+  it('should leave time to read the prompt, or for the usual answer of a plain service', () => {
+    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 800, tokens: 4000, usualAnswerMs: 50 })).to.equal(800)
+    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 390, tokens: 0, usualAnswerMs: 85 })).to.equal(405)
+  })
+
+  it('should have nearly all that a plain service can answer answered in time when twice as much comes', () => {
+    expect(simulateOverload(2, SERVICE_MS)).to.be.at.least(0.9 / 2)
+    expect(simulateOverload(2, 0)).to.be.below(0.2)
+  })
+})
