Go on elsewhere with a stream that only drips

Cause: any byte of a stream counted as its going on, so that one that stalled and sent a byte or a comment now and then was waited for until its deadline, though it could have been resumed elsewhere. Ruled out: ending sound slow streams by a shorter limit: events in parts 0.6 s apart, and a body in parts, are waited for (test). Change: a stream moves on with whole events that carry data, a collected body with 64 bytes; other bytes only show that the endpoint is there. Conclusion: streams that may not be resumed still end at their deadline.

--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -24,6 +24,8 @@
 export interface AnswerSink {
   /** Decides by the head whether the body is collected whole or passed on as it comes. */
   handleHead (status: number, headers: HeaderList): HeadDecision
+  /** Told of bytes of a body that is collected. */
+  handlePart (bytes: Buffer): void
   /** Takes bytes of a body that is passed on; false pauses the endpoint until `resume` is called. */
   handleData (bytes: Buffer, resume: () => void): boolean
 }
@@ -48,7 +50,7 @@
  * when its framing says so; one without a length ends with its connection, if that is not reset.
  *
  * @example
- * const end = await sendToEndpoint(send, { handleHead: () => 'collect', handleData: () => true })
+ * const end = await sendToEndpoint(send, { handleHead: () => 'collect', handlePart: () => {}, handleData: () => true })
  * if (end.kind === 'collected') console.log(end.body.length)
  */
 export async function sendToEndpoint (send: EndpointSend, sink: AnswerSink): Promise<ExchangeEnd> {
@@ -126,6 +128,7 @@
   }
 
   #addPart (bytes: Buffer): void {
+    this.#sink.handlePart(bytes)
     this.#length += bytes.length
     this.#parts.push(bytes)
     if (this.#length <= MAX_COLLECTED_BYTES) return
--- a/src/relay/endpointRun.ts
+++ b/src/relay/endpointRun.ts
@@ -6,6 +6,8 @@
 import type { AnswerSink, ExchangeEnd, HeadDecision } from './endpointExchange'
 import type { HeaderList, RelayRequest } from './relayRequest'
 
+/** Bytes of a collected body that count as progress; an endpoint that stalls may still send a byte now and then. */
+const PROGRESS_BYTES = 64
 /** Headers that say where an answer's body ends. */
 const FRAMING_HEADERS = ['content-length', 'transfer-encoding']
 
@@ -27,6 +29,8 @@
   handleHead: (head: AnswerHead) => void
   /** Told of each sign that the endpoint is there. */
   handleBytes: () => void
+  /** Told when the answer has moved on: its head, whole events with data, or enough of a collected body. */
+  handleProgress: () => void
   /** Told once, when the first bytes of the body or the whole answer came. */
   handleFirst: () => void
   /** Told of whole events that were sent to the caller. */
@@ -46,6 +50,8 @@
   #rejected: RejectReason | null = null
   #hasFirst = false
   #isFramed = true
+  /** Bytes of a collected body since it last counted as moving on. */
+  #unmovedBytes = 0
 
   constructor (options: EndpointRunOptions) {
     this.#options = options
@@ -64,6 +70,7 @@
   handleHead (status: number, headers: HeaderList): HeadDecision {
     const head = this.#options.dialect.readAnswer(status, headers)
     this.#options.handleBytes()
+    this.#options.handleProgress()
     this.#head = head
     this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
     this.#rejected = this.#checkHead(head)
@@ -72,6 +79,14 @@
     return isSuccess(status) && head.isEventStream ? 'pass' : 'collect'
   }
 
+  handlePart (bytes: Buffer): void {
+    this.#options.handleBytes()
+    this.#unmovedBytes += bytes.length
+    if (this.#unmovedBytes < PROGRESS_BYTES) return
+    this.#unmovedBytes = 0
+    this.#options.handleProgress()
+  }
+
   handleData (bytes: Buffer, resume: () => void): boolean {
     this.#options.handleBytes()
     const whole = this.#splitter.push(bytes)
@@ -84,6 +99,7 @@
       this.#stop('eventOrder')
       return true
     }
+    if (whole.hasData) this.#options.handleProgress()
     this.#markFirst()
     this.#beginReply()
     this.#options.handleEvents(Math.max(1, whole.ids.length))
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -106,7 +106,8 @@
       position: order.position,
       abort: () => this.#controller.abort(),
       handleHead: head => this.#recordNotices(head),
-      handleBytes: () => options.silence.recordHeard(this.#watched),
+      handleBytes: () => options.silence.recordHeard(this.#watched.endpoint),
+      handleProgress: () => options.silence.recordProgress(this.#watched),
       handleFirst: () => this.#recordFirst(),
       handleEvents: count => { this.#events += count }
     })
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -7,6 +7,8 @@
   bytes: Buffer
   /** Ids of the events in `bytes`, in order. */
   ids: number[]
+  /** Whether any of them carries data; a comment keeps a connection open and moves nothing on. */
+  hasData: boolean
 }
 
 /**
@@ -16,7 +18,7 @@
  *
  * @example
  * const splitter = new EventSplitter()
- * splitter.push(Buffer.from('id: 4\ndata: a\n\nid: 5\nda')) // { bytes: 'id: 4\ndata: a\n\n', ids: [4] }
+ * splitter.push(Buffer.from('id: 4\ndata: a\n\nid: 5\nda')) // { bytes: 'id: 4\ndata: a\n\n', ids: [4], hasData: true }
  */
 export class EventSplitter {
   #pending: Buffer = Buffer.alloc(0)
@@ -33,7 +35,8 @@
     this.#pending = all.subarray(end)
     if (end === 0) return null
     const whole = all.subarray(0, end)
-    return { bytes: whole, ids: parseIds(whole) }
+    const lines = whole.toString('latin1').split('\n')
+    return { bytes: whole, ids: parseIds(lines), hasData: lines.some(line => line.startsWith('data')) }
   }
 
   /** Takes what is left when the stream has ended. */
@@ -56,9 +59,9 @@
   return before === LINE_FEED || (before === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED)
 }
 
-function parseIds (bytes: Buffer): number[] {
+function parseIds (lines: readonly string[]): number[] {
   const ids: number[] = []
-  for (const line of bytes.toString('latin1').split('\n')) {
+  for (const line of lines) {
     const match = /^id: ?(\d+)\r?$/.exec(line)
     if (match !== null) ids.push(Number(match[1]))
   }
--- a/src/relay/silenceWatch.ts
+++ b/src/relay/silenceWatch.ts
@@ -20,6 +20,7 @@
   /** Whether another send is allowed after this one. */
   hasAttemptsLeft: boolean
   sentAtMs: number
+  /** Time at which the answer last moved on; null before its head. */
   heardAtMs: number | null
   giveUp: (reason: string) => void
 }
@@ -54,10 +55,14 @@
     this.#sends.delete(send)
   }
 
-  /** Records that bytes of the send's answer came. */
-  recordHeard (send: WatchedSend): void {
+  /** Records that bytes came from an endpoint: it is there. */
+  recordHeard (endpoint: DirectEndpoint): void {
+    endpoint.heardAtMs = this.#options.clock.getMonotonicMs()
+  }
+
+  /** Records that a send's answer moved on; bytes alone do not show that. */
+  recordProgress (send: WatchedSend): void {
     send.heardAtMs = this.#options.clock.getMonotonicMs()
-    send.endpoint.heardAtMs = send.heardAtMs
   }
 
   close (): void {
--- a/tests/relay/silence.spec.ts
+++ b/tests/relay/silence.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, SEAL, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, buildSettings, SEAL, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -10,6 +10,10 @@
   socket.write(`HTTP/1.1 200 OK\r\n${SEAL}\r\nContent-Type: text/event-stream\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}${isLast ? '0\r\n\r\n' : ''}`)
 }
 
+function buildPatientRequest (): string {
+  return buildCallerRequest({ method: 'POST', body: 'question', headers: ['Connection: close'] }).replace('Deadline-Ms: 1500', 'Deadline-Ms: 8000')
+}
+
 describe('endpoints that fall silent or break off', () => {
   let fixture: RelayFixture | undefined
 
@@ -49,6 +53,34 @@
     expect(requests[1]!.text).to.match(/\r\nLast-Event-Id: 2\r\n/)
   })
 
+  it('should go on elsewhere with a resumable stream that stalls, though its endpoint sends a byte or a comment now and then', async () => {
+    for (const drip of [': p\n\n', 'd']) {
+      let timer: NodeJS.Timeout | undefined
+      const requests = await startTwo({ kind: 'streaming', resumable: true, targetGapMs: 100, timeoutMs: 8000 }, request => {
+        writeEvents(request, [1], false)
+        timer = setInterval(() => request.socket.write(`${drip.length}\r\n${drip}\r\n`), 200)
+      }, request => writeEvents(request, [2], true))
+      const answer = await sendRaw(fixture!.port, buildPatientRequest())
+      clearInterval(timer)
+      expect(answer.text).to.match(/data: 1[^]*data: 2[^]*0\r\n\r\n$/)
+      expect(requests).to.have.length(2)
+      await fixture!.close()
+    }
+  })
+
+  it('should not cut a slow stream whose events come in parts, nor a slow body', async () => {
+    const sendSlowly = (request: ReceivedRequest, parts: string[]) => parts.forEach((part, index) => setTimeout(() => request.socket.write(part), 600 * index))
+    const buildHead = (request: ReceivedRequest, rest: string) => `HTTP/1.1 200 OK\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\n${rest}\r\n\r\n`
+    const stream = { kind: 'streaming', resumable: true, targetGapMs: 100, timeoutMs: 8000 }
+    const streamed = await startTwo(stream, request => sendSlowly(request, [buildHead(request, 'Content-Type: text/event-stream\r\nContent-Length: 30'), 'id: 1\nda', 'ta: 1\n\n', 'id: 2\nda', 'ta: 2\n\n']), () => {})
+    expect((await sendRaw(fixture!.port, buildPatientRequest())).text).to.match(/data: 1[^]*data: 2/)
+    expect(streamed).to.have.length(1)
+    await fixture!.close()
+    const collected = await startTwo({ timeoutMs: 8000, targetLatencyMs: 4000 }, request => sendSlowly(request, [buildHead(request, 'Content-Length: 400'), ...Array.from({ length: 4 }, () => 'x'.repeat(100))]), () => {})
+    expect((await sendRaw(fixture!.port, buildPatientRequest())).text).to.match(/x{400}$/)
+    expect(collected).to.have.length(1)
+  })
+
   it('should go on with a stream that has begun though the configuration cannot be confirmed any more', async () => {
     const route = { kind: 'streaming', resumable: true }
     let closeStream = () => {}
