Read crash records through one gateway of a failure domain

Each gateway watched the crash records by itself, and each record that is written woke all of them, twice a second at most.

--- a/src/relay/peerSide.ts
+++ b/src/relay/peerSide.ts
@@ -13,6 +13,7 @@
 import type { OwnPeerRecord } from '../policy/peerTable'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
+import type { ViewUrgency } from '../store/sharedViewService'
 import type { CrashGuard } from './crashGuard'
 
 export interface PeerSideOptions {
@@ -21,9 +22,9 @@
   settings: RelaySettings
   store: ObjectService
   /** Prefixes of the store that one gateway of a failure domain reads for the others. */
-  prefixes: readonly string[]
+  prefixes: ReadonlyMap<string, ViewUrgency>
   directory: EndpointDirectory
-  crashes: CrashGuard
+  crashes: Pick<CrashGuard, 'listRecords' | 'mergeRecord'>
   /** Told of an endpoint that another gateway knows to leave. */
   handleLeaving: (notice: LeavingNotice) => void
   log: DecisionLog
