--- a/src/relay/peerSide.ts
+++ b/src/relay/peerSide.ts
@@ -13,7 +13,6 @@
 import type { OwnPeerRecord } from '../policy/peerTable'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
-import type { ViewUrgency } from '../store/sharedViewService'
 import type { CrashGuard } from './crashGuard'
 
 export interface PeerSideOptions {
@@ -22,9 +21,9 @@
   settings: RelaySettings
   store: ObjectService
   /** Prefixes of the store that one gateway of a failure domain reads for the others. */
-  prefixes: ReadonlyMap<string, ViewUrgency>
+  prefixes: readonly string[]
   directory: EndpointDirectory
-  crashes: Pick<CrashGuard, 'listRecords' | 'mergeRecord'>
+  crashes: CrashGuard
   /** Told of an endpoint that another gateway knows to leave. */
   handleLeaving: (notice: LeavingNotice) => void
   log: DecisionLog
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -7,7 +7,6 @@
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { waitFor } from '../store/channels'
-import { POISON_PREFIX } from '../store/keys'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
 import { CrashGuard } from './crashGuard'
@@ -98,18 +97,18 @@
     this.#observer = new RelayObserver(log, this.#metrics)
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_SHARE * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#peers.notifyCrash() })
     this.#peers = new PeerSide({
       clock: systemClock,
       random: Math.random,
       settings,
       store: service,
-      prefixes: new Map([[decoder.configKey, 'prompt'], [decoder.endpointPrefix, 'prompt'], [POISON_PREFIX, 'relaxed']]),
+      prefixes: [decoder.configKey, decoder.endpointPrefix],
       directory: this.#directory,
-      crashes: { listRecords: () => this.#crashes.listRecords(), mergeRecord: record => this.#crashes.mergeRecord(record) },
+      crashes: this.#crashes,
       handleLeaving: notice => this.#recordLeaving(notice),
       log
     })
-    this.#crashes = new CrashGuard({ clock: systemClock, service: this.#peers.view, log, handleCrash: () => this.#peers.notifyCrash() })
     this.#follower = new FleetFollower({
       clock: systemClock,
       service: this.#peers.view,
