Watch the endpoints four times a second at most while entries change

Change: the pause between two watches of the endpoints grows to 250 ms while changes come densely; the first change still comes at once.

--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -42,6 +42,8 @@
  */
 const CONFIG_WATCH_MS = 1100
 const ENDPOINT_WATCH_MS = 2000
+/** Longest pause between two watches of the endpoints while their entries change densely: each call is priced. */
+const ENDPOINT_REARM_MS = 250
 const TIMING: Partial<WatcherTiming> = {
   watchGraceMs: 400,
   listTimeoutMs: 1000,
@@ -96,7 +98,7 @@
     this.#endpoints = new PrefixWatcher({
       service,
       clock,
-      timing: { ...TIMING, watchMs: ENDPOINT_WATCH_MS },
+      timing: { ...TIMING, watchMs: ENDPOINT_WATCH_MS, maxRearmMs: ENDPOINT_REARM_MS },
       prefix: decoder.endpointPrefix,
       handleList: objects => this.#applyEndpointList(objects),
       handleEvents: events => this.#applyEndpointEvents(events),
