--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -33,6 +33,8 @@
 const SERVICE_MS = 25
 const SLOW_MS = 600
 const EVENT_MS = 20
+/** Time for which an endpoint that refuses wants nothing more from the gateway that asked. */
+const QUIET_SECONDS = 0.8
 
 /** An endpoint in the platform's published dialect, behind a proxy; it records what it runs. */
 export class SoakEndpoint {
@@ -72,8 +74,12 @@
     const requestId = readHeader(request, HEADERS.requestId) ?? ''
     const expected = readHeader(request, HEADERS.expectedEndpoint)
     response.setHeader(HEADERS.requestId, requestId)
+    if (this.drainedAtMs !== null) response.setHeader(HEADERS.leaving, '1')
     if (expected !== null && expected !== this.id) return refuse(response, 421)
-    if (this.fault === 'refusing') return refuse(response, 503)
+    if (this.fault === 'refusing') {
+      response.setHeader('retry-after', String(QUIET_SECONDS))
+      return refuse(response, 503)
+    }
     this.#options.handleRun({
       requestId,
       endpointId: this.id,
