--- a/src/policy/leavingMemory.ts
+++ b/src/policy/leavingMemory.ts
@@ -36,11 +36,12 @@
   }
 
   has (id: string, bornAtMs: number): boolean {
-    return this.#notices.get(id)?.bornAtMs === bornAtMs
+    return this.get(id, bornAtMs) !== null
   }
 
   get (id: string, bornAtMs: number): LeavingNotice | null {
-    return this.has(id, bornAtMs) ? this.#notices.get(id) ?? null : null
+    const notice = this.#notices.get(id)
+    return notice?.bornAtMs === bornAtMs ? notice : null
   }
 
   #removeOldest (): void {
--- a/src/policy/quietTime.ts
+++ b/src/policy/quietTime.ts
@@ -1,3 +1,5 @@
+import { isEjected } from './directEndpoint'
+
 import type { DirectEndpoint } from './directEndpoint'
 
 /** Longest time for which an endpoint is left alone at its own word; what is longer is taken for a mistake. */
@@ -16,13 +18,21 @@
   return nowMs < endpoint.quietUntilMs
 }
 
+/** Tells whether the endpoint is neither quiet nor ejected now. */
+export function isAvailable (endpoint: DirectEndpoint, nowMs: number): boolean {
+  return !isQuiet(endpoint, nowMs) && !isEjected(endpoint, nowMs)
+}
+
 /**
  * Finds the milliseconds until the first of the endpoints takes requests again.
  *
  * @returns null when one of them takes requests now, or when there is none
  */
 export function findQuietRestMs (endpoints: readonly DirectEndpoint[], nowMs: number): number | null {
-  if (endpoints.length === 0) return null
-  const restMs = Math.min(...endpoints.map(endpoint => endpoint.quietUntilMs)) - nowMs
-  return restMs > 0 ? restMs : null
+  let firstMs = Infinity
+  for (const endpoint of endpoints) {
+    if (!isQuiet(endpoint, nowMs)) return null
+    firstMs = Math.min(firstMs, endpoint.quietUntilMs)
+  }
+  return firstMs === Infinity ? null : firstMs - nowMs
 }
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -64,10 +64,10 @@
 
 export type PeerNews = z.infer<typeof peerNewsSchema>
 
-/** Loads of endpoints: id, requests there, prompt tokens still to be read, milliseconds since its last byte. */
 /** Endpoints that said that they are leaving: id, Unix milliseconds of their start, milliseconds since they said so. */
 const leavingSchema = z.array(z.tuple([z.string(), z.number(), z.number().min(0)]))
 
+/** Loads of endpoints: id, requests there, prompt tokens still to be read, milliseconds since its last byte. */
 const loadsSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))
 
 /** What two gateways tell each other of the load that they know of, the other's own left out. */
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,8 +1,7 @@
 import { chooseDirectEndpoint, countTokens, findSharedPart, HOLDER_COUNT, updateRoom } from '../policy/directChooser'
-import { isEjected } from '../policy/directEndpoint'
 import { computeLatestStart } from '../policy/latestStart'
 import { PromptSizes } from '../policy/promptSizes'
-import { findQuietRestMs, isQuiet } from '../policy/quietTime'
+import { findQuietRestMs, isAvailable } from '../policy/quietTime'
 import { decideRepeat } from '../policy/repeatDecision'
 import { waitForInput } from './pendingInput'
 
@@ -136,8 +135,9 @@
     }
     const untried = this.#listUntried(state)
     if (untried.length === 0) return null
-    const quietMs = findQuietRestMs(untried, clock.getMonotonicMs())
-    if (quietMs !== null && clock.getMonotonicMs() + quietMs >= request.deadlineAtMs) {
+    const nowMs = clock.getMonotonicMs()
+    const quietMs = findQuietRestMs(untried, nowMs)
+    if (quietMs !== null && nowMs + quietMs >= request.deadlineAtMs) {
       refuseUnlessRun(state, createRefused(quietMs))
       return null
     }
@@ -217,7 +217,7 @@
   }
 
   #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
-    return this.#options.directory.isReady(endpoint) && !isEjected(endpoint, nowMs) && !isQuiet(endpoint, nowMs)
+    return this.#options.directory.isReady(endpoint) && isAvailable(endpoint, nowMs)
   }
 
   #takeRoom (state: RelayState, choice: DirectChoice): void {
--- a/src/relay/silenceWatch.ts
+++ b/src/relay/silenceWatch.ts
@@ -1,5 +1,5 @@
 import { isEjected, recordSend } from '../policy/directEndpoint'
-import { isQuiet } from '../policy/quietTime'
+import { isAvailable } from '../policy/quietTime'
 import { isRepeatable } from '../policy/repeatDecision'
 import { decideOnSilence, isEndpointSilent, isSilent } from '../policy/silence'
 
@@ -118,6 +118,6 @@
   }
 
   #hasAlternative (send: WatchedSend, nowMs: number): boolean {
-    return this.#options.directory.listReady(send.request.service).some(other => !send.tried.has(other.entry.id) && !isEjected(other, nowMs) && !isQuiet(other, nowMs))
+    return this.#options.directory.listReady(send.request.service).some(other => !send.tried.has(other.entry.id) && isAvailable(other, nowMs))
   }
 }
--- a/tests/relay/callerLeft.spec.ts
+++ b/tests/relay/callerLeft.spec.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 
-import { buildCallerRequest, registerEndpoint, sendRaw, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { buildCallerRequest, refuseRequest, registerEndpoint, sendRaw, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { EndpointFixture, RelayFixture } from './relayFixture'
 
@@ -34,7 +34,7 @@
     const { port, lines } = fixture
     let isFull = true
     const quiet = await startEndpoint('e-2', request => {
-      if (isFull) request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nRetry-After: 0.4\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: 0\r\n\r\n`)
+      if (isFull) refuseRequest(request, ['Retry-After: 0.4'])
       isFull = false
     })
     registerEndpoint(fixture.store, quiet)
@@ -53,7 +53,7 @@
   })
 
   it('should be taken back so as well when its time runs out', async () => {
-    const caller = net.connect(fixture.port, '127.0.0.1', () => caller.write(buildCallerRequest().replace('Deadline-Ms: 1500', 'Deadline-Ms: 200')))
+    const caller = net.connect(fixture.port, '127.0.0.1', () => caller.write(buildCallerRequest({ patienceMs: 200 })))
     await waitUntil('the end of the connection', () => ends.length > 0)
     expect(ends).to.deep.equal(['ECONNRESET'])
     caller.destroy()
--- a/tests/relay/leaving.spec.ts
+++ b/tests/relay/leaving.spec.ts
@@ -6,8 +6,8 @@
 
 const LEAVING = 'Server-Leaving: 1'
 
-function answerLeaving ({ socket, requestId }: ReceivedRequest, status = '200 OK', headers: string[] = []): void {
-  socket.write([`HTTP/1.1 ${status}`, SEAL, LEAVING, `Tanagerwick-Request-Attempt-Id: ${requestId}`, ...headers, 'Content-Length: 4', '', 'last'].join('\r\n'))
+function answerLeaving (request: ReceivedRequest, status?: string, headers: string[] = []): void {
+  answerWhole(request, 'last', status, [LEAVING, ...headers])
 }
 
 describe('an endpoint whose answers say that it is leaving', () => {
--- a/tests/relay/peers.spec.ts
+++ b/tests/relay/peers.spec.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
 
+import { RPC_PATH } from '../../src/protocol/attemptMessages'
 import { findFreePorts } from '../../standins/shared/freePorts'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
-import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, registerEndpoint, SEAL, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { answerWhole, buildPlatformConfig, buildRoute, buildSettings, registerEndpoint, sendRaw, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { RelaySettings } from '../../src/config/processSettings'
 import type { EndpointFixture, RelayFixture } from './relayFixture'
@@ -11,6 +12,8 @@
   store: MemoryObjectStore
   /** Reads the store for both. */
   reader: RelayFixture
+  /** `host:port` at which the reader answers other gateways. */
+  readerAddress: string
   follower: RelayFixture
 }
 
@@ -62,7 +65,7 @@
   it('should send nothing to an endpoint that told another gateway that it leaves', async () => {
     const { store, reader, follower } = pair
     await waitUntil('the follower to follow', () => isFollowing(follower))
-    const leaver = await startEndpoint('e-9', ({ socket, requestId }) => socket.write(`HTTP/1.1 200 OK\r\n${SEAL}\r\nServer-Leaving: 1\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 4\r\n\r\nlast`))
+    const leaver = await startEndpoint('e-9', request => answerWhole(request, 'last', '200 OK', ['Server-Leaving: 1']))
     store.delete('servers/e-1')
     registerEndpoint(store, leaver)
     await waitUntil('the endpoint to be known', () => [reader, follower].every(gateway => gateway.lines.some(line => line.event === 'endpointChanged' && line.endpoint === 'e-9')))
@@ -73,6 +76,18 @@
     leaver.close()
   })
 
+  it('should serve on when messages come that are none', async () => {
+    const { reader, follower, readerAddress } = pair
+    await waitUntil('the follower to follow', () => isFollowing(follower))
+    const url = `http://${readerAddress}${RPC_PATH}`
+    for (const body of ['no json', '[]', 'null', '{"jsonrpc":"2.0","id":1,"method":"exchangeLoads","params":{"teller":7,"leaving":"e-1"}}', '{"jsonrpc":"2.0","id":1,"method":"exchangeNews"}']) {
+      await fetch(url, { method: 'POST', body }).then(async answer => await answer.text(), () => '')
+    }
+    await sendRaw(Number(readerAddress.split(':')[1]), 'no request\r\n\r\n')
+    for (const gateway of [reader, follower]) expect((await sendRequest(gateway)).text).to.match(/^HTTP\/1\.1 200 /)
+    expect(reader.lines.filter(line => line.event === 'unexpectedError')).to.deep.equal([])
+  })
+
   it('should refuse a request that crashed endpoints at another gateway, though no write of the store arrives', async () => {
     const { store, reader, follower } = pair
     await waitUntil('the follower to follow', () => isFollowing(follower))
@@ -98,7 +113,7 @@
   const build = (id: string, port: number): Partial<RelaySettings> => ({ id, peers, listen: { ...buildSettings().listen, peers: { host: '127.0.0.1', port } } })
   const reader = await startRelay(buildPlatformConfig(), [endpoint], build('gateway-1', ports[0]!), store)
   const follower = await startRelay(buildPlatformConfig(), [], build('gateway-2', ports[1]!), store)
-  return { store, reader, follower }
+  return { store, reader, follower, readerAddress: peers[0]! }
 }
 
 function isFollowing (gateway: RelayFixture): boolean {
--- a/tests/relay/quiet.spec.ts
+++ b/tests/relay/quiet.spec.ts
@@ -1,12 +1,8 @@
 import { expect } from 'chai'
 
-import { answerWhole, sendRequest, startEndpoint, startRelay } from './relayFixture'
+import { answerWhole, refuseRequest, sendRequest, startEndpoint, startRelay } from './relayFixture'
 
-import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
-
-function refuseFor ({ socket, requestId }: ReceivedRequest, retryAfter: string): void {
-  socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nRetry-After: ${retryAfter}\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\nContent-Length: 0\r\n\r\n`)
-}
+import type { EndpointFixture, RelayFixture } from './relayFixture'
 
 describe('an endpoint that turns a request away with Retry-After', () => {
   let fixture: RelayFixture | undefined
@@ -17,7 +13,7 @@
   })
 
   async function startFull (retryAfter: string, others: EndpointFixture[] = []): Promise<EndpointFixture> {
-    const full = await startEndpoint('e-1', request => full.received.length === 1 ? refuseFor(request, retryAfter) : answerWhole(request, 'room'))
+    const full = await startEndpoint('e-1', request => full.received.length === 1 ? refuseRequest(request, [`Retry-After: ${retryAfter}`]) : answerWhole(request, 'room'))
     fixture = await startRelay(undefined, [full, ...others])
     return full
   }
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -155,11 +155,11 @@
 }
 
 /** Builds a request of a caller. */
-export function buildCallerRequest (overrides: { id?: string, method?: string, target?: string, headers?: string[], body?: string, key?: string | null } = {}): string {
-  const { id = 'a-1', method = 'GET', target = '/archive/17?x=1', headers = [], body = '', key = KEY } = overrides
+export function buildCallerRequest (overrides: { id?: string, method?: string, target?: string, headers?: string[], body?: string, key?: string | null, patienceMs?: number } = {}): string {
+  const { id = 'a-1', method = 'GET', target = '/archive/17?x=1', headers = [], body = '', key = KEY, patienceMs = 1500 } = overrides
   const keyLine = key === null ? [] : [`Api-Key: ${key}`]
   const lengthLine = method === 'GET' ? [] : [`Content-Length: ${body.length}`]
-  return [`${method} ${target} HTTP/1.1`, `Host: ${HOST}`, `Tanagerwick-Request-Attempt-Id: ${id}`, 'Tanagerwick-Request-Deadline-Ms: 1500', ...keyLine, ...lengthLine, ...headers, '', body].join('\r\n')
+  return [`${method} ${target} HTTP/1.1`, `Host: ${HOST}`, `Tanagerwick-Request-Attempt-Id: ${id}`, `Tanagerwick-Request-Deadline-Ms: ${patienceMs}`, ...keyLine, ...lengthLine, ...headers, '', body].join('\r\n')
 }
 
 /** Sends bytes on a connection of their own and reads until it ends, or until `until` matches. */
@@ -186,13 +186,13 @@
 }
 
 /** Answers with a whole, signed answer. */
-export function answerWhole (request: ReceivedRequest, body = 'found', status = '200 OK'): void {
-  request.socket.write(`HTTP/1.1 ${status}\r\n${SEAL}\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: ${body.length}\r\n\r\n${body}`)
+export function answerWhole (request: ReceivedRequest, body = 'found', status = '200 OK', headers: string[] = []): void {
+  request.socket.write([`HTTP/1.1 ${status}`, SEAL, `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, ...headers, `Content-Length: ${body.length}`, '', body].join('\r\n'))
 }
 
 /** Refuses without having run the request. */
-export function refuseRequest (request: ReceivedRequest): void {
-  request.socket.write(`HTTP/1.1 503 Service Unavailable\r\nTanagerwick-Not-Executed: 1\r\nTanagerwick-Request-Attempt-Id: ${request.requestId}\r\nContent-Length: 0\r\n\r\n`)
+export function refuseRequest (request: ReceivedRequest, headers: string[] = []): void {
+  request.socket.write(['HTTP/1.1 503 Service Unavailable', 'Tanagerwick-Not-Executed: 1', `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, ...headers, 'Content-Length: 0', '', ''].join('\r\n'))
 }
 
 export async function fetchStatus (port: number, path: string): Promise<number> {
--- a/tests/relay/silence.spec.ts
+++ b/tests/relay/silence.spec.ts
@@ -11,7 +11,7 @@
 }
 
 function buildPatientRequest (): string {
-  return buildCallerRequest({ method: 'POST', body: 'question', headers: ['Connection: close'] }).replace('Deadline-Ms: 1500', 'Deadline-Ms: 8000')
+  return buildCallerRequest({ method: 'POST', body: 'question', headers: ['Connection: close'], patienceMs: 8000 })
 }
 
 describe('endpoints that fall silent or break off', () => {
