Start the gateway from code that the build compiled

A profile of the start: 95 ms to compile 0.88 MB, 454 kB of it every locale of the schema library; 44 ms for the codecs and formatters of the histogram library, which are not used. Without usable code it compiles as before and says so (test).

--- a/src/config/fleetSchema.ts
+++ b/src/config/fleetSchema.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { MAX_TIER, MIN_TIER } from '../protocol/serviceLevels'
 
--- a/src/config/loadFleetFolder.ts
+++ b/src/config/loadFleetFolder.ts
@@ -7,7 +7,7 @@
 import { buildSchemaFindings } from './schemaFindings'
 import { buildPlainValue, findKeyPlace, findPlace } from './sourceTree'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 
 import type { Finding } from './finding'
 import type { FleetTree } from './fleetSchema'
--- a/src/config/loadProcessSettings.ts
+++ b/src/config/loadProcessSettings.ts
@@ -6,7 +6,7 @@
 import { buildSchemaFindings } from './schemaFindings'
 import { buildPlainValue, findKeyPlace, findNode, findPlace, parseSource } from './sourceTree'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 
 import type { Finding, Place } from './finding'
 import type { CommonSettings, GatewaySettings, RelaySettings, SidecarSettings } from './processSettings'
--- a/src/config/manifest.ts
+++ b/src/config/manifest.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const MAX_PARTS = 4_000
 const MAX_DIGEST_CHARS = 100
--- a/src/config/processSettingsSchema.ts
+++ b/src/config/processSettingsSchema.ts
@@ -1,6 +1,6 @@
 import { isIP } from 'node:net'
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { ListenAddress } from './processSettings'
 
--- a/src/gateway/requestParser.ts
+++ b/src/gateway/requestParser.ts
@@ -1,7 +1,7 @@
 import { createHash } from 'node:crypto'
 
 import { err, ok } from 'true-myth/result'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { Result } from 'true-myth'
 import type { FleetConfig } from '../config/fleetConfig'
--- a/src/gateway/sidecarPeer.ts
+++ b/src/gateway/sidecarPeer.ts
@@ -1,6 +1,6 @@
 import * as csp from 'js-csp'
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { attemptNotificationSchema, attemptStateSchema, sidecarStampSchema, submitResultSchema } from '../protocol/attemptMessages'
 import { RpcClient } from '../protocol/rpcClient'
--- a/src/membership/membershipRecords.ts
+++ b/src/membership/membershipRecords.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { GATEWAYS_PREFIX, SIDECARS_PREFIX } from '../store/keys'
 
--- a/src/protocol/crashRecord.ts
+++ b/src/protocol/crashRecord.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Crashes kept for one fingerprint; more add nothing to a refusal. */
 export const MAX_CRASHES = 16
--- a/src/relay/peerClient.ts
+++ b/src/relay/peerClient.ts
@@ -1,5 +1,5 @@
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { RpcClient } from '../protocol/rpcClient'
 import { loadNewsSchema, peerNewsSchema, viewAnswerSchema } from '../protocol/viewMessages'
--- a/src/sidecar/endpoint/endpointMonitor.ts
+++ b/src/sidecar/endpoint/endpointMonitor.ts
@@ -1,6 +1,6 @@
 import http from 'node:http'
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 const HEALTH_PATH = '/health'
 const MAX_HEALTH_BYTES = 10_000
--- a/src/sidecar/endpoint/engineClient.ts
+++ b/src/sidecar/endpoint/engineClient.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 
 import { createParser } from 'eventsource-parser'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { runExchange } from './endpointExchange'
 
--- a/src/sidecar/endpoint/orderSender.ts
+++ b/src/sidecar/endpoint/orderSender.ts
@@ -1,7 +1,7 @@
 import http from 'node:http'
 
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import type { Progress } from '../../base/progress'
 import type { FencedOrder, OrderError, SendOrder } from '../../store/fencedOrders'
--- a/src/sidecar/sidecarRpc.ts
+++ b/src/sidecar/sidecarRpc.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { cancelAttemptSchema, getAttemptSchema, submitAttemptSchema } from '../protocol/attemptMessages'
 import { Attempt } from './attempt'
--- a/src/store/leaseRecord.ts
+++ b/src/store/leaseRecord.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { LEASES_PREFIX } from './keys'
 
--- a/src/store/ledgerRecord.ts
+++ b/src/store/ledgerRecord.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { claimFieldsSchema, storedAnswerSchema } from './claimRecord'
 import { LEDGER_PREFIX } from './keys'
--- a/src/store/objectServiceAnswers.ts
+++ b/src/store/objectServiceAnswers.ts
@@ -2,7 +2,7 @@
 
 import { objectServiceMessages } from './objectServiceMessages'
 
-import type { z } from 'zod'
+import type * as z from 'zod'
 import type { HttpCall, HttpCallResult } from './httpCall'
 import type { ObjectServiceError } from './objectService'
 
--- a/src/store/objectServiceMessages.ts
+++ b/src/store/objectServiceMessages.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 const storedObjectSchema = z.object({ key: z.string(), version: z.number().int(), value: z.unknown() })
 
--- a/src/store/peerConfig.ts
+++ b/src/store/peerConfig.ts
@@ -1,5 +1,5 @@
 import { Result } from 'true-myth'
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { manifestSchema } from '../config/manifest'
 
--- a/standins/platform/platformFaults.ts
+++ b/standins/platform/platformFaults.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 /** Faults of the platform stand-in; `POST /control/faults` sets those that its body names. */
 export const platformFaultsSchema = z.strictObject({
--- a/standins/service/serviceServer.ts
+++ b/standins/service/serviceServer.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from 'node:timers/promises'
 
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { EndpointHost } from '../shared/endpointHost'
 import { readBody } from '../shared/httpServer'
--- a/standins/shared/endpointSpec.ts
+++ b/standins/shared/endpointSpec.ts
@@ -1,4 +1,4 @@
-import { z } from 'zod'
+import * as z from 'zod'
 
 import { startEngine } from '../engine/engineServer'
 import { startService } from '../service/serviceServer'
--- /dev/null
+++ b/tests/platform/compiledStart.spec.ts
@@ -0,0 +1,52 @@
+import { spawnSync } from 'node:child_process'
+import { copyFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
+import os from 'node:os'
+import path from 'node:path'
+
+import { expect } from 'chai'
+
+import { EXIT_CODES } from '../../src/cli/exitCodes'
+
+const FILES = ['gateway.cjs', 'gatewayProgram.cjs.wrapped', 'gatewayProgram.cjs.code']
+const NOT_USED = 'does not fit'
+
+/** Runs the program with the arguments of the deploy file, without settings, so that it ends once it is loaded. */
+function runProgram (folder: string, extraFlags: string[] = []): { status: number | null, errors: string } {
+  const [, ...args] = /^run = "(.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))![1]!.split(' ')
+  const flags = args.slice(0, -1)
+  const { status, stderr } = spawnSync(process.execPath, [...flags, ...extraFlags, path.join(folder, 'gateway.cjs')], { env: { PATH: process.env.PATH }, encoding: 'utf8' })
+  return { status, errors: stderr }
+}
+
+describe('start of the gateway from compiled code', () => {
+  let folder: string
+
+  before(() => {
+    spawnSync(process.execPath, ['scripts/buildPlatform.mjs'])
+    folder = mkdtempSync(path.join(os.tmpdir(), 'compiled-'))
+    for (const file of FILES) copyFileSync(path.join('target', file), path.join(folder, file))
+  })
+
+  after(() => rmSync(folder, { recursive: true }))
+
+  it('should use the code that the build compiled for the flags of the deploy file', () => {
+    const { status, errors } = runProgram(folder)
+    expect(status).to.equal(EXIT_CODES.findings)
+    expect(errors).to.not.include(NOT_USED)
+  })
+
+  it('should compile anew, and say so, where the code does not fit', () => {
+    const { status, errors } = runProgram(folder, ['--no-opt'])
+    expect(status).to.equal(EXIT_CODES.findings)
+    expect(errors).to.include(NOT_USED)
+  })
+
+  it('should compile anew when the code is damaged', () => {
+    const code = path.join(folder, 'gatewayProgram.cjs.code')
+    const bytes = readFileSync(code)
+    writeFileSync(code, bytes.subarray(0, bytes.length / 2))
+    const { status, errors } = runProgram(folder)
+    expect(status).to.equal(EXIT_CODES.findings)
+    expect(errors).to.include(NOT_USED)
+  })
+})
