Follow a store that came back from an older copy

The code before took a list behind its last position for an old answer for ever, could continue watches over revisions given out anew, and wrote under a revision that another object may have by then. Change: a position holds era and revision (storePosition.ts), so that it only grows and every check of order stands; a watch or a write from an earlier era is answered as a conflict without a call. The list of an older copy does not bring back endpoints that are leaving or gone, and what it lacks lapses in place of being gone at once. Crash records that the store lacks are written again by those who hold them. One log line, storeRestored. Configuration needs nothing: an older version is never taken.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -69,6 +69,8 @@
 /** Lines that tell what a process came to believe. */
 export type BeliefEvent =
   | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string }
+  /** The store came back from an older copy; `era` counts how often. */
+  | { event: 'storeRestored', era: number, before: number }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
   /** `requestId` is that of the answer that said so; absent when another gateway told it. */
   | { event: 'endpointLeaving', requestId: string | undefined, endpoint: string, bornAtMs: number, source: string, saidAgoMs: number }
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -17,6 +17,15 @@
   /** `wasLeaving` when it had said so in an answer before its entry went. */
   | { kind: 'gone', entry: EndpointEntry, wasLeaving: boolean }
 
+/** What is known of a list beside its entries. */
+export interface ListCircumstances {
+  /** Whether it could not be read for a while, so that entries may have lapsed without their endpoints' doing. */
+  afterOutage: boolean
+  /** Whether the store came back from an older copy lately, so that the list may lack what was known before. */
+  isOlderCopy?: boolean
+  nowMs: number
+}
+
 interface ServiceIndex {
   endpoints: DirectEndpoint[]
   /** Endpoints by the size of the prompts that they are for. */
@@ -32,6 +41,8 @@
  * says about two seconds, and a little is added for its own delay.
  */
 const LAPSE_GRACE_MS = 2300
+/** Bound against a flood of starts; far above those that end while a process runs. */
+const MAX_GONE = 4096
 const NONE: ReadonlySet<string> = new Set()
 
 /**
@@ -47,6 +58,8 @@
   readonly #endpoints = new Map<string, DirectEndpoint>()
   readonly #lapsedUntilMs = new Map<string, number>()
   readonly #leaving = new LeavingMemory()
+  /** Starts of endpoints that are gone, by id. */
+  readonly #goneStarts = new Map<string, number>()
   #byService = new Map<string, ServiceIndex>()
 
   listAll (): DirectEndpoint[] {
@@ -92,8 +105,9 @@
     return this.listAll().flatMap(({ entry }) => entry.state === 'ready' ? this.#leaving.get(entry.id, entry.bornAtMs) ?? [] : [])
   }
 
-  /** Takes the whole list; what is not in it is gone, or has lapsed if the list was out of reach. */
-  applyList (entries: readonly EndpointEntry[], options: { afterOutage: boolean, nowMs: number }): DirectoryChange[] {
+  /** Takes the whole list; what is not in it is gone, or has lapsed if the list was out of reach or is an older copy. */
+  applyList (all: readonly EndpointEntry[], options: ListCircumstances): DirectoryChange[] {
+    const entries = options.isOlderCopy === true ? all.flatMap(entry => this.#updateOldEntry(entry) ?? []) : all
     const listed = new Set(entries.map(entry => entry.id))
     const changes = entries.flatMap(entry => this.#put(entry))
     const missing = [...this.#endpoints.keys()].filter(id => !listed.has(id) && !this.#lapsedUntilMs.has(id))
@@ -118,8 +132,16 @@
     return changes
   }
 
+  /** Corrects an entry of an older copy by what is known of the same start; null when that is gone. */
+  #updateOldEntry (entry: EndpointEntry): EndpointEntry | null {
+    if (this.#goneStarts.get(entry.id) === entry.bornAtMs) return null
+    const known = this.#endpoints.get(entry.id)?.entry
+    return known?.bornAtMs === entry.bornAtMs ? { ...entry, state: known.state } : entry
+  }
+
   #put (entry: EndpointEntry): DirectoryChange[] {
     this.#lapsedUntilMs.delete(entry.id)
+    this.#goneStarts.delete(entry.id)
     const known = this.#endpoints.get(entry.id)
     const isSame = known !== undefined && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && known.entry.service === entry.service
     if (!isSame) {
@@ -145,9 +167,16 @@
     this.#lapsedUntilMs.delete(id)
     if (endpoint === undefined) return []
     const { entry } = endpoint
+    this.#recordGone(entry)
     return [{ kind: 'gone', entry, wasLeaving: this.#leaving.has(id, entry.bornAtMs) }]
   }
 
+  #recordGone ({ id, bornAtMs }: EndpointEntry): void {
+    this.#goneStarts.set(id, bornAtMs)
+    const [oldest] = this.#goneStarts.keys()
+    if (this.#goneStarts.size > MAX_GONE && oldest !== undefined) this.#goneStarts.delete(oldest)
+  }
+
   #canTakeRequests ({ entry }: DirectEndpoint): boolean {
     return entry.state === 'ready' && !this.#leaving.has(entry.id, entry.bornAtMs)
   }
--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -1,4 +1,5 @@
 import { PrefixWatcher } from '../store/prefixWatcher'
+import { getEra } from '../store/storePosition'
 import { RouteTable } from '../policy/routeTable'
 
 import type { Result } from 'true-myth'
@@ -55,6 +56,8 @@
 const EXPIRY_INTERVAL_MS = 100
 /** Heartbeats that must have been missed before an entry can lapse without its endpoint's doing; the platform lets three pass. */
 const LAPSE_HEARTBEATS = 2
+/** Heartbeats within which the platform removes the entries of endpoints that are gone from a restored list. */
+const OLD_ENTRY_HEARTBEATS = 4
 /** Failed calls in a row that show an outage; a single one may be a connection that fell silent. */
 const OUTAGE_FAILURES = 2
 
@@ -75,6 +78,10 @@
   #listReachedAtMs: number
   /** Calls for the list that failed in a row. */
   #listFailures = 0
+  /** How often the store had come back from an older copy, as of the last list; null before the first. */
+  #era: number | null = null
+  /** Time until which the list may hold entries of endpoints that were gone before the store came back. */
+  #oldEntriesUntilMs = -Infinity
 
   constructor (options: FleetFollowerOptions) {
     const { clock, service, decoder, freshness } = options
@@ -100,7 +107,7 @@
       clock,
       timing: { ...TIMING, watchMs: ENDPOINT_WATCH_MS, maxRearmMs: ENDPOINT_REARM_MS },
       prefix: decoder.endpointPrefix,
-      handleList: objects => this.#applyEndpointList(objects),
+      handleList: (objects, revision) => this.#applyEndpointList(objects, revision),
       handleEvents: events => this.#applyEndpointEvents(events),
       handleConfirmed: () => {
         this.#listReachedAtMs = clock.getMonotonicMs()
@@ -152,14 +159,25 @@
     handleTable(this.#table)
   }
 
-  #applyEndpointList (objects: StoredObject[]): void {
+  #applyEndpointList (objects: StoredObject[], revision: number): void {
     const { directory, clock, heartbeatMs } = this.#options
     const nowMs = clock.getMonotonicMs()
     const isLong = nowMs - this.#listReachedAtMs > LAPSE_HEARTBEATS * heartbeatMs
-    const afterOutage = isLong && this.#listFailures >= OUTAGE_FAILURES
+    const afterOutage = (isLong && this.#listFailures >= OUTAGE_FAILURES) || this.#recordEra(getEra(revision), nowMs)
     const entries = objects.flatMap(object => this.#decodeEndpoint(object) ?? [])
     this.#hasEndpoints = true
-    this.#reportChanges(directory.applyList(entries, { afterOutage, nowMs }))
+    this.#reportChanges(directory.applyList(entries, { afterOutage, isOlderCopy: nowMs < this.#oldEntriesUntilMs, nowMs }))
+  }
+
+  /** Returns whether the store has come back from an older copy, which lacks what was written since. */
+  #recordEra (era: number, nowMs: number): boolean {
+    const { log, heartbeatMs } = this.#options
+    const before = this.#era
+    this.#era = era
+    if (before === null || before >= era) return false
+    this.#oldEntriesUntilMs = nowMs + OLD_ENTRY_HEARTBEATS * heartbeatMs
+    log.write('notable', { event: 'storeRestored', era, before })
+    return true
   }
 
   #applyEndpointEvents (events: WatchEvent[]): void {
--- a/src/store/poisonRegistry.ts
+++ b/src/store/poisonRegistry.ts
@@ -7,6 +7,7 @@
 import { POISON_PREFIX } from './keys'
 import { hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
 import { PrefixWatcher } from './prefixWatcher'
+import { getEra } from './storePosition'
 import { TokenBucket } from './tokenBucket'
 
 import type { Clock } from '../base/clock'
@@ -46,6 +47,8 @@
 const IDLE_MS = 60_000
 /** Long enough for the process that saw the crash to write it, and for the watch to show it. */
 const TOLD_WRITE_DELAY_MS = 10_000
+/** Spread over processes that hold the same records, so that the first one's write spares the others theirs. */
+const RESTORED_WRITE_DELAY_MS = 1_000
 
 /**
  * Crash records of requests, shared through the platform: written at a bounded rate, watched by
@@ -71,6 +74,8 @@
   readonly #toldCounts = new Map<string, { count: number, atMs: number }>()
   /** Fingerprints with crashes that the service is not known to have, and when to write them. */
   readonly #unwritten = new Map<string, number>()
+  /** Era of the store as of the last list; null before the first. */
+  #era: number | null = null
   #waiters: Array<{ fingerprint: string, resolve: () => void }> = []
 
   constructor (options: PoisonRegistryOptions) {
@@ -87,7 +92,7 @@
       onError,
       timing: WATCH_TIMING,
       prefix: POISON_PREFIX,
-      handleList: objects => objects.forEach(object => this.#adopt(object)),
+      handleList: (objects, revision) => this.#adoptList(objects, getEra(revision)),
       handleEvents: events => this.#handleEvents(events)
     })
   }
@@ -190,6 +195,14 @@
     this.#writer.notify()
   }
 
+  /** After the store came back from an older copy, each process writes again what it holds and the store lacks. */
+  #adoptList (objects: StoredObject[], era: number): void {
+    const isOlderCopy = this.#era !== null && era > this.#era
+    this.#era = era
+    if (isOlderCopy) for (const { fingerprint } of this.listRecords()) this.#scheduleWrite(fingerprint, spreadPeriod(RESTORED_WRITE_DELAY_MS, this.#getRandom))
+    objects.forEach(object => this.#adopt(object))
+  }
+
   #handleEvents (events: WatchEvent[]): void {
     for (const event of events) if (event.kind === 'put') this.#adopt(event.object)
   }
--- a/src/store/prefixWatcher.ts
+++ b/src/store/prefixWatcher.ts
@@ -12,8 +12,8 @@
 export interface PrefixWatcherOptions {
   service: ObjectService
   prefix: string
-  /** Takes the whole present state; objects that are not listed are gone. */
-  handleList: (objects: StoredObject[]) => void
+  /** Takes the whole present state and its position; objects that are not listed are gone. */
+  handleList: (objects: StoredObject[], revision: number) => void
   /** Takes changes in the order in which they were made. */
   handleEvents: (events: WatchEvent[]) => void
   /** Told that the view was the newest at a moment: the start of the call just answered, or before it where another process read. */
@@ -127,7 +127,7 @@
     if (signal.aborted || result.value.revision < this.#lastRevision) return false
     this.#isRefreshing = false
     this.#setRevision(result.value.revision)
-    handleList(result.value.objects)
+    handleList(result.value.objects, result.value.revision)
     this.#options.handleConfirmed?.(computeEarlier(startedAt, result.value.ageMs ?? 0))
     return true
   }
--- a/standins/objects/objectsServer.ts
+++ b/standins/objects/objectsServer.ts
@@ -13,6 +13,12 @@
   status: unknown
 }
 
+/** The whole state at one moment. */
+export interface ObjectsCopy {
+  objects: ReadonlyMap<string, KeptObject>
+  revision: number
+}
+
 /** What serving needs of a request, whether its connection is still there or not. */
 type ServedRequest = Pick<IncomingMessage, 'method' | 'url'> & AsyncIterable<unknown>
 
@@ -52,6 +58,7 @@
   readonly #pageSize: number
   #events: KeptEvent[] = []
   #revision = 1
+  #era = 0
   #oldestRevision = 0
   fault: ObjectsFault = 'none'
   /** Calls by method and path, in order. */
@@ -98,8 +105,23 @@
     this.#events = []
   }
 
+  /** Takes a copy of the state, for `loadCopy`. */
+  saveCopy (): ObjectsCopy {
+    return { objects: new Map(this.#objects), revision: this.#revision }
+  }
+
+  /** Comes back from an older copy: what was written since is lost, and its revisions are given out again. */
+  loadCopy ({ objects, revision }: ObjectsCopy): void {
+    this.#objects.clear()
+    for (const [key, object] of objects) this.#objects.set(key, object)
+    this.#events = this.#events.filter(event => event.revision <= revision)
+    this.#revision = revision
+    this.#era += 1
+  }
+
   async #serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     this.calls.push(`${request.method} ${request.url}`)
+    if (this.#era > 0) response.setHeader('store-era', this.#era)
     switch (this.fault) {
       case 'silent': return
       case 'reset':
@@ -161,8 +183,13 @@
   async #sendChanges (response: ServerResponse, kind: string, parameters: URLSearchParams): Promise<void> {
     const from = Number(parameters.get('watch'))
     const untilMs = performance.now() + Number(parameters.get('waitMs') ?? 0)
+    const era = this.#era
     while (!response.destroyed) {
-      if (from < this.#oldestRevision) return sendJson(response, 410, {})
+      if (era !== this.#era) {
+        response.destroy()
+        return
+      }
+      if (from < this.#oldestRevision || from > this.#revision) return sendJson(response, 410, {})
       const events = this.#events.filter(event => event.kind === kind && event.revision > from)
       if (events.length > 0 || performance.now() >= untilMs) {
         return sendJson(response, 200, { events: events.map(({ object, deleted }) => ({ object, deleted })), currentRev: this.#revision })
--- a/tests/platform/platformStore.spec.ts
+++ b/tests/platform/platformStore.spec.ts
@@ -2,6 +2,7 @@
 
 import { PlatformStore } from '../../platform/platformStore'
 import { Progress } from '../../src/base/progress'
+import { PoisonRegistry } from '../../src/store/poisonRegistry'
 import { PrefixWatcher } from '../../src/store/prefixWatcher'
 import { ObjectsServer } from '../../standins/objects/objectsServer'
 import { waitUntil } from '../relay/relayFixture'
@@ -104,4 +105,68 @@
     await waitUntil('the deletion', () => !seen.has('servers/a'))
     await watcher.stop()
   })
+
+  describe('that came back from an older copy', () => {
+    it('should be read anew, though its revisions are given out again', async () => {
+      const seen = new Set<string>()
+      const watcher = new PrefixWatcher({
+        service: store,
+        prefix: 'servers/',
+        timing: { watchMs: 60, watchGraceMs: 60, listTimeoutMs: 100, minRearmMs: 1, maxRearmMs: 5, backoffBaseMs: 5, backoffCapMs: 20 },
+        handleList: objects => {
+          seen.clear()
+          for (const object of objects) seen.add(object.key)
+        },
+        handleEvents: events => {
+          for (const event of events) if (event.kind === 'put') seen.add(event.object.key)
+        }
+      })
+      server.put('servers', 'kept', 1)
+      const copy = server.saveCopy()
+      server.put('servers', 'lost', 2)
+      watcher.start()
+      await waitUntil('the object that will be lost', () => seen.has('servers/lost'))
+      server.loadCopy(copy)
+      for (const name of ['new-1', 'new-2', 'new-3']) server.put('servers', name, 3)
+      await waitUntil('the present state', () => [...seen].sort().join() === 'servers/kept,servers/new-1,servers/new-2,servers/new-3')
+      await watcher.stop()
+    })
+
+    it('should be read anew when it is behind what was read before', async () => {
+      const copy = server.saveCopy()
+      for (const name of ['a', 'b', 'c']) server.put('servers', name, 1)
+      const before = (await store.list('servers/', createProgress())).unwrapOr({ revision: 0, objects: [] })
+      server.loadCopy(copy)
+      const watched = await store.watch('servers/', before.revision, 50, createProgress())
+      expect(watched.isErr && watched.error.kind).to.equal('conflict')
+      const after = (await store.list('servers/', createProgress())).unwrapOr({ revision: 0, objects: [] })
+      expect(after.objects).to.deep.equal([])
+      expect(after.revision).to.be.above(before.revision)
+    })
+
+    it('should not be written under a revision of before that another object has now', async () => {
+      server.put('poison', 'y', { n: 0 })
+      const copy = server.saveCopy()
+      const { version } = (await store.put('poison/x', { n: 1 }, { kind: 'absent' }, createProgress())).unwrapOr({ version: 0 })
+      server.loadCopy(copy)
+      server.put('poison', 'x', { n: 2 })
+      await store.get('poison/y', createProgress())
+      const written = await store.put('poison/x', { n: 3 }, { kind: 'version', version }, createProgress())
+      expect(written.isErr && written.error.kind).to.equal('conflict')
+    })
+
+    it('should get the crash records again that it lost', async () => {
+      const copy = server.saveCopy()
+      const registry = new PoisonRegistry({ service: store })
+      registry.start()
+      registry.record({ fingerprint: 'f-1', endpointName: 'engine-1', crashId: 'engine-1/5' })
+      await registry.waitWritten('f-1', createProgress(2000))
+      server.loadCopy(copy)
+      const readRecords = async () => (await store.list('poison/', createProgress())).unwrapOr({ revision: 0, objects: [] }).objects.length
+      expect(await readRecords()).to.equal(0)
+      for (let tries = 0; tries < 60 && await readRecords() === 0; tries++) await new Promise(resolve => setTimeout(resolve, 50))
+      expect(await readRecords()).to.equal(1)
+      await registry.stop()
+    })
+  })
 })
--- a/tests/policy/endpointDirectory.spec.ts
+++ b/tests/policy/endpointDirectory.spec.ts
@@ -69,4 +69,32 @@
     expect(directory.listReady('engines')[0]!.failures).to.equal(0)
     expect(directory.isReady(before)).to.equal(false)
   })
+
+  describe('of a store that came back from an older copy', () => {
+    const older = { afterOutage: true, isOlderCopy: true, nowMs: 1000 }
+
+    it('should not bring back endpoints that are leaving or gone', () => {
+      const directory = new EndpointDirectory()
+      directory.applyList([buildEntry('e-1'), buildEntry('e-2')], { afterOutage: false, nowMs: 0 })
+      directory.applyChanges([buildEntry('e-1', { state: 'draining' })], ['e-2'])
+      directory.applyList([buildEntry('e-1'), buildEntry('e-2')], older)
+      expect(directory.listReady('engines')).to.deep.equal([])
+    })
+
+    it('should take a new start of an endpoint, and one that writes its entry again', () => {
+      const directory = new EndpointDirectory()
+      directory.applyList([buildEntry('e-1'), buildEntry('e-2')], { afterOutage: false, nowMs: 0 })
+      directory.applyChanges([], ['e-1', 'e-2'])
+      directory.applyList([buildEntry('e-1', { bornAtMs: 2 }), buildEntry('e-2')], older)
+      directory.applyChanges([buildEntry('e-2')], [])
+      expect(listReadyIds(directory)).to.deep.equal(['e-1', 'e-2'])
+    })
+
+    it('should keep for a while what joined since the copy', () => {
+      const directory = new EndpointDirectory()
+      directory.applyList([buildEntry('e-1')], { afterOutage: false, nowMs: 0 })
+      expect(directory.applyList([], older).map(change => change.kind)).to.deep.equal(['lapsed'])
+      expect(directory.listReady('engines')).to.have.length(1)
+    })
+  })
 })
