End answers that are bytes without end, and bound what they hold together

Two faults shown by tests that fail on the code before: interim heads (1xx) were read for as long as they came, until the request's time ran out; 40 answers at once with bodies without end held 328 MB, on instances of 178 MB. Ruled out: endless status lines, headers, chunk extensions, trailers and events were ended already (tests). Change: at most 16 interim heads; answers that are collected share 32 MB beyond 64 kB each, and one that finds no room is abandoned and its connection reset.

--- /dev/null
+++ b/src/relay/byteBudget.ts
@@ -0,0 +1,34 @@
+/**
+ * Bytes that answers under way may hold in memory together, beyond a small part that each may always
+ * hold: a few answers without end must not use up what the sound ones need.
+ *
+ * @example
+ * const budget = new ByteBudget({ freeBytes: 65_536, sharedBytes: 33_554_432 })
+ * if (!budget.acquire(held, part.length)) abortAnswer()
+ */
+export class ByteBudget {
+  readonly #freeBytes: number
+  #sharedBytes: number
+
+  constructor (options: { freeBytes: number, sharedBytes: number }) {
+    this.#freeBytes = options.freeBytes
+    this.#sharedBytes = options.sharedBytes
+  }
+
+  /** Takes `bytes` more for an answer that holds `heldBytes`; false when there is no room. */
+  acquire (heldBytes: number, bytes: number): boolean {
+    const wanted = this.#countShared(heldBytes + bytes) - this.#countShared(heldBytes)
+    if (wanted > this.#sharedBytes) return false
+    this.#sharedBytes -= wanted
+    return true
+  }
+
+  /** Gives back all that an answer held. */
+  release (heldBytes: number): void {
+    this.#sharedBytes += this.#countShared(heldBytes)
+  }
+
+  #countShared (heldBytes: number): number {
+    return Math.max(0, heldBytes - this.#freeBytes)
+  }
+}
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,6 +1,7 @@
 import { request as createRequest } from 'node:http'
 
 import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
+import type { ByteBudget } from './byteBudget'
 import type { HeaderList } from './relayRequest'
 
 /** One send of a request to an endpoint. */
@@ -15,6 +16,8 @@
   /** Milliseconds within which a new connection must be made. */
   connectTimeoutMs: number
   signal: AbortSignal
+  /** What answers that are collected may hold together. */
+  budget: ByteBudget
 }
 
 /** What to do with an answer once its head is there. */
@@ -44,6 +47,8 @@
   | { kind: 'aborted' }
 
 const MAX_COLLECTED_BYTES = 8_388_608
+/** Interim heads (1xx) before an answer; no endpoint has reason to send more than a few. */
+const MAX_INTERIM_HEADS = 16
 
 /**
  * Sends a request to an endpoint and hands its answer to `sink`. An answer counts as whole only
@@ -68,6 +73,7 @@
   #connectTimer: NodeJS.Timeout | undefined
   #isSent = false
   #hasEnded = false
+  #interimHeads = 0
 
   constructor (send: EndpointSend, sink: AnswerSink, resolve: (end: ExchangeEnd) => void) {
     this.#send = send
@@ -88,6 +94,7 @@
       this.#connectTimer = setTimeout(() => request.destroy(new Error('no connection in time')), this.#send.connectTimeoutMs)
       socket.once('connect', () => this.#handleConnect())
     })
+    request.on('information', () => this.#countInterimHead())
     request.on('response', response => this.#handleResponse(response))
     request.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
     request.on('close', () => this.#finish({ kind: 'broken', message: 'connection closed' }))
@@ -114,6 +121,13 @@
     clearTimeout(this.#connectTimer)
   }
 
+  #countInterimHead (): void {
+    this.#interimHeads += 1
+    if (this.#interimHeads <= MAX_INTERIM_HEADS) return
+    this.#finish({ kind: 'garbled', message: `more than ${MAX_INTERIM_HEADS} interim heads` })
+    this.#abortConnection()
+  }
+
   #handleResponse (response: IncomingMessage): void {
     this.#response = response
     response.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
@@ -128,12 +142,17 @@
   }
 
   #addPart (bytes: Buffer): void {
+    if (this.#hasEnded) return
     this.#sink.handlePart(bytes)
+    if (this.#length + bytes.length > MAX_COLLECTED_BYTES) return this.#abortAnswer(`the answer is larger than ${MAX_COLLECTED_BYTES} bytes`)
+    if (!this.#send.budget.acquire(this.#length, bytes.length)) return this.#abortAnswer('answers under way hold too many bytes')
     this.#length += bytes.length
     this.#parts.push(bytes)
-    if (this.#length <= MAX_COLLECTED_BYTES) return
-    this.#finish({ kind: 'broken', message: `the answer is larger than ${MAX_COLLECTED_BYTES} bytes` })
-    this.#request?.destroy()
+  }
+
+  #abortAnswer (message: string): void {
+    this.#finish({ kind: 'broken', message })
+    this.#abortConnection()
   }
 
   #relayPart (response: IncomingMessage, bytes: Buffer): void {
@@ -160,6 +179,8 @@
     this.#hasEnded = true
     clearTimeout(this.#connectTimer)
     this.#send.signal.removeEventListener('abort', this.#handleAbort)
+    this.#send.budget.release(this.#length)
+    this.#parts.length = 0
     this.#resolve(end)
   }
 }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,5 +1,6 @@
 import { recordSend } from '../policy/directEndpoint'
 import { recordQuiet } from '../policy/quietTime'
+import { ByteBudget } from './byteBudget'
 import { sendToEndpoint } from './endpointExchange'
 import { EndpointRun, isSuccess } from './endpointRun'
 
@@ -64,24 +65,28 @@
 
 /** Time for a connection within a region: several round trips, below the retransmission of a lost first packet. */
 const CONNECT_TIMEOUT_MS = 250
+/** Bytes that one collected answer may always hold, and all together beyond that: a small instance has 178 MB. */
+const ANSWER_BYTES = { freeBytes: 65_536, sharedBytes: 33_554_432 }
 /** Statuses that promise the caller that the request did not run; an endpoint that ran it must not have them passed on. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503])
 
 /** Sends requests to endpoints, one send at a time, and passes good answers on to the caller. */
 export class EndpointSender {
   readonly #options: EndpointSenderOptions
+  readonly #budget = new ByteBudget(ANSWER_BYTES)
 
   constructor (options: EndpointSenderOptions) {
     this.#options = options
   }
 
   async send (order: SendOrder): Promise<EndedSend> {
-    return await new OneSend(this.#options, order).run()
+    return await new OneSend(this.#options, this.#budget, order).run()
   }
 }
 
 class OneSend {
   readonly #options: EndpointSenderOptions
+  readonly #budget: ByteBudget
   readonly #order: SendOrder
   readonly #endpoint: DirectEndpoint
   readonly #controller = new AbortController()
@@ -93,8 +98,9 @@
   #events = 0
   #stopped: StopReason | null = null
 
-  constructor (options: EndpointSenderOptions, order: SendOrder) {
+  constructor (options: EndpointSenderOptions, budget: ByteBudget, order: SendOrder) {
     this.#options = options
+    this.#budget = budget
     this.#order = order
     this.#endpoint = order.choice.endpoint
     this.#pendingTokens = order.choice.unreadTokens
@@ -156,7 +162,8 @@
       headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfter: position.lastEventId }),
       body: request.body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
-      signal: this.#controller.signal
+      signal: this.#controller.signal,
+      budget: this.#budget
     }
   }
 
