--- a/tests/policy/engineModel.ts
+++ b/tests/policy/engineModel.ts
@@ -20,13 +20,16 @@
   promptParts: readonly PromptPart[]
   outputTokens: number
   handleFirst: (nowMs: number) => void
-  handleEnd: (nowMs: number) => void
+  /** Told of the longest pause between two events as well. */
+  handleEnd: (nowMs: number, longestPauseMs: number) => void
 }
 
 interface Running extends EngineJob {
   unread: PromptPart[]
   readAtMs: number | null
   produced: number
+  eventAtMs: number | null
+  longestPauseMs: number
   order: number
 }
 
@@ -49,7 +52,7 @@
   }
 
   add (job: EngineJob): void {
-    this.#waiting.push({ ...job, unread: [], readAtMs: null, produced: 0, order: this.#arrivals++ })
+    this.#waiting.push({ ...job, unread: [], readAtMs: null, produced: 0, eventAtMs: null, longestPauseMs: 0, order: this.#arrivals++ })
     this.#waiting.sort((one, other) => one.rank - other.rank || one.order - other.order)
   }
 
@@ -102,9 +105,15 @@
       if (job.readAtMs === null || endMs < job.readAtMs + firstMs) return true
       job.produced += 1
       if (job.produced === Math.min(eventTokens, job.outputTokens)) job.handleFirst(endMs)
+      if (job.produced % eventTokens === 0) recordEvent(job, endMs)
       if (job.produced < job.outputTokens) return true
-      job.handleEnd(endMs)
+      job.handleEnd(endMs, job.longestPauseMs)
       return false
     })
   }
 }
+
+function recordEvent (job: Running, nowMs: number): void {
+  if (job.eventAtMs !== null) job.longestPauseMs = Math.max(job.longestPauseMs, nowMs - job.eventAtMs)
+  job.eventAtMs = nowMs
+}
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -19,6 +19,8 @@
   rank: number
   perSecond: number
   targetMs: number
+  /** Longest pause between two events with which an answer is on time. */
+  pauseMs: number
   patienceMs: number
   /** Tokens and number of different parts, from the one that most requests share on. */
   sharedParts: Array<{ tokens: number, count: number }>
@@ -43,6 +45,8 @@
   asked: number
   inTime: number
   late: number
+  /** Refused without a start. */
+  refused: number
   /** What the requests and their answers are worth by the size of their prompts: all, and the largest ones. */
   worth: { owed: number, earned: number }
   largest: { owed: number, earned: number, asked: number, served: number }
@@ -56,6 +60,7 @@
 }
 
 interface Waiting extends PassRequest {
+  refuse: () => void
   start: (choice: DirectChoice) => void
 }
 
@@ -106,7 +111,7 @@
   play (): ReplayResult {
     const { kinds, lengthMs } = this.#replay
     for (const kind of kinds) {
-      this.#counts.set(kind.name, { asked: 0, inTime: 0, late: 0, worth: { owed: 0, earned: 0 }, largest: { owed: 0, earned: 0, asked: 0, served: 0 } })
+      this.#counts.set(kind.name, { asked: 0, inTime: 0, late: 0, refused: 0, worth: { owed: 0, earned: 0 }, largest: { owed: 0, earned: 0, asked: 0, served: 0 } })
       for (let atMs = this.#sampleGap(kind); atMs < lengthMs; atMs += this.#sampleGap(kind)) this.#schedule(atMs, () => this.#handleArrival(kind))
     }
     const endMs = lengthMs + Math.max(...kinds.map(kind => kind.patienceMs)) + 1000
@@ -150,6 +155,7 @@
       expiresAtMs: nowMs + kind.patienceMs,
       choose: planned => place(planned, this.#nowMs),
       take: choice => gateway.placement.take(choice, promptParts, this.#nowMs),
+      refuse: () => { count.refused += 1 },
       start: choice => this.#send(gateway, kind, request, choice, isLargest)
     })
   }
@@ -158,25 +164,31 @@
     const { endpoint, unreadTokens } = choice
     const sentAtMs = this.#nowMs
     const count = this.#counts.get(kind.name)!
+    let firstAtMs = 0
     const handleFirst = () => {
+      firstAtMs = this.#nowMs
       endpoint.pendingTokens -= unreadTokens
       endpoint.heardAtMs = this.#nowMs
-      const elapsedMs = this.#nowMs + WAY_MS - request.arrivedAtMs
+      gateway.placement.recordFirst(choice, { sentAtMs, targetMs: TIGHTEST_TARGET_MS, isWanted: gateway.queue.size > 0, nowMs: this.#nowMs })
+    }
+    const handleEnd = (longestPauseMs: number) => {
+      endpoint.inFlight -= 1
+      const elapsedMs = firstAtMs + WAY_MS - request.arrivedAtMs
       const isServed = elapsedMs <= kind.patienceMs
-      const earned = (elapsedMs <= kind.targetMs ? 1 : isServed ? kind.lateShare : 0) * computeWorth(kind, request.promptParts)
-      if (elapsedMs <= kind.targetMs) count.inTime += 1
+      const isInTime = elapsedMs <= kind.targetMs && longestPauseMs <= kind.pauseMs
+      const earned = (isInTime ? 1 : isServed ? kind.lateShare : 0) * computeWorth(kind, request.promptParts)
+      if (isInTime) count.inTime += 1
       else if (isServed) count.late += 1
       count.worth.earned += earned
       if (isLargest) count.largest.earned += earned
       if (isLargest && isServed) count.largest.served += 1
-      gateway.placement.recordFirst(choice, { sentAtMs, targetMs: TIGHTEST_TARGET_MS, isWanted: gateway.queue.size > 0, nowMs: this.#nowMs })
     }
     const job = {
       rank: kind.rank,
       promptParts: request.promptParts,
       outputTokens: kind.outputTokens,
       handleFirst: (atMs: number) => this.#schedule(atMs + WAY_MS, handleFirst),
-      handleEnd: (atMs: number) => this.#schedule(atMs + WAY_MS, () => { endpoint.inFlight -= 1 })
+      handleEnd: (atMs: number, longestPauseMs: number) => this.#schedule(atMs + WAY_MS, () => handleEnd(longestPauseMs))
     }
     this.#schedule(sentAtMs + WAY_MS, () => {
       this.#engines.get(endpoint.entry.id)!.add(job)
@@ -198,7 +210,7 @@
   #runPasses (): void {
     for (const { queue } of this.#gateways) {
       if (queue.size === 0) continue
-      queue.takeExpired(this.#nowMs)
+      for (const expired of queue.takeExpired(this.#nowMs)) expired.refuse()
       startWaiting(queue, this.#nowMs, (waiting, choice) => waiting.start(choice))
     }
   }
--- a/tests/policy/replayLoads.ts
+++ b/tests/policy/replayLoads.ts
@@ -16,9 +16,9 @@
     lengthMs: 6000,
     seed,
     kinds: [
-      { name: 'bulk', rank: 2, perSecond: 30 * perEngine, targetMs: 815, patienceMs: 4000, sharedParts: [{ tokens: 2520, count: 4 }, { tokens: 3780, count: 42 * engines }], ownTokens: { mean: 2890, sigma: 1, max: 39_600 }, outputTokens: 56, lateShare: 0.3 },
-      { name: 'look-up', rank: 1, perSecond: 6 * perEngine, targetMs: 250, patienceMs: 2500, sharedParts: [{ tokens: 341, count: 40 }, { tokens: 227, count: 40 * engines }], ownTokens: { mean: 1800, sigma: 1.3, max: 6870 }, outputTokens: 24, lateShare: 0.3 },
-      { name: 'urgent', rank: 0, perSecond: 1.8 * perEngine, targetMs: 150, patienceMs: 12_000, sharedParts: [{ tokens: 103, count: 16 }, { tokens: 69, count: 308 }], ownTokens: { mean: 543, sigma: 0.9, max: 2310 }, outputTokens: 280, lateShare: 0.1 }
+      { name: 'bulk', rank: 2, perSecond: 30 * perEngine, targetMs: 815, pauseMs: 500, patienceMs: 4000, sharedParts: [{ tokens: 2520, count: 4 }, { tokens: 3780, count: 42 * engines }], ownTokens: { mean: 2890, sigma: 1, max: 39_600 }, outputTokens: 56, lateShare: 0.3 },
+      { name: 'look-up', rank: 1, perSecond: 6 * perEngine, targetMs: 250, pauseMs: 200, patienceMs: 2500, sharedParts: [{ tokens: 341, count: 40 }, { tokens: 227, count: 40 * engines }], ownTokens: { mean: 1800, sigma: 1.3, max: 6870 }, outputTokens: 24, lateShare: 0.3 },
+      { name: 'urgent', rank: 0, perSecond: 1.8 * perEngine, targetMs: 150, pauseMs: 120, patienceMs: 12_000, sharedParts: [{ tokens: 103, count: 16 }, { tokens: 69, count: 308 }], ownTokens: { mean: 543, sigma: 0.9, max: 2310 }, outputTokens: 280, lateShare: 0.1 }
     ]
   }
 }
