--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -16,6 +16,9 @@
     pendingTokens: number
     /** What other gateways have there, as lately told. */
     othersInFlight: number
+    /** Prompt tokens that the endpoint has to read for this request, and unread ones of other gateways. */
+    unreadTokens: number
+    othersTokens: number
     failureRate: number
     /** Milliseconds since the request arrived. */
     heldMs: number
@@ -33,6 +36,7 @@
     costMs: number | null
     unreadTokens: number | null
     pendingTokens: number | null
+    othersTokens: number | null
     limitTokens: number | null
     inFlight: number | null
     /** Milliseconds since the last byte of the endpoint. */
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -24,8 +24,9 @@
   candidates: number
   /** Prompt tokens that the endpoint would have to read for the request. */
   unreadTokens: number
-  /** Requests that other gateways have there. */
+  /** Requests that other gateways have there, and prompt tokens of theirs that are unread. */
   othersInFlight: number
+  othersTokens: number
   /** Whether the endpoint is expected to start the request at once. */
   hasRoom: boolean
 }
@@ -115,11 +116,13 @@
     if (best === null || isBetter(candidate, best, options)) best = candidate
   }
   if (best === null) return null
+  const others = options.getOthers(best.endpoint.entry.id)
   return {
     ...best,
     candidates,
     reason: HOLDER_REASONS[options.holders.indexOf(best.endpoint)] ?? 'leastCost',
-    othersInFlight: options.getOthers(best.endpoint.entry.id).inFlight,
+    othersInFlight: others.inFlight,
+    othersTokens: others.pendingTokens,
     hasRoom: hasRoom(best, options)
   }
 }
@@ -129,7 +132,8 @@
  * that waits chooses anew only from time to time, since a choice weighs every endpoint.
  */
 export function updateRoom (choice: DirectChoice, room: RoomOptions): DirectChoice {
-  return { ...choice, hasRoom: hasRoom(choice, room) }
+  const others = room.getOthers(choice.endpoint.entry.id)
+  return { ...choice, othersInFlight: others.inFlight, othersTokens: others.pendingTokens, hasRoom: hasRoom(choice, room) }
 }
 
 /** Gets the deepest part that requests share, by which they should meet at one endpoint. */
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -56,7 +56,9 @@
       candidates: choice.candidates,
       inFlight: endpoint.inFlight,
       pendingTokens: Math.round(endpoint.pendingTokens),
+      unreadTokens: Math.round(choice.unreadTokens),
       othersInFlight: choice.othersInFlight,
+      othersTokens: Math.round(choice.othersTokens),
       failureRate: Number(endpoint.failureRate.toFixed(2)),
       heldMs: Math.round(nowMs - request.arrivedAtMs),
       remainingMs: Math.round(request.deadlineAtMs - nowMs)
@@ -76,6 +78,7 @@
       costMs: best === null ? null : Math.round(best.costMs),
       unreadTokens: best?.unreadTokens ?? null,
       pendingTokens: best === null ? null : Math.round(best.endpoint.pendingTokens),
+      othersTokens: best === null ? null : Math.round(best.othersTokens),
       limitTokens: best === null ? null : Math.round(best.endpoint.readLimit.tokens),
       inFlight: best?.endpoint.inFlight ?? null,
       silentMs: best === null ? null : Math.round(nowMs - best.endpoint.heardAtMs)
--- a/tests/relay/dispatcher.spec.ts
+++ b/tests/relay/dispatcher.spec.ts
@@ -28,7 +28,7 @@
   let hasRoom = false
   const choose = (): DirectChoice => {
     choices += 1
-    return { endpoint, reason: 'leastCost', costMs: 0, candidates: 1, unreadTokens: 100, othersInFlight: 0, hasRoom }
+    return { endpoint, reason: 'leastCost', costMs: 0, candidates: 1, unreadTokens: 100, othersInFlight: 0, othersTokens: 0, hasRoom }
   }
   for (let index = 0; index < LINE_OF_WAITING; index++) {
     const request: DispatchRequest = { id: `r-${index}`, service: 'engines', rank: 1, tokens: 100, dueAtMs: 5000, expiresAtMs: 9000, choose, take: () => started.push(`r-${index}`) }
