Have the soak's store come back from an older copy

A copy is taken, and some seconds later the store comes back from it: revisions go back, Store-Era rises, the operator and the endpoints write again, and entries of endpoints that are gone lapse. Removed keys, leaving endpoints and whole answers are checked as in each other fault.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -153,6 +153,7 @@
           store.dropHistory()
           return
         case 'lapse': return await this.#dropEntries(forMs)
+        case 'restore': return await this.#loadOlderCopy(forMs)
         default:
           store.fault = how
           await waitFor(forMs)
@@ -173,6 +174,18 @@
     for (const endpoint of lapsed) if (endpoint.drainedAtMs === null && endpoints.includes(endpoint)) operator.registerEndpoint(endpoint)
   }
 
+  /** The store comes back from a copy; who wrote since writes again, and what is gone lapses. */
+  async #loadOlderCopy (forMs: number): Promise<void> {
+    const { store, operator, endpoints } = this.#options.fleet
+    const copy = store.saveCopy()
+    await waitFor(forMs)
+    store.loadCopy(copy)
+    operator.publishAgain()
+    for (const endpoint of endpoints) operator.registerAgain(endpoint)
+    await waitFor(LAPSE_BACK_MS)
+    operator.removeUnknown(endpoints)
+  }
+
   async #replaceEndpoint (place: number): Promise<void> {
     const { fleet, bounds } = this.#options
     const leaving = fleet.endpoints[place]!
--- a/soak/soakOperator.ts
+++ b/soak/soakOperator.ts
@@ -18,6 +18,9 @@
 export class SoakOperator {
   readonly #store: ObjectsServer
   readonly #versions: SoakVersion[] = []
+  #latest: unknown = null
+  /** Ids of all endpoints that were ever registered. */
+  readonly #registered = new Set<string>()
 
   constructor (store: ObjectsServer) {
     this.#store = store
@@ -31,7 +34,7 @@
   publishNext (): void {
     const version = this.current + 1
     const own = Array.from({ length: VERSION_LIFE }, (_, age) => version - age).filter(number => number > 0)
-    this.#store.put('config', 'main', {
+    this.#latest = {
       version,
       routes: [
         buildRoute('stream', { kind: 'streaming', resumable: true, service: 'engine', timeoutMs: 4000, maxAttempts: 3 }),
@@ -42,10 +45,16 @@
       services: [{ name: 'engine', healthPath: '/health', maxConnections: 200 }, { name: 'desk', healthPath: '/health', maxConnections: 200 }],
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: 2000, idleTimeoutMs: 5000 },
       tenants: WORKSPACES.map((name, index) => ({ name, apiKeys: [`key-${name}`, ...index === 0 ? own.map(number => `key-v${number}`) : []] }))
-    })
+    }
+    this.publishAgain()
     this.#versions.push({ version, acknowledgedAtMs: performance.now() })
   }
 
+  /** Writes the newest version once more. */
+  publishAgain (): void {
+    this.#store.put('config', 'main', this.#latest)
+  }
+
   /** Gets when a version's successor that lacks its route and key was acknowledged; null before. */
   getRemovedAtMs (version: number): number | null {
     return this.#versions.find(other => other.version === version + VERSION_LIFE)?.acknowledgedAtMs ?? null
@@ -70,10 +79,21 @@
     this.#putEndpoint(endpoint, 'ready')
   }
 
+  /** Writes an endpoint's entry as it is now. */
+  registerAgain (endpoint: SoakEndpoint): void {
+    this.#putEndpoint(endpoint, endpoint.drainedAtMs === null ? 'ready' : 'draining')
+  }
+
   removeEndpoint (endpoint: SoakEndpoint): void {
     this.#store.remove('servers', endpoint.id)
   }
 
+  /** Removes the entries of endpoints that are not there. */
+  removeUnknown (endpoints: readonly SoakEndpoint[]): void {
+    const known = new Set(endpoints.map(endpoint => endpoint.id))
+    for (const id of this.#registered) if (!known.has(id)) this.#store.remove('servers', id)
+  }
+
   /** Tells that an endpoint leaves, and takes it away when the time for that is over. */
   async drainEndpoint (endpoint: SoakEndpoint, drainMs: number, waitFor: (milliseconds: number) => Promise<void>): Promise<void> {
     this.#putEndpoint(endpoint, 'draining')
@@ -83,6 +103,7 @@
   }
 
   #putEndpoint (endpoint: SoakEndpoint, state: 'ready' | 'draining'): void {
+    this.#registered.add(endpoint.id)
     this.#store.put('servers', endpoint.id, {
       service: endpoint.service, address: endpoint.proxy.address, zone: 'domain-a', slots: 8, state, seq: 1, born: endpoint.bornAtMs
     })
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -20,7 +20,7 @@
 
 export type LinkName = 'callers' | 'store' | 'endpoint'
 export type LinkFault = 'reset' | 'silence' | 'delay' | 'cutForth' | 'cutBack' | 'cutBoth'
-export type StoreFault = 'busy' | 'limited' | 'silent' | 'reset' | 'garbled' | 'slow' | 'lostAnswers' | 'lateWrites' | 'forget' | 'lapse'
+export type StoreFault = 'busy' | 'limited' | 'silent' | 'reset' | 'garbled' | 'slow' | 'lostAnswers' | 'lateWrites' | 'forget' | 'lapse' | 'restore'
 export type EndpointFaultName = 'failing' | 'cutting' | 'losing' | 'garbling' | 'refusing' | 'slow'
 
 export interface PlannedAction {
@@ -52,7 +52,7 @@
 
 const LINKS: readonly LinkName[] = ['callers', 'store', 'endpoint']
 const LINK_FAULTS: readonly LinkFault[] = ['reset', 'silence', 'delay', 'cutForth', 'cutBack', 'cutBoth']
-const STORE_FAULTS: readonly StoreFault[] = ['busy', 'limited', 'silent', 'reset', 'garbled', 'slow', 'lostAnswers', 'lateWrites', 'forget', 'lapse']
+const STORE_FAULTS: readonly StoreFault[] = ['busy', 'limited', 'silent', 'reset', 'garbled', 'slow', 'lostAnswers', 'lateWrites', 'forget', 'lapse', 'restore']
 const ENDPOINT_FAULTS: readonly EndpointFaultName[] = ['failing', 'cutting', 'losing', 'garbling', 'refusing', 'slow']
 const CLOCK_STEPS_MS = [-30_000, -4000, -700, 700, 4000, 30_000]
 
