Notice an older copy also when the store was away for long before

Cause: found on reading the diff: whether the era rose was asked only where the list had not been out of reach for long, so that a drill with an outage before it brought leaving and gone endpoints back. Change: EraMemory, in place of the same logic in two classes, is asked at each list.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -74,7 +74,7 @@
 export type BeliefEvent =
   | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string }
   /** The store came back from an older copy; `era` counts how often. */
-  | { event: 'storeRestored', era: number, before: number }
+  | { event: 'storeRestored', era: number | null }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
   /** `requestId` is that of the answer that said so; absent when another gateway told it. */
   | { event: 'endpointLeaving', requestId: string | undefined, endpoint: string, bornAtMs: number, source: string, saidAgoMs: number }
--- a/src/relay/fleetFollower.ts
+++ b/src/relay/fleetFollower.ts
@@ -1,5 +1,5 @@
+import { EraMemory } from '../store/eraMemory'
 import { PrefixWatcher } from '../store/prefixWatcher'
-import { getEra } from '../store/storePosition'
 import { RouteTable } from '../policy/routeTable'
 
 import type { Result } from 'true-myth'
@@ -78,8 +78,7 @@
   #listReachedAtMs: number
   /** Calls for the list that failed in a row. */
   #listFailures = 0
-  /** How often the store had come back from an older copy, as of the last list; null before the first. */
-  #era: number | null = null
+  readonly #era = new EraMemory()
   /** Time until which the list may hold entries of endpoints that were gone before the store came back. */
   #oldEntriesUntilMs = -Infinity
 
@@ -163,21 +162,19 @@
     const { directory, clock, heartbeatMs } = this.#options
     const nowMs = clock.getMonotonicMs()
     const isLong = nowMs - this.#listReachedAtMs > LAPSE_HEARTBEATS * heartbeatMs
-    const afterOutage = (isLong && this.#listFailures >= OUTAGE_FAILURES) || this.#recordEra(getEra(revision), nowMs)
+    const isRestored = this.#era.recordPosition(revision)
+    if (isRestored) this.#recordRestored(nowMs)
+    const afterOutage = isRestored || (isLong && this.#listFailures >= OUTAGE_FAILURES)
     const entries = objects.flatMap(object => this.#decodeEndpoint(object) ?? [])
     this.#hasEndpoints = true
     this.#reportChanges(directory.applyList(entries, { afterOutage, isOlderCopy: nowMs < this.#oldEntriesUntilMs, nowMs }))
   }
 
-  /** Returns whether the store has come back from an older copy, which lacks what was written since. */
-  #recordEra (era: number, nowMs: number): boolean {
+  /** The store has come back from an older copy, which lacks what was written since. */
+  #recordRestored (nowMs: number): void {
     const { log, heartbeatMs } = this.#options
-    const before = this.#era
-    this.#era = era
-    if (before === null || before >= era) return false
     this.#oldEntriesUntilMs = nowMs + OLD_ENTRY_HEARTBEATS * heartbeatMs
-    log.write('notable', { event: 'storeRestored', era, before })
-    return true
+    log.write('notable', { event: 'storeRestored', era: this.#era.era })
   }
 
   #applyEndpointEvents (events: WatchEvent[]): void {
--- a/src/store/poisonRegistry.ts
+++ b/src/store/poisonRegistry.ts
@@ -4,10 +4,10 @@
 
 import { Backoff, spreadPeriod } from './backoff'
 import { BackgroundTask } from './backgroundTask'
+import { EraMemory } from './eraMemory'
 import { POISON_PREFIX } from './keys'
 import { hasAllCrashes, mergeCrashRecords, toPoisonKey } from './poisonRecord'
 import { PrefixWatcher } from './prefixWatcher'
-import { getEra } from './storePosition'
 import { TokenBucket } from './tokenBucket'
 
 import type { Clock } from '../base/clock'
@@ -74,8 +74,7 @@
   readonly #toldCounts = new Map<string, { count: number, atMs: number }>()
   /** Fingerprints with crashes that the service is not known to have, and when to write them. */
   readonly #unwritten = new Map<string, number>()
-  /** Era of the store as of the last list; null before the first. */
-  #era: number | null = null
+  readonly #era = new EraMemory()
   #waiters: Array<{ fingerprint: string, resolve: () => void }> = []
 
   constructor (options: PoisonRegistryOptions) {
@@ -92,7 +91,7 @@
       onError,
       timing: WATCH_TIMING,
       prefix: POISON_PREFIX,
-      handleList: (objects, revision) => this.#adoptList(objects, getEra(revision)),
+      handleList: (objects, revision) => this.#adoptList(objects, revision),
       handleEvents: events => this.#handleEvents(events)
     })
   }
@@ -196,10 +195,8 @@
   }
 
   /** After the store came back from an older copy, each process writes again what it holds and the store lacks. */
-  #adoptList (objects: StoredObject[], era: number): void {
-    const isOlderCopy = this.#era !== null && era > this.#era
-    this.#era = era
-    if (isOlderCopy) for (const { fingerprint } of this.listRecords()) this.#scheduleWrite(fingerprint, spreadPeriod(RESTORED_WRITE_DELAY_MS, this.#getRandom))
+  #adoptList (objects: StoredObject[], revision: number): void {
+    if (this.#era.recordPosition(revision)) for (const { fingerprint } of this.listRecords()) this.#scheduleWrite(fingerprint, spreadPeriod(RESTORED_WRITE_DELAY_MS, this.#getRandom))
     objects.forEach(object => this.#adopt(object))
   }
 
