Compute the latest start of a request once, and name the options of room

Cause: found on reading the whole change. Change: open takes the latest start; DirectChooserOptions extends RoomOptions; FAST_TIMING. Behaviour and assertions as before.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -34,16 +34,8 @@
 /** Prompt tokens of requests that wait for an endpoint, by its id. */
 export type PlannedTokens = Map<string, number>
 
-export interface DirectChooserOptions {
-  /** Endpoints that do not come into question, since the request was there already. */
-  excluded: ReadonlySet<string>
-  /**
-   * Endpoints at which the request's shared parts meet: their home, and their alternate,
-   * for when the home is behind, the same at all gateways. Empty when nothing is shared.
-   */
-  holders: readonly DirectEndpoint[]
-  /** Endpoints kept for light prompts. */
-  reservedIds: ReadonlySet<string>
+/** What decides whether an endpoint has room for one more request of this gateway. */
+export interface RoomOptions {
   /** What waits for each endpoint and goes first. */
   planned: PlannedTokens
   /** Gets what other gateways have at an endpoint, as lately told. */
@@ -54,15 +46,24 @@
   meanTokens: number
   /** Whether the request can no longer be on time. */
   isLate: boolean
+  nowMs: number
+}
+
+export interface DirectChooserOptions extends RoomOptions {
+  /** Endpoints that do not come into question, since the request was there already. */
+  excluded: ReadonlySet<string>
+  /**
+   * Endpoints at which the request's shared parts meet: their home, and their alternate,
+   * for when the home is behind, the same at all gateways. Empty when nothing is shared.
+   */
+  holders: readonly DirectEndpoint[]
+  /** Endpoints kept for light prompts. */
+  reservedIds: ReadonlySet<string>
   /** Whether an endpoint with room is chosen before one without, whatever is cached where. */
   needsRoom: boolean
-  nowMs: number
   random: () => number
 }
 
-/** What decides whether an endpoint has room for one more request of this gateway. */
-export type RoomOptions = Pick<DirectChooserOptions, 'planned' | 'getOthers' | 'maxInFlight' | 'meanTokens' | 'isLate' | 'nowMs'>
-
 type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'>
 
 /** What the choice weighs of a prompt, the same at each endpoint. */
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -45,7 +45,7 @@
  * endpoints and how soon they read it.
  *
  * @example
- * const place = placement.open(request, tried)
+ * const place = placement.open(request, tried, placement.computeDueAt(request))
  * const choice = place(planned, nowMs)
  * if (choice?.hasRoom === true) placement.take(choice, request.promptParts, nowMs)
  */
@@ -69,9 +69,8 @@
     return computeLatestStart({ arrivedAtMs, targetMs, tokens, usualAnswerMs })
   }
 
-  /** Returns the choice of a waiting request, to be asked each time room may have come free. */
-  open (request: PlacedRequest, tried: ReadonlySet<string>): (planned: PlannedTokens, nowMs: number) => DirectChoice | null {
-    const dueAtMs = this.computeDueAt(request)
+  /** Returns the choice of a waiting request, to be asked each time room may have come free; it is late from `dueAtMs` on. */
+  open (request: PlacedRequest, tried: ReadonlySet<string>, dueAtMs: number): (planned: PlannedTokens, nowMs: number) => DirectChoice | null {
     let best: DirectChoice | null = null
     let chosenAtMs = -Infinity
     return (planned, nowMs) => {
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -133,14 +133,15 @@
       return null
     }
     const placed = toPlaced(request)
-    const place = placement.open(placed, state.tried)
+    const dueAtMs = placement.computeDueAt(placed)
+    const place = placement.open(placed, state.tried, dueAtMs)
     let best: DirectChoice | null = null
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
       service: request.service,
       rank: request.rank,
       tokens: countOwnTokens(placed.promptParts),
-      dueAtMs: placement.computeDueAt(placed),
+      dueAtMs,
       expiresAtMs: request.deadlineAtMs,
       choose: planned => {
         best = place(planned, clock.getMonotonicMs())
--- a/tests/platform/platformStore.spec.ts
+++ b/tests/platform/platformStore.spec.ts
@@ -9,6 +9,9 @@
 
 import type { ObjectsFault } from '../../standins/objects/objectsServer'
 
+/** Short times, so that a fault is over soon. */
+const FAST_TIMING = { watchMs: 60, watchGraceMs: 60, listTimeoutMs: 100, minRearmMs: 1, maxRearmMs: 5, backoffBaseMs: 5, backoffCapMs: 20 }
+
 function createProgress (timeoutMs = 1000): Progress {
   return new Progress({ title: 'testing', timeoutMs })
 }
@@ -78,7 +81,7 @@
     const watcher = new PrefixWatcher({
       service: store,
       prefix: 'servers/',
-      timing: { watchMs: 60, watchGraceMs: 60, listTimeoutMs: 100, minRearmMs: 1, maxRearmMs: 5, backoffBaseMs: 5, backoffCapMs: 20 },
+      timing: FAST_TIMING,
       handleList: objects => {
         seen.clear()
         for (const object of objects) seen.set(object.key, object.value)
@@ -112,7 +115,7 @@
       const watcher = new PrefixWatcher({
         service: store,
         prefix: 'servers/',
-        timing: { watchMs: 60, watchGraceMs: 60, listTimeoutMs: 100, minRearmMs: 1, maxRearmMs: 5, backoffBaseMs: 5, backoffCapMs: 20 },
+        timing: FAST_TIMING,
         handleList: objects => {
           seen.clear()
           for (const object of objects) seen.add(object.key)
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -146,12 +146,13 @@
     if (isLargest) count.largest.asked += 1
     if (isLargest) count.largest.owed += worth
     gateway.placement.recordArrival(request)
-    const place = gateway.placement.open(request, new Set())
+    const dueAtMs = gateway.placement.computeDueAt(request)
+    const place = gateway.placement.open(request, new Set(), dueAtMs)
     gateway.queue.add({
       id: String(this.#requests),
       rank: kind.rank,
       tokens: promptParts.at(-1)!.tokens,
-      dueAtMs: gateway.placement.computeDueAt(request),
+      dueAtMs,
       expiresAtMs: nowMs + kind.patienceMs,
       choose: planned => place(planned, this.#nowMs),
       take: choice => gateway.placement.take(choice, promptParts, this.#nowMs),
