--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -93,6 +93,13 @@
   /** An endpoint named a limit that is not a number; `kept` stays in force. */
   | { event: 'endpointLimitUnreadable', requestId: string, endpoint: string, text: string, kept: number | null }
   | { event: 'endpointEntryIgnored', endpoint: string, revision: number }
+  /**
+   * A connection broke before the answer to a request was complete; `parts` are the keys of the prompt
+   * parts that it shares with others, `events` the complete events that had arrived, over `streamedMs`.
+   */
+  | { event: 'answerBroken', requestId: string, endpoint: string, crashId: string, fingerprint: string, parts: string[], status: number | null, events: number, streamedMs: number }
+  /** An endpoint ended; `attempts` counts the answers of this gateway that broke with it. */
+  | { event: 'endpointExited', endpoint: string, crashId: string, sign: string, attempts: number, brokenAgoMs: number | null }
   | { event: 'crashBlamed', fingerprint: string, endpoint: string, crashId: string, crashes: number, limit: number }
   | { event: 'crashLearned', fingerprint: string, crashes: number, before: number, limit: number }
   | { event: 'configInForce', version: number, previous: number | null, revision: number, routes: number }
--- a/src/policy/crashAttribution.ts
+++ b/src/policy/crashAttribution.ts
@@ -43,6 +43,12 @@
     this.#isSuspect = isSuspect
   }
 
+  /** Counts the attempts that broke at the endpoint and may have broken with its process; `lastAtMs` is null without any. */
+  countBrokenAttempts (endpoint: CrashedEndpoint, nowMs: number): { attempts: number, lastAtMs: number | null } {
+    const attempts = (this.#brokenAttempts.get(formatCrashId(endpoint)) ?? []).filter(attempt => nowMs - attempt.atMs < CRASH_DETECTION_MS)
+    return { attempts: attempts.length, lastAtMs: attempts.at(-1)?.atMs ?? null }
+  }
+
   /** Records that a connection broke while the endpoint may have run the request. */
   recordBrokenAttempt (endpoint: CrashedEndpoint, fingerprint: string, nowMs: number): void {
     const crashId = formatCrashId(endpoint)
@@ -73,6 +79,7 @@
   }
 }
 
-function formatCrashId (endpoint: CrashedEndpoint): string {
+/** Formats the id of the crash that ends the endpoint's process. */
+export function formatCrashId (endpoint: CrashedEndpoint): string {
   return `${endpoint.id}/${endpoint.bornAtMs}`
 }
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto'
 
-import { CrashAttribution } from '../policy/crashAttribution'
+import { CrashAttribution, formatCrashId } from '../policy/crashAttribution'
+import { listSharedPartKeys } from '../policy/promptPartKeys'
 import { PoisonRegistry } from '../store/poisonRegistry'
 
 import type { Clock } from '../base/clock'
@@ -10,16 +11,28 @@
 import type { CrashRecord } from '../protocol/crashRecord'
 import type { Refusal } from '../protocol/errorBody'
 import type { ObjectService } from '../store/objectService'
+import type { ExitSign, RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
 
 export interface CrashGuardOptions {
   clock: Clock
   service: ObjectService
   log: DecisionLog
+  observer: RelayObserver
   /** Called when this process has observed a crash, so that it can notify other gateways. */
   handleCrash: () => void
 }
 
+/** What had arrived of an answer when its connection broke. */
+export interface AnswerProgress {
+  /** Status of the answer; null when its head had not arrived. */
+  status: number | null
+  /** Complete events that had arrived. */
+  events: number
+  /** Milliseconds between the first and the last of them. */
+  streamedMs: number
+}
+
 /** Crashes after which a request is refused; the platform's rules require it from the third one on. */
 const CRASH_LIMIT = 3
 /** Milliseconds for which a crash counts against a request; fixing the fault that crashes the endpoints takes longer. */
@@ -59,18 +72,22 @@
   }
 
   /** Records an attempt whose connection broke after the endpoint may have started to run it. */
-  recordBrokenConnection (entry: EndpointEntry, request: RelayRequest): void {
-    this.#attribution.recordBrokenAttempt(entry, hashRequest(request), this.#options.clock.getMonotonicMs())
+  recordBrokenConnection (entry: EndpointEntry, request: RelayRequest, progress: AnswerProgress): void {
+    const { clock, observer } = this.#options
+    const fingerprint = hashRequest(request)
+    const parts = listSharedPartKeys(request.service, request.traits.promptParts)
+    observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint, parts, ...progress })
+    this.#attribution.recordBrokenAttempt(entry, fingerprint, clock.getMonotonicMs())
   }
 
   /** Records that the endpoint's address refuses connections. */
   recordRefusedConnection (entry: EndpointEntry): void {
-    this.#recordCrash(entry)
+    this.#recordCrash(entry, 'refusedConnection')
   }
 
   /** Treats an endpoint that disappears without announcing that it leaves as crashed. */
   recordDirectoryChange (change: DirectoryChange): void {
-    if (change.kind === 'gone' && change.entry.state === 'ready' && !change.wasLeaving) this.#recordCrash(change.entry)
+    if (change.kind === 'gone' && change.entry.state === 'ready' && !change.wasLeaving) this.#recordCrash(change.entry, 'entryGone')
   }
 
   /** Merges a crash record that another gateway reported. */
@@ -85,9 +102,13 @@
     return this.#registry.listRecords()
   }
 
-  #recordCrash (entry: EndpointEntry): void {
-    const crash = this.#attribution.recordExit(entry, this.#options.clock.getMonotonicMs())
+  #recordCrash (entry: EndpointEntry, sign: ExitSign): void {
+    const { clock, observer } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    const { attempts, lastAtMs } = this.#attribution.countBrokenAttempts(entry, nowMs)
+    const crash = this.#attribution.recordExit(entry, nowMs)
     if (crash === null) return
+    observer.recordExit(entry.service, { endpoint: entry.id, crashId: crash.crashId, sign, attempts, brokenAgoMs: lastAtMs === null ? null : Math.round(nowMs - lastAtMs) })
     for (const fingerprint of crash.fingerprints) {
       this.#registry.record({ fingerprint, endpointName: crash.endpointId, crashId: crash.crashId })
       this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: crash.endpointId, crashId: crash.crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -107,6 +107,9 @@
   #pendingTokens: number
   #firstMs: number | null = null
   #eventCount = 0
+  /** Monotonic milliseconds at which the first and the latest events arrived; 0 before the first. */
+  #firstEventAtMs = 0
+  #lastEventAtMs = 0
   #stopReason: StopReason | null = null
 
   constructor (options: EndpointSenderOptions, budget: ByteBudget, input: AttemptInput) {
@@ -127,7 +130,7 @@
       handleBytes: () => options.stallDetector.recordBytes(this.#watchedAttempt.endpoint),
       handleProgress: () => options.stallDetector.recordProgress(this.#watchedAttempt),
       handleFirstEvent: () => this.#recordFirstEvent(),
-      handleEvents: count => { this.#eventCount += count }
+      handleEvents: count => this.#recordEvents(count)
     })
   }
 
@@ -213,6 +216,13 @@
     handleCapacity(request.service)
   }
 
+  #recordEvents (count: number): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    if (this.#eventCount === 0) this.#firstEventAtMs = nowMs
+    this.#lastEventAtMs = nowMs
+    this.#eventCount += count
+  }
+
   #releaseTokens (): void {
     this.#endpoint.pendingTokens -= this.#pendingTokens
     this.#pendingTokens = 0
@@ -234,7 +244,10 @@
 
   #recordCrashEvidence (exchangeResult: ExchangeResult): void {
     const { crashes } = this.#options
-    if (exchangeResult.kind === 'broken') crashes.recordBrokenConnection(this.#endpoint.entry, this.#input.request)
+    if (exchangeResult.kind === 'broken') {
+      const streamedMs = Math.round(this.#lastEventAtMs - this.#firstEventAtMs)
+      crashes.recordBrokenConnection(this.#endpoint.entry, this.#input.request, { status: this.#forwarder.head?.status ?? null, events: this.#eventCount, streamedMs })
+    }
     if (exchangeResult.kind === 'notSent' && exchangeResult.isRefused) crashes.recordRefusedConnection(this.#endpoint.entry)
   }
 
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -25,6 +25,34 @@
   events: number
 }
 
+/** What shows that an endpoint's process has ended. */
+export type ExitSign = 'refusedConnection' | 'entryGone' | 'restarted'
+
+/** An answer that broke off, for the log and the metrics. */
+export interface BrokenAnswerReport {
+  endpoint: string
+  crashId: string
+  fingerprint: string
+  /** Keys of the prompt parts that the request shares with others. */
+  parts: string[]
+  status: number | null
+  /** Complete events that had arrived. */
+  events: number
+  /** Milliseconds between the first and the last of them. */
+  streamedMs: number
+}
+
+/** The end of an endpoint's process, for the log and the metrics. */
+export interface ExitReport {
+  endpoint: string
+  crashId: string
+  sign: ExitSign
+  /** Answers of this gateway that broke with it. */
+  attempts: number
+  /** Milliseconds since the last of them broke; null when none did. */
+  brokenAgoMs: number | null
+}
+
 /** Maximum characters of an endpoint's text in a log line. */
 const MAX_LOGGED_TEXT = 40
 
@@ -35,6 +63,8 @@
   readonly #attempts: Counter
   readonly #retries: Counter
   readonly #permits: Counter
+  readonly #brokenAnswers: Counter
+  readonly #exits: Counter
   readonly #firstEventTime: LabeledHistogram
   readonly #queueTime: LabeledHistogram
 
@@ -44,6 +74,8 @@
     this.#attempts = metrics.createCounter('sends_total', 'Sends to endpoints by service and outcome.')
     this.#retries = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
+    this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
+    this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
   }
@@ -140,6 +172,18 @@
     this.#log.write('notable', { event: 'limitKeeperLost', endpoint: endpointId, keeper, reason })
   }
 
+  /** Records an answer that broke off, with what the request shares with others. */
+  recordBrokenAnswer (request: RelayRequest, answer: BrokenAnswerReport): void {
+    this.#brokenAnswers.add({ service: request.service, progress: answer.events > 0 ? 'events' : 'none' })
+    this.#log.write('notable', { event: 'answerBroken', requestId: request.traits.requestId, ...answer })
+  }
+
+  /** Records that an endpoint ended while requests of this gateway ran there. */
+  recordExit (service: string, exit: ExitReport): void {
+    this.#exits.add({ service, sign: exit.sign })
+    this.#log.write('notable', { event: 'endpointExited', ...exit })
+  }
+
   recordError (error: unknown): void {
     this.#log.writeError(error)
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -100,7 +100,7 @@
     this.#observer = new RelayObserver(log, this.#metrics)
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log, handleCrash: () => this.#peers.notifyCrash() })
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash() })
     this.#limits = new LimitCoordinator({
       clock: systemClock,
       gateway: settings.id,
