Hold prompt parts that crash endpoints, from what all gateways see together

Change: crash evidence by prompt part, with the reports of loads; an end is looked for as soon as an answer breaks; holds in the crash records; checked before each send, and queued requests refused at once. A stream without framing that ends inside an event has broken off. Whole suite not run on this commit.

--- a/src/base/adminRoutes.ts
+++ b/src/base/adminRoutes.ts
@@ -7,6 +7,7 @@
 /** HTTP paths for operators, served by every process. */
 export const METRICS_PATH = '/metrics'
 export const STATE_PATH = '/state'
+export const LIFT_HOLD_PATH = '/holds/lift'
 
 /** Creates the handler of `GET /metrics`. */
 export function createMetricsHandler (metrics: Metrics): (request: IncomingMessage, response: ServerResponse) => void {
@@ -34,9 +35,23 @@
   }
 }
 
-function checkMethod (request: IncomingMessage, response: ServerResponse): boolean {
-  if (request.method === 'GET') return true
-  sendText(response, 405, 'text/plain; charset=utf-8', 'Use GET here.\n')
+/**
+ * Creates the handler of `POST /holds/lift?fingerprint=...`, by which an operator ends a hold on requests.
+ *
+ * @param removeHold ends the hold and returns false when there is none with this fingerprint
+ */
+export function createLiftHandler (removeHold: (fingerprint: string) => boolean): (request: IncomingMessage, response: ServerResponse) => void {
+  return (request, response) => {
+    if (!checkMethod(request, response, 'POST')) return
+    const fingerprint = new URL(request.url ?? '/', 'http://gateway').searchParams.get('fingerprint') ?? ''
+    const isLifted = removeHold(fingerprint)
+    sendText(response, isLifted ? 200 : 404, 'text/plain; charset=utf-8', isLifted ? 'The hold has ended.\n' : 'No hold has this fingerprint.\n')
+  }
+}
+
+function checkMethod (request: IncomingMessage, response: ServerResponse, method: 'GET' | 'POST' = 'GET'): boolean {
+  if (request.method === method) return true
+  sendText(response, 405, 'text/plain; charset=utf-8', `Use ${method} here.\n`)
   return false
 }
 
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -100,6 +100,14 @@
   | { event: 'answerBroken', requestId: string, endpoint: string, crashId: string, fingerprint: string, parts: string[], status: number | null, events: number, streamedMs: number }
   /** An endpoint ended; `attempts` counts the answers of this gateway that broke with it. */
   | { event: 'endpointExited', endpoint: string, crashId: string, sign: string, attempts: number, brokenAgoMs: number | null }
+  /** A crash may have been caused by prompt parts of these requests; `source` says whether this gateway saw it itself. */
+  | { event: 'partsSuspected', crashId: string, requests: string[][], ageMs: number, source: string }
+  /** An endpoint answered a prompt with the part, so that it is not the cause of the crashes before. */
+  | { event: 'partCleared', part: string, ageMs: number, source: string }
+  /** Requests whose prompts have all these parts are refused from now on, because of these crashes. */
+  | { event: 'promptPartHeld', parts: string[], crashes: number, crashIds: string[], lastCrashAgoMs: number, forMs: number }
+  /** A hold came in force here or ended, whichever gateway decided it. */
+  | { event: 'promptPartHoldBegun' | 'promptPartHoldEnded', fingerprint: string, crashes: number }
   | { event: 'crashBlamed', fingerprint: string, endpoint: string, crashId: string, crashes: number, limit: number }
   | { event: 'crashLearned', fingerprint: string, crashes: number, before: number, limit: number }
   | { event: 'configInForce', version: number, previous: number | null, revision: number, routes: number }
--- a/src/policy/promptPartKeys.ts
+++ b/src/policy/promptPartKeys.ts
@@ -17,3 +17,22 @@
   const ids = new Set(promptParts.slice(0, -1).slice(0, MAX_PARTS).map(part => part.id.toLowerCase()))
   return [...ids].map(id => createHash('sha256').update(JSON.stringify([service, id])).digest('hex').slice(0, KEY_LENGTH))
 }
+
+/** Characters that any object store accepts in names. */
+const FINGERPRINT_PREFIX = 'part-'
+const SEPARATOR = '-'
+
+/**
+ * Formats the fingerprint under which crashes of requests with all of these parts are recorded.
+ *
+ * @example
+ * formatPartFingerprint(['b', 'a']) // 'part-a-b'
+ */
+export function formatPartFingerprint (parts: readonly string[]): string {
+  return FINGERPRINT_PREFIX + [...parts].sort().join(SEPARATOR)
+}
+
+/** Parses the parts of a fingerprint; returns null when it stands for a whole request. */
+export function parsePartFingerprint (fingerprint: string): string[] | null {
+  return fingerprint.startsWith(FINGERPRINT_PREFIX) ? fingerprint.slice(FINGERPRINT_PREFIX.length).split(SEPARATOR) : null
+}
--- a/src/policy/retryDecision.ts
+++ b/src/policy/retryDecision.ts
@@ -22,6 +22,8 @@
   /** Connections for the request that could not be opened. */
   failedConnects: number
   remainingMs: number
+  /** Whether the request may be what crashed endpoints before, as far as is known. */
+  isCrashSuspect: boolean
 }
 
 /** Whether to retry a request. */
@@ -29,7 +31,7 @@
   /** `usesRetryBudget` says whether the retry counts against the retry budget. */
   | { kind: 'repeat', usesRetryBudget: boolean }
   /** `reason` says why the request is not retried. */
-  | { kind: 'end', reason: 'mayNotRepeat' | 'attemptsSpent' | 'noTimeLeft' | 'connectsSpent' }
+  | { kind: 'end', reason: 'mayNotRepeat' | 'attemptsSpent' | 'noTimeLeft' | 'connectsSpent' | 'mayCrashEndpoints' }
 
 /** Minimum milliseconds before the deadline for a retry. A later retry could not be answered in time. */
 const MIN_REMAINING_MS = 40
@@ -49,6 +51,7 @@
   if (state.outcome === 'notSent') return decideAfterFailedConnect(state)
   if (state.attempts >= state.maxAttempts) return { kind: 'end', reason: 'attemptsSpent' }
   if (state.outcome === 'notRun') return { kind: 'repeat', usesRetryBudget: true }
+  if (state.outcome === 'mayHaveRun' && state.isCrashSuspect) return { kind: 'end', reason: 'mayCrashEndpoints' }
   return isRetryable(state) ? { kind: 'repeat', usesRetryBudget: true } : { kind: 'end', reason: 'mayNotRepeat' }
 }
 
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -76,6 +76,12 @@
  */
 const endpointLimitsSchema = z.array(z.tuple([z.string(), z.number(), z.number().int().min(0), z.number().min(0).nullable(), z.number().min(0)]))
 
+/** Crashes that prompt parts may have caused: crash id, milliseconds since, and for each request that may have caused it the keys of its parts. */
+const partCrashesSchema = z.array(z.tuple([z.string().max(200), z.number(), z.array(z.array(z.string().max(64)).max(64)).max(64)]))
+
+/** Prompt parts that endpoints have answered: key, milliseconds since the answer began. */
+const soundPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
+
 /** Load update exchanged between two gateways. It excludes the load of the receiver itself. */
 export const loadUpdateSchema = z.object({
   /** Id of the reporting gateway. */
@@ -86,7 +92,9 @@
   gateways: z.number(),
   loads: endpointLoadsSchema,
   leaving: leavingNoticesSchema.default([]),
-  limits: endpointLimitsSchema.default([])
+  limits: endpointLimitsSchema.default([]),
+  crashes: partCrashesSchema.default([]),
+  sound: soundPartsSchema.default([])
 })
 
 export type LoadUpdate = z.infer<typeof loadUpdateSchema>
--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -106,6 +106,16 @@
     return this.#options.reply.write(events.bytes, resume)
   }
 
+  /** Whether the answer ended with its connection, so that its framing does not say whether it is complete. */
+  get isUnframed (): boolean {
+    return !this.#isFramed
+  }
+
+  /** Whether the stream stopped within an event. */
+  get endsWithinEvent (): boolean {
+    return this.#splitter.hasRemainder
+  }
+
   /** Sends the rest of a complete answer to the caller. */
   completeReply (end: Extract<ExchangeResult, { kind: 'collected' | 'passed' }>): void {
     const { reply } = this.#options
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -1,13 +1,20 @@
 import { createHash } from 'node:crypto'
 
+import { readClock } from '../base/clockReading'
 import { CrashAttribution, formatCrashId } from '../policy/crashAttribution'
-import { listSharedPartKeys } from '../policy/promptPartKeys'
+import { CrashEvidence, EVIDENCE_SETTLE_MS } from '../policy/crashEvidence'
+import { formatPartFingerprint, listSharedPartKeys, parsePartFingerprint } from '../policy/promptPartKeys'
+import { isBegunStream } from '../policy/streamProgress'
 import { PoisonRegistry } from '../store/poisonRegistry'
+import { ExitProber } from './exitProber'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
+import type { AttributedCrash, CrashedEndpoint } from '../policy/crashAttribution'
+import type { CrashReport, HeldParts, PartHold, SoundReport } from '../policy/crashEvidence'
 import type { EndpointEntry } from '../policy/directEndpoint'
 import type { DirectoryChange } from '../policy/endpointDirectory'
+import type { StreamProgress } from '../policy/streamProgress'
 import type { CrashRecord } from '../protocol/crashRecord'
 import type { Refusal } from '../protocol/errorBody'
 import type { ObjectService } from '../store/objectService'
@@ -21,28 +28,44 @@
   observer: RelayObserver
   /** Called when this process has observed a crash, so that it can notify other gateways. */
   handleCrash: () => void
+  /** Called when further requests must not be sent, so that those that wait are refused. */
+  handleHold: () => void
 }
 
 /** What had arrived of an answer when its connection broke. */
-export interface AnswerProgress {
+export interface AnswerProgress extends StreamProgress {
   /** Status of the answer; null when its head had not arrived. */
   status: number | null
-  /** Complete events that had arrived. */
-  events: number
-  /** Milliseconds between the first and the last of them. */
-  streamedMs: number
+}
+
+/** Prompt parts that are held, as recorded for all gateways. */
+interface RecordedHold {
+  fingerprint: string
+  parts: string[]
+  record: CrashRecord
 }
 
 /** Crashes after which a request is refused; the platform's rules require it from the third one on. */
 const CRASH_LIMIT = 3
 /** Milliseconds for which a crash counts against a request; fixing the fault that crashes the endpoints takes longer. */
 const CRASH_RETENTION_MS = 600_000
+const MAX_LOGGED_REQUESTS = 8
+const MAX_LOGGED_PARTS = 8
+const MAX_DUMPED_SUSPECTS = 20
 
-/** Refuses poison requests at every gateway, by crash records in the object service. */
+/**
+ * Refuses, at every gateway, requests that crash endpoints and requests whose prompts have a part that
+ * does. Crashes are known to all gateways through their reports to each other, and what is refused also through
+ * the object service.
+ */
 export class CrashGuard {
   readonly #options: CrashGuardOptions
   readonly #registry: PoisonRegistry
   readonly #attribution: CrashAttribution
+  readonly #evidence = new CrashEvidence()
+  readonly #prober: ExitProber
+  #holds: RecordedHold[] = []
+  #decisionTimer: NodeJS.Timeout | undefined
 
   constructor (options: CrashGuardOptions) {
     const { clock, service, log } = options
@@ -51,9 +74,11 @@
       service,
       clock,
       retentionMs: CRASH_RETENTION_MS,
-      onError: error => log.writeError(error)
+      onError: error => log.writeError(error),
+      handleChange: () => this.#updateHolds()
     })
     this.#attribution = new CrashAttribution(fingerprint => this.#registry.getCrashCount(fingerprint) > 0)
+    this.#prober = new ExitProber({ clock, handleRefused: entry => this.#recordExit(entry, 'refusedConnection') })
   }
 
   start (): void {
@@ -61,33 +86,64 @@
   }
 
   async stop (): Promise<void> {
+    clearTimeout(this.#decisionTimer)
+    this.#prober.close()
     await this.#registry.stop()
   }
 
-  /** Returns the refusal of a poison request; null when the request may run. */
+  /** Returns the refusal of a request that crashes endpoints; null when the request may run. */
   check (request: RelayRequest): Refusal | null {
-    if (this.#registry.listRecords().length === 0) return null
+    if (this.#registry.isEmpty) return null
+    const hold = this.#findHold(request)
+    if (hold !== null) {
+      const retryAfterMs = Math.max(1, hold.record.atMs + CRASH_RETENTION_MS - this.#options.clock.getWallMs())
+      return { code: 'request_crashes_endpoints', message: 'Endpoints crash when they answer prompts with a part of this one.', execution: 'not_run', retryAfterMs }
+    }
     if (!this.#registry.isPoisoned(hashRequest(request), CRASH_LIMIT)) return null
     return { code: 'request_crashes_endpoints', message: `Endpoints crashed ${CRASH_LIMIT} times while they ran this request.`, execution: 'not_run', retryAfterMs: CRASH_RETENTION_MS }
   }
 
+  /** Returns whether the request, whose answer broke, may be what has crashed endpoints before. */
+  isRisky (request: RelayRequest): boolean {
+    return this.#evidence.isRisky(listPartKeys(request))
+  }
+
   /** Records an attempt whose connection broke after the endpoint may have started to run it. */
   recordBrokenConnection (entry: EndpointEntry, request: RelayRequest, progress: AnswerProgress): void {
     const { clock, observer } = this.#options
     const fingerprint = hashRequest(request)
-    const parts = listSharedPartKeys(request.service, request.traits.promptParts)
-    observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint, parts, ...progress })
-    this.#attribution.recordBrokenAttempt(entry, fingerprint, clock.getMonotonicMs())
+    const parts = listPartKeys(request)
+    observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint, parts: parts.slice(0, MAX_LOGGED_PARTS), ...progress })
+    const crash = this.#attribution.recordBrokenAttempt(entry, { fingerprint, parts: isBegunStream(progress) ? [] : parts }, clock.getMonotonicMs())
+    if (crash === null) this.#prober.probe(entry)
+    else this.#recordCrash(crash)
+  }
+
+  /** Records that an endpoint began to answer the request at a time, and went on. */
+  recordSoundAnswer (request: RelayRequest, begunAtMs: number): void {
+    this.#mergeSound(listPartKeys(request).map(part => ({ part, atMs: begunAtMs })), 'own')
   }
 
   /** Records that the endpoint's address refuses connections. */
   recordRefusedConnection (entry: EndpointEntry): void {
-    this.#recordCrash(entry, 'refusedConnection')
+    this.#recordExit(entry, 'refusedConnection')
   }
 
-  /** Treats an endpoint that disappears without announcing that it leaves as crashed. */
+  /** Treats an endpoint that disappears without announcing that it leaves, or that another one has replaced, as crashed. */
   recordDirectoryChange (change: DirectoryChange): void {
-    if (change.kind === 'gone' && change.entry.state === 'ready' && !change.wasLeaving) this.#recordCrash(change.entry, 'entryGone')
+    const { kind, entry } = change
+    switch (kind) {
+      case 'gone':
+        if (entry.state === 'ready' && !change.wasLeaving) this.#recordExit(entry, 'entryGone')
+        break
+      case 'joined':
+      case 'restarted':
+        for (const replaced of this.#attribution.findReplaced(entry)) this.#recordExit({ ...replaced, service: entry.service }, 'replaced')
+        break
+      case 'draining':
+      case 'readyAgain':
+      case 'lapsed':
+    }
   }
 
   /** Merges a crash record that another gateway reported. */
@@ -98,23 +154,144 @@
     if (crashes > before) this.#options.log.write('notable', { event: 'crashLearned', fingerprint: record.fingerprint, crashes, before, limit: CRASH_LIMIT })
   }
 
+  /** Lists the records, those of prompt parts last. */
   listRecords (): CrashRecord[] {
-    return this.#registry.listRecords()
+    const isOfParts = ({ fingerprint }: CrashRecord) => Number(parsePartFingerprint(fingerprint) !== null)
+    return this.#registry.listRecords().sort((one, other) => isOfParts(one) - isOfParts(other))
+  }
+
+  /** Lists the fingerprints of the prompt parts that are held. */
+  listHolds (): Array<{ fingerprint: string, crashes: number, atMs: number }> {
+    return this.#holds.map(({ fingerprint, record }) => ({ fingerprint, crashes: record.crashes.length, atMs: record.atMs }))
+  }
+
+  /** Lists the prompt parts that most of the known crashes have in common, for the state dump. */
+  listSuspects (): ReturnType<CrashEvidence['listSuspects']> {
+    return this.#evidence.listSuspects(MAX_DUMPED_SUSPECTS)
+  }
+
+  /** Ends a hold for all gateways, as an operator decided. Returns false when there is no such hold. */
+  removeHold (fingerprint: string): boolean {
+    if (!this.#holds.some(hold => hold.fingerprint === fingerprint)) return false
+    this.#registry.clear(fingerprint)
+    return true
   }
 
-  #recordCrash (entry: EndpointEntry, sign: ExitSign): void {
+  /** Lists what this gateway recently learned about crashes under prompt parts. */
+  listNews (): { crashes: CrashReport[], sound: SoundReport[] } {
+    return this.#evidence.listNews(this.#options.clock.getMonotonicMs())
+  }
+
+  /** Merges what another gateway has learned about crashes under prompt parts. */
+  mergeNews ({ crashes, sound }: { crashes: readonly CrashReport[], sound: readonly SoundReport[] }): void {
+    const added = crashes.filter(crash => this.#recordEvidence(crash, 'peer'))
+    this.#mergeSound(sound, 'peer')
+    if (added.length > 0) this.#scheduleDecision()
+  }
+
+  #recordExit (endpoint: CrashedEndpoint & { service: string }, sign: ExitSign): void {
     const { clock, observer } = this.#options
     const nowMs = clock.getMonotonicMs()
-    const { attempts, lastAtMs } = this.#attribution.countBrokenAttempts(entry, nowMs)
-    const crash = this.#attribution.recordExit(entry, nowMs)
+    const { attempts, lastAtMs } = this.#attribution.countBrokenAttempts(endpoint, nowMs)
+    const crash = this.#attribution.recordExit(endpoint, nowMs)
     if (crash === null) return
-    observer.recordExit(entry.service, { endpoint: entry.id, crashId: crash.crashId, sign, attempts, brokenAgoMs: lastAtMs === null ? null : Math.round(nowMs - lastAtMs) })
-    for (const fingerprint of crash.fingerprints) {
-      this.#registry.record({ fingerprint, endpointName: crash.endpointId, crashId: crash.crashId })
-      this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: crash.endpointId, crashId: crash.crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
+    observer.recordExit(endpoint.service, { endpoint: endpoint.id, crashId: crash.crashId, sign, attempts, brokenAgoMs: lastAtMs === null ? null : Math.round(nowMs - lastAtMs) })
+    this.#recordCrash(crash)
+  }
+
+  #recordCrash ({ crashId, endpointId, atMs, fingerprints, requests }: AttributedCrash): void {
+    if (this.#recordEvidence({ crashId, atMs, requests }, 'own')) this.#scheduleDecision()
+    const isExplained = this.#holds.some(hold => requests.some(parts => hold.parts.every(part => parts.includes(part))))
+    for (const fingerprint of isExplained ? [] : fingerprints) {
+      this.#registry.record({ fingerprint, endpointName: endpointId, crashId })
+      this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: endpointId, crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
     }
     this.#options.handleCrash()
   }
+
+  #recordEvidence (crash: CrashReport, source: 'own' | 'peer'): boolean {
+    const { clock, log } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    const isNew = this.#evidence.recordCrash(crash, nowMs)
+    if (isNew) log.write('notable', { event: 'partsSuspected', crashId: crash.crashId, requests: crash.requests.slice(0, MAX_LOGGED_REQUESTS).map(parts => parts.slice(0, MAX_LOGGED_PARTS)), ageMs: Math.round(nowMs - crash.atMs), source })
+    return isNew
+  }
+
+  #mergeSound (reports: readonly SoundReport[], source: 'own' | 'peer'): void {
+    const { clock, log } = this.#options
+    const now = readClock(clock)
+    for (const report of reports) {
+      const ageMs = now.monotonicMs - report.atMs
+      if (this.#evidence.recordSound(report, now.monotonicMs)) log.write('notable', { event: 'partCleared', part: report.part, ageMs: Math.round(ageMs), source })
+      for (const hold of this.#holds) if (hold.parts.includes(report.part) && now.wallMs - ageMs > hold.record.atMs) this.#removePart(hold, report.part)
+    }
+  }
+
+  /** Ends a hold of which one part turned out to be sound; what is left of it stays held. */
+  #removePart ({ fingerprint, parts, record }: RecordedHold, soundPart: string): void {
+    const rest = parts.filter(part => part !== soundPart)
+    if (rest.length > 0) this.#registry.recordAll(formatPartFingerprint(rest), record.crashes)
+    this.#registry.clear(fingerprint)
+  }
+
+  #scheduleDecision (): void {
+    this.#decisionTimer ??= setTimeout(() => this.#decideHolds(), EVIDENCE_SETTLE_MS)
+  }
+
+  #decideHolds (): void {
+    this.#decisionTimer = undefined
+    const nowMs = this.#options.clock.getMonotonicMs()
+    for (const hold of this.#evidence.findHolds(this.#listHeld(), nowMs)) this.#recordHold(hold)
+    for (const { fingerprint } of this.#evidence.findSuperseded(this.#listHeld())) this.#registry.clear(fingerprint)
+    if (this.#evidence.hasUnsettled(nowMs)) this.#scheduleDecision()
+  }
+
+  #listHeld (): Array<HeldParts & { fingerprint: string }> {
+    const now = readClock(this.#options.clock)
+    return this.#holds.map(({ fingerprint, parts, record }) => ({
+      fingerprint,
+      parts,
+      sinceMs: now.monotonicMs - (now.wallMs - record.atMs),
+      crashIds: record.crashes.map(crash => crash.crashId)
+    }))
+  }
+
+  #recordHold ({ parts, crashIds, atMs }: PartHold): void {
+    const { log, clock } = this.#options
+    log.write('notable', { event: 'promptPartHeld', parts, crashes: crashIds.length, crashIds, lastCrashAgoMs: Math.round(clock.getMonotonicMs() - atMs), forMs: CRASH_RETENTION_MS })
+    this.#registry.recordAll(formatPartFingerprint(parts), crashIds.map(crashId => ({ crashId, endpointName: crashId.split('/')[0] as string })))
+  }
+
+  /** Brings the holds in line with the records, whoever changed them. */
+  #updateHolds (): void {
+    const { log, clock } = this.#options
+    const now = readClock(clock)
+    const before = new Set(this.#holds.map(({ fingerprint }) => fingerprint))
+    const records = this.#registry.listRecords().flatMap(record => {
+      const parts = parsePartFingerprint(record.fingerprint)
+      return parts === null ? [] : [{ fingerprint: record.fingerprint, parts, record }]
+    })
+    this.#holds = records.filter(({ record }) => record.crashes.length > 0)
+    for (const { fingerprint, parts, record: { clearedAtMs, crashes } } of records) {
+      const isHeld = crashes.length > 0
+      if (isHeld !== before.has(fingerprint)) log.write('notable', { event: isHeld ? 'promptPartHoldBegun' : 'promptPartHoldEnded', fingerprint, crashes: crashes.length })
+      if (isHeld || clearedAtMs === undefined) continue
+      // otherwise the crashes that were recorded here would begin the hold again
+      for (const part of parts) this.#evidence.recordSound({ part, atMs: now.monotonicMs - (now.wallMs - clearedAtMs) }, now.monotonicMs)
+    }
+    if (this.#holds.some(({ fingerprint }) => !before.has(fingerprint))) this.#options.handleHold()
+  }
+
+  #findHold (request: RelayRequest): RecordedHold | null {
+    if (this.#holds.length === 0) return null
+    const parts = new Set(listPartKeys(request))
+    const nowMs = this.#options.clock.getWallMs()
+    return this.#holds.find(hold => nowMs - hold.record.atMs <= CRASH_RETENTION_MS && hold.parts.every(part => parts.has(part))) ?? null
+  }
+}
+
+function listPartKeys ({ service, traits }: RelayRequest): string[] {
+  return listSharedPartKeys(service, traits.promptParts)
 }
 
 function hashRequest ({ workspace, traits, body }: RelayRequest): string {
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -57,6 +57,8 @@
  */
 export class DirectRelay {
   readonly #options: DirectRelayOptions
+  /** Requests that wait for an endpoint; aborting ends their wait. */
+  readonly #waiting = new Map<RelayState, AbortController>()
   #inFlight = 0
 
   constructor (options: DirectRelayOptions) {
@@ -84,13 +86,20 @@
     }
   }
 
+  /** Refuses the waiting requests that must no longer be sent because they crash endpoints. */
+  refuseHeld (): void {
+    for (const [{ request }, hold] of this.#waiting) if (this.#options.crashes.check(request) !== null) hold.abort()
+  }
+
   /** Makes one attempt. Returns true when the request is to be retried. */
   async #runAttempt (state: RelayState): Promise<boolean> {
     const { request, reply, tried, position } = state
     const choice = await this.#acquireEndpoint(state)
     if (choice === null) return false
     await waitForPendingInput()
-    if (reply.end !== 'open') {
+    const heldRefusal = this.#options.crashes.check(request)
+    if (heldRefusal !== null) setRefusalIfNotRun(state, heldRefusal)
+    if (heldRefusal !== null || reply.end !== 'open') {
       this.#releaseEndpoint(choice)
       return false
     }
@@ -138,6 +147,8 @@
     const latestStartAtMs = placement.computeLatestStartAt(placementRequest)
     const chooseEndpoint = placement.createChooser(placementRequest, state.tried, latestStartAtMs)
     let lastChoice: DirectChoice | null = null
+    const hold = new AbortController()
+    this.#waiting.set(state, hold)
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
       service: request.service,
@@ -151,7 +162,12 @@
         return lastChoice
       },
       reserve: reserved => this.#reserveEndpoint(state, reserved)
-    }, reply.signal)
+    }, AbortSignal.any([reply.signal, hold.signal]))
+    this.#waiting.delete(state)
+    if (choice === null && hold.signal.aborted) {
+      setRefusalIfNotRun(state, crashes.check(request) ?? createOverloadedRefusal(null))
+      return null
+    }
     if (choice === null) {
       observer.recordWaitEnded(request, lastChoice, dispatcher.countWaiting(request.service), clock.getMonotonicMs())
       setRefusalIfNotRun(state, createOverloadedRefusal(this.#estimateWaitMs(request, this.#listUntried(state))))
@@ -197,10 +213,10 @@
   }
 
   #shouldRetry (state: RelayState, outcome: DirectAttemptOutcome): boolean {
-    const { retries, clock, observer } = this.#options
+    const { retries, clock, observer, crashes } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
-    const decision = decideRetry(buildRetrySituation(state, outcome, nowMs))
+    const decision = decideRetry({ ...buildRetrySituation(state, outcome, nowMs), isCrashSuspect: crashes.isRisky(request) })
     const isGranted = decision.kind === 'repeat' && (!decision.usesRetryBudget || retries.acquire(request.service, nowMs))
     observer.recordRetryDecision(request, decision, isGranted)
     return isGranted
@@ -239,7 +255,7 @@
   }
 }
 
-function buildRetrySituation (state: RelayState, outcome: EndedAttempt['outcome'] & DirectAttemptOutcome, nowMs: number): RetryState {
+function buildRetrySituation (state: RelayState, outcome: EndedAttempt['outcome'] & DirectAttemptOutcome, nowMs: number): Omit<RetryState, 'isCrashSuspect'> {
   const { request, attempts, failedConnects } = state
   const { kind, isResumable, maxAttempts } = request.route
   return { kind, isResumable, outcome, attempts, maxAttempts, failedConnects, remainingMs: request.deadlineAtMs - nowMs }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,6 +1,8 @@
 import { recordAttemptResult } from '../policy/directEndpoint'
 import { recordBackoff } from '../policy/endpointBackoff'
+import { isBegunStream } from '../policy/streamProgress'
 import { ByteBudget } from './byteBudget'
+import { parseAddress } from './endpointAddress'
 import { sendToEndpoint } from './endpointExchange'
 import { AnswerForwarder, isSuccess } from './answerForwarder'
 
@@ -10,6 +12,7 @@
 import type { DirectEndpoint, AttemptResult } from '../policy/directEndpoint'
 import type { NamedLimit } from '../policy/limitNotices'
 import type { Placement } from '../policy/placement'
+import type { StreamProgress } from '../policy/streamProgress'
 import type { DirectAttemptOutcome } from '../policy/retryDecision'
 import type { CallerReply } from './callerReply'
 import type { CrashGuard } from './crashGuard'
@@ -110,6 +113,7 @@
   /** Monotonic milliseconds at which the first and the latest events arrived; 0 before the first. */
   #firstEventAtMs = 0
   #lastEventAtMs = 0
+  #hasShownSound = false
   #stopReason: StopReason | null = null
 
   constructor (options: EndpointSenderOptions, budget: ByteBudget, input: AttemptInput) {
@@ -221,6 +225,7 @@
     if (this.#eventCount === 0) this.#firstEventAtMs = nowMs
     this.#lastEventAtMs = nowMs
     this.#eventCount += count
+    if (!this.#hasShownSound && isBegunStream(this.#getStreamProgress())) this.#recordSoundAnswer(this.#firstEventAtMs)
   }
 
   #releaseTokens (): void {
@@ -244,13 +249,37 @@
 
   #recordCrashEvidence (exchangeResult: ExchangeResult): void {
     const { crashes } = this.#options
-    if (exchangeResult.kind === 'broken') {
-      const streamedMs = Math.round(this.#lastEventAtMs - this.#firstEventAtMs)
-      crashes.recordBrokenConnection(this.#endpoint.entry, this.#input.request, { status: this.#forwarder.head?.status ?? null, events: this.#eventCount, streamedMs })
+    if (this.#canBeCrash(exchangeResult)) {
+      crashes.recordBrokenConnection(this.#endpoint.entry, this.#input.request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
     }
     if (exchangeResult.kind === 'notSent' && exchangeResult.isRefused) crashes.recordRefusedConnection(this.#endpoint.entry)
   }
 
+  /** Returns whether the endpoint's process may have ended with this exchange. */
+  #canBeCrash ({ kind }: ExchangeResult): boolean {
+    switch (kind) {
+      case 'broken': return true
+      // a process that ends within the head of an answer leaves bytes that are no valid head
+      case 'garbled': return true
+      // without framing, the end of the process looks like the end of the stream
+      case 'passed': return this.#forwarder.isUnframed && !isBegunStream(this.#getStreamProgress())
+      case 'collected':
+      case 'rejected':
+      case 'notSent':
+      case 'aborted': return false
+    }
+  }
+
+  #getStreamProgress (): StreamProgress {
+    return { events: this.#eventCount, streamedMs: Math.round(this.#lastEventAtMs - this.#firstEventAtMs) }
+  }
+
+  /** Records that the endpoint survived the beginning of this answer. */
+  #recordSoundAnswer (begunAtMs: number): void {
+    this.#hasShownSound = true
+    this.#options.crashes.recordSoundAnswer(this.#input.request, begunAtMs)
+  }
+
   #report (ended: EndedAttempt, nowMs: number): void {
     this.#options.observer.recordAttempt(this.#input.request, {
       endpointId: this.#endpoint.entry.id,
@@ -287,7 +316,9 @@
     const { head } = this.#forwarder
     if (head === null) return buildResult('mayHaveRun', { kind: 'broken' }, 'the answer has no head')
     if (isSuccess(head.status)) {
+      if (this.#forwarder.isUnframed && this.#forwarder.endsWithinEvent) return buildResult('mayHaveRun', { kind: 'broken' }, 'the stream ended within an event')
       this.#forwarder.completeReply(exchangeResult)
+      if (!this.#hasShownSound && !this.#canBeCrash(exchangeResult)) this.#recordSoundAnswer(this.#firstEventAtMs > 0 ? this.#firstEventAtMs : this.#options.clock.getMonotonicMs())
       return buildResult('answered', { kind: 'answered', elapsedMs }, '')
     }
     if (head.isNotRun) {
@@ -301,8 +332,3 @@
 function buildResult (outcome: EndedAttempt['outcome'], verdict: AttemptResult | null, detail: string): EndedAttempt {
   return { outcome, verdict, detail, retryAfterMs: null, forwardFailure: null }
 }
-
-function parseAddress (address: string): [string, number] {
-  const colon = address.lastIndexOf(':')
-  return [address.slice(0, colon), Number(address.slice(colon + 1))]
-}
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -28,6 +28,11 @@
     return this.#pending.length > MAX_EVENT_BYTES
   }
 
+  /** Whether bytes of an incomplete event have been received. */
+  get hasRemainder (): boolean {
+    return this.#pending.length > 0
+  }
+
   /** Adds bytes and returns the events that they complete; null when none is complete. */
   push (bytes: Buffer): CompleteEvents | null {
     const all = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -9,6 +9,7 @@
 import type { EndpointLoad, PeerLoadTable, LoadReport, ReportScope } from '../policy/peerLoadTable'
 import type { PeerTable } from '../policy/peerTable'
 import type { LoadUpdate } from '../protocol/viewMessages'
+import type { CrashGuard } from './crashGuard'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { PeerClient } from './peerClient'
 
@@ -19,6 +20,7 @@
   peerLoads: PeerLoadTable
   directory: EndpointDirectory
   limits: LimitCoordinator
+  crashes: CrashGuard
   log: DecisionLog
   /** Called when another gateway reports that an endpoint is leaving. */
   handleLeaving: (notice: LeavingNotice) => void
@@ -103,8 +105,8 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits }: LoadUpdate, scope: ReportScope): void {
-    const { peerLoads, clock, handleLeaving, limits: coordinator } = this.#options
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, sound }: LoadUpdate, scope: ReportScope): void {
+    const { peerLoads, clock, handleLeaving, limits: coordinator, crashes: guard } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
     const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0 }]))
@@ -112,12 +114,16 @@
     this.#reporters.set(domain ?? reporter, domain)
     for (const [id, bornAtMs, saidAgoMs] of leaving) handleLeaving({ id, bornAtMs, source: 'peer', saidAtMs: nowMs - saidAgoMs })
     for (const [id, bornAtMs, version, requestsPerSecond] of limits) coordinator.mergeNotice({ id, bornAtMs, version, requestsPerSecond })
+    guard.mergeNews({
+      crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
+      sound: sound.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
+    })
   }
 
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews() }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -133,7 +139,7 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total) }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews() }
   }
 
   #listOwnLoads (): LoadReport {
@@ -151,6 +157,16 @@
     return this.#options.directory.listLeaving().map(({ id, bornAtMs, saidAtMs }) => [id, bornAtMs, Math.max(0, Math.round(nowMs - saidAtMs))])
   }
 
+  #listCrashNews (): Pick<LoadUpdate, 'crashes' | 'sound'> {
+    const { crashes, clock } = this.#options
+    const nowMs = clock.getMonotonicMs()
+    const news = crashes.listNews()
+    return {
+      crashes: news.crashes.map(({ crashId, atMs, requests }) => [crashId, Math.round(nowMs - atMs), requests.map(parts => [...parts])]),
+      sound: news.sound.map(({ part, atMs }) => [part, Math.round(nowMs - atMs)])
+    }
+  }
+
   /** Lists the limits that endpoints named, with the sends of the reported gateways under them. */
   #listLimits (report: LoadReport): LoadUpdate['limits'] {
     return this.#options.limits.listNotices().map(({ id, bornAtMs, version, requestsPerSecond }) => [id, bornAtMs, version, requestsPerSecond, report.get(id)?.permittedSends ?? 0])
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -65,7 +65,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, handleLeaving, log, openClient: peer => this.#gossip.openClient(peer) })
+    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, handleLeaving, log, openClient: peer => this.#gossip.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
@@ -122,6 +122,7 @@
   /** Notifies some peer gateways immediately that an endpoint crashed. */
   notifyCrash (): void {
     this.#gossip.notifyCrash()
+    this.#loadExchange.notify()
   }
 
   /** Tells peer gateways immediately that this one has learned of another limit of an endpoint. */
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -26,7 +26,7 @@
 }
 
 /** What shows that an endpoint's process has ended. */
-export type ExitSign = 'refusedConnection' | 'entryGone' | 'restarted'
+export type ExitSign = 'refusedConnection' | 'entryGone' | 'replaced'
 
 /** An answer that broke off, for the log and the metrics. */
 export interface BrokenAnswerReport {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -1,4 +1,4 @@
-import { createMetricsHandler, createStateHandler, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
+import { createLiftHandler, createMetricsHandler, createStateHandler, LIFT_HOLD_PATH, METRICS_PATH, STATE_PATH } from '../base/adminRoutes'
 import { systemClock } from '../base/clock'
 import { HttpListener } from '../base/httpListener'
 import { Metrics } from '../base/metrics'
@@ -100,7 +100,7 @@
     this.#observer = new RelayObserver(log, this.#metrics)
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash() })
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash(), handleHold: () => this.#relay.refuseHeld() })
     this.#limits = new LimitCoordinator({
       clock: systemClock,
       gateway: settings.id,
@@ -188,7 +188,8 @@
     this.#adminListener = new HttpListener({
       handlers: {
         [METRICS_PATH]: createMetricsHandler(this.#metrics),
-        [STATE_PATH]: createStateHandler(this.#dump, () => true)
+        [STATE_PATH]: createStateHandler(this.#dump, () => true),
+        [LIFT_HOLD_PATH]: createLiftHandler(fingerprint => this.#crashes.removeHold(fingerprint))
       }
     })
     this.#registerGauges()
@@ -286,6 +287,7 @@
     this.#metrics.registerGauge('endpoints', 'Endpoints by service and state.', () => this.#directory.listAll().map(({ entry }) => ({ labels: { service: entry.service, state: entry.state, endpoint: entry.id }, value: 1 })))
     this.#metrics.registerGauge('endpoint_limit_per_second', 'Requests per second that an endpoint accepts from all gateways together.', () => this.#limits.listNotices().flatMap(({ id, requestsPerSecond }) => requestsPerSecond === null ? [] : [{ labels: { endpoint: id }, value: requestsPerSecond }]))
     this.#metrics.registerGauge('endpoint_recent_sends', 'Requests that this process sent to an endpoint in the last 4 s.', () => this.#directory.listAll().map(({ entry, recentSends }) => ({ labels: { service: entry.service, endpoint: entry.id }, value: recentSends.getCount(systemClock.getMonotonicMs()) })))
+    this.#metrics.registerGauge('held_prompt_parts', 'Sets of prompt parts whose requests are refused because they crash endpoints.', () => this.#crashes.listHolds().length)
     this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
     this.#metrics.registerGauge('process_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
   }
@@ -297,6 +299,8 @@
     this.#dump.register('leaving', () => this.#directory.listLeaving())
     this.#dump.register('limits', () => this.#limits.listNotices())
     this.#dump.register('crashes', () => this.#crashes.listRecords())
+    this.#dump.register('holds', () => this.#crashes.listHolds())
+    this.#dump.register('suspects', () => this.#crashes.listSuspects())
     this.#dump.register('peers', () => this.#peers.listPeers())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.getUsage(service, systemClock.getMonotonicMs()) })))
--- a/src/store/poisonRecord.ts
+++ b/src/store/poisonRecord.ts
@@ -10,16 +10,24 @@
 
 /** Merges two crash records of one fingerprint. The order of merging does not matter below `MAX_CRASHES_PER_FINGERPRINT`. */
 export function mergeCrashRecords (one: CrashRecord, other: CrashRecord): CrashRecord {
-  const crashes = new Map([...one.crashes, ...other.crashes].map(crash => [crash.crashId, crash]))
+  const clearedAtMs = Math.max(getClearedAtMs(one), getClearedAtMs(other))
+  const crashes = new Map([one, other].flatMap(record => record.atMs > clearedAtMs ? record.crashes : []).map(crash => [crash.crashId, crash]))
   return {
     fingerprint: one.fingerprint,
     crashes: [...crashes.values()].slice(0, MAX_CRASHES_PER_FINGERPRINT),
-    atMs: Math.max(one.atMs, other.atMs)
+    atMs: Math.max(one.atMs, other.atMs),
+    ...clearedAtMs > -Infinity ? { clearedAtMs } : {}
   }
 }
 
-/** Returns whether `record` contains every crash of `subset`, or is full. */
+/** Returns whether merging `subset` into `record` would change nothing that decides. */
 export function hasAllCrashes (record: CrashRecord | undefined, subset: CrashRecord): boolean {
+  const clearedAtMs = record === undefined ? -Infinity : getClearedAtMs(record)
+  if (getClearedAtMs(subset) > clearedAtMs) return false
   const known = new Set(record?.crashes.map(crash => crash.crashId))
-  return known.size >= MAX_CRASHES_PER_FINGERPRINT || subset.crashes.every(crash => known.has(crash.crashId))
+  return subset.atMs <= clearedAtMs || known.size >= MAX_CRASHES_PER_FINGERPRINT || subset.crashes.every(crash => known.has(crash.crashId))
+}
+
+function getClearedAtMs (record: CrashRecord): number {
+  return record.clearedAtMs ?? -Infinity
 }
--- a/src/store/poisonRegistry.ts
+++ b/src/store/poisonRegistry.ts
@@ -1,6 +1,6 @@
 import { systemClock } from '../base/clock'
 import { Progress } from '../base/progress'
-import { crashRecordSchema } from '../protocol/crashRecord'
+import { crashRecordSchema, MAX_CRASHES_PER_FINGERPRINT } from '../protocol/crashRecord'
 
 import { Backoff, addJitter } from './backoff'
 import { BackgroundTask } from './backgroundTask'
@@ -25,6 +25,8 @@
   /** Largest number of records kept; the oldest are evicted first. */
   maxRecords?: number
   onError?: (error: unknown) => void
+  /** Called after a record has changed. */
+  handleChange?: () => void
 }
 
 /** One crash of an endpoint while it was running a request. */
@@ -58,6 +60,8 @@
  * same records write at different times, so that the first write makes the others unnecessary.
  */
 const RESTORED_WRITE_DELAY_MS = 1_000
+/** Milliseconds by which writes that decide at once go before those of single crashes, which a series of crashes makes many of. */
+const URGENT_WRITE_LEAD_MS = 60_000
 
 /**
  * Shares the crash records of requests through the object service. It writes them at a limited rate,
@@ -125,6 +129,19 @@
     if (this.#merge(record)) this.#scheduleWrite(fingerprint, 0)
   }
 
+  /** Records several crashes of one fingerprint at once, and shares them. */
+  recordAll (fingerprint: string, crashes: CrashRecord['crashes']): void {
+    if (this.#merge({ fingerprint, crashes: crashes.slice(0, MAX_CRASHES_PER_FINGERPRINT), atMs: this.#clock.getWallMs() })) this.#scheduleWrite(fingerprint, -URGENT_WRITE_LEAD_MS)
+  }
+
+  /** Records that the known crashes of `fingerprint` have another cause, and shares that. */
+  clear (fingerprint: string): void {
+    const known = this.getRecord(fingerprint)
+    if (known === null) return
+    const clearedAtMs = Math.max(known.atMs, this.#clock.getWallMs())
+    if (this.#merge({ fingerprint, crashes: [], atMs: known.atMs, clearedAtMs })) this.#scheduleWrite(fingerprint, -URGENT_WRITE_LEAD_MS)
+  }
+
   /**
    * Merges a record received in a message. The process that saw the crash writes it. This process
    * writes it only if the service does not show it after a delay.
@@ -176,6 +193,10 @@
     return record === undefined || this.#isExpired(record.atMs) ? null : record
   }
 
+  get isEmpty (): boolean {
+    return this.#records.size === 0
+  }
+
   /** Lists all records that have not expired, for the state dump. */
   listRecords (): CrashRecord[] {
     return [...this.#records.values()].filter(record => !this.#isExpired(record.atMs))
@@ -193,12 +214,13 @@
   /** Merges a record; returns whether it contained new crashes. */
   #merge (reported: CrashRecord): boolean {
     const { fingerprint } = reported
-    const record = { ...reported, atMs: Math.min(reported.atMs, this.#clock.getWallMs()) }
+    const record = resolveTimes(reported, this.#clock.getWallMs())
     const known = this.#records.get(fingerprint)
     if (this.#isExpired(record.atMs) || hasAllCrashes(known, record)) return false
     const isLive = known !== undefined && !this.#isExpired(known.atMs)
     this.#records.set(fingerprint, isLive ? mergeCrashRecords(known, record) : record)
     removeOldest(this.#records, this.#getMaxRecords())
+    this.#options.handleChange?.()
     return true
   }
 
@@ -291,6 +313,12 @@
   }
 }
 
+/** Limits the times of a record to the present, because other clocks may be ahead. */
+function resolveTimes (record: CrashRecord, nowMs: number): CrashRecord {
+  const { atMs, clearedAtMs } = record
+  return { ...record, atMs: Math.min(atMs, nowMs), ...clearedAtMs === undefined ? {} : { clearedAtMs: Math.min(clearedAtMs, nowMs) } }
+}
+
 function parseRecord (object: StoredObject): CrashRecord | null {
   return crashRecordSchema.safeParse(object.value).data ?? null
 }
--- a/tests/relay/crashingFleet.ts
+++ b/tests/relay/crashingFleet.ts
@@ -34,6 +34,10 @@
   /** Returns whether an endpoint crashes when it begins to write an answer on these prompt parts. */
   isFatal: (parts: readonly string[]) => boolean
   kind?: string
+  /** Milliseconds of prefill before an endpoint begins to write. */
+  prefillMs?: number
+  /** Milliseconds after which a crashed process is back. */
+  restartMs?: number
 }
 
 /** Several gateways before endpoints that crash under certain prompts and start again as new processes. */
@@ -49,12 +53,9 @@
   close (): Promise<void>
 }
 
-/** Milliseconds of prefill before an endpoint begins to write, and between two events of a stream. */
-const PREFILL_MS = 20
 const EVENT_INTERVAL_MS = 20
 const EVENTS = 12
-/** Milliseconds after which a crashed process is back, and after which its entry is removed. */
-const RESTART_MS = 900
+/** Milliseconds after which the entry of a crashed process is removed. */
 const ENTRY_EXPIRY_MS = 3600
 
 export async function startCrashingFleet (options: CrashingFleetOptions): Promise<CrashingFleet> {
@@ -104,6 +105,8 @@
   id: string
   sentAtMs: number
   answer: RawAnswer
+  /** Milliseconds until the whole answer had arrived. */
+  answeredMs: number
 }
 
 /** Sends `ratePerSecond` prompts per second for some milliseconds, to gateways at random. Returns all requests with their answers. */
@@ -129,7 +132,7 @@
   const own = [...id].map(letter => letter.charCodeAt(0).toString(16)).join('')
   const header = [...prompt.parts, own].map(part => `${part}:100`).join(',')
   const answer = await sendRequest(gateway, { id, method: 'POST', target: '/archive/chat', body: `{"id":"${id}"}`, headers: [`Tanagerwick-Prompt-Prefix: ${header}`], timeoutMs: 3000 })
-  return { ...prompt, id, sentAtMs, answer }
+  return { ...prompt, id, sentAtMs, answer, answeredMs: performance.now() - sentAtMs }
 }
 
 interface HostOptions extends CrashingFleetOptions {
@@ -170,11 +173,11 @@
   /** Ends the process at once; it is back later, under another id. */
   end (parts: string[] | null): void {
     if (this.#server === null) return
-    const { store, crashes } = this.#options
+    const { store, crashes, restartMs = 900 } = this.#options
     const id = this.#id
     crashes.push({ endpoint: id, atMs: performance.now(), parts })
     this.#stop()
-    this.#schedule(() => { this.start().catch(error => { throw error }) }, RESTART_MS)
+    this.#schedule(() => { this.start().catch(error => { throw error }) }, restartMs)
     this.#schedule(() => store.delete(`servers/${id}`), ENTRY_EXPIRY_MS)
   }
 
@@ -215,7 +218,7 @@
   }
 
   #receive (text: string, socket: Socket): void {
-    const { arrivals, isFatal, crashPoint = 'beforeHead' } = this.#options
+    const { arrivals, isFatal, crashPoint = 'beforeHead', prefillMs = 20 } = this.#options
     const parts = (/prompt-prefix: (\S+)/i.exec(text)?.[1] ?? '').split(',').map(entry => entry.split(':')[0]!).slice(0, -1)
     const requestId = /attempt-id: (\S+)/i.exec(text)?.[1] ?? ''
     arrivals.push({ requestId, endpoint: this.#id, atMs: performance.now(), parts })
@@ -227,7 +230,7 @@
       if (crashPoint === 'inBody') socket.write(`${head}${formatChunk('id: 1\ndata: a\n\nid: 2\nda')}`)
       // leaves the bytes time to be sent before the connection breaks
       this.#schedule(() => this.end(parts), crashPoint === 'beforeHead' ? 0 : 3)
-    }, PREFILL_MS)
+    }, prefillMs)
   }
 
   #writeStream (socket: Socket, head: string, afterEventId: number): void {
