Do not believe a refusal without an id on a reused connection

Cause: a refusal without an id counted as the answer to whatever request was open. With another's id it was rejected already. Now such an answer is rejected unless the connection is new.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -67,13 +67,13 @@
     return this.#rejectReason
   }
 
-  handleHead (status: number, headers: HeaderList): HeadDecision {
+  handleHead (status: number, headers: HeaderList, isReused: boolean): HeadDecision {
     const head = this.#options.dialect.readAnswer(status, headers)
     this.#options.handleBytes()
     this.#options.handleProgress()
     this.#head = head
     this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
-    this.#rejectReason = this.#checkHead(head)
+    this.#rejectReason = this.#checkHead(head, isReused)
     if (this.#rejectReason !== null) return 'reject'
     this.#options.handleHead(head)
     return isSuccess(status) && head.isEventStream ? 'pass' : 'collect'
@@ -130,9 +130,11 @@
     reply.complete()
   }
 
-  #checkHead (head: AnswerHead): RejectReason | null {
+  #checkHead (head: AnswerHead, isReused: boolean): RejectReason | null {
     const { traits } = this.#options.request
-    if (head.requestId === null ? !head.isNotRun : head.requestId !== traits.requestId) return 'wrongRequest'
+    // on a reused connection, a refusal without an id may be that of an earlier request
+    const isOwn = head.requestId === null ? head.isNotRun && !isReused : head.requestId === traits.requestId
+    if (!isOwn) return 'wrongRequest'
     if (isSuccess(head.status) && !head.isSigned) return 'unsigned'
     return head.headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-encoding') ? 'encoded' : null
   }
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -25,8 +25,11 @@
 
 /** Receives an answer as it arrives. */
 export interface AnswerSink {
-  /** Decides from the head whether the body is collected, relayed as it arrives, or rejected. */
-  handleHead (status: number, headers: HeaderList): HeadDecision
+  /**
+   * Decides from the head whether the body is collected, relayed as it arrives, or rejected.
+   * `isReused`: the connection has had other requests before, whose answers may come again.
+   */
+  handleHead (status: number, headers: HeaderList, isReused: boolean): HeadDecision
   /** Called with each chunk of a collected body. */
   handleCollectedChunk (bytes: Buffer): void
   /** Handles a chunk of a relayed body. Returning false pauses the answer until `resume` is called. */
@@ -131,7 +134,7 @@
   #handleResponse (response: IncomingMessage): void {
     this.#response = response
     response.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
-    const decision = this.#sink.handleHead(response.statusCode ?? 0, response.rawHeaders)
+    const decision = this.#sink.handleHead(response.statusCode ?? 0, response.rawHeaders, this.#request?.reusedSocket === true)
     if (decision === 'reject') {
       this.#finish({ kind: 'rejected' })
       this.#abortConnection()
