Continue a stream only with a stream whose place in it is known

Cause: once a reply had begun, a plain success of the next endpoint was written into it as its end, and so were events without ids; errors and refusals cut it already. Whole suite not run on this commit.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -18,7 +18,7 @@
 }
 
 /** Why an answer was rejected. */
-export type RejectReason = 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge'
+export type RejectReason = 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge' | 'notContinued'
 
 export interface AnswerForwarderOptions {
   request: RelayRequest
@@ -48,6 +48,8 @@
   readonly #splitter = new EventSplitter()
   #head: AnswerHead | null = null
   #rejectReason: RejectReason | null = null
+  /** Whether the caller already has a part of the answer, from an earlier attempt. */
+  readonly #isContinuation: boolean
   #hasFirstEvent = false
   #isFramed = true
   /** Bytes of a collected body received since the last progress. */
@@ -55,6 +57,7 @@
 
   constructor (options: AnswerForwarderOptions) {
     this.#options = options
+    this.#isContinuation = options.reply.hasStarted
   }
 
   /** Head of the answer; null before it arrives. */
@@ -95,7 +98,9 @@
       return true
     }
     if (events === null) return true
-    if (!this.#advancePosition(events.ids)) {
+    // without ids nobody can tell where in the stream the events belong
+    const isPlaced = !this.#isContinuation || events.ids.length > 0
+    if (!isPlaced || !this.#advancePosition(events.ids)) {
       this.#rejectAnswer('eventOrder')
       return true
     }
@@ -136,9 +141,15 @@
     const isOwn = head.requestId === null ? head.isNotRun && !isReused : head.requestId === traits.requestId
     if (!isOwn) return 'wrongRequest'
     if (isSuccess(head.status) && !head.isSigned) return 'unsigned'
+    if (isSuccess(head.status) && this.#isContinuation && !this.#canContinue(head)) return 'notContinued'
     return head.headers.some((name, index) => index % 2 === 0 && name.toLowerCase() === 'content-encoding') ? 'encoded' : null
   }
 
+  /** Returns whether an answer can go on with what the caller already has: as a stream from a known position. */
+  #canContinue (head: AnswerHead): boolean {
+    return head.isEventStream && this.#options.position.lastEventId !== null
+  }
+
   /** Advances the position. Returns false when an event id does not increase. */
   #advancePosition (ids: number[]): boolean {
     const { position } = this.#options
