--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -162,7 +162,7 @@
 
   /** Lists the fingerprints of the prompt parts that are held. */
   listHolds (): Array<{ fingerprint: string, crashes: number, atMs: number }> {
-    return this.#holds.map(({ fingerprint, record }) => ({ fingerprint, crashes: record.crashes.length, atMs: record.atMs }))
+    return this.#holds.filter(hold => this.#isInForce(hold)).map(({ fingerprint, record }) => ({ fingerprint, crashes: record.crashes.length, atMs: record.atMs }))
   }
 
   /** Lists the prompt parts that most of the known crashes have in common, for the state dump. */
@@ -285,8 +285,11 @@
   #findHold (request: RelayRequest): RecordedHold | null {
     if (this.#holds.length === 0) return null
     const parts = new Set(listPartKeys(request))
-    const nowMs = this.#options.clock.getWallMs()
-    return this.#holds.find(hold => nowMs - hold.record.atMs <= CRASH_RETENTION_MS && hold.parts.every(part => parts.has(part))) ?? null
+    return this.#holds.find(hold => this.#isInForce(hold) && hold.parts.every(part => parts.has(part))) ?? null
+  }
+
+  #isInForce ({ record }: RecordedHold): boolean {
+    return this.#options.clock.getWallMs() - record.atMs <= CRASH_RETENTION_MS
   }
 }
 
--- a/tests/store/poisonRegistry.spec.ts
+++ b/tests/store/poisonRegistry.spec.ts
@@ -103,6 +103,33 @@
     expect(late.getCrashCount('f1')).to.equal(2)
   })
 
+  it('should clear the crashes of a fingerprint for all processes, also against an older report, and count later ones', async () => {
+    const [first, second] = [startRegistry(), startRegistry()]
+    first!.recordAll('f1', [{ crashId: 'boot-1', endpointName: 'e' }, { crashId: 'boot-2', endpointName: 'e' }])
+    await time.advance(1_000)
+    const older = second!.getRecord('f1')!
+    expect(older.crashes).to.have.length(2)
+    second!.clear('f1')
+    await time.advance(1_000)
+    for (const registry of [first!, second!]) {
+      registry.merge(older)
+      expect(registry.getCrashCount('f1')).to.equal(0)
+    }
+    first!.record(createCrash('boot-3'))
+    await time.advance(1_000)
+    second!.merge(older)
+    expect([first!.getCrashCount('f1'), second!.getCrashCount('f1')]).to.deep.equal([1, 1])
+  })
+
+  it('should write what decides at once before single crashes that wait for the write rate', async () => {
+    const registry = startRegistry(undefined, { writesPerSecond: 0.001 })
+    await time.advance(1_000)
+    for (let index = 0; index < 20; index++) registry.record({ ...createCrash(`boot-${index}`), fingerprint: `single-${index}` })
+    registry.recordAll('urgent', [{ crashId: 'boot-x', endpointName: 'e' }])
+    await time.advance(5_000)
+    expect(store.objects.has('poison/urgent')).to.equal(true)
+  })
+
   it('should coalesce crashes into few writes', async () => {
     const service = new MemoryObjectService(store)
     const registry = startRegistry(service, { writesPerSecond: 1 })
