Keep a part held when one that was held with it is cleared

Cause: a hold of two parts ends once one of them is answered; each gateway took its end for an answer on both, and told the others, which ended the hold of the part that is left. Test: crashGuard.spec.ts, two gateways that exchange reports, failed before (the second had no hold), passes. Ends of holds are kept apart from answers now and are not passed on.

--- a/src/policy/crashEvidence.ts
+++ b/src/policy/crashEvidence.ts
@@ -104,6 +104,8 @@
 export class CrashEvidence {
   readonly #crashes = new Map<string, KnownCrash>()
   readonly #sound = new BoundedMap<string, KnownSound>(MAX_SOUND_PARTS)
+  /** Times up to which crashes no longer count against a part, because a hold of it has ended. */
+  readonly #liftedAtMs = new BoundedMap<string, number>(MAX_SOUND_PARTS)
   /** The known crashes by the parts of their requests. */
   readonly #crashesByPart = new Map<string, Set<KnownCrash>>()
 
@@ -135,6 +137,14 @@
     return clears
   }
 
+  /**
+   * Records that the hold of a part has ended, so that the crashes until then do not begin it again. No answer
+   * has shown the part to be sound: other gateways are not told so.
+   */
+  recordLifted (part: string, atMs: number): void {
+    this.#liftedAtMs.set(part, Math.max(atMs, this.#liftedAtMs.get(part) ?? -Infinity))
+  }
+
   /** Returns whether a request with these parts, whose answer broke, may crash a second endpoint. */
   isRisky (parts: readonly string[]): boolean {
     return parts.some(part => this.#listUncleared(part).length >= RISK_CRASHES)
@@ -234,7 +244,7 @@
   }
 
   #isCleared (part: string, { atMs }: KnownCrash): boolean {
-    return isAfter(this.#sound.get(part)?.atMs ?? -Infinity, atMs)
+    return isAfter(this.#sound.get(part)?.atMs ?? -Infinity, atMs) || (this.#liftedAtMs.get(part) ?? -Infinity) >= atMs
   }
 
   /** Selects the requests, and of their parts those that nothing speaks against, for a message. */
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -276,12 +276,15 @@
       const isHeld = crashes.length > 0
       if (isHeld !== before.has(fingerprint)) log.write('notable', { event: isHeld ? 'promptPartHoldBegun' : 'promptPartHoldEnded', fingerprint, crashes: crashes.length })
       if (isHeld || clearedAtMs === undefined) continue
-      // otherwise the crashes that were recorded here would begin the hold again
-      for (const part of parts) this.#evidence.recordSound({ part, atMs: now.monotonicMs - (now.wallMs - clearedAtMs) }, now.monotonicMs)
+      for (const part of parts) if (!this.#isHeld(part)) this.#evidence.recordLifted(part, now.monotonicMs - (now.wallMs - clearedAtMs))
     }
     if (this.#holds.some(({ fingerprint }) => !before.has(fingerprint))) this.#options.handleHold()
   }
 
+  #isHeld (part: string): boolean {
+    return this.#holds.some(hold => hold.parts.includes(part))
+  }
+
   #findHold (request: RelayRequest): RecordedHold | null {
     if (this.#holds.length === 0) return null
     const parts = new Set(listPartKeys(request))
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -17,25 +17,34 @@
 
 describe('CrashGuard', () => {
   let guard: CrashGuard
+  let peer: CrashGuard
   let elapsedMs = 0
   const clock: Clock = { getMonotonicMs: () => performance.now() + elapsedMs, getWallMs: () => Date.now() + elapsedMs }
 
   beforeEach(() => {
     elapsedMs = 0
+    const store = new MemoryObjectStore()
+    guard = createGuard(store)
+    peer = createGuard(store)
+  })
+
+  afterEach(async () => {
+    await Promise.all([guard.stop(), peer.stop()])
+  })
+
+  function createGuard (store: MemoryObjectStore): CrashGuard {
     const log = new DecisionLog({ instance: 'gateway-1', bytesPerSecond: 1_000_000, destination: { write: () => true, flush: handleDone => handleDone() } })
-    guard = new CrashGuard({
+    const created = new CrashGuard({
       clock,
-      service: new MemoryObjectService(new MemoryObjectStore()),
+      service: new MemoryObjectService(store),
       log,
       observer: new RelayObserver(log, new Metrics()),
       handleCrash: () => {},
       handleHold: () => {}
     })
-  })
-
-  afterEach(async () => {
-    await guard.stop()
-  })
+    created.start()
+    return created
+  }
 
   /** Plays crashes under the part, each with another request. */
   function playCrashes (part: string, count: number): void {
@@ -60,6 +69,30 @@
     expect([guard.check(createRequest('bad', 'next')), guard.listHolds()]).to.deep.equal([null, []])
   })
 
+  it('should go on to hold a part, at other gateways too, after one that was held with it turned out to be sound', async () => {
+    for (let index = 1; index <= 4; index++) {
+      elapsedMs += 100
+      const endpoint = createEndpoint(`e-${index}`)
+      guard.recordBrokenConnection(endpoint, createRequest('bad', `request-${index}`, 'company'), NO_ANSWER)
+      guard.recordRefusedConnection(endpoint)
+    }
+    peer.mergeNews(guard.listNews())
+    elapsedMs += EVIDENCE_SETTLE_MS
+    await waitUntil('the hold', () => guard.listHolds().length === 1 && peer.listHolds().length === 1)
+    expect(guard.check(createRequest('company', 'other'))).to.equal(null)
+    elapsedMs += 100
+    guard.recordSoundAnswer(createRequest('company', 'other'), clock.getMonotonicMs())
+    for (let round = 0; round < 20; round++) {
+      peer.mergeNews(guard.listNews())
+      guard.mergeNews(peer.listNews())
+      await new Promise(resolve => setTimeout(resolve, 10))
+    }
+    for (const each of [guard, peer]) {
+      expect(each.check(createRequest('bad', 'next', 'another'))).to.include({ code: 'request_crashes_endpoints' })
+      expect(each.listHolds()).to.have.length(1)
+    }
+  })
+
   it('should count no crash against the requests that ran beside a held part', async () => {
     playCrashes('bad', 4)
     elapsedMs += EVIDENCE_SETTLE_MS
@@ -87,9 +120,10 @@
   return { id, service: 'archive', address: '127.0.0.1:1', domain: 'a', slots: 6, state: 'ready', bornAtMs: 1 }
 }
 
-function createRequest (part: string, requestId: string): RelayRequest {
+function createRequest (part: string, requestId: string, company?: string): RelayRequest {
+  const shared = [part, ...company === undefined ? [] : [company]].map(id => ({ id, tokens: 100 }))
   return {
-    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, promptParts: [{ id: part, tokens: 100 }, { id: requestId, tokens: 10 }] },
+    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, promptParts: [...shared, { id: requestId, tokens: 10 }] },
     route: { name: 'r-1', kind: 'stream' } as RelayRequest['route'],
     service: 'archive',
     workspace: null,
