Say that an answer broke only where it did, and play the crash of an unframed stream

A short stream without framing may be the end of its endpoint; that was logged as a broken answer, also where it was whole.

--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -110,11 +110,15 @@
 
   /** Records an attempt whose connection broke after the endpoint may have started to run it. */
   recordBrokenConnection (entry: EndpointEntry, request: RelayRequest, progress: AnswerProgress): void {
-    const { clock, observer } = this.#options
-    const fingerprint = hashRequest(request)
-    const parts = listPartKeys(request)
-    observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint, parts: parts.slice(0, MAX_LOGGED_PARTS), ...progress })
-    const crash = this.#attribution.recordBrokenAttempt(entry, { fingerprint, parts: isBegunStream(progress) ? [] : parts }, clock.getMonotonicMs())
+    const parts = listPartKeys(request).slice(0, MAX_LOGGED_PARTS)
+    this.#options.observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint: hashRequest(request), parts, ...progress })
+    this.recordConnectionEnd(entry, request, progress)
+  }
+
+  /** Records an attempt whose connection ended, because of which the endpoint may have ended too. */
+  recordConnectionEnd (entry: EndpointEntry, request: RelayRequest, progress: StreamProgress): void {
+    const parts = isBegunStream(progress) ? [] : listPartKeys(request)
+    const crash = this.#attribution.recordBrokenAttempt(entry, { fingerprint: hashRequest(request), parts }, this.#options.clock.getMonotonicMs())
     if (crash === null) this.#prober.probe(entry)
     else this.#recordCrash(crash)
   }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -249,27 +249,31 @@
 
   #recordCrashEvidence (exchangeResult: ExchangeResult): void {
     const { crashes } = this.#options
-    if (this.#canBeCrash(exchangeResult)) {
-      crashes.recordBrokenConnection(this.#endpoint.entry, this.#input.request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
-    }
-    if (exchangeResult.kind === 'notSent' && exchangeResult.isRefused) crashes.recordRefusedConnection(this.#endpoint.entry)
-  }
-
-  /** Returns whether the endpoint's process may have ended with this exchange. */
-  #canBeCrash ({ kind }: ExchangeResult): boolean {
-    switch (kind) {
-      case 'broken': return true
+    const { entry } = this.#endpoint
+    const { request } = this.#input
+    switch (exchangeResult.kind) {
       // a process that ends within the head of an answer leaves bytes that are no valid head
-      case 'garbled': return true
-      // without framing, the end of the process looks like the end of the stream
-      case 'passed': return this.#forwarder.isUnframed && !isBegunStream(this.#getStreamProgress())
+      case 'garbled':
+      case 'broken':
+        crashes.recordBrokenConnection(entry, request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
+        break
+      case 'passed':
+        if (!this.#isEndCertain(exchangeResult)) crashes.recordConnectionEnd(entry, request, this.#getStreamProgress())
+        break
+      case 'notSent':
+        if (exchangeResult.isRefused) crashes.recordRefusedConnection(entry)
+        break
       case 'collected':
       case 'rejected':
-      case 'notSent':
-      case 'aborted': return false
+      case 'aborted':
     }
   }
 
+  /** Returns whether an answer shows that its endpoint survived it. Without framing, the end of the process looks like the end of a stream. */
+  #isEndCertain ({ kind }: ExchangeResult): boolean {
+    return kind === 'collected' || !this.#forwarder.isUnframed || isBegunStream(this.#getStreamProgress())
+  }
+
   #getStreamProgress (): StreamProgress {
     return { events: this.#eventCount, streamedMs: Math.round(this.#lastEventAtMs - this.#firstEventAtMs) }
   }
@@ -318,7 +322,7 @@
     if (isSuccess(head.status)) {
       if (this.#forwarder.isUnframed && this.#forwarder.endsWithinEvent) return buildResult('mayHaveRun', { kind: 'broken' }, 'the stream ended within an event')
       this.#forwarder.completeReply(exchangeResult)
-      if (!this.#hasShownSound && !this.#canBeCrash(exchangeResult)) this.#recordSoundAnswer(this.#firstEventAtMs > 0 ? this.#firstEventAtMs : this.#options.clock.getMonotonicMs())
+      if (!this.#hasShownSound && this.#isEndCertain(exchangeResult)) this.#recordSoundAnswer(this.#firstEventAtMs > 0 ? this.#firstEventAtMs : this.#options.clock.getMonotonicMs())
       return buildResult('answered', { kind: 'answered', elapsedMs }, '')
     }
     if (head.isNotRun) {
--- a/src/relay/exitProber.ts
+++ b/src/relay/exitProber.ts
@@ -1,6 +1,7 @@
 import net from 'node:net'
 
 import { BoundedMap } from '../base/boundedMap'
+import { formatCrashId } from '../policy/crashAttribution'
 import { parseAddress } from './endpointAddress'
 
 import type { Clock } from '../base/clock'
@@ -35,7 +36,7 @@
   /** Opens a connection to the endpoint and closes it again. */
   probe (entry: EndpointEntry): void {
     const nowMs = this.#options.clock.getMonotonicMs()
-    const key = `${entry.id}/${entry.bornAtMs}`
+    const key = formatCrashId(entry)
     if (nowMs - (this.#probedAtMs.get(key) ?? -Infinity) < PROBE_INTERVAL_MS || this.#sockets.size >= MAX_OPEN_PROBES) return
     this.#probedAtMs.set(key, nowMs)
     const [host, port] = parseAddress(entry.address)
--- a/tests/relay/crashingFleet.ts
+++ b/tests/relay/crashingFleet.ts
@@ -9,7 +9,7 @@
 import type { RawAnswer, RelayFixture } from './relayFixture'
 
 /** What an endpoint has written of an answer when the process crashes. */
-export type CrashPoint = 'beforeHead' | 'inHead' | 'inBody'
+export type CrashPoint = 'beforeHead' | 'inHead' | 'inBody' | 'inUnframedBody'
 
 /** A request as it reached an endpoint. */
 export interface Arrival {
@@ -227,6 +227,7 @@
       if (socket.destroyed) return
       if (!isFatal(parts)) return this.#writeStream(socket, head, Number(/last-event-id: (\d+)/i.exec(text)?.[1] ?? 0))
       if (crashPoint === 'inHead') socket.write(head.slice(0, 30))
+      if (crashPoint === 'inUnframedBody') socket.end(`${head.replace('Transfer-Encoding: chunked\r\n', '')}id: 1\ndata: a\n\n`)
       if (crashPoint === 'inBody') socket.write(`${head}${formatChunk('id: 1\ndata: a\n\nid: 2\nda')}`)
       // leaves the bytes time to be sent before the connection breaks
       this.#schedule(() => this.end(parts), crashPoint === 'beforeHead' ? 0 : 3)
--- a/tests/relay/promptPartCrashes.spec.ts
+++ b/tests/relay/promptPartCrashes.spec.ts
@@ -21,7 +21,7 @@
     fleet = undefined
   })
 
-  for (const crashPoint of ['beforeHead', 'inHead', 'inBody'] satisfies CrashPoint[]) {
+  for (const crashPoint of ['beforeHead', 'inHead', 'inBody', 'inUnframedBody'] satisfies CrashPoint[]) {
     it(`should reach no more than three endpoints once five have crashed, at four gateways (${crashPoint})`, async () => {
       fleet = await startCrashingFleet({ gateways: 4, endpoints: 6, crashPoint, isFatal: parts => parts.includes(BAD_PART) })
       const requests = await playPrompts(fleet.gateways, chooseSharedPrompt, { ratePerSecond: 60, milliseconds: 11_000, seed: 1 })
