Compute the keys of a request once, and name what answers show in plain terms

Read through the whole change: the digest of a request's body and the keys of its parts were computed at each check and record; whether requests have all parts of a set was written five times; the time of the first event was kept twice; the end of a hold was computed beside the registry's own expiry; the crash id was taken apart where it is not formatted. Each now stands once. No decision changes; no assertion changes but the names of two fields.

--- a/src/policy/crashAttribution.ts
+++ b/src/policy/crashAttribution.ts
@@ -126,3 +126,8 @@
 export function formatCrashId (endpoint: { id: string, bornAtMs: number }): string {
   return `${endpoint.id}/${endpoint.bornAtMs}`
 }
+
+/** Parses the endpoint's id out of a crash id. */
+export function parseCrashedEndpoint (crashId: string): string {
+  return crashId.slice(0, crashId.lastIndexOf('/'))
+}
--- a/src/policy/crashEvidence.ts
+++ b/src/policy/crashEvidence.ts
@@ -9,7 +9,7 @@
 }
 
 /** An endpoint began to write an answer on a prompt part and went on. */
-export interface SoundReport {
+export interface AnsweredPart {
   part: string
   /** Time at which the answer began. */
   atMs: number
@@ -40,7 +40,7 @@
   learnedAtMs: number
 }
 
-interface KnownSound {
+interface KnownAnswer {
   atMs: number
   learnedAtMs: number
 }
@@ -69,7 +69,7 @@
  * Milliseconds before a crash within which an answer that has begun and gone on clears its parts too. With
  * most endpoints gone, there may be none that could answer afterwards.
  */
-const SOUND_LEAD_MS = 500
+const ANSWER_LEAD_MS = 500
 /** Milliseconds after a crash from which it counts: until then, what other gateways saw of it may be on its way. */
 export const EVIDENCE_SETTLE_MS = 600
 /** Milliseconds within which crashes count as one moment: a rack or a domain that fails takes all its endpoints at once. */
@@ -81,14 +81,14 @@
 const MAX_CRASHES = 128
 const MAX_REQUESTS_PER_CRASH = 32
 const MAX_PARTS_PER_REQUEST = 32
-const MAX_SOUND_PARTS = 4096
+const MAX_ANSWERED_PARTS = 4096
 /** Milliseconds for which news is passed on to other gateways: several exchanges, some of which may be lost. */
 const NEWS_MS = 3000
-/** Maximum crashes, requests of one crash, parts of one request, and sound parts in one message. */
+/** Maximum crashes, requests of one crash, parts of one request, and answered parts in one message. */
 const MAX_NEWS_CRASHES = 24
 const MAX_NEWS_REQUESTS = 12
 const MAX_NEWS_PARTS = 16
-const MAX_NEWS_SOUND = 64
+const MAX_NEWS_ANSWERED = 64
 
 /**
  * Finds prompt parts that crash each endpoint which begins to answer them. A part is held when enough
@@ -98,22 +98,21 @@
  * @example
  * const evidence = new CrashEvidence()
  * evidence.recordCrash({ crashId: 'e-1/17', atMs: 1000, requests: [['a', 'b'], ['b']] }, 1000)
- * evidence.recordSound({ part: 'b', atMs: 1200 }, 1400)
+ * evidence.recordAnswered({ part: 'b', atMs: 1200 }, 1400)
  * evidence.findHolds([], 2000) // [] until 'a' has crashed more endpoints
  */
 export class CrashEvidence {
   readonly #crashes = new Map<string, KnownCrash>()
-  readonly #sound = new BoundedMap<string, KnownSound>(MAX_SOUND_PARTS)
+  readonly #answered = new BoundedMap<string, KnownAnswer>(MAX_ANSWERED_PARTS)
   /** Times up to which crashes no longer count against a part, because a hold of it has ended. */
-  readonly #liftedAtMs = new BoundedMap<string, number>(MAX_SOUND_PARTS)
+  readonly #liftedAtMs = new BoundedMap<string, number>(MAX_ANSWERED_PARTS)
   /** The known crashes by the parts of their requests. */
   readonly #crashesByPart = new Map<string, Set<KnownCrash>>()
 
   /** Records a crash; what several reporters say of one crash is merged. Returns whether anything is new. */
   recordCrash ({ crashId, atMs, requests }: CrashReport, nowMs: number): boolean {
     const known = this.#crashes.get(crashId)
-    const isKnown = (parts: readonly string[]) => known?.requests.some(request => parts.every(part => request.includes(part))) === true
-    const added = requests.filter(parts => parts.length > 0 && !isKnown(parts)).slice(0, MAX_REQUESTS_PER_CRASH - (known?.requests.length ?? 0))
+    const added = requests.filter(parts => parts.length > 0 && !hasRequestWith(known?.requests ?? [], parts)).slice(0, MAX_REQUESTS_PER_CRASH - (known?.requests.length ?? 0))
     if (added.length === 0) return false
     const crash = known ?? { crashId, atMs, requests: [], learnedAtMs: nowMs }
     crash.atMs = Math.min(crash.atMs, atMs)
@@ -129,17 +128,17 @@
   }
 
   /** Records that a part does not crash endpoints. Returns whether this clears it of a crash. */
-  recordSound ({ part, atMs }: SoundReport, nowMs: number): boolean {
-    const known = this.#sound.get(part)
+  recordAnswered ({ part, atMs }: AnsweredPart, nowMs: number): boolean {
+    const known = this.#answered.get(part)
     if (known !== undefined && known.atMs >= atMs) return false
-    const clears = this.#listUncleared(part).some(crash => isAfter(atMs, crash.atMs))
-    this.#sound.set(part, { atMs, learnedAtMs: clears ? nowMs : known?.learnedAtMs ?? -Infinity })
+    const clears = this.#listUncleared(part).some(crash => isClearing(atMs, crash.atMs))
+    this.#answered.set(part, { atMs, learnedAtMs: clears ? nowMs : known?.learnedAtMs ?? -Infinity })
     return clears
   }
 
   /**
    * Records that the hold of a part has ended, so that the crashes until then do not begin it again. No answer
-   * has shown the part to be sound: other gateways are not told so.
+   * has shown the part to be answered: other gateways are not told so.
    */
   recordLifted (part: string, atMs: number): void {
     this.#liftedAtMs.set(part, Math.max(atMs, this.#liftedAtMs.get(part) ?? -Infinity))
@@ -165,7 +164,7 @@
   /** Finds the holds all of whose crashes another hold explains, and others besides: these parts were only there. */
   findSuperseded <Hold extends HeldParts> (held: readonly Hold[]): Hold[] {
     return held.filter(hold => held.some(other => {
-      const isCovered = (crashId: string) => this.#crashes.get(crashId)?.requests.some(request => other.parts.every(part => request.includes(part))) === true
+      const isCovered = (crashId: string) => hasRequestWith(this.#crashes.get(crashId)?.requests ?? [], other.parts)
       return other !== hold && other.crashIds.length > hold.crashIds.length && hold.crashIds.every(isCovered)
     }))
   }
@@ -176,19 +175,19 @@
   }
 
   /** Lists what was learned recently, to be passed on to other gateways. */
-  listNews (nowMs: number): { crashes: CrashReport[], sound: SoundReport[] } {
+  listNews (nowMs: number): { crashes: CrashReport[], answered: AnsweredPart[] } {
     const isRecent = ({ learnedAtMs }: { learnedAtMs: number }) => nowMs - learnedAtMs <= NEWS_MS
     const crashes = [...this.#crashes.values()].filter(isRecent).slice(-MAX_NEWS_CRASHES)
     return {
-      crashes: crashes.map(crash => ({ crashId: crash.crashId, atMs: crash.atMs, requests: this.#selectStrongest(crash) })),
-      sound: [...this.#sound].filter(([, known]) => isRecent(known)).slice(-MAX_NEWS_SOUND).map(([part, { atMs }]) => ({ part, atMs }))
+      crashes: crashes.map(crash => ({ crashId: crash.crashId, atMs: crash.atMs, requests: this.#selectUncleared(crash) })),
+      answered: [...this.#answered].filter(([, known]) => isRecent(known)).slice(-MAX_NEWS_ANSWERED).map(([part, { atMs }]) => ({ part, atMs }))
     }
   }
 
   /** Lists the parts with the most crashes that nothing speaks against, for the state dump. */
-  listSuspects (count: number): Array<{ part: string, crashes: number, soundAtMs: number | null }> {
+  listSuspects (count: number): Array<{ part: string, crashes: number, answeredAtMs: number | null }> {
     return [...this.#crashesByPart.keys()]
-      .map(part => ({ part, crashes: this.#listUncleared(part).length, soundAtMs: this.#sound.get(part)?.atMs ?? null }))
+      .map(part => ({ part, crashes: this.#listUncleared(part).length, answeredAtMs: this.#answered.get(part)?.atMs ?? null }))
       .sort((one, other) => other.crashes - one.crashes)
       .slice(0, count)
   }
@@ -237,31 +236,36 @@
     }
   }
 
-  /** Passes on what is known to be sound where that clears a part of a crash which became known later. */
+  /** Passes on a known answer where that clears a part of a crash which became known later. */
   #markClearing (part: string, crashedAtMs: number, nowMs: number): void {
-    const known = this.#sound.get(part)
-    if (known !== undefined && isAfter(known.atMs, crashedAtMs)) known.learnedAtMs = nowMs
+    const known = this.#answered.get(part)
+    if (known !== undefined && isClearing(known.atMs, crashedAtMs)) known.learnedAtMs = nowMs
   }
 
   #isCleared (part: string, { atMs }: KnownCrash): boolean {
-    return isAfter(this.#sound.get(part)?.atMs ?? -Infinity, atMs) || (this.#liftedAtMs.get(part) ?? -Infinity) >= atMs
+    return isClearing(this.#answered.get(part)?.atMs ?? -Infinity, atMs) || (this.#liftedAtMs.get(part) ?? -Infinity) >= atMs
   }
 
   /** Selects the requests, and of their parts those that nothing speaks against, for a message. */
-  #selectStrongest (crash: KnownCrash): string[][] {
+  #selectUncleared (crash: KnownCrash): string[][] {
     const requests = crash.requests.map(parts => parts.filter(part => !this.#isCleared(part, crash)).slice(0, MAX_NEWS_PARTS))
     return requests.filter(parts => parts.length > 0).slice(0, MAX_NEWS_REQUESTS)
   }
 }
 
-/** Returns whether an answer that began at `soundAtMs` shows that its parts did not cause a crash. */
-function isAfter (soundAtMs: number, crashedAtMs: number): boolean {
-  return soundAtMs >= crashedAtMs - SOUND_LEAD_MS
+/** Returns whether an answer that began at `answeredAtMs` shows that its parts did not cause a crash. */
+function isClearing (answeredAtMs: number, crashedAtMs: number): boolean {
+  return answeredAtMs >= crashedAtMs - ANSWER_LEAD_MS
+}
+
+/** Returns whether one of the requests has all these parts. */
+export function hasRequestWith (requests: ReadonlyArray<readonly string[]>, parts: readonly string[]): boolean {
+  return requests.some(request => parts.every(part => request.includes(part)))
 }
 
 /** Returns whether a held request may have caused the crash: it was there, and was not yet refused everywhere. */
 function isExplained ({ requests, atMs }: KnownCrash, { parts, sinceMs }: HeldParts): boolean {
-  return atMs <= sinceMs + HOLD_SPREAD_MS && requests.some(request => parts.every(part => request.includes(part)))
+  return atMs <= sinceMs + HOLD_SPREAD_MS && hasRequestWith(requests, parts)
 }
 
 /** Selects the parts that came with the strongest candidate in each of its crashes, so that either may be the cause. */
@@ -269,8 +273,7 @@
   const together = [part]
   for (const candidate of candidates) {
     if (candidate.part === part || candidate.crashes.length < crashes.length || together.length >= MAX_HELD_TOGETHER) continue
-    const next = [...together, candidate.part]
-    if (crashes.every(({ requests }) => requests.some(request => next.every(each => request.includes(each))))) together.push(candidate.part)
+    if (crashes.every(({ requests }) => hasRequestWith(requests, [...together, candidate.part]))) together.push(candidate.part)
   }
   return together
 }
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -80,7 +80,7 @@
 const partCrashesSchema = z.array(z.tuple([z.string().max(200), z.number(), z.array(z.array(z.string().max(64)).max(64)).max(64)]))
 
 /** Prompt parts that endpoints have answered: key, milliseconds since the answer began. */
-const soundPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
+const answeredPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
 
 /** Load update exchanged between two gateways. It excludes the load of the receiver itself. */
 export const loadUpdateSchema = z.object({
@@ -94,7 +94,7 @@
   leaving: leavingNoticesSchema.default([]),
   limits: endpointLimitsSchema.default([]),
   crashes: partCrashesSchema.default([]),
-  sound: soundPartsSchema.default([])
+  answered: answeredPartsSchema.default([])
 })
 
 export type LoadUpdate = z.infer<typeof loadUpdateSchema>
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -1,8 +1,8 @@
 import { createHash } from 'node:crypto'
 
 import { readClock } from '../base/clockReading'
-import { CrashAttribution, formatCrashId } from '../policy/crashAttribution'
-import { CrashEvidence, EVIDENCE_SETTLE_MS } from '../policy/crashEvidence'
+import { CrashAttribution, formatCrashId, parseCrashedEndpoint } from '../policy/crashAttribution'
+import { CrashEvidence, EVIDENCE_SETTLE_MS, hasRequestWith } from '../policy/crashEvidence'
 import { formatPartFingerprint, listSharedPartKeys, parsePartFingerprint } from '../policy/promptPartKeys'
 import { isBegunStream } from '../policy/streamProgress'
 import { PoisonRegistry } from '../store/poisonRegistry'
@@ -11,7 +11,7 @@
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
 import type { AttributedCrash, CrashedEndpoint } from '../policy/crashAttribution'
-import type { CrashReport, HeldParts, PartHold, SoundReport } from '../policy/crashEvidence'
+import type { CrashReport, HeldParts, PartHold, AnsweredPart } from '../policy/crashEvidence'
 import type { EndpointEntry } from '../policy/directEndpoint'
 import type { DirectoryChange } from '../policy/endpointDirectory'
 import type { StreamProgress } from '../policy/streamProgress'
@@ -64,6 +64,8 @@
   readonly #attribution: CrashAttribution
   readonly #evidence = new CrashEvidence()
   readonly #prober: ExitProber
+  readonly #fingerprints = new WeakMap<RelayRequest, string>()
+  readonly #partKeys = new WeakMap<RelayRequest, readonly string[]>()
   #holds: RecordedHold[] = []
   #decisionTimer: NodeJS.Timeout | undefined
 
@@ -99,33 +101,33 @@
       const retryAfterMs = Math.max(1, hold.record.atMs + CRASH_RETENTION_MS - this.#options.clock.getWallMs())
       return { code: 'request_crashes_endpoints', message: 'Endpoints crash when they answer prompts with a part of this one.', execution: 'not_run', retryAfterMs }
     }
-    if (!this.#registry.isPoisoned(hashRequest(request), CRASH_LIMIT)) return null
+    if (!this.#registry.isPoisoned(this.#getFingerprint(request), CRASH_LIMIT)) return null
     return { code: 'request_crashes_endpoints', message: `Endpoints crashed ${CRASH_LIMIT} times while they ran this request.`, execution: 'not_run', retryAfterMs: CRASH_RETENTION_MS }
   }
 
   /** Returns whether the request, whose answer broke, may be what has crashed endpoints before. */
   isRisky (request: RelayRequest): boolean {
-    return this.#evidence.isRisky(listPartKeys(request))
+    return this.#evidence.isRisky(this.#getPartKeys(request))
   }
 
   /** Records an attempt whose connection broke after the endpoint may have started to run it. */
   recordBrokenConnection (entry: EndpointEntry, request: RelayRequest, progress: AnswerProgress): void {
-    const parts = listPartKeys(request).slice(0, MAX_LOGGED_PARTS)
-    this.#options.observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint: hashRequest(request), parts, ...progress })
+    const parts = this.#getPartKeys(request).slice(0, MAX_LOGGED_PARTS)
+    this.#options.observer.recordBrokenAnswer(request, { endpoint: entry.id, crashId: formatCrashId(entry), fingerprint: this.#getFingerprint(request), parts, ...progress })
     this.recordConnectionEnd(entry, request, progress)
   }
 
   /** Records an attempt whose connection ended, because of which the endpoint may have ended too. */
   recordConnectionEnd (entry: EndpointEntry, request: RelayRequest, progress: StreamProgress): void {
-    const parts = isBegunStream(progress) ? [] : listPartKeys(request)
-    const crash = this.#attribution.recordBrokenAttempt(entry, { fingerprint: hashRequest(request), parts }, this.#options.clock.getMonotonicMs())
+    const parts = isBegunStream(progress) ? [] : this.#getPartKeys(request)
+    const crash = this.#attribution.recordBrokenAttempt(entry, { fingerprint: this.#getFingerprint(request), parts }, this.#options.clock.getMonotonicMs())
     if (crash === null) this.#prober.probe(entry)
     else this.#recordCrash(crash)
   }
 
   /** Records that an endpoint began to answer the request at a time, and went on. */
-  recordSoundAnswer (request: RelayRequest, begunAtMs: number): void {
-    this.#mergeSound(listPartKeys(request).map(part => ({ part, atMs: begunAtMs })), 'own')
+  recordBegunAnswer (request: RelayRequest, begunAtMs: number): void {
+    this.#mergeAnswered(this.#getPartKeys(request).map(part => ({ part, atMs: begunAtMs })), 'own')
   }
 
   /** Records that the endpoint's address refuses connections. */
@@ -182,14 +184,14 @@
   }
 
   /** Lists what this gateway recently learned about crashes under prompt parts. */
-  listNews (): { crashes: CrashReport[], sound: SoundReport[] } {
+  listNews (): { crashes: CrashReport[], answered: AnsweredPart[] } {
     return this.#evidence.listNews(this.#options.clock.getMonotonicMs())
   }
 
   /** Merges what another gateway has learned about crashes under prompt parts. */
-  mergeNews ({ crashes, sound }: { crashes: readonly CrashReport[], sound: readonly SoundReport[] }): void {
+  mergeNews ({ crashes, answered }: { crashes: readonly CrashReport[], answered: readonly AnsweredPart[] }): void {
     const added = crashes.filter(crash => this.#recordEvidence(crash, 'peer'))
-    this.#mergeSound(sound, 'peer')
+    this.#mergeAnswered(answered, 'peer')
     if (added.length > 0) this.#scheduleDecision()
   }
 
@@ -205,7 +207,7 @@
 
   #recordCrash ({ crashId, endpointId, atMs, fingerprints, requests }: AttributedCrash): void {
     if (this.#recordEvidence({ crashId, atMs, requests }, 'own')) this.#scheduleDecision()
-    const isExplained = this.#holds.some(hold => requests.some(parts => hold.parts.every(part => parts.includes(part))))
+    const isExplained = this.#holds.some(hold => hasRequestWith(requests, hold.parts))
     for (const fingerprint of isExplained ? [] : fingerprints) {
       this.#registry.record({ fingerprint, endpointName: endpointId, crashId })
       this.#options.log.write('notable', { event: 'crashBlamed', fingerprint, endpoint: endpointId, crashId, crashes: this.#registry.getCrashCount(fingerprint), limit: CRASH_LIMIT })
@@ -221,19 +223,19 @@
     return isNew
   }
 
-  #mergeSound (reports: readonly SoundReport[], source: 'own' | 'peer'): void {
+  #mergeAnswered (reports: readonly AnsweredPart[], source: 'own' | 'peer'): void {
     const { clock, log } = this.#options
     const now = readClock(clock)
     for (const report of reports) {
       const ageMs = now.monotonicMs - report.atMs
-      if (this.#evidence.recordSound(report, now.monotonicMs)) log.write('notable', { event: 'partCleared', part: report.part, ageMs: Math.round(ageMs), source })
+      if (this.#evidence.recordAnswered(report, now.monotonicMs)) log.write('notable', { event: 'partCleared', part: report.part, ageMs: Math.round(ageMs), source })
       for (const hold of this.#holds) if (hold.parts.includes(report.part) && now.wallMs - ageMs > hold.record.atMs) this.#removePart(hold, report.part)
     }
   }
 
-  /** Ends a hold of which one part turned out to be sound; what is left of it stays held. */
-  #removePart ({ fingerprint, parts, record }: RecordedHold, soundPart: string): void {
-    const rest = parts.filter(part => part !== soundPart)
+  /** Ends a hold of which one part was answered; what is left of it stays held. */
+  #removePart ({ fingerprint, parts, record }: RecordedHold, answeredPart: string): void {
+    const rest = parts.filter(part => part !== answeredPart)
     if (rest.length > 0) this.#registry.recordAll(formatPartFingerprint(rest), record.crashes)
     this.#registry.clear(fingerprint)
   }
@@ -251,11 +253,10 @@
   }
 
   #listHeld (): Array<HeldParts & { fingerprint: string }> {
-    const now = readClock(this.#options.clock)
     return this.#holds.map(({ fingerprint, parts, record }) => ({
       fingerprint,
       parts,
-      sinceMs: now.monotonicMs - (now.wallMs - record.atMs),
+      sinceMs: this.#toMonotonicMs(record.atMs),
       crashIds: record.crashes.map(crash => crash.crashId)
     }))
   }
@@ -263,13 +264,12 @@
   #recordHold ({ parts, crashIds, atMs }: PartHold): void {
     const { log, clock } = this.#options
     log.write('notable', { event: 'promptPartHeld', parts, crashes: crashIds.length, crashIds, lastCrashAgoMs: Math.round(clock.getMonotonicMs() - atMs), forMs: CRASH_RETENTION_MS })
-    this.#registry.recordAll(formatPartFingerprint(parts), crashIds.map(crashId => ({ crashId, endpointName: crashId.split('/')[0] as string })))
+    this.#registry.recordAll(formatPartFingerprint(parts), crashIds.map(crashId => ({ crashId, endpointName: parseCrashedEndpoint(crashId) })))
   }
 
   /** Brings the holds in line with the records, whoever changed them. */
   #updateHolds (): void {
-    const { log, clock } = this.#options
-    const now = readClock(clock)
+    const { log } = this.#options
     const before = new Set(this.#holds.map(({ fingerprint }) => fingerprint))
     const records = this.#registry.listRecords().flatMap(record => {
       const parts = parsePartFingerprint(record.fingerprint)
@@ -280,7 +280,7 @@
       const isHeld = crashes.length > 0
       if (isHeld !== before.has(fingerprint)) log.write('notable', { event: isHeld ? 'promptPartHoldBegun' : 'promptPartHoldEnded', fingerprint, crashes: crashes.length })
       if (isHeld || clearedAtMs === undefined) continue
-      for (const part of parts) if (!this.#isHeld(part)) this.#evidence.recordLifted(part, now.monotonicMs - (now.wallMs - clearedAtMs))
+      for (const part of parts) if (!this.#isHeld(part)) this.#evidence.recordLifted(part, this.#toMonotonicMs(clearedAtMs))
     }
     if (this.#holds.some(({ fingerprint }) => !before.has(fingerprint))) this.#options.handleHold()
   }
@@ -291,17 +291,31 @@
 
   #findHold (request: RelayRequest): RecordedHold | null {
     if (this.#holds.length === 0) return null
-    const parts = new Set(listPartKeys(request))
-    return this.#holds.find(hold => this.#isInForce(hold) && hold.parts.every(part => parts.has(part))) ?? null
+    const parts = this.#getPartKeys(request)
+    return this.#holds.find(hold => this.#isInForce(hold) && hasRequestWith([parts], hold.parts)) ?? null
   }
 
-  #isInForce ({ record }: RecordedHold): boolean {
-    return this.#options.clock.getWallMs() - record.atMs <= CRASH_RETENTION_MS
+  #isInForce ({ fingerprint }: RecordedHold): boolean {
+    return this.#registry.getRecord(fingerprint) !== null
+  }
+
+  // a request is checked and recorded several times on its way; its body may be large
+  #getFingerprint (request: RelayRequest): string {
+    const fingerprint = this.#fingerprints.get(request) ?? hashRequest(request)
+    this.#fingerprints.set(request, fingerprint)
+    return fingerprint
+  }
+
+  #getPartKeys (request: RelayRequest): readonly string[] {
+    const parts = this.#partKeys.get(request) ?? listSharedPartKeys(request.service, request.traits.promptParts)
+    this.#partKeys.set(request, parts)
+    return parts
   }
-}
 
-function listPartKeys ({ service, traits }: RelayRequest): string[] {
-  return listSharedPartKeys(service, traits.promptParts)
+  #toMonotonicMs (wallMs: number): number {
+    const now = readClock(this.#options.clock)
+    return now.monotonicMs - (now.wallMs - wallMs)
+  }
 }
 
 function hashRequest ({ workspace, traits, body }: RelayRequest): string {
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -15,7 +15,7 @@
 import type { CrashGuard } from './crashGuard'
 import type { Dispatcher } from './dispatcher'
 import type { StreamPosition } from './answerForwarder'
-import type { EndedAttempt, EndpointSender } from './endpointSender'
+import type { EndpointSender } from './endpointSender'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
@@ -216,7 +216,7 @@
     const { retries, clock, observer, crashes } = this.#options
     const { request } = state
     const nowMs = clock.getMonotonicMs()
-    const decision = decideRetry({ ...buildRetrySituation(state, outcome, nowMs), isCrashSuspect: crashes.isRisky(request) })
+    const decision = decideRetry(buildRetrySituation(state, { outcome, isCrashSuspect: crashes.isRisky(request), nowMs }))
     const isGranted = decision.kind === 'repeat' && (!decision.usesRetryBudget || retries.acquire(request.service, nowMs))
     observer.recordRetryDecision(request, decision, isGranted)
     return isGranted
@@ -255,10 +255,10 @@
   }
 }
 
-function buildRetrySituation (state: RelayState, outcome: EndedAttempt['outcome'] & DirectAttemptOutcome, nowMs: number): Omit<RetryState, 'isCrashSuspect'> {
+function buildRetrySituation (state: RelayState, { outcome, isCrashSuspect, nowMs }: { outcome: DirectAttemptOutcome, isCrashSuspect: boolean, nowMs: number }): RetryState {
   const { request, attempts, failedConnects } = state
   const { kind, isResumable, maxAttempts } = request.route
-  return { kind, isResumable, outcome, attempts, maxAttempts, failedConnects, remainingMs: request.deadlineAtMs - nowMs }
+  return { kind, isResumable, outcome, attempts, maxAttempts, failedConnects, remainingMs: request.deadlineAtMs - nowMs, isCrashSuspect }
 }
 
 /** Sets the last refusal. Once a request may have run, no later refusal may state that it did not. */
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -108,12 +108,12 @@
   readonly #forwarder: AnswerForwarder
   readonly #watchedAttempt: WatchedAttempt
   #pendingTokens: number
-  #firstMs: number | null = null
+  /** Monotonic milliseconds at which the answer's first event, or a complete answer, arrived; null before. */
+  #begunAtMs: number | null = null
   #eventCount = 0
-  /** Monotonic milliseconds at which the first and the latest events arrived; 0 before the first. */
-  #firstEventAtMs = 0
-  #lastEventAtMs = 0
-  #hasShownSound = false
+  /** Milliseconds between the first and the latest events. */
+  #streamedMs = 0
+  #hasReportedAnswer = false
   #stopReason: StopReason | null = null
 
   constructor (options: EndpointSenderOptions, budget: ByteBudget, input: AttemptInput) {
@@ -209,7 +209,7 @@
     const { clock, placement, getTightestTargetMs, countWaiting, handleCapacity } = this.#options
     const { request, choice } = this.#input
     const nowMs = clock.getMonotonicMs()
-    this.#firstMs = nowMs - request.arrivedAtMs
+    this.#begunAtMs = nowMs
     placement.recordFirstEvent(choice, {
       sentAtMs: this.#startedAtMs,
       targetMs: getTightestTargetMs(request.service),
@@ -221,11 +221,9 @@
   }
 
   #recordEvents (count: number): void {
-    const nowMs = this.#options.clock.getMonotonicMs()
-    if (this.#eventCount === 0) this.#firstEventAtMs = nowMs
-    this.#lastEventAtMs = nowMs
+    this.#streamedMs = this.#options.clock.getMonotonicMs() - this.#begunAtMs!
     this.#eventCount += count
-    if (!this.#hasShownSound && isBegunStream(this.#getStreamProgress())) this.#recordSoundAnswer(this.#firstEventAtMs)
+    if (!this.#hasReportedAnswer && isBegunStream(this.#getStreamProgress())) this.#recordBegunAnswer()
   }
 
   #releaseTokens (): void {
@@ -275,13 +273,13 @@
   }
 
   #getStreamProgress (): StreamProgress {
-    return { events: this.#eventCount, streamedMs: Math.round(this.#lastEventAtMs - this.#firstEventAtMs) }
+    return { events: this.#eventCount, streamedMs: Math.round(this.#streamedMs) }
   }
 
   /** Records that the endpoint survived the beginning of this answer. */
-  #recordSoundAnswer (begunAtMs: number): void {
-    this.#hasShownSound = true
-    this.#options.crashes.recordSoundAnswer(this.#input.request, begunAtMs)
+  #recordBegunAnswer (): void {
+    this.#hasReportedAnswer = true
+    this.#options.crashes.recordBegunAnswer(this.#input.request, this.#begunAtMs!)
   }
 
   #report (ended: EndedAttempt, nowMs: number): void {
@@ -292,7 +290,7 @@
       status: this.#forwarder.head?.status ?? null,
       detail: ended.detail,
       elapsedMs: Math.round(nowMs - this.#startedAtMs),
-      firstMs: this.#firstMs === null ? null : Math.round(this.#firstMs),
+      firstMs: this.#begunAtMs === null ? null : Math.round(this.#begunAtMs - this.#input.request.arrivedAtMs),
       events: this.#eventCount
     })
   }
@@ -322,7 +320,7 @@
     if (isSuccess(head.status)) {
       if (this.#forwarder.isUnframed && this.#forwarder.endsWithinEvent) return buildResult('mayHaveRun', { kind: 'broken' }, 'the stream ended within an event')
       this.#forwarder.completeReply(exchangeResult)
-      if (!this.#hasShownSound && this.#isEndCertain(exchangeResult)) this.#recordSoundAnswer(this.#firstEventAtMs > 0 ? this.#firstEventAtMs : this.#options.clock.getMonotonicMs())
+      if (!this.#hasReportedAnswer && this.#isEndCertain(exchangeResult)) this.#recordBegunAnswer()
       return buildResult('answered', { kind: 'answered', elapsedMs }, '')
     }
     if (head.isNotRun) {
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -105,7 +105,7 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, sound }: LoadUpdate, scope: ReportScope): void {
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, answered }: LoadUpdate, scope: ReportScope): void {
     const { peerLoads, clock, handleLeaving, limits: coordinator, crashes: guard } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
@@ -116,7 +116,7 @@
     for (const [id, bornAtMs, version, requestsPerSecond] of limits) coordinator.mergeNotice({ id, bornAtMs, version, requestsPerSecond })
     guard.mergeNews({
       crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
-      sound: sound.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
+      answered: answered.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
     })
   }
 
@@ -157,13 +157,13 @@
     return this.#options.directory.listLeaving().map(({ id, bornAtMs, saidAtMs }) => [id, bornAtMs, Math.max(0, Math.round(nowMs - saidAtMs))])
   }
 
-  #listCrashNews (): Pick<LoadUpdate, 'crashes' | 'sound'> {
+  #listCrashNews (): Pick<LoadUpdate, 'crashes' | 'answered'> {
     const { crashes, clock } = this.#options
     const nowMs = clock.getMonotonicMs()
     const news = crashes.listNews()
     return {
       crashes: news.crashes.map(({ crashId, atMs, requests }) => [crashId, Math.round(nowMs - atMs), requests.map(parts => [...parts])]),
-      sound: news.sound.map(({ part, atMs }) => [part, Math.round(nowMs - atMs)])
+      answered: news.answered.map(({ part, atMs }) => [part, Math.round(nowMs - atMs)])
     }
   }
 
--- a/tests/policy/crashEvidence.spec.ts
+++ b/tests/policy/crashEvidence.spec.ts
@@ -17,7 +17,7 @@
     expect(evidence.findHolds([], 300 + EVIDENCE_SETTLE_MS - 1)).to.deep.equal([])
     expect(evidence.hasUnsettled(300 + EVIDENCE_SETTLE_MS - 1)).to.equal(true)
     evidence.recordCrash({ crashId: 'e-300/1', atMs: 300, requests: [['bad']] }, 500)
-    evidence.recordSound({ part: 'popular', atMs: 400 }, 600)
+    evidence.recordAnswered({ part: 'popular', atMs: 400 }, 600)
     expect([evidence.findHolds([], 2000), evidence.hasUnsettled(2000)]).to.deep.equal([[], false])
   })
 
@@ -28,17 +28,17 @@
   })
 
   it('should clear a part by an answer that began after the crashes or just before, but not by an older one', () => {
-    for (const { soundAtMs, held } of [{ soundAtMs: 1400, held: [] }, { soundAtMs: 900, held: [] }, { soundAtMs: 100, held: [['popular']] }]) {
+    for (const { answeredAtMs, held } of [{ answeredAtMs: 1400, held: [] }, { answeredAtMs: 900, held: [] }, { answeredAtMs: 100, held: [['popular']] }]) {
       const evidence = new CrashEvidence()
       recordCrashes(evidence, [1000, 1100, 1200, 1300], index => [['popular', `other-${index}`]])
-      evidence.recordSound({ part: 'popular', atMs: soundAtMs }, 1500)
+      evidence.recordAnswered({ part: 'popular', atMs: answeredAtMs }, 1500)
       expect(listHeld(evidence, 1500)).to.deep.equal(held)
     }
   })
 
   it('should apply an answer that was known before the crash', () => {
     const evidence = new CrashEvidence()
-    evidence.recordSound({ part: 'popular', atMs: 1400 }, 1450)
+    evidence.recordAnswered({ part: 'popular', atMs: 1400 }, 1450)
     recordCrashes(evidence, [1000, 1100, 1200, 1300], index => [['popular', `other-${index}`]])
     expect(listHeld(evidence, 1500)).to.deep.equal([])
   })
@@ -47,7 +47,7 @@
     const evidence = new CrashEvidence()
     recordCrashes(evidence, [0, 100, 200, 300], index => [['bad', 'company'], [`other-${index}`]])
     expect(listHeld(evidence, 400)).to.deep.equal([['bad', 'company']])
-    evidence.recordSound({ part: 'company', atMs: 500 }, 600)
+    evidence.recordAnswered({ part: 'company', atMs: 500 }, 600)
     expect(listHeld(evidence, 600)).to.deep.equal([['bad']])
   })
 
@@ -96,10 +96,10 @@
     expect(evidence.recordCrash({ crashId: 'e/1', atMs: 100, requests: [['a']] }, 100)).to.equal(true)
     expect(evidence.recordCrash({ crashId: 'e/1', atMs: 90, requests: [['a']] }, 150)).to.equal(false)
     expect(evidence.recordCrash({ crashId: 'e/1', atMs: 90, requests: [['b', 'c']] }, 200)).to.equal(true)
-    expect(evidence.listNews(300)).to.deep.equal({ crashes: [{ crashId: 'e/1', atMs: 90, requests: [['a'], ['b', 'c']] }], sound: [] })
-    expect(evidence.recordSound({ part: 'b', atMs: 250 }, 300)).to.equal(true)
-    expect(evidence.listNews(300)).to.deep.equal({ crashes: [{ crashId: 'e/1', atMs: 90, requests: [['a'], ['c']] }], sound: [{ part: 'b', atMs: 250 }] })
-    expect(evidence.listNews(9000)).to.deep.equal({ crashes: [], sound: [] })
+    expect(evidence.listNews(300)).to.deep.equal({ crashes: [{ crashId: 'e/1', atMs: 90, requests: [['a'], ['b', 'c']] }], answered: [] })
+    expect(evidence.recordAnswered({ part: 'b', atMs: 250 }, 300)).to.equal(true)
+    expect(evidence.listNews(300)).to.deep.equal({ crashes: [{ crashId: 'e/1', atMs: 90, requests: [['a'], ['c']] }], answered: [{ part: 'b', atMs: 250 }] })
+    expect(evidence.listNews(9000)).to.deep.equal({ crashes: [], answered: [] })
   })
 
   it('should call a request risky once a part of it has two crashes that it is not cleared of', () => {
@@ -107,7 +107,7 @@
     recordCrashes(evidence, [0], () => [['bad', 'popular']])
     expect(evidence.isRisky(['bad'])).to.equal(false)
     recordCrashes(evidence, [100], () => [['bad', 'popular']])
-    evidence.recordSound({ part: 'popular', atMs: 150 }, 200)
+    evidence.recordAnswered({ part: 'popular', atMs: 150 }, 200)
     expect([evidence.isRisky(['popular', 'bad']), evidence.isRisky(['popular']), evidence.isRisky([])]).to.deep.equal([true, false, false])
   })
 
--- a/tests/policy/crashEvidenceFleet.spec.ts
+++ b/tests/policy/crashEvidenceFleet.spec.ts
@@ -37,7 +37,7 @@
       for (let index = 0; index < 3; index++) select().evidence.recordCrash({ ...crash, requests: [[`f-${index}`, `d-${index}-${crashes}`]] }, nowMs)
     }
     // sound requests with the popular parts are answered all the time
-    if (nowMs % 50 === 0) select().evidence.recordSound({ part: `f-${Math.floor(random() * 3)}`, atMs: nowMs - 100 }, nowMs)
+    if (nowMs % 50 === 0) select().evidence.recordAnswered({ part: `f-${Math.floor(random() * 3)}`, atMs: nowMs - 100 }, nowMs)
     gateways.forEach((gateway, index) => {
       if (nowMs < gateway.nextExchangeAtMs) return
       gateway.nextExchangeAtMs = nowMs + EXCHANGE_INTERVAL_MS * (0.8 + 0.4 * random())
@@ -53,9 +53,9 @@
   return Infinity
 }
 
-function mergeNews (evidence: CrashEvidence, { crashes, sound }: ReturnType<CrashEvidence['listNews']>, nowMs: number): void {
+function mergeNews (evidence: CrashEvidence, { crashes, answered }: ReturnType<CrashEvidence['listNews']>, nowMs: number): void {
   for (const crash of crashes) evidence.recordCrash(crash, nowMs)
-  for (const report of sound) evidence.recordSound(report, nowMs)
+  for (const report of answered) evidence.recordAnswered(report, nowMs)
 }
 
 describe('evidence of crashes that each gateway sees only a part of', () => {
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -81,7 +81,7 @@
     await waitUntil('the hold', () => guard.listHolds().length === 1 && peer.listHolds().length === 1)
     expect(guard.check(createRequest('company', 'other'))).to.equal(null)
     elapsedMs += 100
-    guard.recordSoundAnswer(createRequest('company', 'other'), clock.getMonotonicMs())
+    guard.recordBegunAnswer(createRequest('company', 'other'), clock.getMonotonicMs())
     for (let round = 0; round < 20; round++) {
       peer.mergeNews(guard.listNews())
       guard.mergeNews(peer.listNews())
