Share the pacing, framing and peer settings of the relay's tests

Two fleets paced their load by the same loop and wired their gateways by the same settings; three new specs and a fleet framed answers by copies of one switch, and one read requests by a copy of the fixture's check. Each stands once (pacedLoad, relayFixture). No assertion, seed or order of random numbers changes.

--- a/tests/relay/crashingFleet.ts
+++ b/tests/relay/crashingFleet.ts
@@ -1,7 +1,8 @@
 import { findFreePorts } from '../../standins/shared/freePorts'
 import { createSeededRandom } from '../../standins/shared/seededRandom'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
-import { buildPlatformConfig, buildRoute, buildSettings, registerEndpoint, sendRequest, SIGNATURE_LINE, startRelay } from './relayFixture'
+import { playAtRate } from '../fixtures/pacedLoad'
+import { buildPeerSettings, buildPlatformConfig, buildRoute, formatChunk, isWholeRequest, registerEndpoint, sendRequest, SIGNATURE_LINE, startRelay } from './relayFixture'
 
 import net from 'node:net'
 
@@ -65,17 +66,10 @@
   const hosts = (await findFreePorts(options.endpoints)).map((port, index) => new CrashingEndpoint(`e-${index + 1}`, port, { ...options, store, arrivals, crashes }))
   await Promise.all(hosts.map(async host => await host.start()))
   const ports = await findFreePorts(options.gateways + 1)
-  const peers = ports.slice(0, 3).map(port => `127.0.0.1:${port}`)
   const config = buildPlatformConfig({ routes: [buildRoute({ kind: options.kind ?? 'streaming', resumable: true, timeoutMs: 4000 })] })
   const gateways: RelayFixture[] = []
   const addGateway = async () => {
-    const index = gateways.length
-    const gateway = await startRelay(config, [], {
-      id: `gateway-${index + 1}`,
-      domain: `domain-${'abc'[index % 3]}`,
-      peers,
-      listen: { ...buildSettings().listen, peers: { host: '127.0.0.1', port: ports[index]! } }
-    }, store)
+    const gateway = await startRelay(config, [], buildPeerSettings(ports, gateways.length), store)
     gateways.push(gateway)
     return gateway
   }
@@ -112,18 +106,11 @@
 /** Sends `ratePerSecond` prompts per second for some milliseconds, to gateways at random. Returns all requests with their answers. */
 export async function playPrompts (gateways: readonly RelayFixture[], choosePrompt: (random: () => number) => PlayedPrompt, { ratePerSecond, milliseconds, seed }: { ratePerSecond: number, milliseconds: number, seed: number }): Promise<PlayedRequest[]> {
   const random = createSeededRandom(seed)
-  const played: Array<Promise<PlayedRequest>> = []
-  const startedAtMs = performance.now()
-  const total = Math.round(ratePerSecond * milliseconds / 1000)
-  while (played.length < total) {
-    const dueMs = startedAtMs + played.length * 1000 / ratePerSecond
-    await new Promise(resolve => setTimeout(resolve, Math.max(0, dueMs - performance.now())))
-    const id = `p-${seed}-${Math.round(startedAtMs)}-${played.length}`
+  const startedAtMs = Math.round(performance.now())
+  return await playAtRate(ratePerSecond, milliseconds, async index => {
     const prompt = choosePrompt(random)
-    const gateway = gateways[Math.floor(random() * gateways.length)]!
-    played.push(sendPrompt(gateway, prompt, id))
-  }
-  return await Promise.all(played)
+    return await sendPrompt(gateways[Math.floor(random() * gateways.length)]!, prompt, `p-${seed}-${startedAtMs}-${index}`)
+  })
 }
 
 /** Sends one prompt. Its last part, which no other request shares, is added. */
@@ -209,9 +196,7 @@
     let text = ''
     socket.on('data', bytes => {
       text += bytes.toString('latin1')
-      const headEnd = text.indexOf('\r\n\r\n')
-      const length = Number(/content-length: (\d+)/i.exec(text)?.[1] ?? 0)
-      if (headEnd === -1 || text.length < headEnd + 4 + length) return
+      if (!isWholeRequest(text)) return
       this.#receive(text, socket)
       text = ''
     })
@@ -245,7 +230,3 @@
     writeNext(afterEventId + 1)
   }
 }
-
-function formatChunk (text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`
-}
--- a/tests/relay/cutHeads.spec.ts
+++ b/tests/relay/cutHeads.spec.ts
@@ -4,13 +4,11 @@
 
 import { ByteBudget } from '../../src/relay/byteBudget'
 import { sendToEndpoint } from '../../src/relay/endpointExchange'
-import { sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
+import { FRAMINGS, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
 
 import type { AddressInfo } from 'node:net'
 import type { ExchangeResult } from '../../src/relay/endpointExchange'
-import type { RelayFixture } from './relayFixture'
-
-type Framing = 'length' | 'chunks' | 'connectionEnd'
+import type { Framing, RelayFixture } from './relayFixture'
 
 const ID_LINE = 'Tanagerwick-Request-Attempt-Id: a-1'
 const BODIES: Record<Framing, string[]> = {
@@ -31,7 +29,7 @@
     fixture = undefined
   })
 
-  for (const framing of ['length', 'chunks', 'connectionEnd'] satisfies Framing[]) {
+  for (const framing of FRAMINGS) {
     for (const end of ['close', 'reset'] as const) {
       it(`should never have a cut answer taken for a whole one, wherever it is cut (${framing}, ${end})`, async () => {
         const text = ['HTTP/1.1 200 OK', SIGNATURE_LINE, ID_LINE, 'Content-Type: text/event-stream', ...BODIES[framing]].join('\r\n')
--- a/tests/relay/limitedFleet.ts
+++ b/tests/relay/limitedFleet.ts
@@ -1,6 +1,7 @@
 import { findFreePorts } from '../../standins/shared/freePorts'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
-import { answerWhole, buildPlatformConfig, buildSettings, sendRequest, startEndpoint, startRelay } from './relayFixture'
+import { playAtRate } from '../fixtures/pacedLoad'
+import { answerWhole, buildPeerSettings, buildPlatformConfig, sendRequest, startEndpoint, startRelay } from './relayFixture'
 
 import type { EndpointFixture, RawAnswer, RelayFixture } from './relayFixture'
 
@@ -34,13 +35,10 @@
   const unlimited = await startEndpoint('e-unlimited', request => answerWhole(request, 'unlimited'))
   const store = new MemoryObjectStore()
   const ports = await findFreePorts(count)
-  const peers = ports.slice(0, 3).map(port => `127.0.0.1:${port}`)
-  const gateways = await Promise.all(ports.map(async (port, index) => await startRelay(buildPlatformConfig(), index > 0 ? [] : isAlone ? [limited] : [limited, unlimited], {
-    id: `gateway-${index + 1}`,
-    domain: `domain-${'abc'[index % 3]}`,
-    peers,
-    listen: { ...buildSettings().listen, peers: { host: '127.0.0.1', port } }
-  }, store)))
+  const gateways = await Promise.all(ports.map(async (_port, index) => {
+    const endpoints = index > 0 ? [] : isAlone ? [limited] : [limited, unlimited]
+    return await startRelay(buildPlatformConfig(), endpoints, buildPeerSettings(ports, index), store)
+  }))
   return {
     gateways,
     limited,
@@ -56,13 +54,6 @@
 
 /** Sends `ratePerSecond` requests per second for some milliseconds, to the gateways in turn. Returns all answers. */
 export async function playRequests (gateways: readonly RelayFixture[], ratePerSecond: number, milliseconds: number): Promise<RawAnswer[]> {
-  const answers: Array<Promise<RawAnswer>> = []
   const startedAtMs = performance.now()
-  const total = Math.round(ratePerSecond * milliseconds / 1000)
-  while (answers.length < total) {
-    const dueMs = startedAtMs + answers.length * 1000 / ratePerSecond
-    await new Promise(resolve => setTimeout(resolve, Math.max(0, dueMs - performance.now())))
-    answers.push(sendRequest(gateways[answers.length % gateways.length]!, { id: `p-${startedAtMs}-${answers.length}` }))
-  }
-  return await Promise.all(answers)
+  return await playAtRate(ratePerSecond, milliseconds, async index => await sendRequest(gateways[index % gateways.length]!, { id: `p-${startedAtMs}-${index}` }))
 }
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -120,6 +120,16 @@
   }
 }
 
+/** Builds the settings of one of several gateways in three failure domains, which serve their peers at `ports`. */
+export function buildPeerSettings (ports: readonly number[], index: number): Partial<RelaySettings> {
+  return {
+    id: `gateway-${index + 1}`,
+    domain: `domain-${'abc'[index % 3]}`,
+    peers: ports.slice(0, 3).map(port => `127.0.0.1:${port}`),
+    listen: { ...buildSettings().listen, peers: { host: '127.0.0.1', port: ports[index]! } }
+  }
+}
+
 /** Starts a gateway with the platform's dialects and an object service in memory. */
 export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}, store = new MemoryObjectStore()): Promise<RelayFixture> {
   const service = new MemoryObjectService(store)
@@ -190,6 +200,29 @@
   request.socket.write([`HTTP/1.1 ${status}`, SIGNATURE_LINE, `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, ...headers, `Content-Length: ${body.length}`, '', body].join('\r\n'))
 }
 
+/** How an answer says where its body ends. */
+export type Framing = 'length' | 'chunks' | 'connectionEnd'
+export const FRAMINGS: Framing[] = ['length', 'chunks', 'connectionEnd']
+
+/** Sends a head without framing headers, and a body framed in one of the ways. */
+export function writeFramed ({ socket }: ReceivedRequest, head: string[], framing: Framing, body: string): void {
+  switch (framing) {
+    case 'length':
+      socket.write([...head, `Content-Length: ${body.length}`, '', body].join('\r\n'))
+      return
+    case 'chunks':
+      socket.write([...head, 'Transfer-Encoding: chunked', '', `${formatChunk(body)}0\r\n\r\n`].join('\r\n'))
+      return
+    case 'connectionEnd':
+      socket.end([...head, '', body].join('\r\n'))
+  }
+}
+
+/** Formats one chunk of a chunked body. */
+export function formatChunk (text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`
+}
+
 /** Refuses the request as not run. */
 export function refuseRequest (request: ReceivedRequest, headers: string[] = []): void {
   request.socket.write(['HTTP/1.1 503 Service Unavailable', 'Tanagerwick-Not-Executed: 1', `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, ...headers, 'Content-Length: 0', '', ''].join('\r\n'))
@@ -212,7 +245,8 @@
   }
 }
 
-function isWholeRequest (text: string): boolean {
+/** Returns whether the text has a request's head and its whole body. */
+export function isWholeRequest (text: string): boolean {
   const headEnd = text.indexOf('\r\n\r\n')
   if (headEnd === -1) return false
   const length = Number(/content-length: (\d+)/i.exec(text.slice(0, headEnd))?.[1] ?? 0)
--- a/tests/relay/resumedStreams.spec.ts
+++ b/tests/relay/resumedStreams.spec.ts
@@ -1,14 +1,12 @@
 import { expect } from 'chai'
 
-import { buildPlatformConfig, buildRoute, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
+import { buildPlatformConfig, buildRoute, formatChunk, FRAMINGS, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay, writeFramed } from './relayFixture'
 
-import type { EndpointFixture, RawAnswer, ReceivedRequest, RelayFixture } from './relayFixture'
+import type { EndpointFixture, Framing, RawAnswer, ReceivedRequest, RelayFixture } from './relayFixture'
 
-type Framing = 'length' | 'chunks' | 'connectionEnd'
 type IdForm = 'own' | 'another' | 'none'
 type SecondAnswer = 'error' | 'refusal' | 'plainSuccess' | 'streamError' | 'streamWithoutIds' | 'streamFromStart'
 
-const FRAMINGS: Framing[] = ['length', 'chunks', 'connectionEnd']
 const SECOND_ANSWERS: SecondAnswer[] = ['error', 'refusal', 'plainSuccess', 'streamError', 'streamWithoutIds', 'streamFromStart']
 const SECOND_TEXT = 'text-of-the-second'
 
@@ -53,7 +51,7 @@
     let sends = 0
     const answer = (request: ReceivedRequest) => {
       sends += 1
-      if (sends > 1) return writeFramed(request, '200 OK', 'chunks', 'own', ['Content-Type: text/event-stream', SIGNATURE_LINE], `id: 1\ndata: ${SECOND_TEXT}\n\n`)
+      if (sends > 1) return writeAnswer(request, '200 OK', 'chunks', 'own', ['Content-Type: text/event-stream', SIGNATURE_LINE], `id: 1\ndata: ${SECOND_TEXT}\n\n`)
       request.socket.end(['HTTP/1.1 200 OK', SIGNATURE_LINE, `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked', '', formatChunk('data: a\n\n')].join('\r\n'))
     }
     endpoints = [await startEndpoint('e-1', answer), await startEndpoint('e-2', answer)]
@@ -70,7 +68,7 @@
         const answer = (request: ReceivedRequest) => {
           sends += 1
           if (sends === 1) return endStreamEarly(request, first)
-          writeFramed(request, '200 OK', framing, 'own', ['Content-Type: text/event-stream', SIGNATURE_LINE], 'id: 2\ndata: b\n\n')
+          writeAnswer(request, '200 OK', framing, 'own', ['Content-Type: text/event-stream', SIGNATURE_LINE], 'id: 2\ndata: b\n\n')
         }
         endpoints = [await startEndpoint('e-1', answer), await startEndpoint('e-2', answer)]
         fixture = await startRelay(buildPlatformConfig({ routes: [buildRoute({ kind: 'streaming', resumable: true, maxAttempts: 2 })] }), endpoints)
@@ -100,32 +98,18 @@
 
 function writeSecond (request: ReceivedRequest, second: SecondAnswer, framing: Framing, id: IdForm): void {
   switch (second) {
-    case 'error': return writeFramed(request, '500 Internal Server Error', framing, id, [SIGNATURE_LINE], SECOND_TEXT)
-    case 'refusal': return writeFramed(request, '503 Service Unavailable', framing, id, ['Tanagerwick-Not-Executed: 1'], SECOND_TEXT)
-    case 'plainSuccess': return writeFramed(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: application/json'], SECOND_TEXT)
-    case 'streamError': return writeFramed(request, '500 Internal Server Error', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `id: 2\ndata: ${SECOND_TEXT}\n\n`)
-    case 'streamWithoutIds': return writeFramed(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `data: ${SECOND_TEXT}\n\n`)
-    case 'streamFromStart': return writeFramed(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `id: 1\ndata: ${SECOND_TEXT}\n\n`)
+    case 'error': return writeAnswer(request, '500 Internal Server Error', framing, id, [SIGNATURE_LINE], SECOND_TEXT)
+    case 'refusal': return writeAnswer(request, '503 Service Unavailable', framing, id, ['Tanagerwick-Not-Executed: 1'], SECOND_TEXT)
+    case 'plainSuccess': return writeAnswer(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: application/json'], SECOND_TEXT)
+    case 'streamError': return writeAnswer(request, '500 Internal Server Error', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `id: 2\ndata: ${SECOND_TEXT}\n\n`)
+    case 'streamWithoutIds': return writeAnswer(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `data: ${SECOND_TEXT}\n\n`)
+    case 'streamFromStart': return writeAnswer(request, '200 OK', framing, id, [SIGNATURE_LINE, 'Content-Type: text/event-stream'], `id: 1\ndata: ${SECOND_TEXT}\n\n`)
   }
 }
 
-function writeFramed ({ socket, requestId }: ReceivedRequest, status: string, framing: Framing, id: IdForm, headers: string[], body: string): void {
-  const ids = { own: [`Tanagerwick-Request-Attempt-Id: ${requestId}`], another: ['Tanagerwick-Request-Attempt-Id: another'], none: [] }
-  const head = [`HTTP/1.1 ${status}`, ...headers, ...ids[id]]
-  switch (framing) {
-    case 'length':
-      socket.write([...head, `Content-Length: ${body.length}`, '', body].join('\r\n'))
-      return
-    case 'chunks':
-      socket.write([...head, 'Transfer-Encoding: chunked', '', `${formatChunk(body)}0\r\n\r\n`].join('\r\n'))
-      return
-    case 'connectionEnd':
-      socket.end([...head, '', body].join('\r\n'))
-  }
-}
-
-function formatChunk (text: string): string {
-  return `${text.length.toString(16)}\r\n${text}\r\n`
+function writeAnswer (request: ReceivedRequest, status: string, framing: Framing, id: IdForm, headers: string[], body: string): void {
+  const ids = { own: [`Tanagerwick-Request-Attempt-Id: ${request.requestId}`], another: ['Tanagerwick-Request-Attempt-Id: another'], none: [] }
+  writeFramed(request, [`HTTP/1.1 ${status}`, ...headers, ...ids[id]], framing, body)
 }
 
 /** Returns whether a caller would take the reply for complete: by its framing, or else by the orderly end of the connection. */
--- a/tests/relay/staleRefusals.spec.ts
+++ b/tests/relay/staleRefusals.spec.ts
@@ -1,10 +1,9 @@
 import { expect } from 'chai'
 
-import { answerWhole, buildPlatformConfig, buildRoute, sendRequest, startEndpoint, startRelay } from './relayFixture'
+import { answerWhole, buildPlatformConfig, buildRoute, FRAMINGS, sendRequest, startEndpoint, startRelay, writeFramed } from './relayFixture'
 
-import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+import type { EndpointFixture, Framing, ReceivedRequest, RelayFixture } from './relayFixture'
 
-type Framing = 'length' | 'chunks' | 'connectionEnd'
 type IdForm = 'earlier' | 'none'
 
 interface RefusalForm {
@@ -29,7 +28,7 @@
 
   for (const status of STATUSES) {
     for (const id of ['earlier', 'none'] satisfies IdForm[]) {
-      for (const framing of ['length', 'chunks', 'connectionEnd'] satisfies Framing[]) {
+      for (const framing of FRAMINGS) {
         it(`should not have the next caller told that its request did not run, nor run it twice (${status}, id ${id}, ${framing})`, async () => {
           const runs: ReceivedRequest[] = []
           let refused: ReceivedRequest | null = null
@@ -78,16 +77,7 @@
   })
 })
 
-function writeRefusal ({ socket }: ReceivedRequest, { status, id, framing }: RefusalForm, requestId: string): void {
-  const head = [`HTTP/1.1 ${status}`, 'Tanagerwick-Not-Executed: 1', ...id === 'none' ? [] : [`Tanagerwick-Request-Attempt-Id: ${requestId}`]]
-  switch (framing) {
-    case 'length':
-      socket.write([...head, 'Content-Length: 4', '', 'full'].join('\r\n'))
-      return
-    case 'chunks':
-      socket.write([...head, 'Transfer-Encoding: chunked', '', '4', 'full', '0', '', ''].join('\r\n'))
-      return
-    case 'connectionEnd':
-      socket.end([...head, '', 'full'].join('\r\n'))
-  }
+function writeRefusal (request: ReceivedRequest, { status, id, framing }: RefusalForm, requestId: string): void {
+  const idLines = id === 'none' ? [] : [`Tanagerwick-Request-Attempt-Id: ${requestId}`]
+  writeFramed(request, [`HTTP/1.1 ${status}`, 'Tanagerwick-Not-Executed: 1', ...idLines], framing, 'full')
 }
