Log the versions that write a stream, and which stream a request takes up

No log line or metric could tell streams that go on within one answer from those that callers take up again, nor at which version. endpointChosen, endpointChanged and the new streamContinued name the version; streams_continued_total counts same, other and unknown. Logic is unchanged: an entry whose version is no text is now ignored like any other entry with a field of another type.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -7,6 +7,11 @@
     rank: number
     attempt: number
     endpoint: string
+    /** Version of the endpoint's software. */
+    version: string | null
+    /** Attempt that began the stream that the request takes up, and the last event that its caller has. */
+    resumes: string | null
+    resumesAfter: number | null
     reason: string
     /** Estimated cost of the endpoint, in milliseconds. */
     costMs: number
@@ -69,6 +74,8 @@
     forMs: number
     inFlight: number
   }
+  /** An endpoint continued a stream; `versionBefore` is that of the endpoint that wrote its events so far, null when unknown. */
+  | { event: 'streamContinued', requestId: string, service: string, endpoint: string, version: string | null, versionBefore: string | null, resumes: string | null, afterEventId: number }
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** The inputs of the decision are further fields of the line. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
@@ -76,7 +83,7 @@
 
 /** Log lines about changes in a process's view of endpoints, the store, the configuration and its dependencies. */
 export type ViewChangeEvent =
-  | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string }
+  | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string, version: string | null }
   /** The object service was restored from an older backup; `era` counts the restores. */
   | { event: 'storeRestored', era: number | null }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -9,6 +9,8 @@
   /** `host:port` that the endpoint serves on. */
   address: string
   domain: string
+  /** Version of the endpoint's software; null when the entry names none. */
+  version: string | null
   slots: number
   state: 'ready' | 'draining'
   /** Start time in Unix milliseconds. A later start under the same id is a new process without the old one's state. */
--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -15,6 +15,8 @@
 export interface StreamPosition {
   /** Id of the last event that the caller has, from this reply or from the stream that it resumes; null before the first. */
   lastEventId: number | null
+  /** Version of the endpoint software that wrote the events that the caller has; null when unknown, or before the first. */
+  version: string | null
 }
 
 /** Why an answer was rejected. */
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -247,7 +247,7 @@
     request,
     reply,
     tried: new Set(),
-    position: { lastEventId: request.traits.resumeAfterEventId },
+    position: { lastEventId: request.traits.resumeAfterEventId, version: null },
     attempts: 0,
     failedConnects: 0,
     lastRefusal: createUnavailableRefusal(request),
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -111,6 +111,8 @@
   /** Monotonic milliseconds at which the answer's first event, or a complete answer, arrived; null before. */
   #begunAtMs: number | null = null
   #eventCount = 0
+  /** Id of the last event that the caller had when the attempt began; null for a stream that begins. */
+  readonly #continuedAfterId: number | null
   /** Milliseconds between the first and the latest events. */
   #streamedMs = 0
   #hasReportedAnswer = false
@@ -122,6 +124,7 @@
     this.#input = input
     this.#endpoint = input.choice.endpoint
     this.#pendingTokens = input.choice.unreadTokens
+    this.#continuedAfterId = input.position.lastEventId
     this.#startedAtMs = options.clock.getMonotonicMs()
     this.#watchedAttempt = this.#buildWatchedAttempt()
     this.#forwarder = new AnswerForwarder({
@@ -221,11 +224,20 @@
   }
 
   #recordEvents (count: number): void {
+    if (this.#eventCount === 0) this.#recordVersion()
     this.#streamedMs = this.#options.clock.getMonotonicMs() - this.#begunAtMs!
     this.#eventCount += count
     if (!this.#hasReportedAnswer && isBegunStream(this.#getStreamProgress())) this.#recordBegunAnswer()
   }
 
+  /** Records which version writes the stream from here on. */
+  #recordVersion (): void {
+    const { request, position } = this.#input
+    const { entry } = this.#endpoint
+    if (this.#continuedAfterId !== null) this.#options.observer.recordStreamContinued(request, entry, { versionBefore: position.version, afterEventId: this.#continuedAfterId })
+    position.version = entry.version
+  }
+
   #releaseTokens (): void {
     this.#endpoint.pendingTokens -= this.#pendingTokens
     this.#pendingTokens = 0
--- a/src/relay/fleetWatcher.ts
+++ b/src/relay/fleetWatcher.ts
@@ -219,7 +219,7 @@
     for (const change of changes) {
       const { kind, entry } = change
       this.#options.handleChange(change)
-      this.#options.log.write('notable', { event: 'endpointChanged', change: kind, endpoint: entry.id, service: entry.service, address: entry.address, domain: entry.domain })
+      this.#options.log.write('notable', { event: 'endpointChanged', change: kind, endpoint: entry.id, service: entry.service, address: entry.address, domain: entry.domain, version: entry.version })
     }
   }
 
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -2,7 +2,7 @@
 import type { LabeledHistogram } from '../base/labeledHistogram'
 import type { Counter, Metrics } from '../base/metrics'
 import type { DirectChoice } from '../policy/directChooser'
-import type { DirectEndpoint } from '../policy/directEndpoint'
+import type { DirectEndpoint, EndpointEntry } from '../policy/directEndpoint'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { LimitNotice } from '../policy/limitNotices'
 import type { FleetState, GrantDecision } from '../policy/sendGrants'
@@ -65,6 +65,7 @@
   readonly #permits: Counter
   readonly #brokenAnswers: Counter
   readonly #exits: Counter
+  readonly #continuedStreams: Counter
   readonly #firstEventTime: LabeledHistogram
   readonly #queueTime: LabeledHistogram
 
@@ -76,6 +77,7 @@
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
+    this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
   }
@@ -91,6 +93,9 @@
       rank: request.rank,
       attempt,
       endpoint: endpoint.entry.id,
+      version: endpoint.entry.version,
+      resumes: request.traits.resumedRequestId,
+      resumesAfter: request.traits.resumeAfterEventId,
       reason: choice.reason,
       costMs: Math.round(choice.costMs),
       candidates: choice.candidates,
@@ -184,6 +189,14 @@
     this.#log.write('notable', { event: 'endpointExited', ...exit })
   }
 
+  /** Records that an endpoint continued a stream after an event that the caller already had. */
+  recordStreamContinued (request: RelayRequest, endpoint: EndpointEntry, { versionBefore, afterEventId }: { versionBefore: string | null, afterEventId: number }): void {
+    const { requestId, resumedRequestId } = request.traits
+    const version = versionBefore === null || endpoint.version === null ? 'unknown' : versionBefore === endpoint.version ? 'same' : 'other'
+    this.#continuedStreams.add({ service: request.service, version })
+    this.#log.write('notable', { event: 'streamContinued', requestId, service: request.service, endpoint: endpoint.id, version: endpoint.version, versionBefore, resumes: resumedRequestId, afterEventId })
+  }
+
   recordError (error: unknown): void {
     this.#log.writeError(error)
   }
--- a/src/relay/relayRequest.ts
+++ b/src/relay/relayRequest.ts
@@ -19,6 +19,8 @@
   callerTimeoutMs: number | null
   /** Id of the last event that the caller has received of a stream that it resumes; null for a new stream. */
   resumeAfterEventId: number | null
+  /** Id of the caller's attempt that brought the first event of that stream; null when it names none. */
+  resumedRequestId: string | null
   /** Parts of the prompt in order; the last one is unique to the request. */
   promptParts: PromptPart[]
 }
--- a/tests/platform/storeDecoder.spec.ts
+++ b/tests/platform/storeDecoder.spec.ts
@@ -3,7 +3,7 @@
 import { storeDecoder } from '../../platform/storeDecoder'
 import { buildPlatformConfig, buildRoute } from '../relay/relayFixture'
 
-const ENTRY = { service: 's', address: '10.0.0.1:80', zone: 'z', slots: 6, state: 'ready', born: 17, seq: 4 }
+const ENTRY = { service: 's', address: '10.0.0.1:80', zone: 'z', version: 'v1', slots: 6, state: 'ready', born: 17, seq: 4 }
 
 describe('objects of the platform', () => {
   it('should decode routes with one service and with several, and accept missing optional fields', () => {
@@ -23,6 +23,7 @@
     ['a missing field', { ...ENTRY, service: undefined }],
     ['a field of another type', { ...ENTRY, address: 7 }],
     ['an unknown state', { ...ENTRY, state: 'asleep' }],
+    ['a version that is no text', { ...ENTRY, version: 3 }],
     ['no address', { ...ENTRY, address: 'runner' }],
     ['a value that is no object', 'text']
   ] as Array<[string, unknown]>) {
@@ -32,6 +33,6 @@
   }
 
   it('should decode a valid entry', () => {
-    expect(storeDecoder.decodeEndpoint('e-1', ENTRY)).to.deep.equal({ id: 'e-1', service: 's', address: '10.0.0.1:80', domain: 'z', slots: 6, state: 'ready', bornAtMs: 17 })
+    expect(storeDecoder.decodeEndpoint('e-1', ENTRY)).to.deep.equal({ id: 'e-1', service: 's', address: '10.0.0.1:80', domain: 'z', version: 'v1', slots: 6, state: 'ready', bornAtMs: 17 })
   })
 })
--- a/tests/policy/directFixtures.ts
+++ b/tests/policy/directFixtures.ts
@@ -6,7 +6,7 @@
 
 /** Builds an entry of the endpoint list. */
 export function buildEntry (id: string, overrides: Partial<EndpointEntry> = {}): EndpointEntry {
-  return { id, service: 'engines', address: '127.0.0.1:1', domain: 'domain-a', slots: 64, state: 'ready', bornAtMs: 1, ...overrides }
+  return { id, service: 'engines', address: '127.0.0.1:1', domain: 'domain-a', version: 'v1', slots: 64, state: 'ready', bornAtMs: 1, ...overrides }
 }
 
 /** Builds a gateway's view of an endpoint. */
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -117,13 +117,13 @@
 })
 
 function createEndpoint (id: string): EndpointEntry {
-  return { id, service: 'archive', address: '127.0.0.1:1', domain: 'a', slots: 6, state: 'ready', bornAtMs: 1 }
+  return { id, service: 'archive', address: '127.0.0.1:1', domain: 'a', version: 'v1', slots: 6, state: 'ready', bornAtMs: 1 }
 }
 
 function createRequest (part: string, requestId: string, company?: string): RelayRequest {
   const shared = [part, ...company === undefined ? [] : [company]].map(id => ({ id, tokens: 100 }))
   return {
-    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, promptParts: [...shared, { id: requestId, tokens: 10 }] },
+    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, resumedRequestId: null, promptParts: [...shared, { id: requestId, tokens: 10 }] },
     route: { name: 'r-1', kind: 'stream' } as RelayRequest['route'],
     service: 'archive',
     workspace: null,
--- a/tests/relay/exitProber.spec.ts
+++ b/tests/relay/exitProber.spec.ts
@@ -33,7 +33,7 @@
   })
 
   function createEntry (id: string): EndpointEntry {
-    return { id, service: 'archive', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'a', slots: 6, state: 'ready', bornAtMs: 1 }
+    return { id, service: 'archive', address: `127.0.0.1:${(server.address() as AddressInfo).port}`, domain: 'a', version: 'v1', slots: 6, state: 'ready', bornAtMs: 1 }
   }
 
   it('should report an endpoint whose address refuses connections', async () => {
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -96,7 +96,7 @@
 
 /** Adds the endpoint to the platform's list. */
 export function registerEndpoint (store: MemoryObjectStore, endpoint: { id: string, address: string }, overrides: Record<string, unknown> = {}): void {
-  store.put(`servers/${endpoint.id}`, { service: 'archive', address: endpoint.address, zone: 'domain-a', slots: 6, state: 'ready', seq: 1, born: 1, ...overrides })
+  store.put(`servers/${endpoint.id}`, { service: 'archive', address: endpoint.address, zone: 'domain-a', version: 'v1', slots: 6, state: 'ready', seq: 1, born: 1, ...overrides })
 }
 
 /** Builds the settings of a gateway that listens on ports chosen by the system. */
--- a/tests/relay/resumedStreams.spec.ts
+++ b/tests/relay/resumedStreams.spec.ts
@@ -75,6 +75,7 @@
         const reply = await sendRequest(fixture, { timeoutMs: 1000 })
         expect(reply.text).to.include('id: 1\ndata: a\n\n').and.to.include('id: 2\ndata: b\n\n')
         expect(isComplete(reply)).to.equal(true)
+        expect(fixture.lines.find(line => line.event === 'streamContinued')).to.include({ requestId: 'a-1', version: 'v1', versionBefore: 'v1', resumes: null, afterEventId: 1 })
       })
     }
   }
