Let a stream go on only at the software version that began it

Callers saw streams whose first part one software version wrote and whose rest another one, after a break within an answer or when they took the stream up again. Cause: the choice of an endpoint took all endpoints of a service to be alike; the gateway decoded neither the version of an entry nor the attempt that a take-up names.

Change: an attempt's id belongs to one of 256 buckets, and a small record in the store says at which version the streams of a bucket begin, and at which ones streams that are still alive may have begun. So every gateway knows the version of a stream from its id, also after all gateways were killed, and nothing is kept about a stream. Gateways report begun streams of buckets that have just moved.

--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -28,6 +28,8 @@
 export interface SoakEndpointOptions {
   id: string
   service: string
+  /** Version of its software. */
+  version: string
   handleRun: (run: SoakRun) => void
   /** Called with each request that arrives, before it runs or is refused. */
   handleArrival: (arrival: LimitedArrival) => void
@@ -43,6 +45,7 @@
 export class SoakEndpoint {
   readonly id: string
   readonly service: string
+  readonly version: string
   readonly bornAtMs = Date.now()
   readonly #options: SoakEndpointOptions
   readonly #server: Server
@@ -56,6 +59,7 @@
   constructor (options: SoakEndpointOptions) {
     this.id = options.id
     this.service = options.service
+    this.version = options.version
     this.#options = options
     this.#server = createServer({ keepAliveTimeout: 8000 }, (request, response) => {
       this.#serve(request, response).catch(() => response.destroy())
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -30,6 +30,8 @@
   readonly endpoints: SoakEndpoint[] = []
   readonly #endpointsById = new Map<string, SoakEndpoint>()
   #endpointCount = 0
+  /** Software version of the endpoints opened from now on. */
+  #version = 'v1'
 
   constructor (options: SoakFleetOptions) {
     this.#options = options
@@ -48,7 +50,7 @@
     this.#endpointCount += 1
     const service = position % 2 === 0 ? 'engine' : 'desk'
     const { handleRun, handleArrival } = this.#options
-    const endpoint = new SoakEndpoint({ id: `${service}-${position}-${this.#endpointCount}`, service, handleRun, handleArrival })
+    const endpoint = new SoakEndpoint({ id: `${service}-${position}-${this.#endpointCount}`, service, version: this.#version, handleRun, handleArrival })
     await endpoint.open()
     this.#endpointsById.set(endpoint.id, endpoint)
     return endpoint
--- a/soak/soakOperator.ts
+++ b/soak/soakOperator.ts
@@ -105,7 +105,7 @@
   #putEndpoint (endpoint: SoakEndpoint, state: 'ready' | 'draining'): void {
     this.#registered.add(endpoint.id)
     this.#store.put('servers', endpoint.id, {
-      service: endpoint.service, address: endpoint.proxy.address, zone: 'domain-a', slots: 8, state, seq: 1, born: endpoint.bornAtMs
+      service: endpoint.service, address: endpoint.proxy.address, zone: 'domain-a', version: endpoint.version, slots: 8, state, seq: 1, born: endpoint.bornAtMs
     })
   }
 }
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -76,6 +76,8 @@
   }
   /** An endpoint continued a stream; `versionBefore` is that of the endpoint that wrote its events so far, null when unknown. */
   | { event: 'streamContinued', requestId: string, service: string, endpoint: string, version: string | null, versionBefore: string | null, resumes: string | null, afterEventId: number }
+  /** Which version began a stream that a request takes up, and how that is known; `version` is null when it is not. */
+  | { event: 'streamOriginDecided', requestId: string, service: string, resumes: string | null, version: string | null, source: string, candidates: ReadonlyArray<string | null>, sequence: number | null, recordAgeMs: number | null, waitedMs: number }
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** The inputs of the decision are further fields of the line. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
@@ -84,6 +86,12 @@
 /** Log lines about changes in a process's view of endpoints, the store, the configuration and its dependencies. */
 export type ViewChangeEvent =
   | { event: 'endpointChanged', change: string, endpoint: string, service: string, address: string, domain: string, version: string | null }
+  /** The record of the versions at which a service's streams begin changed: buckets of each version, and those with earlier versions as well. */
+  | { event: 'versionsAssigned', service: string, sequence: number, era: number, longestMs: number, buckets: Record<string, number>, uncertainBuckets: number }
+  /** This gateway wrote the record, or tried to. */
+  | { event: 'versionsWritten', service: string, reason: string, outcome: string, sequence: number, era: number, longestMs: number, buckets: Record<string, number>, uncertainBuckets: number }
+  /** The stored record cannot be read, or is from before a restore of the object service; it is written again. */
+  | { event: 'versionRecordDistrusted', service: string, reason: string, sequence: number | null, era: number }
   /** The object service was restored from an older backup; `era` counts the restores. */
   | { event: 'storeRestored', era: number | null }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -38,6 +38,8 @@
   quietUntilMs: number
   /** Time until which each connection is used for one request only, because bytes arrived that belong to no request. */
   mistrustedUntilMs: number
+  /** Time at which its address last refused a connection, so that its process has ended; null when it never did. */
+  refusedAtMs: number | null
   /** Time of the last byte received from the endpoint. */
   heardAtMs: number
   /** Smoothed milliseconds of recent answers or first events; 0 before the first. */
@@ -78,6 +80,7 @@
     ejectedUntilMs: 0,
     quietUntilMs: 0,
     mistrustedUntilMs: 0,
+    refusedAtMs: null,
     heardAtMs: 0,
     answerMs: 0,
     prefixCache: new PrefixCacheEstimate()
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -27,13 +27,21 @@
   nowMs: number
 }
 
-interface ServiceIndex {
+/** Endpoints that accept requests: all of a service, or those of one software version. */
+interface EndpointPool {
   endpoints: DirectEndpoint[]
   /** Hash rings of the endpoints for light and for heavy prompts. */
   ringBySize: Record<PromptSize, ConsistentHashRing>
   reservedIds: ReadonlySet<string>
 }
 
+interface ServiceIndex {
+  all: EndpointPool
+  /** Endpoints whose entries name no version are in none of these. */
+  byVersion: ReadonlyMap<string, EndpointPool>
+  countByVersion: ReadonlyMap<string, number>
+}
+
 /** Fraction of a service's endpoints that is reserved for light prompts. */
 const RESERVED_SHARE = 1 / 6
 
@@ -45,6 +53,7 @@
 /** Maximum number of remembered removals. Protects against a flood of starts; far above the endpoints that end while a process runs. */
 const MAX_REMOVED_ENDPOINTS = 4096
 const NO_IDS: ReadonlySet<string> = new Set()
+const NO_COUNTS: ReadonlyMap<string, number> = new Map()
 
 /**
  * Tracks the endpoints that a gateway reaches directly, from the platform's list. A deleted entry
@@ -68,14 +77,19 @@
     return [...this.#endpoints.values()]
   }
 
-  /** Lists the endpoints of a service that accept new requests. */
-  listReady (service: string): readonly DirectEndpoint[] {
-    return this.#byService.get(service)?.endpoints ?? []
+  /** Lists the endpoints of a service that accept new requests; with `version`, only those of that software version. */
+  listReady (service: string, version: string | null = null): readonly DirectEndpoint[] {
+    return this.#getPool(service, version)?.endpoints ?? []
+  }
+
+  /** Counts the endpoints of a service that accept new requests, by software version. */
+  countReadyVersions (service: string): ReadonlyMap<string, number> {
+    return this.#byService.get(service)?.countByVersion ?? NO_COUNTS
   }
 
   /** Lists the first `count` ready endpoints for `prefix` on the hash ring: its home endpoint first, then its alternates. */
-  listHomeEndpoints (service: string, prefix: string, size: PromptSize, count: number): DirectEndpoint[] {
-    const ids = this.#byService.get(service)?.ringBySize[size].findOwners(prefix, count) ?? []
+  listHomeEndpoints (pool: { service: string, version: string | null }, prefix: string, size: PromptSize, count: number): DirectEndpoint[] {
+    const ids = this.#getPool(pool.service, pool.version)?.ringBySize[size].findOwners(prefix, count) ?? []
     return ids.flatMap(id => this.#endpoints.get(id) ?? [])
   }
 
@@ -86,8 +100,8 @@
   }
 
   /** Returns the ids of the endpoints that are reserved for light prompts. */
-  getReservedIds (service: string): ReadonlySet<string> {
-    return this.#byService.get(service)?.reservedIds ?? NO_IDS
+  getReservedIds (service: string, version: string | null = null): ReadonlySet<string> {
+    return this.#getPool(service, version)?.reservedIds ?? NO_IDS
   }
 
   /** Returns whether the endpoint is still the same process and accepts new requests. */
@@ -157,7 +171,7 @@
     this.#lapsedUntilMs.delete(entry.id)
     this.#removedStartTimes.delete(entry.id)
     const known = this.#endpoints.get(entry.id)
-    const isSame = known !== undefined && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && known.entry.service === entry.service
+    const isSame = known !== undefined && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && known.entry.service === entry.service && known.entry.version === entry.version
     if (!isSame) {
       this.#endpoints.set(entry.id, buildDirectEndpoint(entry))
       return [{ kind: known === undefined ? 'joined' : 'restarted', entry }]
@@ -189,6 +203,11 @@
     return entry.state === 'ready' && !this.#leaving.has(entry.id, entry.bornAtMs)
   }
 
+  #getPool (service: string, version: string | null): EndpointPool | undefined {
+    const index = this.#byService.get(service)
+    return version === null ? index?.all : index?.byVersion.get(version)
+  }
+
   #buildIndex (): void {
     const byService = new Map<string, DirectEndpoint[]>()
     for (const endpoint of this.#endpoints.values()) {
@@ -201,6 +220,18 @@
 }
 
 function buildServiceIndex (endpoints: DirectEndpoint[]): ServiceIndex {
+  const groups = new Map<string, DirectEndpoint[]>()
+  for (const endpoint of endpoints) {
+    const { version } = endpoint.entry
+    if (version !== null) groups.set(version, [...groups.get(version) ?? [], endpoint])
+  }
+  const all = buildPool(endpoints)
+  // mostly one version serves, and a hash ring is dear to build
+  const byVersion = new Map([...groups].map(([version, group]) => [version, group.length === endpoints.length ? all : buildPool(group)]))
+  return { all, byVersion, countByVersion: new Map([...groups].map(([version, group]) => [version, group.length])) }
+}
+
+function buildPool (endpoints: DirectEndpoint[]): EndpointPool {
   const ids = endpoints.map(endpoint => endpoint.entry.id).sort()
   const reserved = ids.slice(0, Math.floor(RESERVED_SHARE * ids.length))
   const heavy = new ConsistentHashRing(ids.slice(reserved.length))
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -10,6 +10,7 @@
 import type { PeerLoadTable } from './peerLoadTable'
 import type { PromptPart } from './prefixCacheEstimate'
 import type { PermitState } from './sendPermits'
+import type { VersionChoice } from './versionChoice'
 
 /** The request properties that placement depends on. */
 export interface PlacementRequest {
@@ -20,6 +21,16 @@
   arrivedAtMs: number
 }
 
+/** What a request's choice of an endpoint depends on beside the request. */
+export interface ChooserOptions {
+  /** Endpoints at which the request was tried. */
+  triedIds: ReadonlySet<string>
+  /** Time from which on the request is late. */
+  latestStartAtMs: number
+  /** Returns the software version of the endpoints that may serve the request now. */
+  findVersion: () => VersionChoice
+}
+
 export interface PlacementOptions {
   directory: EndpointDirectory
   /** Load of the peer gateways at each endpoint. */
@@ -28,6 +39,8 @@
   getMaxConnections: (service: string) => number
   /** Returns whether the limit that an endpoint names allows this gateway to send to it now. */
   getPermit: (endpoint: DirectEndpoint) => PermitState
+  /** Returns the monotonic milliseconds at which the list of endpoints was last known to be current. */
+  getListReadAtMs: () => number
   random: () => number
 }
 
@@ -49,7 +62,7 @@
  * endpoint and how long its prefill queue delays them.
  *
  * @example
- * const choose = placement.createChooser(request, triedIds, placement.computeLatestStartAt(request))
+ * const choose = placement.createChooser(request, { triedIds, latestStartAtMs: placement.computeLatestStartAt(request), findVersion: () => ({ kind: 'any' }) })
  * const choice = choose(queuedTokens, nowMs)
  * if (choice?.hasCapacity === true) placement.reserve(choice, request.promptParts, nowMs)
  */
@@ -75,16 +88,16 @@
 
   /**
    * Creates a function that chooses the endpoint of a queued request. Call it whenever capacity may
-   * have become free. The request counts as late from `latestStartAtMs` on.
+   * have become free.
    */
-  createChooser (request: PlacementRequest, triedIds: ReadonlySet<string>, latestStartAtMs: number): (queuedTokens: QueuedTokens, nowMs: number) => DirectChoice | null {
+  createChooser (request: PlacementRequest, options: ChooserOptions): (queuedTokens: QueuedTokens, nowMs: number) => DirectChoice | null {
     let choice: DirectChoice | null = null
     let chosenAtMs = -Infinity
     return (queuedTokens, nowMs) => {
-      const capacityOptions = this.#buildCapacityOptions(request.service, nowMs >= latestStartAtMs, queuedTokens, nowMs)
+      const capacityOptions = this.#buildCapacityOptions(request.service, nowMs >= options.latestStartAtMs, queuedTokens, nowMs)
       if (choice !== null && nowMs - chosenAtMs < CHOICE_REUSE_MS && this.#isUsable(choice, nowMs)) choice = updateCapacity(choice, capacityOptions)
       else {
-        choice = this.#choose(request, triedIds, capacityOptions)
+        choice = this.#choose(request, options, capacityOptions)
         chosenAtMs = nowMs
       }
       return choice
@@ -112,16 +125,20 @@
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
   }
 
-  #choose ({ service, promptParts, targetMs, arrivedAtMs }: PlacementRequest, triedIds: ReadonlySet<string>, capacityOptions: CapacityOptions): DirectChoice | null {
+  #choose ({ service, promptParts, targetMs, arrivedAtMs }: PlacementRequest, { triedIds, findVersion }: ChooserOptions, capacityOptions: CapacityOptions): DirectChoice | null {
+    const choice = findVersion()
+    if (choice.kind === 'unknown') return null
+    const version = choice.kind === 'version' ? choice.version : null
     const { directory, random } = this.#options
+    const endpoints = directory.listReady(service, version)
     const sharedPart = findDeepestSharedPart(promptParts)
     const tokens = countTokens(promptParts)
     const size = this.#sizes.getSize(service, tokens)
-    return chooseDirectEndpoint({ service, promptParts, size }, directory.listReady(service), {
+    return chooseDirectEndpoint({ service, promptParts, size }, version === null ? endpoints : endpoints.filter(endpoint => this.#isSameProcess(endpoint)), {
       ...capacityOptions,
       excludedIds: triedIds,
-      homeEndpoints: sharedPart === null ? [] : directory.listHomeEndpoints(service, sharedPart.id, size, HOME_ENDPOINT_COUNT),
-      reservedIds: directory.getReservedIds(service),
+      homeEndpoints: sharedPart === null ? [] : directory.listHomeEndpoints({ service, version }, sharedPart.id, size, HOME_ENDPOINT_COUNT),
+      reservedIds: directory.getReservedIds(service, version),
       // a late prompt that is smaller than the mean goes where it can start, so that larger ones do not start before it
       prefersCapacity: capacityOptions.nowMs - arrivedAtMs > targetMs && this.#sizes.isBelowMean(service, tokens),
       random
@@ -147,6 +164,11 @@
     return Math.max(1, Math.floor(getMaxConnections(service) / loads.getFleetSize(nowMs)))
   }
 
+  /** Returns whether the list was read since a connection was refused: another version may have started at the address. */
+  #isSameProcess ({ refusedAtMs }: DirectEndpoint): boolean {
+    return refusedAtMs === null || refusedAtMs < this.#options.getListReadAtMs()
+  }
+
   #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
     return this.#options.directory.isReady(endpoint) && isAvailable(endpoint, this.#options.getPermit(endpoint), nowMs)
   }
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -1,3 +1,4 @@
+import type { StreamLimits } from './versionAssignment'
 import type { CallerBounds, Route, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
 
 /** Result of matching a caller's API key: its workspace, not needed, missing or unknown. */
@@ -21,6 +22,8 @@
   readonly #routesByHost = new Map<string, Route[]>()
   readonly #tightestTargets: Map<string, number>
   readonly #maxConnections: Map<string, number>
+  /** Services whose streams may be taken up, with the time limits of their routes. */
+  readonly streamLimits: ReadonlyMap<string, StreamLimits>
   readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
 
   constructor (config: RoutingConfig) {
@@ -29,6 +32,7 @@
     this.#workspacesByKey = config.workspaces === null ? null : buildKeyIndex(config.workspaces)
     for (const route of config.routes) this.#addRoute(route)
     this.#tightestTargets = buildTightestTargets(config.routes)
+    this.streamLimits = buildStreamLimits(config.routes)
     this.#maxConnections = new Map(config.services.map(service => [service.name, service.maxConnections]))
     for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
   }
@@ -86,6 +90,8 @@
   return route.shares.at(-1)?.service ?? null
 }
 
+/** Maximum number of routes of a service with time limits of their own; a configuration may have thousands of routes. */
+const MAX_LIMITED_ROUTES = 64
 /** Number of route ranks that are distinguished within one workspace rank. */
 const RANKS_PER_WORKSPACE_RANK = 3
 
@@ -109,6 +115,19 @@
   return targets
 }
 
+function buildStreamLimits (routes: Route[]): Map<string, StreamLimits> {
+  const limits = new Map<string, StreamLimits>()
+  for (const { name, kind, isResumable, shares, timeoutMs } of routes) {
+    if (kind !== 'stream' || !isResumable) continue
+    for (const { service } of shares) {
+      const { longestMs, byRoute } = limits.get(service) ?? { longestMs: 0, byRoute: {} }
+      const hasRoom = Object.keys(byRoute).length < MAX_LIMITED_ROUTES
+      limits.set(service, { longestMs: Math.max(longestMs, timeoutMs), byRoute: hasRoom ? { ...byRoute, [name]: timeoutMs } : byRoute })
+    }
+  }
+  return limits
+}
+
 function buildKeyIndex (workspaces: RoutedWorkspace[]): Map<string, RoutedWorkspace> {
   return new Map(workspaces.flatMap(workspace => workspace.keys.map(key => [key, workspace] as const)))
 }
--- a/src/protocol/errorBody.ts
+++ b/src/protocol/errorBody.ts
@@ -13,6 +13,7 @@
   | 'request_crashes_endpoints' | 'idempotency_key_reused' | 'rate_limited' | 'too_many_concurrent'
   | 'overloaded' | 'draining' | 'endpoint_unavailable' | 'model_not_placed'
   | 'claim_store_unavailable' | 'configuration_missing' | 'configuration_stale'
+  | 'stream_version_unknown' | 'stream_version_gone'
   | 'internal_error' | 'endpoint_failed' | 'answer_lost' | 'answer_too_large' | 'deadline_exceeded'
 
 /** Error reported to the caller of a request. */
@@ -56,6 +57,8 @@
   claim_store_unavailable: 503,
   configuration_missing: 503,
   configuration_stale: 503,
+  stream_version_unknown: 503,
+  stream_version_gone: 503,
   internal_error: 500,
   endpoint_failed: 502,
   answer_lost: 502,
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -82,6 +82,9 @@
 /** Prompt parts that endpoints have answered: key, milliseconds since the answer began. */
 const answeredPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
 
+/** Streams that began at a version, where the version record does not say which: service, version, keys of the attempts that began them. */
+const begunStreamsSchema = z.array(z.tuple([z.string(), z.string(), z.array(z.string().max(16)).max(1000)])).max(100)
+
 /** Load update exchanged between two gateways. It excludes the load of the receiver itself. */
 export const loadUpdateSchema = z.object({
   /** Id of the reporting gateway. */
@@ -94,7 +97,8 @@
   leaving: leavingNoticesSchema.default([]),
   limits: endpointLimitsSchema.default([]),
   crashes: partCrashesSchema.default([]),
-  answered: answeredPartsSchema.default([])
+  answered: answeredPartsSchema.default([]),
+  begun: begunStreamsSchema.default([])
 })
 
 export type LoadUpdate = z.infer<typeof loadUpdateSchema>
--- a/src/relay/admissionGate.ts
+++ b/src/relay/admissionGate.ts
@@ -1,6 +1,7 @@
 import { Result } from 'true-myth'
 
 import { chooseService, computeRank } from '../policy/routeTable'
+import { hashStreamId } from '../policy/streamIds'
 
 import type { Clock } from '../base/clock'
 import type { Route } from '../config/routingConfig'
@@ -59,10 +60,15 @@
     return { code: 'invalid_api_key', message: 'The key went to another workspace.', execution: 'not_run' }
   }
 
+  /** Chooses where in the shares of a route a request falls. A stream that is taken up falls where it began. */
+  #choosePoint (route: Route, { requestId, resumedRequestId }: RequestTraits): number {
+    return route.kind === 'stream' && route.isResumable ? hashStreamId(resumedRequestId ?? requestId).point : this.#options.random()
+  }
+
   #admitToRoute (table: RouteTable, route: Route, traits: RequestTraits, arrivedAtMs: number): Result<Admission, Refusal> {
     const match = table.matchKey(route, traits.key)
     if (match.kind === 'missing' || match.kind === 'unknown') return refuse('invalid_api_key', `The key is ${match.kind}.`)
-    const service = chooseService(route, this.#options.random())
+    const service = chooseService(route, this.#choosePoint(route, traits))
     if (service === null) return refuse('endpoint_unavailable', 'The route leads to no service.', CONFIG_RETRY_AFTER_MS)
     const workspace = match.kind === 'workspace' ? match.workspace : null
     return Result.ok({
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -2,6 +2,7 @@
 import { estimateWaitMs } from '../policy/endpointAvailability'
 import { decideRetry } from '../policy/retryDecision'
 import { waitForPendingInput } from './pendingInput'
+import { buildUnknownRefusal } from './streamVersions'
 
 import type { Clock } from '../base/clock'
 import type { DirectChoice } from '../policy/directChooser'
@@ -9,6 +10,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { PlacementRequest, Placement } from '../policy/placement'
 import type { RetryState, DirectAttemptOutcome } from '../policy/retryDecision'
+import type { VersionChoice } from '../policy/versionChoice'
 import type { RetryWindow } from '../policy/retryWindow'
 import type { Refusal } from '../protocol/errorBody'
 import type { CallerReply } from './callerReply'
@@ -19,6 +21,7 @@
 import type { LimitCoordinator } from './limitCoordinator'
 import type { RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
+import type { StreamVersions } from './streamVersions'
 
 export interface DirectRelayOptions {
   clock: Clock
@@ -30,6 +33,7 @@
   sender: EndpointSender
   crashes: CrashGuard
   limits: LimitCoordinator
+  versions: StreamVersions
   /** Returns the refusal of a queued request that must no longer be sent; null when it may be sent. */
   checkStillAdmitted: (request: RelayRequest) => Refusal | null
 }
@@ -40,6 +44,8 @@
   readonly reply: CallerReply
   readonly tried: Set<string>
   readonly position: StreamPosition
+  /** Software version of the endpoints that may serve the request, as decided before it waits; null until then. */
+  version: VersionChoice | null
   attempts: number
   failedConnects: number
   /** Refusal that the caller gets if no further attempt succeeds. */
@@ -135,6 +141,11 @@
       setRefusalIfNotRun(state, poisonRefusal)
       return null
     }
+    const versionRefusal = await this.#decideVersion(state)
+    if (versionRefusal !== null) {
+      setRefusalIfNotRun(state, versionRefusal)
+      return null
+    }
     const untried = this.#listUntried(state)
     if (untried.length === 0) return null
     const nowMs = clock.getMonotonicMs()
@@ -145,9 +156,9 @@
     }
     const placementRequest = toPlacementRequest(request)
     const latestStartAtMs = placement.computeLatestStartAt(placementRequest)
-    const chooseEndpoint = placement.createChooser(placementRequest, state.tried, latestStartAtMs)
-    let lastChoice: DirectChoice | null = null
     const hold = new AbortController()
+    const chooseEndpoint = placement.createChooser(placementRequest, { triedIds: state.tried, latestStartAtMs, findVersion: () => this.#findVersion(state, hold) })
+    let lastChoice: DirectChoice | null = null
     this.#waiting.set(state, hold)
     const choice = await dispatcher.wait({
       id: request.traits.requestId,
@@ -165,7 +176,7 @@
     }, AbortSignal.any([reply.signal, hold.signal]))
     this.#waiting.delete(state)
     if (choice === null && hold.signal.aborted) {
-      setRefusalIfNotRun(state, crashes.check(request) ?? createOverloadedRefusal(null))
+      setRefusalIfNotRun(state, crashes.check(request) ?? buildUnknownRefusal('assignmentStale'))
       return null
     }
     if (choice === null) {
@@ -181,8 +192,32 @@
     return null
   }
 
-  #listUntried ({ request, tried }: RelayState): DirectEndpoint[] {
-    return this.#options.directory.listReady(request.service).filter(endpoint => !tried.has(endpoint.entry.id))
+  /** Decides, before the first attempt, which version may serve the request. Returns the refusal when that is not known. */
+  async #decideVersion (state: RelayState): Promise<Refusal | null> {
+    const { request, reply } = state
+    const { versions } = this.#options
+    if (state.version === null) {
+      const decided = await versions.waitForVersion(request, reply.signal)
+      if ('code' in decided) return decided
+      state.version = decided
+    }
+    return request.traits.resumeAfterEventId !== null && state.version.kind === 'version' ? versions.checkVersion(request, state.version.version) : null
+  }
+
+  /** Finds the version that may serve the request now; ends the wait of a stream that may not begin any more. */
+  #findVersion ({ request, position, version }: RelayState, hold?: AbortController): VersionChoice {
+    if (version === null || version.kind === 'any') return { kind: 'any' }
+    if (position.version !== null) return { kind: 'version', version: position.version }
+    if (request.traits.resumeAfterEventId !== null) return version
+    const beginning = this.#options.versions.findBeginning(request)
+    if (beginning.kind === 'unknown' && beginning.reason === 'assignmentStale') hold?.abort()
+    return beginning
+  }
+
+  #listUntried (state: RelayState): DirectEndpoint[] {
+    const { request, tried } = state
+    const version = this.#findVersion(state)
+    return this.#options.directory.listReady(request.service, version.kind === 'version' ? version.version : null).filter(endpoint => !tried.has(endpoint.entry.id))
   }
 
   /** Estimates how long a request waits at least for one of the endpoints. Returns null when one may accept it now. */
@@ -248,6 +283,7 @@
     reply,
     tried: new Set(),
     position: { lastEventId: request.traits.resumeAfterEventId, version: null },
+    version: null,
     attempts: 0,
     failedConnects: 0,
     lastRefusal: createUnavailableRefusal(request),
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -5,6 +5,7 @@
 import { parseAddress } from './endpointAddress'
 import { sendToEndpoint } from './endpointExchange'
 import { AnswerForwarder, isSuccess } from './answerForwarder'
+import { isBound } from './streamVersions'
 
 import type { Agent } from 'node:http'
 import type { Clock } from '../base/clock'
@@ -40,6 +41,8 @@
   handleLeaving: (endpoint: DirectEndpoint, request: RelayRequest) => void
   /** Called with what each answer says about the endpoint's limit. */
   handleLimit: (limit: NamedLimit, answer: LimitedAnswer) => void
+  /** Called when the first event of a stream has arrived that may go on at the same version only. */
+  handleBegun: (request: RelayRequest, version: string) => void
   /** Called when an endpoint has prefilled a prompt or ended a request, and may have capacity. */
   handleCapacity: (service: string) => void
 }
@@ -161,6 +164,7 @@
       request,
       endpoint: choice.endpoint,
       tried,
+      version: isBound(request) ? choice.endpoint.entry.version : null,
       hasAttemptsLeft: attempt < request.route.maxAttempts,
       sentAtMs: this.#startedAtMs,
       heardAtMs: null,
@@ -234,6 +238,7 @@
   #recordVersion (): void {
     const { request, position } = this.#input
     const { entry } = this.#endpoint
+    if (this.#continuedAfterId === null && isBound(request) && entry.version !== null) this.#options.handleBegun(request, entry.version)
     if (this.#continuedAfterId !== null) this.#options.observer.recordStreamContinued(request, entry, { versionBefore: position.version, afterEventId: this.#continuedAfterId })
     position.version = entry.version
   }
@@ -271,7 +276,9 @@
         if (!this.#isEndCertain(exchangeResult)) crashes.recordConnectionEnd(entry, request, this.#getStreamProgress())
         break
       case 'notSent':
-        if (exchangeResult.isRefused) crashes.recordRefusedConnection(entry)
+        if (!exchangeResult.isRefused) break
+        this.#endpoint.refusedAtMs = this.#options.clock.getMonotonicMs()
+        crashes.recordRefusedConnection(entry)
         break
       case 'collected':
       case 'rejected':
--- a/src/relay/fleetWatcher.ts
+++ b/src/relay/fleetWatcher.ts
@@ -76,6 +76,8 @@
   #expiryTimer: NodeJS.Timeout | undefined
   #isConfigFresh = false
   #listConfirmedAtMs: number
+  /** Time at which the list was last known to be current: the start of the call that read it. */
+  #listReadAtMs = -Infinity
   /** Consecutive failed calls for the list of endpoints. */
   #listFailures = 0
   readonly #restoreDetector = new RestoreDetector()
@@ -108,7 +110,8 @@
       prefix: decoder.endpointPrefix,
       handleList: (objects, revision) => this.#applyEndpointList(objects, revision),
       handleEvents: events => this.#applyEndpointEvents(events),
-      handleConfirmed: () => {
+      handleConfirmed: startedAt => {
+        this.#listReadAtMs = startedAt.monotonicMs
         this.#listConfirmedAtMs = clock.getMonotonicMs()
         this.#listFailures = 0
         this.#isListLost = this.#reportRecovery('endpoints', this.#isListLost)
@@ -126,6 +129,10 @@
     return this.#table
   }
 
+  get listReadAtMs (): number {
+    return this.#listReadAtMs
+  }
+
   /** Whether the configuration and the list of endpoints were both read at least once. */
   get isComplete (): boolean {
     return this.#table !== null && this.#hasEndpoints
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -12,6 +12,7 @@
 import type { CrashGuard } from './crashGuard'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { PeerClient } from './peerClient'
+import type { StreamVersions } from './streamVersions'
 
 export interface LoadExchangeOptions {
   clock: Clock
@@ -21,6 +22,7 @@
   directory: EndpointDirectory
   limits: LimitCoordinator
   crashes: CrashGuard
+  versions: StreamVersions
   log: DecisionLog
   /** Called when another gateway reports that an endpoint is leaving. */
   handleLeaving: (notice: LeavingNotice) => void
@@ -105,8 +107,8 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, answered }: LoadUpdate, scope: ReportScope): void {
-    const { peerLoads, clock, handleLeaving, limits: coordinator, crashes: guard } = this.#options
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
+    const { peerLoads, clock, handleLeaving, limits: coordinator, crashes: guard, versions } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
     const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0 }]))
@@ -118,12 +120,25 @@
       crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
       answered: answered.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
     })
+    versions.mergeNews(begun.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))))
+  }
+
+  /** Lists the streams that other gateways must be told of, by service and version. */
+  #listBegunStreams (): LoadUpdate['begun'] {
+    const groups = new Map<string, LoadUpdate['begun'][number]>()
+    for (const { service, version, key } of this.#options.versions.listNews()) {
+      const id = JSON.stringify([service, version])
+      const group = groups.get(id) ?? [service, version, []]
+      group[2].push(key)
+      groups.set(id, group)
+    }
+    return [...groups.values()]
   }
 
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews() }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegunStreams() }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -139,7 +154,7 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews() }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegunStreams() }
   }
 
   #listOwnLoads (): LoadReport {
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -17,6 +17,7 @@
 import type { CrashGuard } from './crashGuard'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { PeerClient } from './peerClient'
+import type { StreamVersions } from './streamVersions'
 
 export interface PeerNetworkOptions {
   clock: Clock
@@ -28,6 +29,7 @@
   directory: EndpointDirectory
   crashes: CrashGuard
   limits: LimitCoordinator
+  versions: StreamVersions
   /** Called when another gateway reports that an endpoint is leaving. */
   handleLeaving: (notice: LeavingNotice) => void
   log: DecisionLog
@@ -51,7 +53,7 @@
   readonly loads: PeerLoadTable
 
   constructor (options: PeerNetworkOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, limits, handleLeaving, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
     this.#table = new PeerTable(self)
@@ -65,7 +67,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, handleLeaving, log, openClient: peer => this.#gossip.openClient(peer) })
+    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, log, openClient: peer => this.#gossip.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -53,6 +53,17 @@
   brokenAgoMs: number | null
 }
 
+/** The version that began a stream, for the log and the metrics. */
+export interface OriginReport {
+  version: string | null
+  source: string
+  candidates: ReadonlyArray<string | null>
+  /** Sequence number of the assignment, and its age; null when there is none. */
+  sequence: number | null
+  recordAgeMs: number | null
+  waitedMs: number
+}
+
 /** Maximum characters of an endpoint's text in a log line. */
 const MAX_LOGGED_TEXT = 40
 
@@ -66,6 +77,7 @@
   readonly #brokenAnswers: Counter
   readonly #exits: Counter
   readonly #continuedStreams: Counter
+  readonly #takeUps: Counter
   readonly #firstEventTime: LabeledHistogram
   readonly #queueTime: LabeledHistogram
 
@@ -78,6 +90,7 @@
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
     this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
+    this.#takeUps = metrics.createCounter('stream_take_ups_total', 'Streams that callers take up, by service and how the version that began them is known.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
   }
@@ -189,6 +202,12 @@
     this.#log.write('notable', { event: 'endpointExited', ...exit })
   }
 
+  /** Records which version began a stream that a request takes up, and how that is known. */
+  recordStreamOrigin ({ service, traits }: RelayRequest, origin: OriginReport): void {
+    this.#takeUps.add({ service, source: origin.source })
+    this.#log.write('notable', { event: 'streamOriginDecided', requestId: traits.requestId, service, resumes: traits.resumedRequestId, ...origin })
+  }
+
   /** Records that an endpoint continued a stream after an event that the caller already had. */
   recordStreamContinued (request: RelayRequest, endpoint: EndpointEntry, { versionBefore, afterEventId }: { versionBefore: string | null, afterEventId: number }): void {
     const { requestId, resumedRequestId } = request.traits
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -5,6 +5,7 @@
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
 import { Placement } from '../policy/placement'
+import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { waitFor } from '../store/channels'
@@ -21,6 +22,9 @@
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
 import { StallDetector } from './stallDetector'
+import { StreamVersions } from './streamVersions'
+import { buildVersionRecord } from './versionRecords'
+import { VERSION_RECORD_PREFIX, VersionRegistry } from './versionRegistry'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { DecisionLog } from '../base/decisionLog'
@@ -85,6 +89,8 @@
   readonly #stallDetector: StallDetector
   readonly #crashes: CrashGuard
   readonly #peers: PeerNetwork
+  readonly #registry: VersionRegistry
+  readonly #versions: StreamVersions
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -112,18 +118,31 @@
       handleChange: () => this.#peers.notifyLimit(),
       handleAnswer: name => this.#dispatcher.notifyCapacity(name)
     })
+    const countReadyVersions = (name: string) => this.#directory.countReadyVersions(name)
+    // the registry reads through the view of the peers, which report the versions of streams
+    this.#versions = new StreamVersions({ clock: systemClock, getRegistry: () => this.#registry, observer: this.#observer, countReadyVersions })
     this.#peers = new PeerNetwork({
       clock: systemClock,
       random: Math.random,
       settings,
       store: service,
-      prefixes: [decoder.configKey, decoder.endpointPrefix],
+      prefixes: [decoder.configKey, decoder.endpointPrefix, VERSION_RECORD_PREFIX],
       directory: this.#directory,
       crashes: this.#crashes,
       limits: this.#limits,
+      versions: this.#versions,
       handleLeaving: notice => this.#recordLeaving(notice),
       log
     })
+    this.#registry = new VersionRegistry({
+      clock: systemClock,
+      random: Math.random,
+      service: this.#peers.view,
+      log,
+      listServices: () => this.#fleetWatcher.table?.streamLimits ?? new Map(),
+      countReadyVersions,
+      handleChange: name => this.#dispatcher.notifyCapacity(name)
+    })
     this.#fleetWatcher = new FleetWatcher({
       clock: systemClock,
       service: this.#peers.view,
@@ -148,6 +167,7 @@
       loads: this.#peers.loads,
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
+      getListReadAtMs: () => this.#fleetWatcher.listReadAtMs,
       random: Math.random
     })
     const sender = new EndpointSender({
@@ -160,6 +180,7 @@
       agent: this.#agent,
       getTightestTargetMs: name => this.#fleetWatcher.table?.getTightestTargetMs(name) ?? Infinity,
       handleLeaving: ({ entry }, request) => this.#recordLeaving({ id: entry.id, bornAtMs: entry.bornAtMs, source: 'answer', saidAtMs: systemClock.getMonotonicMs() }, request.traits.requestId),
+      handleBegun: (request, version) => this.#versions.recordBegun(request, version),
       handleLimit: (limit, answer) => this.#limits.recordAnswer(limit, answer),
       countWaiting: name => this.#dispatcher.countWaiting(name),
       handleCapacity: name => this.#dispatcher.notifyCapacity(name)
@@ -174,6 +195,7 @@
       sender,
       crashes: this.#crashes,
       limits: this.#limits,
+      versions: this.#versions,
       checkStillAdmitted: request => gate.checkStillAdmitted(request)
     })
     this.#server = new RelayServer({
@@ -204,6 +226,7 @@
   async start (): Promise<ListenAddresses> {
     const { listen } = this.#options.settings
     this.#fleetWatcher.start()
+    this.#registry.start()
     this.#crashes.start()
     const ready = await this.#readyListener.listen(listen.ready)
     const callers = await this.#server.listen(listen.callers)
@@ -259,7 +282,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#stallDetector.close()
-    await Promise.all([this.#fleetWatcher.stop(), this.#crashes.stop(), this.#peers.close()])
+    await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
   /** Records that an endpoint is leaving; `requestId` names the request whose answer announced it. */
@@ -287,6 +310,7 @@
     this.#metrics.registerGauge('endpoints', 'Endpoints by service and state.', () => this.#directory.listAll().map(({ entry }) => ({ labels: { service: entry.service, state: entry.state, endpoint: entry.id }, value: 1 })))
     this.#metrics.registerGauge('endpoint_limit_per_second', 'Requests per second that an endpoint accepts from all gateways together.', () => this.#limits.listNotices().flatMap(({ id, requestsPerSecond }) => requestsPerSecond === null ? [] : [{ labels: { endpoint: id }, value: requestsPerSecond }]))
     this.#metrics.registerGauge('endpoint_recent_sends', 'Requests that this process sent to an endpoint in the last 4 s.', () => this.#directory.listAll().map(({ entry, recentSends }) => ({ labels: { service: entry.service, endpoint: entry.id }, value: recentSends.getCount(systemClock.getMonotonicMs()) })))
+    this.#metrics.registerGauge('version_buckets', 'Buckets of stream ids by service and the software version at which their streams begin.', () => this.#registry.listAssignments().flatMap(({ service, assignment }) => [...countBuckets(assignment)].map(([version, value]) => ({ labels: { service, version }, value }))))
     this.#metrics.registerGauge('held_prompt_parts', 'Sets of prompt parts whose requests are refused because they crash endpoints.', () => this.#crashes.listHolds().length)
     this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
     this.#metrics.registerGauge('process_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
@@ -298,6 +322,7 @@
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixCache: _prefixCache, prefillLimit, recentSends, ...view }) => ({ ...view, readLimitTokens: prefillLimit.tokens, recentSends: recentSends.getCount(systemClock.getMonotonicMs()) })))
     this.#dump.register('leaving', () => this.#directory.listLeaving())
     this.#dump.register('limits', () => this.#limits.listNotices())
+    this.#dump.register('versions', () => ({ origins: this.#versions.countOrigins(), freshness: this.#registry.getFreshness(), services: this.#registry.listAssignments().map(({ service, assignment, isUsable }) => ({ service, isUsable, ...buildVersionRecord(assignment) })) }))
     this.#dump.register('crashes', () => this.#crashes.listRecords())
     this.#dump.register('holds', () => this.#crashes.listHolds())
     this.#dump.register('suspects', () => this.#crashes.listSuspects())
--- a/src/relay/stallDetector.ts
+++ b/src/relay/stallDetector.ts
@@ -18,6 +18,8 @@
   endpoint: DirectEndpoint
   /** Ids of the endpoints at which the request was tried, including this one. */
   tried: ReadonlySet<string>
+  /** Software version of the endpoints that may go on with the answer; null for any. */
+  version: string | null
   /** Whether another attempt is allowed after this one. */
   hasAttemptsLeft: boolean
   sentAtMs: number
@@ -121,6 +123,6 @@
   }
 
   #hasAlternative (attempt: WatchedAttempt, nowMs: number): boolean {
-    return this.#options.directory.listReady(attempt.request.service).some(other => !attempt.tried.has(other.entry.id) && isAvailable(other, this.#options.getPermit(other), nowMs))
+    return this.#options.directory.listReady(attempt.request.service, attempt.version).some(other => !attempt.tried.has(other.entry.id) && isAvailable(other, this.#options.getPermit(other), nowMs))
   }
 }
--- a/tests/policy/endpointDirectory.spec.ts
+++ b/tests/policy/endpointDirectory.spec.ts
@@ -54,7 +54,7 @@
     const reservedIds = many.getReservedIds('engines')
     expect([reservedIds.size, buildFilledDirectory(5).getReservedIds('engines').size]).to.deep.equal([2, 0])
     for (let prefix = 0; prefix < 50; prefix++) {
-      const [light, heavy] = (['light', 'heavy'] as const).map(size => many.listHomeEndpoints('engines', `prefix-${prefix}`, size, 1)[0]!.entry.id)
+      const [light, heavy] = (['light', 'heavy'] as const).map(size => many.listHomeEndpoints({ service: 'engines', version: null }, `prefix-${prefix}`, size, 1)[0]!.entry.id)
       expect([reservedIds.has(light!), reservedIds.has(heavy!)]).to.deep.equal([true, false])
     }
   })
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -104,7 +104,7 @@
       const directory = new EndpointDirectory()
       directory.applyList(entries, { afterOutage: false, nowMs: 0 })
       const peerLoads = new PeerLoadTable()
-      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, random: this.#random })
+      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, getListReadAtMs: () => 0, random: this.#random })
       return { queue: new DispatchQueue<ReplayWaitingRequest>(), peerLoads, directory, placement }
     })
   }
@@ -148,7 +148,7 @@
     if (isLargest) count.largest.offered += value
     gateway.placement.recordArrival(request)
     const latestStartAtMs = gateway.placement.computeLatestStartAt(request)
-    const choose = gateway.placement.createChooser(request, new Set(), latestStartAtMs)
+    const choose = gateway.placement.createChooser(request, { triedIds: new Set(), latestStartAtMs, findVersion: () => ({ kind: 'any' }) })
     gateway.queue.add({
       id: String(this.#requests),
       rank: kind.rank,
--- a/tests/relay/versionedFleet.ts
+++ b/tests/relay/versionedFleet.ts
@@ -31,6 +31,8 @@
   breakAfter?: () => number | null
   /** Attempts of the gateways at endpoints for one request. */
   maxAttempts?: number
+  /** Connections that each endpoint accepts from all gateways. */
+  maxConnections?: number
 }
 
 export const STREAM_EVENTS = 30
@@ -62,7 +64,8 @@
   }
 
   async startGateways (): Promise<void> {
-    const config = buildPlatformConfig({ routes: [buildRoute({ kind: 'streaming', resumable: true, timeoutMs: STREAM_LIMIT_MS, maxAttempts: this.#options.maxAttempts ?? 2 })] })
+    const { maxConnections = 100 } = this.#options
+    const config = buildPlatformConfig({ services: [{ name: 'archive', healthPath: '/health', maxConnections }], routes: [buildRoute({ kind: 'streaming', resumable: true, timeoutMs: STREAM_LIMIT_MS, maxAttempts: this.#options.maxAttempts ?? 2 })] })
     const starts = this.#ports.map(async (_, index) => await startRelay(config, [], buildPeerSettings(this.#ports, index), this.store))
     this.gateways = await Promise.all(starts)
   }
