Refuse requests late in a planned stop that might not end before the process does

What callers saw on systems like ours: requests that came late in the grace were passed on and cut at its end without an answer, also ones that must not be repeated. It could happen here: of fifteen forms (new and kept connections, slow uploads, queued requests, retries; idempotent, not idempotent, streams), eight were cut after a send (tests/relay/lateInStop.spec.ts on the code before: slow uploads and queued requests of every kind, retries of two).

Cause: the stop closed connections, but nothing decided whether a request that is read, leaves the queue or is retried can still end. Now each send is checked against the end of the stop: a request is sent if its time limit ends before that; one that can be repeated also in the first three eighths of the stop. Others are refused as not run, those in the queue as soon as it is known.

After: 17 of 17 of that file pass, draining and drainingQueue 7 of 7. New and kept connections were never cut here: the rotation ends them before. The product's own deployment (src/gateway) was not gone through.

--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -36,6 +36,8 @@
   versions: StreamVersions
   /** Returns the refusal of a queued request that must no longer be sent; null when it may be sent. */
   checkStillAdmitted: (request: RelayRequest) => Refusal | null
+  /** Returns the refusal of a request that might not end before this process does; null when it may be sent. */
+  checkStop: (request: RelayRequest) => Refusal | null
 }
 
 /** State of one request over all its attempts. */
@@ -92,9 +94,9 @@
     }
   }
 
-  /** Refuses the waiting requests that must no longer be sent because they crash endpoints. */
+  /** Refuses the waiting requests that must no longer be sent, because they crash endpoints or this process stops. */
   refuseHeld (): void {
-    for (const [{ request }, hold] of this.#waiting) if (this.#options.crashes.check(request) !== null) hold.abort()
+    for (const [{ request }, hold] of this.#waiting) if (this.#checkHeld(request) !== null) hold.abort()
   }
 
   /** Makes one attempt. Returns true when the request is to be retried. */
@@ -103,7 +105,7 @@
     const choice = await this.#acquireEndpoint(state)
     if (choice === null) return false
     await waitForPendingInput()
-    const heldRefusal = this.#options.crashes.check(request)
+    const heldRefusal = this.#checkHeld(request)
     if (heldRefusal !== null) setRefusalIfNotRun(state, heldRefusal)
     if (heldRefusal !== null || reply.end !== 'open') {
       this.#releaseEndpoint(choice)
@@ -134,11 +136,11 @@
 
   /** Waits for an endpoint with capacity and reserves it. Returns null when the request is refused, the caller disconnects or no endpoint has capacity in time. */
   async #acquireEndpoint (state: RelayState): Promise<DirectChoice | null> {
-    const { clock, dispatcher, placement, limits, checkStillAdmitted, crashes, observer } = this.#options
+    const { clock, dispatcher, placement, limits, checkStillAdmitted, observer } = this.#options
     const { request, reply } = state
-    const poisonRefusal = crashes.check(request)
-    if (poisonRefusal !== null) {
-      setRefusalIfNotRun(state, poisonRefusal)
+    const heldRefusal = this.#checkHeld(request)
+    if (heldRefusal !== null) {
+      setRefusalIfNotRun(state, heldRefusal)
       return null
     }
     const versionRefusal = await this.#decideVersion(state)
@@ -176,7 +178,7 @@
     }, AbortSignal.any([reply.signal, hold.signal]))
     this.#waiting.delete(state)
     if (choice === null && hold.signal.aborted) {
-      setRefusalIfNotRun(state, crashes.check(request) ?? buildUnknownRefusal('assignmentStale'))
+      setRefusalIfNotRun(state, this.#checkHeld(request) ?? buildUnknownRefusal('assignmentStale'))
       return null
     }
     if (choice === null) {
@@ -192,6 +194,10 @@
     return null
   }
 
+  #checkHeld (request: RelayRequest): Refusal | null {
+    return this.#options.crashes.check(request) ?? this.#options.checkStop(request)
+  }
+
   /** Decides, before the first attempt, which version may serve the request. Returns the refusal when that is not known. */
   async #decideVersion (state: RelayState): Promise<Refusal | null> {
     const { request, reply } = state
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -7,6 +7,7 @@
 import { Placement } from '../policy/placement'
 import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
+import { buildStopWindow, canSendBeforeStop } from '../policy/stopWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { waitFor } from '../store/channels'
 import { AdmissionGate } from './admissionGate'
@@ -31,9 +32,12 @@
 import type { RelaySettings } from '../config/processSettings'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { RetryWindowOptions } from '../policy/retryWindow'
+import type { StopWindow } from '../policy/stopWindow'
+import type { Refusal } from '../protocol/errorBody'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
 import type { StoreDecoder } from './fleetWatcher'
+import type { RelayRequest } from './relayRequest'
 import type { UnreadyReason } from './readiness'
 
 export interface RelayProcessOptions {
@@ -61,13 +65,13 @@
 const FRESH_FRACTION = 0.9
 /** Milliseconds until the balancer has noticed that the process is not ready: two checks a second apart, and their answers. */
 const ROTATION_DELAY_MS = 2400
-/** Fraction of the stop time in which requests may finish; they are cut afterwards. */
-const FINISH_FRACTION = 0.9
 /** Milliseconds for which idle connections are kept, shorter than endpoints are known to keep them. */
 const IDLE_CONNECTION_TIMEOUT_MS = 4000
 const MAX_IDLE_CONNECTIONS = 64
 /** File descriptors reserved for files, the object service and operators; callers must not use them up. */
 const RESERVED_DESCRIPTORS = 400
+/** Milliseconds of Retry-After of a gateway that stops; others serve. */
+const STOP_RETRY_AFTER_MS = 10
 const DRAIN_POLL_MS = 25
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
@@ -97,6 +101,8 @@
   readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS })
   readonly #dispatcher = new Dispatcher({ clock: systemClock })
   #isLeaving = false
+  /** Times of the planned stop; null before it. */
+  #stop: StopWindow | null = null
   #unreadyReason: UnreadyReason = 'starting'
 
   constructor (options: RelayProcessOptions) {
@@ -196,7 +202,8 @@
       crashes: this.#crashes,
       limits: this.#limits,
       versions: this.#versions,
-      checkStillAdmitted: request => gate.checkStillAdmitted(request)
+      checkStillAdmitted: request => gate.checkStillAdmitted(request),
+      checkStop: request => this.#checkStop(request)
     })
     this.#server = new RelayServer({
       clock: systemClock,
@@ -252,24 +259,29 @@
 
   /**
    * Leaves the balancer's rotation while it continues to serve, then lets requests in flight finish
-   * within the stop time of the settings. Requests still queued afterwards are refused, and those still
-   * running are cut when the process ends.
+   * within the stop time of the settings. Requests that might not end in time are refused, however they
+   * arrive. Those still running at the end are cut.
    */
   async drain (): Promise<void> {
     const { log } = this.#options
     const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
     const startedAtMs = systemClock.getMonotonicMs()
+    const stop = buildStopWindow(startedAtMs, stopMs)
+    this.#stop = stop
     this.#isLeaving = true
+    this.#relay.refuseHeld()
+    const refuseTimer = setTimeout(() => this.#relay.refuseHeld(), stop.sendUntilMs - startedAtMs)
     this.#limits.startLeaving()
     const peersLeft = this.#peers.startLeaving()
     this.#server.startLeaving()
     await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3))
     this.#server.stopAccepting()
-    while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() - startedAtMs < FINISH_FRACTION * stopMs) await waitFor(DRAIN_POLL_MS)
+    while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() < stop.finishAtMs) await waitFor(DRAIN_POLL_MS)
     if (this.#dispatcher.listServices().some(({ waiting }) => waiting > 0)) {
       this.#dispatcher.refuseAll()
       await waitFor(DRAIN_POLL_MS)
     }
+    clearTimeout(refuseTimer)
     await peersLeft
     log.write('notable', { event: 'drained', cutRequests: this.#server.countBusy(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
@@ -290,6 +302,11 @@
     if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
   }
 
+  #checkStop ({ route, deadlineAtMs }: RelayRequest): Refusal | null {
+    if (this.#stop === null || canSendBeforeStop({ kind: route.kind, deadlineAtMs }, this.#stop, systemClock.getMonotonicMs())) return null
+    return { code: 'draining', message: 'This gateway stops, and the request might not end before.', execution: 'not_run', retryAfterMs: STOP_RETRY_AFTER_MS }
+  }
+
   #handleReadyRequest (_request: IncomingMessage, response: ServerResponse): void {
     const freshness = this.#freshness.getVerdict()
     const reason = decideReadiness({ isLeaving: this.#isLeaving, isComplete: this.#fleetWatcher.isComplete, freshness })
