--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,6 +1,6 @@
 import { request as createRequest } from 'node:http'
 
-import type { Agent, ClientRequest, IncomingMessage } from 'node:http'
+import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
 import type { ByteBudget } from './byteBudget'
 import type { HeaderList } from './relayRequest'
 
@@ -89,7 +89,8 @@
     if (signal.aborted) return this.#finish({ kind: 'aborted' })
     // the types allow headers only as an object; Node.js also accepts a flat list
     const requestOptions = { agent, host, port, method, path: target, headers: headers as never, setHost: false, noDelay: true }
-    const request = createRequest(requestOptions)
+    const request = createRequestSafely(requestOptions)
+    if (request instanceof Error) return this.#finish({ kind: 'notSent', message: request.message, isRefused: false })
     this.#request = request
     signal.addEventListener('abort', this.#handleAbort, { once: true })
     request.on('socket', socket => {
@@ -187,3 +188,12 @@
     this.#resolve(end)
   }
 }
+
+/** Creates a request; returns the error of options that no request can have, such as a port out of range. */
+function createRequestSafely (options: RequestOptions): ClientRequest | Error {
+  try {
+    return createRequest(options)
+  } catch (error) {
+    return error as Error
+  }
+}
--- a/src/store/storePosition.ts
+++ b/src/store/storePosition.ts
@@ -1,5 +1,8 @@
 /** Number of revisions in one era. At a thousand writes per second the object service reaches it after 34 years. */
 const REVISIONS_PER_ERA = 2 ** 40
+export const MAX_REVISION = REVISIONS_PER_ERA - 1
+/** Highest era whose positions are exact integers. */
+export const MAX_ERA = Math.floor(Number.MAX_SAFE_INTEGER / REVISIONS_PER_ERA) - 1
 
 /**
  * Builds a position in the object service from an era and a revision. When the object service is
