Store the streams whose version the record does not say, for an end of all gateways

Cause: after an end of all gateways within seconds of a release, streams of moved buckets were refused, because the reports of where they began were lost with the gateways.

Change: one gateway, the reader of the first failure domain, stores the keys of these streams every 0.7 s in one object, only while there are any; a take-up whose origin is uncertain reads it once.

--- a/src/policy/streamOrigins.ts
+++ b/src/policy/streamOrigins.ts
@@ -6,8 +6,8 @@
   key: string
   bucket: number
   version: string
-  /** Whether this gateway began the stream, or another one reported it. */
-  source: 'own' | 'peer'
+  /** Whether this gateway began the stream, another one reported it, or it was read from the object service. */
+  source: 'own' | 'peer' | 'store'
   /** Monotonic milliseconds at which this gateway learned of it. */
   learnedAtMs: number
 }
@@ -53,6 +53,11 @@
     return news.slice(-MAX_REPORTED_ORIGINS)
   }
 
+  /** Lists the streams whose version is uncertain, the latest last. */
+  listUncertain (isUncertain: (origin: StreamOrigin) => boolean): StreamOrigin[] {
+    return [...this.#origins.values()].filter(isUncertain)
+  }
+
   /** Drops the streams that no caller can take up any more. */
   expire (isExpired: (origin: StreamOrigin) => boolean): void {
     for (const [id, origin] of this.#origins) {
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -1,6 +1,7 @@
 import * as z from 'zod'
 
 import { crashRecordSchema } from './crashRecord'
+import { begunStreamsSchema } from './streamOriginRecord'
 
 /**
  * Messages between gateways. They share a gateway's view of the store with peers of its failure
@@ -82,9 +83,6 @@
 /** Prompt parts that endpoints have answered: key, milliseconds since the answer began. */
 const answeredPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
 
-/** Streams that began at a version, where the version record does not say which: service, version, keys of the attempts that began them. */
-const begunStreamsSchema = z.array(z.tuple([z.string(), z.string(), z.array(z.string().max(16)).max(1000)])).max(100)
-
 /** Load update exchanged between two gateways. It excludes the load of the receiver itself. */
 export const loadUpdateSchema = z.object({
   /** Id of the reporting gateway. */
@@ -98,6 +96,7 @@
   limits: endpointLimitsSchema.default([]),
   crashes: partCrashesSchema.default([]),
   answered: answeredPartsSchema.default([]),
+  /** Streams whose version the version record does not say for certain. */
   begun: begunStreamsSchema.default([])
 })
 
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -1,6 +1,7 @@
 import { Progress } from '../base/progress'
 import { addJitter } from '../store/backoff'
 import { BackgroundTask } from '../store/backgroundTask'
+import { collectByVersion } from './streamOriginStore'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
@@ -120,25 +121,13 @@
       crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
       answered: answered.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
     })
-    versions.mergeNews(begun.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))))
-  }
-
-  /** Lists the streams that other gateways must be told of, by service and version. */
-  #listBegunStreams (): LoadUpdate['begun'] {
-    const groups = new Map<string, LoadUpdate['begun'][number]>()
-    for (const { service, version, key } of this.#options.versions.listNews()) {
-      const id = JSON.stringify([service, version])
-      const group = groups.get(id) ?? [service, version, []]
-      group[2].push(key)
-      groups.set(id, group)
-    }
-    return [...groups.values()]
+    versions.mergeNews(begun.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))), 'peer')
   }
 
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegunStreams() }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: collectByVersion(this.#options.versions.listNews()) }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -154,7 +143,7 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegunStreams() }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: collectByVersion(this.#options.versions.listNews()) }
   }
 
   #listOwnLoads (): LoadReport {
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -137,6 +137,13 @@
     return this.#table.listKeepers(domain, this.#options.clock.getMonotonicMs())
   }
 
+  /** Returns whether this gateway is the one that writes to the object service what all of them report: the reader of the first failure domain. */
+  isFirstReader (): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    const { domain } = this.#table.self
+    return this.#table.chooseReader(nowMs) === null && this.#table.listRemoteReaders(nowMs).every(reader => reader.domain > domain)
+  }
+
   openClient (peer: PeerIdentity): PeerClient {
     return this.#gossip.openClient(peer)
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -23,6 +23,7 @@
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
 import { StallDetector } from './stallDetector'
+import { StreamOriginStore } from './streamOriginStore'
 import { StreamVersions } from './streamVersions'
 import { buildVersionRecord } from './versionRecords'
 import { VERSION_RECORD_PREFIX, VersionRegistry } from './versionRegistry'
@@ -95,6 +96,7 @@
   readonly #peers: PeerNetwork
   readonly #registry: VersionRegistry
   readonly #versions: StreamVersions
+  readonly #originStore: StreamOriginStore
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
@@ -126,7 +128,7 @@
     })
     const countReadyVersions = (name: string) => this.#directory.countReadyVersions(name)
     // the registry reads through the view of the peers, which report the versions of streams
-    this.#versions = new StreamVersions({ clock: systemClock, getRegistry: () => this.#registry, observer: this.#observer, countReadyVersions })
+    this.#versions = new StreamVersions({ clock: systemClock, getRegistry: () => this.#registry, readStoredOrigins: async () => await this.#originStore.read(), observer: this.#observer, countReadyVersions })
     this.#peers = new PeerNetwork({
       clock: systemClock,
       random: Math.random,
@@ -149,6 +151,14 @@
       countReadyVersions,
       handleChange: name => this.#dispatcher.notifyCapacity(name)
     })
+    this.#originStore = new StreamOriginStore({
+      clock: systemClock,
+      service,
+      log,
+      isWriter: () => this.#peers.isFirstReader(),
+      listOrigins: () => this.#versions.listUncertain(),
+      mergeOrigins: origins => this.#versions.mergeNews(origins, 'store')
+    })
     this.#fleetWatcher = new FleetWatcher({
       clock: systemClock,
       service: this.#peers.view,
@@ -234,6 +244,7 @@
     const { listen } = this.#options.settings
     this.#fleetWatcher.start()
     this.#registry.start()
+    this.#originStore.start()
     this.#crashes.start()
     const ready = await this.#readyListener.listen(listen.ready)
     const callers = await this.#server.listen(listen.callers)
@@ -294,7 +305,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#stallDetector.close()
-    await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#crashes.stop(), this.#peers.close()])
+    await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
   /** Records that an endpoint is leaving; `requestId` names the request whose answer announced it. */
--- a/src/relay/streamVersions.ts
+++ b/src/relay/streamVersions.ts
@@ -10,18 +10,21 @@
 import type { Refusal } from '../protocol/errorBody'
 import type { RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
+import type { ReportedOrigin } from './streamOriginStore'
 import type { VersionRegistry } from './versionRegistry'
 
 export interface StreamVersionsOptions {
   clock: Clock
   getRegistry: () => VersionRegistry
+  /** Reads the origins of streams that were stored. */
+  readStoredOrigins: () => Promise<boolean>
   observer: RelayObserver
   /** Counts a service's endpoints that accept requests, by software version. */
   countReadyVersions: (service: string) => ReadonlyMap<string, number>
 }
 
 /** How the version that began a stream is known. */
-export type OriginSource = 'own' | 'peer' | 'onlyVersion' | 'begunAfterMove' | 'noRecord' | 'unread' | 'uncertain'
+export type OriginSource = 'own' | 'peer' | 'store' | 'onlyVersion' | 'begunAfterMove' | 'noRecord' | 'unread' | 'uncertain'
 
 /** The version that began a stream that a request takes up; null when it is not known. */
 interface DecidedOrigin {
@@ -30,9 +33,6 @@
   candidates: ReadonlyArray<string | null>
 }
 
-/** A stream that another gateway reported: service, key of the attempt that began it, version. */
-export type ReportedOrigin = Pick<StreamOrigin, 'service' | 'key' | 'version'>
-
 /** Milliseconds to wait for an assignment or for the report of another gateway: some exchanges of loads. */
 const KNOWLEDGE_WAIT_MS = 700
 const KNOWLEDGE_POLL_MS = 25
@@ -107,12 +107,17 @@
     }, nowMs)
   }
 
-  /** Merges the streams that another gateway reported. */
-  mergeNews (news: readonly ReportedOrigin[]): void {
+  /** Lists the remembered streams whose version the assignment does not say for certain, the latest last. */
+  listUncertain (): StreamOrigin[] {
+    return this.#origins.listUncertain(({ service, bucket }) => this.#options.getRegistry().getView(service)?.isUncertain(bucket) === true)
+  }
+
+  /** Merges streams that another gateway reported or stored. */
+  mergeNews (news: readonly ReportedOrigin[], source: 'peer' | 'store'): void {
     const learnedAtMs = this.#options.clock.getMonotonicMs()
     for (const origin of news) {
       const bucket = parseKeyBucket(origin.key)
-      if (bucket !== null) this.#origins.record({ ...origin, bucket, source: 'peer', learnedAtMs })
+      if (bucket !== null) this.#origins.record({ ...origin, bucket, source, learnedAtMs })
     }
   }
 
@@ -139,15 +144,20 @@
   }
 
   async #waitForOrigin (request: RelayRequest, signal: AbortSignal): Promise<VersionChoice | Refusal> {
-    const { clock, observer } = this.#options
+    const { clock, observer, readStoredOrigins } = this.#options
     const registry = this.#options.getRegistry()
     const startedAtMs = clock.getMonotonicMs()
     let hasRead = false
+    let hasReadOrigins = false
     let origin = this.#findKnownOrigin(request)
     while (origin === null) {
       // a stream may have begun after the last change that this gateway knows of, but not after a read that starts now
       hasRead ||= await registry.readRecord(request.service)
-      const decided = this.#findKnownOrigin(request) ?? this.#decideOrigin(request, hasRead)
+      let decided = this.#findKnownOrigin(request) ?? this.#decideOrigin(request, hasRead)
+      if (decided.source === 'uncertain' && !hasReadOrigins) {
+        hasReadOrigins = await readStoredOrigins()
+        decided = this.#findKnownOrigin(request) ?? decided
+      }
       const isFinal = decided.version !== null || signal.aborted || clock.getMonotonicMs() - startedAtMs >= KNOWLEDGE_WAIT_MS
       if (isFinal) origin = decided
       else await waitFor(KNOWLEDGE_POLL_MS)
--- a/src/relay/versionRegistry.ts
+++ b/src/relay/versionRegistry.ts
@@ -5,6 +5,7 @@
 import { getEra } from '../store/storePosition'
 import { BoundedMap } from '../base/boundedMap'
 import { Progress } from '../base/progress'
+import { SharedCall } from '../base/sharedCall'
 import { countBuckets, decideAssignmentChange, isUncertain, mergeRestored } from '../policy/versionAssignment'
 import { MAX_ASSIGNMENT_AGE_MS, VersionView } from '../policy/versionView'
 import { ViewFreshness } from '../policy/viewFreshness'
@@ -43,8 +44,8 @@
   readonly knownVersions: Set<string>
   /** Time limits in milliseconds of callers that wait for a record that covers them, by route. */
   readonly required: Map<string, number>
-  /** The read of the record under way, and the one that starts after it; null when there is none. */
-  readonly reads: { running: Promise<boolean> | null, next: Promise<boolean> | null }
+  /** Reads the record; take-ups that wait share a call. */
+  readonly read: SharedCall<boolean>
   /** The change that is due, and since when; null when the record can stay. */
   pending: { reason: AssignmentChangeReason, dueAtMs: number } | null
 }
@@ -124,11 +125,7 @@
    * @returns whether the record was read
    */
   async readRecord (service: string): Promise<boolean> {
-    const { reads } = this.#getState(service)
-    if (reads.next !== null) return await reads.next
-    const running = reads.running
-    reads.next = this.#readNext(service, running)
-    return await reads.next
+    return await this.#getState(service).read.run()
   }
 
   /** Requests that the record of a service covers callers of a route with this time limit. */
@@ -199,15 +196,6 @@
     else state.view.adopt(assignment, nowMs)
   }
 
-  async #readNext (service: string, running: Promise<boolean> | null): Promise<boolean> {
-    const { reads } = this.#getState(service)
-    await running
-    reads.running = this.#read(service)
-    reads.next = null
-    const isRead = await reads.running
-    return isRead
-  }
-
   async #read (service: string): Promise<boolean> {
     const { service: store, clock } = this.#options
     const progress = new Progress({ title: 'reading a version record', timeoutMs: READ_TIMEOUT_MS, clock })
@@ -275,7 +263,7 @@
   #getState (service: string): ServiceState {
     const existing = this.#services.get(service)
     if (existing !== undefined) return existing
-    const created: ServiceState = { view: null, condition: { kind: 'absent' }, position: 0, mustRewrite: false, knownVersions: new Set(), required: new BoundedMap(MAX_REQUIRED_ROUTES), reads: { running: null, next: null }, pending: null }
+    const created: ServiceState = { view: null, condition: { kind: 'absent' }, position: 0, mustRewrite: false, knownVersions: new Set(), required: new BoundedMap(MAX_REQUIRED_ROUTES), read: new SharedCall(async () => await this.#read(service)), pending: null }
     this.#services.set(service, created)
     return created
   }
--- a/tests/relay/streamVersions.spec.ts
+++ b/tests/relay/streamVersions.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
 import { createSeededRandom } from '../../standins/shared/seededRandom'
+import { waitUntil } from './relayFixture'
 import { computeContinuedShare, countMixed, VersionedFleet } from './versionedFleet'
 
 import type { CallerStream, VersionedFleetOptions } from './versionedFleet'
@@ -64,3 +65,33 @@
     expect(countMixed(await streams)).to.equal(0)
   })
 })
+
+describe('streams that began after the last change of the versions', () => {
+  let fleet: VersionedFleet
+
+  afterEach(async () => await fleet.close())
+
+  for (const [name, end] of [
+    ['one gateway ends', async () => await fleet.gateways.shift()!.close()],
+    ['all gateways end at once', async () => await fleet.replaceGateways()]
+  ] as Array<[string, () => Promise<void>]>) {
+    it(`should go on at their version, where a release has just replaced all endpoints and ${name}`, async () => {
+      fleet = new VersionedFleet({ gateways: 4, versions: ['v1', 'v1'], events: 120 })
+      await fleet.start()
+      await fleet.waitForVersions()
+      await fleet.addEndpoint('v2')
+      await fleet.addEndpoint('v2')
+      await fleet.waitForVersions(['v1', 'v2'])
+      for (const endpoint of fleet.endpoints.slice(0, 2)) fleet.store.delete(`servers/${endpoint.id}`)
+      await waitUntil('the end of the old version', () => fleet.gateways.every(({ lines }) => lines.some(line => line.event === 'versionsAssigned' && line.buckets.v2 === 256)))
+      const streams = Array.from({ length: 60 }, async () => await fleet.play())
+      // the streams are known to others after a report, and stored with the next write
+      await new Promise(resolve => setTimeout(resolve, 900))
+      await end()
+      const late = Array.from({ length: 60 }, async () => await fleet.play())
+      const ended = await Promise.all([...streams, ...late])
+      expect(countMixed(ended)).to.equal(0)
+      expect(computeContinuedShare(ended)).to.be.least(MIN_CONTINUED_SHARE)
+    })
+  }
+})
--- a/tests/relay/versionedFleet.ts
+++ b/tests/relay/versionedFleet.ts
@@ -33,6 +33,8 @@
   maxAttempts?: number
   /** Connections that each endpoint accepts from all gateways. */
   maxConnections?: number
+  /** Events of a stream, 10 ms apart; `STREAM_EVENTS` by default. */
+  events?: number
 }
 
 export const STREAM_EVENTS = 30
@@ -82,7 +84,8 @@
 
   async addEndpoint (version: string): Promise<VersionedEndpoint> {
     this.#endpointCount += 1
-    const endpoint = new VersionedEndpoint(`e-${this.#endpointCount}`, version, this.#options.breakAfter ?? (() => null))
+    const { breakAfter = () => null, events = STREAM_EVENTS } = this.#options
+    const endpoint = new VersionedEndpoint(`e-${this.#endpointCount}`, version, { breakAfter, events })
     await endpoint.start()
     this.endpoints.push(endpoint)
     registerEndpoint(this.store, endpoint, { version, slots: 64 })
@@ -137,23 +140,23 @@
       stream.takeUps.push({ status: Number(/^HTTP\/1.1 (\d+)/.exec(text)?.[1] ?? 0), retryAfterMs: retryAfter === undefined ? null : 1000 * Number(retryAfter), wentOn: events.length > 0 })
     } else if (events.length > 0) stream.requestId = requestId
     stream.events.push(...events)
-    stream.isWhole = stream.events.at(-1)?.id === STREAM_EVENTS
+    stream.isWhole = stream.events.at(-1)?.id === (this.#options.events ?? STREAM_EVENTS)
   }
 }
 
-/** An endpoint that serves any request with a stream of `STREAM_EVENTS` events, from the one after `Last-Event-Id`. */
+/** An endpoint that serves any request with a stream, from the event after `Last-Event-Id`. */
 export class VersionedEndpoint {
   readonly id: string
   version: string
   address = ''
-  readonly #breakAfter: () => number | null
+  readonly #options: Required<Pick<VersionedFleetOptions, 'breakAfter' | 'events'>>
   readonly #sockets = new Set<Socket>()
   #server = net.createServer()
 
-  constructor (id: string, version: string, breakAfter: () => number | null) {
+  constructor (id: string, version: string, options: Required<Pick<VersionedFleetOptions, 'breakAfter' | 'events'>>) {
     this.id = id
     this.version = version
-    this.#breakAfter = breakAfter
+    this.#options = options
   }
 
   async start (port?: number): Promise<void> {
@@ -192,10 +195,10 @@
   async #writeStream (socket: Socket, request: string): Promise<void> {
     const requestId = /attempt-id: (\S+)/i.exec(request)?.[1] ?? ''
     const after = Number(/last-event-id: (\d+)/i.exec(request)?.[1] ?? 0)
-    const breakAfter = this.#breakAfter()
+    const breakAfter = this.#options.breakAfter()
     const { version } = this
     socket.write(['HTTP/1.1 200 OK', SIGNATURE_LINE, `Tanagerwick-Request-Attempt-Id: ${requestId}`, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked', '', ''].join('\r\n'))
-    for (let id = after + 1; id <= STREAM_EVENTS && !socket.destroyed; id++) {
+    for (let id = after + 1; id <= this.#options.events && !socket.destroyed; id++) {
       if (breakAfter !== null && id - after > breakAfter) {
         socket.resetAndDestroy()
         return
