Report and store the streams of uncertain version by failure domain, and play releases in the soak

Change: the reader of each failure domain stores the streams begun there, every 0.5 s; a report names only what its receiver cannot know otherwise; hash rings are built again only when an endpoint came, left or changed its state.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -64,6 +64,16 @@
         }
         return
       case 'replaceEndpoint': return await this.#replaceEndpoint(action.endpoint)
+      case 'releaseVersion':
+        fleet.advanceVersion()
+        await Promise.all(Array.from({ length: action.count }, async (_, position) => {
+          await waitFor(position * action.gapMs)
+          await this.#replaceEndpoint(position)
+        }))
+        return
+      case 'writeOddEntry':
+        fleet.operator.writeOddEntry(action.entry)
+        return
       case 'limitEndpoint': return await this.#recordFaultDuring({ kind: 'limits' }, async () => {
         const endpoint = fleet.endpoints[action.endpoint]!
         endpoint.limit = action.requestsPerSecond
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -8,6 +8,7 @@
 import { SoakChecker } from './soakChecker'
 import { SoakFleet } from './soakFleet'
 import { buildSoakPlan, FINAL_PHASE_MS } from './soakPlan'
+import { parseEvents } from './soakRequests'
 
 import type { CallerOutcome } from './soakCaller'
 import type { SoakGateway } from './soakGateway'
@@ -47,6 +48,8 @@
 /** Time without faults after which requests count for the recovery check. */
 const RECOVERY_GRACE_MS = 4000
 const START_TIMEOUT_MS = 15_000
+/** Shortest time left in which a caller takes up a stream. */
+const MIN_RESUME_MS = 200
 
 /**
  * Runs one seeded soak. Real gateway processes run behind proxies while callers send requests continuously.
@@ -143,12 +146,21 @@
       await waitFor(this.#random() * 2 * MEAN_THINK_TIME_MS)
       const gateway = this.#chooseGateway(index)
       if (gateway === null) continue
-      await this.#sendRequest(caller, gateway, this.#buildRequest(`s${this.#options.seed}-c${index}-${count}`))
+      await this.#sendRequest(caller, index, gateway, this.#buildRequest(`s${this.#options.seed}-c${index}-${count}`))
     }
     caller.close()
   }
 
-  async #sendRequest (caller: SoakCaller, gateway: SoakGateway, request: SoakRequest): Promise<void> {
+  /** Takes up a stream that broke off, at any gateway, while its caller still has time. */
+  async #resumeStream (caller: SoakCaller, index: number, request: SoakRequest, body: string, remainingMs: number): Promise<void> {
+    const last = parseEvents(body).at(-1)
+    const gateway = this.#chooseGateway(index + 1)
+    if (request.kind !== 'stream' || remainingMs < MIN_RESUME_MS || last === undefined || last.id >= request.events || gateway === null || this.#isOver) return
+    const resumed = { originId: request.resumed?.originId ?? request.requestId, lastEventId: last.id, version: last.version }
+    await this.#sendRequest(caller, index, gateway, { ...request, requestId: `${request.requestId}-r`, deadlineMs: Math.round(remainingMs), disconnectAfterMs: null, resumed })
+  }
+
+  async #sendRequest (caller: SoakCaller, index: number, gateway: SoakGateway, request: SoakRequest): Promise<void> {
     const sent = { request, gateway: gateway.index, epoch: gateway.epoch, sentAtMs: performance.now() }
     const isInRecoveryPhase = this.#isOver || this.#isRecoveryPhase(sent.sentAtMs)
     this.#checker.handleSent(sent)
@@ -157,7 +169,8 @@
     const name = describeOutcome(end)
     this.#summary.requests += 1
     this.#summary.ends[name] = (this.#summary.ends[name] ?? 0) + 1
-    if (!isInRecoveryPhase || request.disconnectAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
+    if (end.kind === 'broken') await this.#resumeStream(caller, index, request, end.body, request.deadlineMs - (performance.now() - sent.sentAtMs))
+    if (!isInRecoveryPhase || request.resumed !== null || request.disconnectAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
     this.#recoveryCounts.asked += 1
     if (end.kind === 'answered' && end.status < 300) this.#recoveryCounts.served += 1
   }
@@ -184,7 +197,7 @@
     const draw = random()
     const events = 2 + Math.floor(random() * 20)
     const { key, workspace } = operator.chooseKey(random)
-    const common = { requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, body: '', method: 'GET' as const, deadlineMs: 1000 + Math.floor(random() * 1500), disconnectAfterMs: random() < 0.05 ? random() * 300 : null }
+    const common = { requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, body: '', method: 'GET' as const, resumed: null, deadlineMs: 1000 + Math.floor(random() * 1500), disconnectAfterMs: random() < 0.05 ? random() * 300 : null }
     if (draw < 0.3) return { ...common, kind: 'stream', target: `/stream/x?events=${events}`, events, method: 'POST', body: `prompt of ${requestId}`, deadlineMs: 3000 }
     if (draw < 0.55) return { ...common, kind: 'once', target: '/once/x', method: 'POST', body: `order ${requestId}` }
     if (draw < 0.75) return { ...common, kind: 'read', target: '/read/x' }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -8,8 +8,8 @@
 /** Outcome of a request as its caller observed it. */
 export type CallerOutcome =
   | { kind: 'answered', status: number, isSigned: boolean, body: string, retryAfter: string | null }
-  /** The connection closed before the answer was complete. */
-  | { kind: 'broken', message: string }
+  /** The connection closed before the answer was complete; `body` is what had arrived. */
+  | { kind: 'broken', message: string, body: string }
   /** The caller disconnected before the answer was complete, as planned. */
   | { kind: 'left' }
   /** No complete answer arrived within `ANSWER_GRACE_MS` after the deadline. */
@@ -52,6 +52,7 @@
           [HEADERS.key]: request.key,
           // a caller may try to forge the workspace
           [HEADERS.workspace]: 'forged',
+          ...request.resumed === null ? {} : { [HEADERS.resumedRequestId]: request.resumed.originId, [HEADERS.lastEventId]: String(request.resumed.lastEventId) },
           ...request.method === 'POST' ? { 'Content-Length': request.body.length } : {}
         }
       })
@@ -70,7 +71,7 @@
           finish({ kind: 'left' })
           outgoing.destroy()
         }, request.disconnectAfterMs)
-      outgoing.on('error', error => finish({ kind: 'broken', message: error.message }))
+      outgoing.on('error', error => finish({ kind: 'broken', message: error.message, body: '' }))
       outgoing.on('response', response => readAnswer(response, finish))
       outgoing.end(request.body)
     })
@@ -93,9 +94,9 @@
   let body = ''
   response.setEncoding('utf8')
   response.on('data', (text: string) => { body += text })
-  response.on('error', error => finish({ kind: 'broken', message: error.message }))
+  response.on('error', error => finish({ kind: 'broken', message: error.message, body }))
   response.on('end', () => {
-    if (!response.complete) return finish({ kind: 'broken', message: 'the answer was cut' })
+    if (!response.complete) return finish({ kind: 'broken', message: 'the answer was cut', body })
     const signature = response.headers[HEADERS.signature.toLowerCase()]
     finish({ kind: 'answered', status: response.statusCode ?? 0, isSigned: signature !== undefined, body, retryAfter: response.headers['retry-after'] ?? null })
   })
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -1,5 +1,5 @@
 import { LimitChecker } from './limitChecker'
-import { buildAnswer, buildEvent, isIdempotent } from './soakRequests'
+import { buildAnswer, buildEvent, isIdempotent, parseEvents } from './soakRequests'
 
 import type { CallerOutcome, CallerResult } from './soakCaller'
 import type { FaultHistory, FaultScope } from './faultHistory'
@@ -12,7 +12,7 @@
 export type SoakFindingKind =
   | 'wrongAnswer' | 'duplicateRun' | 'ranThoughNotRun' | 'wrongWorkspace' | 'alteredRequest' | 'removedKeyUsed'
   | 'drainedEndpointUsed' | 'staleConfig' | 'configWentBack' | 'noAnswer' | 'lostAnswer' | 'slowStop' | 'endedByItself'
-  | 'notRecovered' | 'limitExceeded'
+  | 'notRecovered' | 'limitExceeded' | 'mixedVersions'
   /** The soak itself failed, so its run says nothing about the product. */
   | 'soakFailed'
 
@@ -102,6 +102,7 @@
   handleResult (result: CallerResult): void {
     const { requestId } = result.request
     this.#ends.set(requestId, result.end)
+    if (result.end.kind === 'answered' || result.end.kind === 'broken') this.#checkVersions(result, result.end.body)
     switch (result.end.kind) {
       case 'answered':
         this.#checkAnswer(result, result.end)
@@ -164,11 +165,18 @@
   #checkAnswer (result: CallerResult, end: Extract<CallerOutcome, { kind: 'answered' }>): void {
     const { request } = result
     if (end.status >= 300) return
-    const expected = request.kind === 'stream' ? buildEvents(request) : buildAnswer(request.requestId, request.target, request.body)
+    const expected = request.kind === 'stream' ? buildEvents(request, end.body) : buildAnswer(request.requestId, request.target, request.body)
     if (!end.isSigned || end.body !== expected) this.#report('wrongAnswer', `${describeSent(result)} received the ${end.isSigned ? '' : 'unsigned '}answer '${end.body.slice(0, 60)}'`)
     if (request.routeVersion !== null) this.#recordObservedVersion(result, request.routeVersion, result.endedAtMs)
   }
 
+  /** Checks that a stream, over all the attempts of its caller, holds events of one software version. */
+  #checkVersions (result: CallerResult, body: string): void {
+    const { resumed } = result.request
+    const versions = new Set([...resumed === null ? [] : [resumed.version], ...parseEvents(body).map(({ version }) => version)])
+    if (versions.size > 1) this.#report('mixedVersions', `${describeSent(result)} received events of ${[...versions].join(' and ')}${resumed === null ? '' : `, after ${resumed.originId}`}`)
+  }
+
   /** Checks that no current route or key was answered as unknown. */
   #checkUnknownStatus (result: CallerResult, status: number): void {
     if (!UNKNOWN_ROUTE_OR_KEY_STATUSES.has(status)) return
@@ -222,8 +230,11 @@
   }
 }
 
-function buildEvents (request: SoakRequest): string {
-  return Array.from({ length: request.events }, (_, position) => buildEvent(request.requestId, position + 1)).join('')
+/** Builds the expected events of a stream, with the versions of those that were received. */
+function buildEvents (request: SoakRequest, body: string): string {
+  const first = 1 + (request.resumed?.lastEventId ?? 0)
+  const received = parseEvents(body)
+  return Array.from({ length: request.events + 1 - first }, (_, position) => buildEvent(request.requestId, first + position, received[position]?.version ?? '')).join('')
 }
 
 function toScope ({ gateway }: SentRequest): FaultScope {
--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -135,10 +135,10 @@
     response.writeHead(200, { 'content-type': 'text/event-stream' })
     for (let index = from + 1; index <= count && !response.destroyed; index++) {
       if (this.fault === 'cutting' && index === Math.ceil(count / 2)) {
-        response.write(buildEvent(requestId, index).slice(0, 6), () => request.socket.destroy())
+        response.write(buildEvent(requestId, index, this.version).slice(0, 6), () => request.socket.destroy())
         return
       }
-      response.write(buildEvent(requestId, index))
+      response.write(buildEvent(requestId, index, this.version))
       await sleep(EVENT_INTERVAL_MS)
     }
     response.end()
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -56,6 +56,11 @@
     return endpoint
   }
 
+  /** Advances the software version of the endpoints opened from now on. */
+  advanceVersion (): void {
+    this.#version = `v${Number(this.#version.slice(1)) + 1}`
+  }
+
   findEndpoint (id: string): SoakEndpoint {
     const endpoint = this.#endpointsById.get(id)
     if (endpoint === undefined) throw new Error(`unknown endpoint '${id}'`)
--- a/soak/soakOperator.ts
+++ b/soak/soakOperator.ts
@@ -13,6 +13,8 @@
 /** Number of versions, the first included, that contain a version's own route and key. */
 export const RETAINED_VERSIONS = 2
 const DEREGISTRATION_DELAY_MS = 500
+/** Nesting of an odd entry: deeper than any value that is used, but written by the stand-in for the store. */
+const NESTING = 1000
 
 /** Writes configurations and endpoint registrations to the store, as operators and endpoints do in production. */
 export class SoakOperator {
@@ -84,6 +86,13 @@
     this.#putEndpoint(endpoint, endpoint.drainStartedAtMs === null ? 'ready' : 'draining')
   }
 
+  /** Writes one of several odd entries, as another writer may. */
+  writeOddEntry (index: number): void {
+    const valid = { service: 'desk', address: '127.0.0.1:9', zone: 'domain-a', version: 'v1', slots: 8, state: 'ready', born: 1 }
+    const values: unknown[] = [{ ...valid, address: '127.0.0.1:99999' }, { ...valid, slots: 1e300 }, { ...valid, slots: 0 }, { ...valid, service: { deep: buildNested() } }, { ...valid, born: -1 }, 'no entry']
+    this.#store.put('servers', `odd-${index}`, values[index % values.length])
+  }
+
   removeEndpoint (endpoint: SoakEndpoint): void {
     this.#store.remove('servers', endpoint.id)
   }
@@ -110,6 +119,12 @@
   }
 }
 
+function buildNested (): unknown {
+  let value: unknown = 'end'
+  for (let depth = 0; depth < NESTING; depth++) value = [value]
+  return value
+}
+
 function buildRoute (name: string, overrides: Record<string, unknown>): Record<string, unknown> {
   return { name, host: SOAK_HOST, pathPrefix: `/${name}/`, kind: 'idempotent', timeoutMs: 2500, targetLatencyMs: 300, priority: 1, service: 'desk', maxAttempts: 2, ...overrides }
 }
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -8,6 +8,10 @@
   | { kind: 'reloadSettings', gateway: number, hasSignal: boolean }
   | { kind: 'changeConfig', count: number, gapMs: number }
   | { kind: 'replaceEndpoint', endpoint: number }
+  /** Replaces the first `count` endpoints by ones of the next software version. */
+  | { kind: 'releaseVersion', count: number, gapMs: number }
+  /** Another writer leaves an odd entry among those of the endpoints. */
+  | { kind: 'writeOddEntry', entry: number }
   /** An endpoint names a limit, and at the end none any more. */
   | { kind: 'limitEndpoint', endpoint: number, requestsPerSecond: number, forMs: number }
   /** Faults. */
@@ -60,6 +64,12 @@
 /** A limit lasts until it has to hold, and some seconds longer. */
 const MIN_LIMIT_MS = 4000
 const LIMIT_DURATION_RANGE_MS = 8000
+/** Time that a release takes at most, and until the next one. */
+const RELEASE_MS = 6000
+const MAX_RELEASE_GAP_MS = 12_000
+const RELEASE_SEED_OFFSET = 7_000_000
+/** Number of odd entries that can be written. */
+export const ODD_ENTRIES = 6
 const CLOCK_STEPS_MS = [-30_000, -4000, -700, 700, 4000, 30_000]
 
 /**
@@ -77,7 +87,19 @@
     const chooseAction = random() < 0.5 ? chooseMaintenance : chooseRestartFreeMaintenance
     atMs = addActions(plan, atMs + SETTLE_MS, Math.min(endMs, atMs + SETTLE_MS + MAINTENANCE_PHASE_MS), random, () => chooseAction(options, random))
   }
-  return plan
+  addReleases(plan, options)
+  return plan.sort((one, other) => one.atMs - other.atMs)
+}
+
+/** Adds releases, some with an end of all gateways soon afterwards, and odd entries, without changing what a seed plans otherwise. */
+function addReleases (plan: PlannedAction[], options: SoakPlanOptions): void {
+  const random = createSeededRandom(options.seed + RELEASE_SEED_OFFSET)
+  const endMs = options.durationMs - FINAL_PHASE_MS - RELEASE_MS
+  for (let atMs = WARM_UP_MS + random() * MAX_RELEASE_GAP_MS; atMs < endMs; atMs += RELEASE_MS + random() * MAX_RELEASE_GAP_MS) {
+    plan.push({ atMs, action: { kind: 'releaseVersion', count: 1 + chooseIndex(options.endpoints, random), gapMs: random() * 800 } })
+    plan.push({ atMs: atMs + random() * MAX_RELEASE_GAP_MS, action: { kind: 'writeOddEntry', entry: chooseIndex(ODD_ENTRIES, random) } })
+    if (random() < 0.4) plan.push({ atMs: atMs + 1000 + random() * 5000, action: { kind: 'killAll', downMs: random() * 500 } })
+  }
 }
 
 /** Returns whether gateways cannot reach the store for so long that a removed key could stay valid beyond its bound. */
--- a/soak/soakRequests.ts
+++ b/soak/soakRequests.ts
@@ -16,10 +16,21 @@
   /** Number of events of a stream. */
   events: number
   deadlineMs: number
+  /** The stream that a caller takes up; null for a new request. */
+  resumed: ResumedStream | null
   /** Milliseconds after which the caller disconnects; null when it waits for the answer. */
   disconnectAfterMs: number | null
 }
 
+/** What a caller already has of a stream that broke off. */
+export interface ResumedStream {
+  /** Id of the attempt that brought the first event. */
+  originId: string
+  lastEventId: number
+  /** Software version of the endpoints that wrote the events. */
+  version: string
+}
+
 /** Returns whether a request may run more than once. */
 export function isIdempotent (request: SoakRequest): boolean {
   return request.kind !== 'once'
@@ -31,7 +42,12 @@
   return `${requestId} ${digest.repeat(1 + parseInt(digest.slice(0, 1), 16))}`
 }
 
-/** Builds one event of a streamed answer. */
-export function buildEvent (requestId: string, index: number): string {
-  return `id: ${index}\ndata: ${requestId} ${index}\n\n`
+/** Builds one event of a streamed answer, which names the software version of the endpoint that wrote it. */
+export function buildEvent (requestId: string, index: number, version: string): string {
+  return `id: ${index}\ndata: ${requestId} ${index} ${version}\n\n`
+}
+
+/** Reads the complete events of a streamed answer. */
+export function parseEvents (body: string): Array<{ id: number, version: string }> {
+  return [...body.matchAll(/id: (\d+)\ndata: \S+ \d+ (\S+)\n\n/g)].map(([, id, version]) => ({ id: Number(id), version: version! }))
 }
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -90,7 +90,7 @@
   | { event: 'versionsAssigned', service: string, sequence: number, era: number, longestMs: number, buckets: Record<string, number>, uncertainBuckets: number }
   /** This gateway wrote the record, or tried to. */
   | { event: 'versionsWritten', service: string, reason: string, outcome: string, sequence: number, era: number, longestMs: number, buckets: Record<string, number>, uncertainBuckets: number }
-  /** This gateway stored, for all of them, the streams whose version the record does not say for certain. */
+  /** This gateway stored, for those of its failure domain, the streams whose version the record does not say for certain. */
   | { event: 'streamOriginsWritten', streams: number, outcome: string }
   /** The stored record cannot be read, or is from before a restore of the object service; it is written again. */
   | { event: 'versionRecordDistrusted', service: string, reason: string, sequence: number | null, era: number }
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -136,14 +136,15 @@
     const changes = entries.flatMap(entry => this.#put(entry))
     const missing = [...this.#endpoints.keys()].filter(id => !listed.has(id) && !this.#lapsedUntilMs.has(id))
     for (const id of missing) changes.push(...context.afterOutage ? this.#markLapsed(id, context.nowMs) : this.#remove(id))
-    this.#buildIndex()
+    if (changes.length > 0) this.#buildIndex()
     return changes
   }
 
   /** Applies changed entries and the ids of deleted entries. */
   applyChanges (entries: readonly EndpointEntry[], deletedIds: readonly string[]): DirectoryChange[] {
     const changes = [...entries.flatMap(entry => this.#put(entry)), ...deletedIds.flatMap(id => this.#remove(id))]
-    this.#buildIndex()
+    // endpoints renew their entries often, and a hash ring is dear to build
+    if (changes.length > 0) this.#buildIndex()
     return changes
   }
 
--- a/src/policy/streamOrigins.ts
+++ b/src/policy/streamOrigins.ts
@@ -1,13 +1,15 @@
 import { BoundedMap } from '../base/boundedMap'
 
+/** How a gateway knows of a stream: it began it, another one of its failure domain or of another reported it, or it was stored. */
+export type OriginKnowledge = 'own' | 'member' | 'peer' | 'store'
+
 /** A stream that began at a version, by the key of the attempt that began it. */
 export interface StreamOrigin {
   service: string
   key: string
   bucket: number
   version: string
-  /** Whether this gateway began the stream, another one reported it, or it was read from the object service. */
-  source: 'own' | 'peer' | 'store'
+  source: OriginKnowledge
   /** Monotonic milliseconds at which this gateway learned of it. */
   learnedAtMs: number
 }
@@ -29,6 +31,8 @@
  */
 export class StreamOrigins {
   readonly #origins = new BoundedMap<string, StreamOrigin>(MAX_ORIGINS)
+  /** Streams that were learned, or whose version became uncertain, a short time ago. */
+  #recent: StreamOrigin[] = []
 
   get size (): number {
     return this.#origins.size
@@ -36,20 +40,31 @@
 
   record (origin: StreamOrigin): void {
     const id = formatId(origin.service, origin.key)
-    if (!this.#origins.has(id)) this.#origins.set(id, origin)
+    if (this.#origins.has(id)) return
+    this.#origins.set(id, origin)
+    this.#recent.push(origin)
+  }
+
+  /** Reports the remembered streams again, because a change made the versions of some of them uncertain. */
+  recordMove (): void {
+    this.#recent = [...this.#origins.values()]
   }
 
   find (service: string, key: string): StreamOrigin | null {
     return this.#origins.get(formatId(service, key)) ?? null
   }
 
-  /** Lists the streams to report. `getMovedAtMs` returns when the version of a stream became uncertain; null where it is certain. */
-  listNews (getMovedAtMs: (origin: StreamOrigin) => number | null, nowMs: number): StreamOrigin[] {
+  /** Lists the streams to report that are known from `sources`. `getMovedAtMs` returns when the version of a stream became uncertain; null where it is certain. */
+  listNews (sources: ReadonlySet<OriginKnowledge>, getMovedAtMs: (origin: StreamOrigin) => number | null, nowMs: number): StreamOrigin[] {
     const news: StreamOrigin[] = []
-    for (const origin of this.#origins.values()) {
+    const kept: StreamOrigin[] = []
+    for (const origin of this.#recent) {
       const movedAtMs = getMovedAtMs(origin)
-      if (movedAtMs !== null && nowMs - Math.max(movedAtMs, origin.learnedAtMs) < REPORT_MS) news.push(origin)
+      if (nowMs - Math.max(movedAtMs ?? -Infinity, origin.learnedAtMs) >= REPORT_MS) continue
+      kept.push(origin)
+      if (movedAtMs !== null && sources.has(origin.source)) news.push(origin)
     }
+    this.#recent = kept.slice(-MAX_ORIGINS)
     return news.slice(-MAX_REPORTED_ORIGINS)
   }
 
--- a/src/policy/versionAssignment.ts
+++ b/src/policy/versionAssignment.ts
@@ -91,12 +91,14 @@
 export function decideAssignmentChange (stored: VersionAssignment | null, inputs: AssignmentInputs): AssignmentChange | null {
   const { readyByVersion, knownVersions, era, isExpired, getAgeMs } = inputs
   if (stored === null) return readyByVersion.size === 0 ? null : { reason: 'created', assignment: createAssignment(inputs) }
-  const current = { ...stored, buckets: stored.buckets.map((bucket, index) => isUncertain(bucket) ? { ...bucket, ageMs: Math.floor(getAgeMs(index)) } : bucket) }
+  const hasUncertain = stored.buckets.some(isUncertain)
+  const current = hasUncertain ? { ...stored, buckets: stored.buckets.map((bucket, index) => isUncertain(bucket) ? { ...bucket, ageMs: Math.floor(getAgeMs(index)) } : bucket) } : stored
   if (current.era < era) return { reason: 'restored', assignment: advance(current, { era, buckets: current.buckets.map(bucket => addUnknown(bucket, current.sequence + 1)) }) }
   const limits = mergeLimits(current.limits, inputs.limits)
   if (limits !== current.limits) return { reason: 'longerLimit', assignment: advance(current, { limits }) }
   const change = decideMove(current, readyByVersion, knownVersions)
   if (change !== null) return { reason: change, assignment: moveBuckets(current, readyByVersion) }
+  if (!hasUncertain) return null
   const expired = current.buckets.map((bucket, index) => isUncertain(bucket) && isExpired(index))
   if (expired.includes(true)) return { reason: 'expired', assignment: advance(current, { buckets: current.buckets.map((bucket, index) => expired[index] === true ? { ...bucket, versions: bucket.versions.slice(0, 1), ageMs: 0 } : bucket) }) }
   const isAged = current.buckets.some(({ ageMs }, index) => ageMs >= stored.buckets[index]!.ageMs + AGE_STEP_MS)
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -2,6 +2,7 @@
 import { addJitter } from '../store/backoff'
 import { BackgroundTask } from '../store/backgroundTask'
 import { collectByVersion } from './streamOriginStore'
+import { DOMAIN_SOURCES } from './streamVersions'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
@@ -9,6 +10,7 @@
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { EndpointLoad, PeerLoadTable, LoadReport, ReportScope } from '../policy/peerLoadTable'
 import type { PeerTable } from '../policy/peerTable'
+import type { OriginKnowledge } from '../policy/streamOrigins'
 import type { LoadUpdate } from '../protocol/viewMessages'
 import type { CrashGuard } from './crashGuard'
 import type { LimitCoordinator } from './limitCoordinator'
@@ -30,6 +32,8 @@
   openClient: (peer: { id: string, address: string }) => PeerClient
 }
 
+const OWN_SOURCES: ReadonlySet<OriginKnowledge> = new Set(['own'])
+const ALL_SOURCES: ReadonlySet<OriginKnowledge> = new Set(['own', 'member', 'peer', 'store'])
 /** Milliseconds between two exchanges. Short compared with the latency targets, because the backlog of an endpoint decides which prompts it still has capacity for. */
 const EXCHANGE_INTERVAL_MS = 200
 /** Minimum milliseconds between the start of an exchange and one that a notification starts early. */
@@ -121,13 +125,13 @@
       crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
       answered: answered.map(([part, agoMs]) => ({ part, atMs: nowMs - agoMs }))
     })
-    versions.mergeNews(begun.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))), 'peer')
+    versions.mergeNews(begun.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))), scope === 'gateway' ? 'member' : 'peer')
   }
 
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: collectByVersion(this.#options.versions.listNews()) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -143,7 +147,11 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: collectByVersion(this.#options.versions.listNews()) }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
+  }
+
+  #listBegun (sources: ReadonlySet<OriginKnowledge>): LoadUpdate['begun'] {
+    return collectByVersion(this.#options.versions.listNews(sources))
   }
 
   #listOwnLoads (): LoadReport {
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -137,11 +137,9 @@
     return this.#table.listKeepers(domain, this.#options.clock.getMonotonicMs())
   }
 
-  /** Returns whether this gateway is the one that writes to the object service what all of them report: the reader of the first failure domain. */
-  isFirstReader (): boolean {
-    const nowMs = this.#options.clock.getMonotonicMs()
-    const { domain } = this.#table.self
-    return this.#table.chooseReader(nowMs) === null && this.#table.listRemoteReaders(nowMs).every(reader => reader.domain > domain)
+  /** Returns whether this gateway reads the object service for those of its failure domain. */
+  isReader (): boolean {
+    return this.#table.chooseReader(this.#options.clock.getMonotonicMs()) === null
   }
 
   openClient (peer: PeerIdentity): PeerClient {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -149,13 +149,17 @@
       log,
       listServices: () => this.#fleetWatcher.table?.streamLimits ?? new Map(),
       countReadyVersions,
-      handleChange: name => this.#dispatcher.notifyCapacity(name)
+      handleChange: name => {
+        this.#versions.recordMove()
+        this.#dispatcher.notifyCapacity(name)
+      }
     })
     this.#originStore = new StreamOriginStore({
       clock: systemClock,
       service,
       log,
-      isWriter: () => this.#peers.isFirstReader(),
+      domain: settings.domain,
+      isWriter: () => this.#peers.isReader(),
       listOrigins: () => this.#versions.listUncertain(),
       mergeOrigins: origins => this.#versions.mergeNews(origins, 'store')
     })
--- a/src/relay/streamOriginStore.ts
+++ b/src/relay/streamOriginStore.ts
@@ -16,17 +16,18 @@
   clock: Clock
   service: ObjectService
   log: DecisionLog
-  /** Returns whether this gateway writes for all of them. */
+  /** Failure domain of this gateway; the gateways of each one write an object of their own. */
+  domain: string
+  /** Returns whether this gateway writes for those of its failure domain. */
   isWriter: () => boolean
   /** Lists the streams whose version the assignment does not say for certain, the latest last. */
   listOrigins: () => StreamOrigin[]
   mergeOrigins: (origins: ReportedOrigin[]) => void
 }
 
-/** Key of the stored streams. */
-const ORIGINS_KEY = 'stream-origins/recent'
+const ORIGINS_PREFIX = 'stream-origins/'
 /** Milliseconds between two writes, and so the most that an end of all gateways loses beside the delay of reports. */
-const WRITE_INTERVAL_MS = 700
+const WRITE_INTERVAL_MS = 500
 const CALL_TIMEOUT_MS = 600
 /** Maximum number of stored streams; the latest are kept. */
 const MAX_STORED_ORIGINS = 2000
@@ -38,6 +39,7 @@
 export class StreamOriginStore {
   readonly #options: StreamOriginStoreOptions
   readonly #writer: BackgroundTask
+  readonly #key: string
   readonly #shared = new SharedCall(async () => await this.#read())
   /** Condition for the next write; null until the stored streams were read. */
   #condition: WriteCondition | null = null
@@ -45,6 +47,7 @@
 
   constructor (options: StreamOriginStoreOptions) {
     this.#options = options
+    this.#key = `${ORIGINS_PREFIX}${encodeURIComponent(options.domain)}`
     this.#writer = new BackgroundTask({ runStep: async signal => await this.#runStep(signal), onError: error => options.log.writeError(error) })
   }
 
@@ -63,23 +66,27 @@
 
   async #read (): Promise<boolean> {
     const { service, clock, mergeOrigins } = this.#options
-    const found = await service.get(ORIGINS_KEY, new Progress({ title: 'reading the origins of streams', timeoutMs: CALL_TIMEOUT_MS, clock }))
-    if (found.isErr) return false
-    this.#condition = found.value === null ? { kind: 'absent' } : { kind: 'version', version: found.value.version }
-    const stored = streamOriginsSchema.safeParse(found.value?.value)
-    if (stored.success) mergeOrigins(stored.data.streams.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))))
+    const listed = await service.list(ORIGINS_PREFIX, new Progress({ title: 'reading the origins of streams', timeoutMs: CALL_TIMEOUT_MS, clock }))
+    if (listed.isErr) return false
+    const own = listed.value.objects.find(({ key }) => key === this.#key)
+    this.#condition = own === undefined ? { kind: 'absent' } : { kind: 'version', version: own.version }
+    for (const { value } of listed.value.objects) {
+      const stored = streamOriginsSchema.safeParse(value)
+      if (stored.success) mergeOrigins(stored.data.streams.flatMap(([service, version, keys]) => keys.map(key => ({ service, version, key }))))
+    }
     return true
   }
 
   async #runStep (signal: AbortSignal): Promise<number> {
     const { service, log, isWriter, listOrigins, clock } = this.#options
-    if (!isWriter() || !listOrigins().some(({ learnedAtMs }) => learnedAtMs > this.#writtenAtMs)) return WRITE_INTERVAL_MS
+    const newest = isWriter() ? listOrigins().at(-1) : undefined
+    if (newest === undefined || newest.learnedAtMs <= this.#writtenAtMs) return WRITE_INTERVAL_MS
     // what another gateway stored must not be lost
     if (this.#condition === null && !await this.read()) return WRITE_INTERVAL_MS
     const startedAtMs = clock.getMonotonicMs()
     const origins = listOrigins().slice(-MAX_STORED_ORIGINS)
     const progress = new Progress({ title: 'writing the origins of streams', timeoutMs: CALL_TIMEOUT_MS, signal, clock })
-    const written = await service.put(ORIGINS_KEY, buildRecord(origins), this.#condition ?? { kind: 'absent' }, progress)
+    const written = await service.put(this.#key, buildRecord(origins), this.#condition ?? { kind: 'absent' }, progress)
     this.#condition = written.isOk ? { kind: 'version', version: written.value.version } : null
     if (written.isOk) this.#writtenAtMs = startedAtMs
     log.write('routine', { event: 'streamOriginsWritten', streams: origins.length, outcome: written.isOk ? 'written' : written.error.kind })
--- a/src/relay/streamVersions.ts
+++ b/src/relay/streamVersions.ts
@@ -4,7 +4,8 @@
 import { waitFor } from '../store/channels'
 
 import type { Clock } from '../base/clock'
-import type { StreamOrigin } from '../policy/streamOrigins'
+import type { HashedStreamId } from '../policy/streamIds'
+import type { OriginKnowledge, StreamOrigin } from '../policy/streamOrigins'
 import type { VersionView } from '../policy/versionView'
 import type { VersionChoice } from '../policy/versionChoice'
 import type { Refusal } from '../protocol/errorBody'
@@ -24,7 +25,7 @@
 }
 
 /** How the version that began a stream is known. */
-export type OriginSource = 'own' | 'peer' | 'store' | 'onlyVersion' | 'begunAfterMove' | 'noRecord' | 'unread' | 'uncertain'
+export type OriginSource = OriginKnowledge | 'onlyVersion' | 'begunAfterMove' | 'noRecord' | 'unread' | 'uncertain'
 
 /** The version that began a stream that a request takes up; null when it is not known. */
 interface DecidedOrigin {
@@ -33,6 +34,8 @@
   candidates: ReadonlyArray<string | null>
 }
 
+/** Knowledge of streams that began in the own failure domain. */
+export const DOMAIN_SOURCES: ReadonlySet<OriginKnowledge> = new Set(['own', 'member'])
 /** Milliseconds to wait for an assignment or for the report of another gateway: some exchanges of loads. */
 const KNOWLEDGE_WAIT_MS = 700
 const KNOWLEDGE_POLL_MS = 25
@@ -50,13 +53,16 @@
 export class StreamVersions {
   readonly #options: StreamVersionsOptions
   readonly #origins = new StreamOrigins()
+  /** Hashed ids of requests; a queued request is looked at many times. */
+  readonly #hashes = new WeakMap<RelayRequest, HashedStreamId>()
 
   constructor (options: StreamVersionsOptions) {
     this.#options = options
   }
 
   /** Returns the version at which a new stream begins now. */
-  findBeginning ({ service, traits, route }: RelayRequest): VersionChoice {
+  findBeginning (request: RelayRequest): VersionChoice {
+    const { service, traits, route } = request
     const registry = this.#options.getRegistry()
     const view = registry.getView(service)
     if (view === null) return { kind: 'unknown', reason: 'noAssignment' }
@@ -66,7 +72,7 @@
       registry.requireLimit(service, route.name, limitMs)
       return { kind: 'unknown', reason: 'limitNotCovered' }
     }
-    const version = view.getVersion(hashStreamId(traits.requestId).bucket)
+    const version = view.getVersion(this.#hashId(request).bucket)
     return version === null ? { kind: 'unknown', reason: 'noAssignment' } : { kind: 'version', version }
   }
 
@@ -77,9 +83,10 @@
   }
 
   /** Records that an endpoint of `version` brought the first event of a new stream. */
-  recordBegun ({ service, traits }: RelayRequest, version: string): void {
+  recordBegun (request: RelayRequest, version: string): void {
+    const { service, traits } = request
     if (traits.resumeAfterEventId !== null) return
-    const { bucket, key } = hashStreamId(traits.requestId)
+    const { bucket, key } = this.#hashId(request)
     this.#origins.record({ service, bucket, key, version, source: 'own', learnedAtMs: this.#options.clock.getMonotonicMs() })
   }
 
@@ -96,24 +103,25 @@
     }
   }
 
-  /** Lists the streams to report to other gateways: recent ones whose version the assignment does not say for certain. */
-  listNews (): StreamOrigin[] {
+  /** Lists the streams to report to other gateways: recent ones, known from `sources`, whose version the assignment does not say for certain. */
+  listNews (sources: ReadonlySet<OriginKnowledge>): StreamOrigin[] {
     const registry = this.#options.getRegistry()
     const nowMs = this.#options.clock.getMonotonicMs()
     this.#origins.expire(({ service, learnedAtMs }) => nowMs - learnedAtMs > (registry.getView(service)?.assignment.limits.longestMs ?? MAX_LONGEST_MS))
-    return this.#origins.listNews(({ service, bucket }) => {
+    return this.#origins.listNews(sources, ({ service, bucket }) => {
       const view = registry.getView(service)
       return view?.isUncertain(bucket) === true ? view.getMovedAtMs(bucket) : null
     }, nowMs)
   }
 
-  /** Lists the remembered streams whose version the assignment does not say for certain, the latest last. */
+  /** Lists the streams begun in this failure domain whose version the assignment does not say for certain, the latest last. */
   listUncertain (): StreamOrigin[] {
-    return this.#origins.listUncertain(({ service, bucket }) => this.#options.getRegistry().getView(service)?.isUncertain(bucket) === true)
+    const registry = this.#options.getRegistry()
+    return this.#origins.listUncertain(({ service, bucket, source }) => DOMAIN_SOURCES.has(source) && registry.getView(service)?.isUncertain(bucket) === true)
   }
 
   /** Merges streams that another gateway reported or stored. */
-  mergeNews (news: readonly ReportedOrigin[], source: 'peer' | 'store'): void {
+  mergeNews (news: readonly ReportedOrigin[], source: Exclude<OriginKnowledge, 'own'>): void {
     const learnedAtMs = this.#options.clock.getMonotonicMs()
     for (const origin of news) {
       const bucket = parseKeyBucket(origin.key)
@@ -121,11 +129,23 @@
     }
   }
 
+  /** Reports the remembered streams again after a change of the assignment. */
+  recordMove (): void {
+    this.#origins.recordMove()
+  }
+
   /** Returns the number of remembered streams, for the state dump. */
   countOrigins (): number {
     return this.#origins.size
   }
 
+  /** Hashes the id of the request's attempt, which it begins a stream under. */
+  #hashId (request: RelayRequest): HashedStreamId {
+    const hashed = this.#hashes.get(request) ?? hashStreamId(request.traits.requestId)
+    this.#hashes.set(request, hashed)
+    return hashed
+  }
+
   async #waitForBeginning (request: RelayRequest, signal: AbortSignal): Promise<VersionChoice | Refusal> {
     const { clock } = this.#options
     const untilMs = clock.getMonotonicMs() + KNOWLEDGE_WAIT_MS
--- a/src/relay/versionRegistry.ts
+++ b/src/relay/versionRegistry.ts
@@ -52,7 +52,7 @@
 
 /** Prefix of the stored records; the rest of a key is the encoded name of the service. */
 export const VERSION_RECORD_PREFIX = 'stream-versions/'
-const CHECK_INTERVAL_MS = 50
+const CHECK_INTERVAL_MS = 100
 const MAX_REQUIRED_ROUTES = 64
 const WRITE_TIMEOUT_MS = 1000
 const READ_TIMEOUT_MS = 500
@@ -185,7 +185,10 @@
     // what the record says at the start of this process was true before it; endpoints of later versions may still be unknown here
     if (state.view === null) for (const version of countBuckets(assignment).keys()) state.knownVersions.add(version)
     if (state.view?.assignment.sequence === assignment.sequence && state.view.assignment.era === assignment.era) return
+    const before = state.view?.assignment ?? null
     this.#setAssignment(state, assignment)
+    // while versions change, the ages of moves are written often
+    if (before !== null && before.era === assignment.era && before.buckets.every(({ versions, changedAt }, index) => changedAt === assignment.buckets[index]!.changedAt && versions.length === assignment.buckets[index]!.versions.length)) return
     this.#options.log.write('notable', { event: 'versionsAssigned', service, ...describeAssignment(assignment) })
     this.#options.handleChange(service)
   }
--- a/tests/soak/soakChecker.spec.ts
+++ b/tests/soak/soakChecker.spec.ts
@@ -3,7 +3,7 @@
 import { FaultHistory } from '../../soak/faultHistory'
 import { SoakChecker } from '../../soak/soakChecker'
 import { SoakOperator } from '../../soak/soakOperator'
-import { buildAnswer } from '../../soak/soakRequests'
+import { buildAnswer, buildEvent } from '../../soak/soakRequests'
 import { ObjectsServer } from '../../standins/objects/objectsServer'
 
 import type { CallerOutcome } from '../../soak/soakCaller'
@@ -33,7 +33,7 @@
 
 function buildSent (overrides: Partial<SoakRequest> = {}, sentAtMs = performance.now()): SentRequest {
   const request: SoakRequest = {
-    requestId: 'r-1', kind: 'once', method: 'POST', target: '/once/x', body: 'order', key: 'key-perfumers', workspace: 'perfumers', keyVersion: null, routeVersion: null, events: 0, deadlineMs: 1000, disconnectAfterMs: null, ...overrides
+    requestId: 'r-1', kind: 'once', method: 'POST', target: '/once/x', body: 'order', key: 'key-perfumers', workspace: 'perfumers', keyVersion: null, routeVersion: null, events: 0, deadlineMs: 1000, resumed: null, disconnectAfterMs: null, ...overrides
   }
   return { request, gateway: 0, epoch: 1, sentAtMs }
 }
@@ -81,9 +81,22 @@
     expect(listKinds()).to.include('wrongAnswer').and.have.length.at.least(3)
   })
 
+  it('should report a stream with events of two software versions, in one answer or over the attempts of its caller', () => {
+    const stream = { kind: 'stream' as const, target: '/stream/x?events=2', events: 2 }
+    const begun = buildEvent('r-1', 1, 'v1')
+    const broken = { kind: 'broken' as const, message: 'reset' }
+    fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
+    play(buildSent(stream), [], { ...broken, body: begun })
+    play(buildSent({ ...stream, resumed: { originId: 'r-0', lastEventId: 0, version: 'v1' } }), [], { ...broken, body: begun })
+    expect(listKinds()).to.deep.equal([])
+    play(buildSent(stream), [], { ...broken, body: begun + buildEvent('r-1', 2, 'v2') })
+    play(buildSent({ ...stream, resumed: { originId: 'r-0', lastEventId: 0, version: 'v2' } }), [], { ...broken, body: begun })
+    expect(listKinds()).to.deep.equal(['mixedVersions', 'mixedVersions'])
+  })
+
   it('should report malformed HTTP', () => {
     fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
-    play(buildSent(), [], { kind: 'broken', message: 'Parse Error: Duplicate Content-Length' })
+    play(buildSent(), [], { kind: 'broken', message: 'Parse Error: Duplicate Content-Length', body: '' })
     expect(listKinds()).to.deep.equal(['wrongAnswer'])
   })
 
@@ -164,11 +177,11 @@
 
   it('should report an unanswered request and a broken connection, except at a gateway with a fault', () => {
     play(buildSent(), [{}], { kind: 'unanswered' })
-    play(buildSent({ requestId: 'r-2' }), [{}], { kind: 'broken', message: 'reset' })
+    play(buildSent({ requestId: 'r-2' }), [{}], { kind: 'broken', message: 'reset', body: '' })
     expect(listKinds()).to.deep.equal(['noAnswer', 'lostAnswer'])
     fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
     play(buildSent({ requestId: 'r-3' }), [{}], { kind: 'unanswered' })
-    play(buildSent({ requestId: 'r-4' }), [{}], { kind: 'broken', message: 'reset' })
+    play(buildSent({ requestId: 'r-4' }), [{}], { kind: 'broken', message: 'reset', body: '' })
     expect(listKinds()).to.have.length(2)
   })
 })
