--- a/src/relay/versionRegistry.ts
+++ b/src/relay/versionRegistry.ts
@@ -1,8 +1,3 @@
-import { Backoff, addJitter } from '../store/backoff'
-import { BackgroundTask } from '../store/backgroundTask'
-import { PrefixWatcher } from '../store/prefixWatcher'
-import { RestoreDetector } from '../store/restoreDetector'
-import { getEra } from '../store/storePosition'
 import { BoundedMap } from '../base/boundedMap'
 import { Progress } from '../base/progress'
 import { SharedCall } from '../base/sharedCall'
@@ -10,6 +5,11 @@
 import { MAX_ASSIGNMENT_AGE_MS, VersionView } from '../policy/versionView'
 import { ViewFreshness } from '../policy/viewFreshness'
 import { MAX_LONGEST_MS } from '../protocol/versionRecord'
+import { Backoff, addJitter } from '../store/backoff'
+import { BackgroundTask } from '../store/backgroundTask'
+import { PrefixWatcher } from '../store/prefixWatcher'
+import { RestoreDetector } from '../store/restoreDetector'
+import { getEra } from '../store/storePosition'
 import { buildVersionRecord, parseVersionRecord } from './versionRecords'
 
 import type { Clock } from '../base/clock'
@@ -182,13 +182,13 @@
   #adopt (service: string, assignment: VersionAssignment): void {
     const state = this.#getState(service)
     state.mustRewrite = false
-    // what the record says at the start of this process was true before it; endpoints of later versions may still be unknown here
+    // the versions of the first record served before this process started; for a later one its list of endpoints may be behind
     if (state.view === null) for (const version of countBuckets(assignment).keys()) state.knownVersions.add(version)
     if (state.view?.assignment.sequence === assignment.sequence && state.view.assignment.era === assignment.era) return
     const before = state.view?.assignment ?? null
     this.#setAssignment(state, assignment)
     // while versions change, the ages of moves are written often
-    if (before !== null && before.era === assignment.era && before.buckets.every(({ versions, changedAt }, index) => changedAt === assignment.buckets[index]!.changedAt && versions.length === assignment.buckets[index]!.versions.length)) return
+    if (before !== null && hasSameVersions(before, assignment)) return
     this.#options.log.write('notable', { event: 'versionsAssigned', service, ...describeAssignment(assignment) })
     this.#options.handleChange(service)
   }
@@ -272,6 +272,14 @@
   }
 }
 
+/** Returns whether two assignments differ in nothing but their ages and limits. */
+function hasSameVersions (one: VersionAssignment, other: VersionAssignment): boolean {
+  return one.era === other.era && one.buckets.every(({ versions, changedAt }, index) => {
+    const bucket = other.buckets[index]!
+    return changedAt === bucket.changedAt && versions.length === bucket.versions.length
+  })
+}
+
 function addRequired (limits: StreamLimits, required: ReadonlyMap<string, number>): StreamLimits {
   const byRoute = { ...limits.byRoute }
   for (const [route, limitMs] of required) byRoute[route] = Math.max(limitMs, byRoute[route] ?? 0)
