--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -21,12 +21,24 @@
 export const HAS_TROUBLE = process.env.TROUBLE !== '0'
 export const EXIT = { held: 0, broken: 1, notRun: 2 }
 
+/** Ports below the range from which the system takes those of outgoing connections. */
+const PORT_RANGE = { first: 12_000, count: 18_000 }
+const takenPorts = new Set()
+
 async function findFreePort () {
-  const server = net.createServer()
-  await new Promise(resolve => server.listen(0, '127.0.0.1', resolve))
-  const { port } = server.address()
-  await new Promise(resolve => server.close(resolve))
-  return port
+  for (;;) {
+    const port = PORT_RANGE.first + Math.floor(Math.random() * PORT_RANGE.count)
+    if (takenPorts.has(port)) continue
+    takenPorts.add(port)
+    const server = net.createServer()
+    const isFree = await new Promise(resolve => {
+      server.once('error', () => resolve(false))
+      server.listen(port, '127.0.0.1', () => resolve(true))
+    })
+    if (!isFree) continue
+    await new Promise(resolve => server.close(resolve))
+    return port
+  }
 }
 
 export class Fleet {
