--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -10,6 +10,7 @@
 const spoilEvery = options.spoil > 0 ? Math.round(1 / options.spoil) : Infinity
 let answers = 0
 let seq = 0
+let state = 'ready'
 
 function report (event) {
   writeSync(1, `${JSON.stringify({ runner: id, at: Date.now(), ...event })}\n`)
@@ -17,7 +18,8 @@
 
 async function writeEntry () {
   seq += 1
-  const spec = { service, address: `127.0.0.1:${port}`, zone, version, slots: 64, state: 'ready', coldRemainingMs: 0, seq, born }
+  const coldRemainingMs = Math.max(0, (options.coldMs ?? 0) - (Date.now() - born))
+  const spec = { service, address: `127.0.0.1:${port}`, zone, version, slots: 64, state, coldRemainingMs, seq, born }
   const call = (method, path, metadata) => fetch(`${storeUrl}/tanagerwick/objects/${path}`, { method, headers: { 'content-type': 'application/json' }, body: JSON.stringify({ metadata, spec }) })
   const written = await call('PUT', `servers/${id}`, { name: id })
   if (written.status === 404) await call('POST', 'servers', { name: id })
@@ -35,7 +37,7 @@
   const requestId = request.headers['tanagerwick-request-attempt-id']
   const total = Number(new URL(request.url, 'http://127.0.0.1').searchParams.get('events'))
   const first = Number(request.headers['last-event-id'] ?? 0) + 1
-  report({ event: 'began', requestId, first, total })
+  report({ event: 'began', requestId, first, total, version })
   const isChunked = framing === 'chunked'
   const write = text => { if (!socket.destroyed) socket.write(isChunked ? `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n` : text) }
   socket.write(`${head}Content-Type: text/event-stream\r\n${isChunked ? 'Transfer-Encoding: chunked' : 'Connection: close'}\r\n\r\n`)
@@ -61,7 +63,6 @@
 const server = http.createServer((request, response) => {
   const { socket } = request
   const requestId = request.headers['tanagerwick-request-attempt-id']
-  socket.on('error', () => {})
   // this stand-in writes its answers itself
   request.on('error', () => {})
   request.on('end', () => {
@@ -75,7 +76,7 @@
       return response.end()
     }
     const path = new URL(request.url, 'http://127.0.0.1').pathname
-    const headers = { 'Tanagerwick-Request-Attempt-Id': requestId, 'Tanagerwick-Runner-Seal': `seal-${requestId}`, 'Tanagerwick-Weight-Versions': '1' }
+    const headers = { 'Tanagerwick-Request-Attempt-Id': requestId, 'Tanagerwick-Runner-Seal': `seal-${requestId}`, 'Tanagerwick-Weight-Versions': '1', ...options.headers }
     if (path.startsWith('/stream')) {
       response.detachSocket(socket)
       const head = `HTTP/1.1 200 OK\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}`
@@ -93,8 +94,24 @@
   request.resume()
 })
 server.keepAliveTimeout = 30_000
+server.on('connection', socket => socket.on('error', () => {}))
+
+/** Leaves as planned: reports that it is draining, serves for `drainMs` after that, removes its entry and exits. */
+async function leave () {
+  state = 'draining'
+  clearInterval(heartbeatTimer)
+  await writeEntry()
+  report({ event: 'draining' })
+  await sleep(options.drainMs + 100)
+  await fetch(`${storeUrl}/tanagerwick/objects/servers/${id}`, { method: 'DELETE' })
+  report({ event: 'left' })
+  process.exit(0)
+}
+
+let heartbeatTimer
+process.once('SIGTERM', () => leave().catch(() => process.exit(1)))
 server.listen(port, '127.0.0.1', () => {
   report({ event: 'listening', port })
   writeEntry().catch(() => {})
-  setInterval(() => writeEntry().catch(() => {}), heartbeatMs)
+  heartbeatTimer = setInterval(() => writeEntry().catch(() => {}), heartbeatMs)
 })
--- a/review/lib/store.mjs
+++ b/review/lib/store.mjs
@@ -10,6 +10,11 @@
   #waiters = new Set()
   #server = http.createServer((request, response) => this.#handle(request, response))
 
+  /** Whether calls get no answer. */
+  isSilent = false
+  /** Milliseconds that each answer takes. */
+  answerMs = 4
+
   async open () {
     this.#server.keepAliveTimeout = 30_000
     await new Promise(resolve => this.#server.listen(0, '127.0.0.1', resolve))
@@ -54,6 +59,8 @@
     } catch {
       return
     }
+    if (this.isSilent) return
+    await new Promise(resolve => setTimeout(resolve, this.answerMs))
     const send = (status, body) => {
       response.writeHead(status, { 'Content-Type': 'application/json', 'Store-Era': '0' })
       response.end(JSON.stringify(body))
@@ -98,7 +105,7 @@
     const untilMs = Date.now() + Number(query.get('waitMs') ?? 0)
     for (;;) {
       const events = this.#events.filter(event => event.kind === kind && event.revision > from)
-      if (response.destroyed) return
+      if (response.destroyed || this.isSilent) return
       if (events.length > 0 || Date.now() >= untilMs) return send(200, { events: events.map(({ object, deleted }) => ({ object, deleted })), currentRev: this.#revision })
       await new Promise(resolve => {
         const wake = () => {
