--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -8,6 +8,7 @@
 const born = Date.now()
 /** Share of the answers to spoil; every so many. */
 const spoilEvery = options.spoil > 0 ? Math.round(1 / options.spoil) : Infinity
+const breakEvery = options.breakOff > 0 ? Math.round(1 / options.breakOff) : Infinity
 let answers = 0
 let seq = 0
 let state = 'ready'
@@ -29,6 +30,11 @@
   return `id: ${number}\ndata: piece ${number}\n\n`
 }
 
+/** The whole body of a plain answer. */
+function buildBody (requestId) {
+  return `answer to ${requestId} ${'.'.repeat(760)} end`
+}
+
 function sleep (milliseconds) {
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
@@ -60,6 +66,20 @@
   else socket.end()
 }
 
+/** Answers without a length; the answer ends with its channel. Every so many answers are broken off with a reset. */
+async function serveUnframed (requestId, socket, headers, response) {
+  response.detachSocket(socket)
+  await sleep(answerMs)
+  answers += 1
+  const isBroken = answers % breakEvery === 0
+  const body = buildBody(requestId)
+  const head = `HTTP/1.1 200 OK\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}Connection: close\r\n\r\n`
+  report({ event: isBroken ? 'brokenOff' : 'ended', requestId })
+  if (!isBroken) return socket.end(head + body)
+  socket.write(head + body.slice(0, body.length / 2))
+  socket.resetAndDestroy()
+}
+
 const server = http.createServer((request, response) => {
   const { socket } = request
   const requestId = request.headers['tanagerwick-request-attempt-id']
@@ -84,8 +104,9 @@
       return
     }
     report({ event: 'began', requestId, method: request.method, bytes: Number(request.headers['content-length'] ?? 0) })
+    if (framing === 'none') return serveUnframed(requestId, socket, headers, response)
     setTimeout(() => {
-      const body = `answer to ${requestId}`
+      const body = buildBody(requestId)
       response.writeHead(200, { ...headers, 'Content-Length': body.length })
       response.end(body)
       report({ event: 'ended', requestId })
