Review case 1: one runner's endless bytes take both gateways

It takes the place of the case of two software versions (review/4 before), a lesser one with two disruptions; the others are renumbered.

--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,41 +1,46 @@
-// Runners answer without framing, and half of them break some answers off with a reset.
-import { HAS_TROUBLE, runCase, sendRequest, sleep } from '../lib/harness.mjs'
+// A gateway is stopped as planned while it passes streams on; half of the runners answer without framing.
+import { BOUNDS, HAS_TROUBLE, runCase, sendRequest, sleep } from '../lib/harness.mjs'
 
-const RUNNERS = ['r-1', 'r-2', 'r-3', 'r-4', 'r-5', 'r-6']
-/** Runners that break answers off, and the share of their answers. */
-const FAULTY = new Set(['r-1', 'r-2', 'r-3'])
-const BROKEN_OFF = 0.03
-const PLAY_MS = 5500
-const REQUEST_INTERVAL_MS = 10
+const EVENTS = 57
+/** Pause between two events, below the longest one of the route. */
+const INTERVAL_MS = 190
+const STREAMS = 40
+const RESTART_DELAY_MS = 1000
 
 await runCase(import.meta.url, async fleet => {
   fleet.configure(1, {
-    routes: [
-      { name: 'status-read', pathPrefix: '/read/', kind: 'idempotent', service: 'desk', timeoutMs: 1000, targetLatencyMs: 121 },
-      { name: 'order-confirm', pathPrefix: '/confirm/', kind: 'non_idempotent', service: 'desk', timeoutMs: 1000, targetLatencyMs: 121 }
-    ],
-    services: [{ name: 'desk', maxConnections: 100 }]
+    routes: [{ name: 'floor-query', pathPrefix: '/stream/', kind: 'streaming', resumable: true, service: 'llm', timeoutMs: 15_000, targetLatencyMs: 400, targetGapMs: 200 }],
+    services: [{ name: 'llm', engine: { slots: 64, kvCapacity: 438_321 } }]
   })
-  for (const id of RUNNERS) await fleet.startRunner({ id, service: 'desk', framing: 'none', answerMs: 21, breakOff: HAS_TROUBLE && FAULTY.has(id) ? BROKEN_OFF : 0 })
+  for (const id of ['r-1', 'r-2']) await fleet.startRunner({ id, service: 'llm', framing: 'chunked', intervalMs: INTERVAL_MS })
+  for (const id of ['r-3', 'r-4']) await fleet.startRunner({ id, service: 'llm', framing: 'none', intervalMs: INTERVAL_MS })
   for (const name of ['gateway-1', 'gateway-2']) await fleet.startGateway(name)
   await fleet.waitUntilReady()
 
   const pending = []
-  const startedAtMs = Date.now()
-  while (Date.now() - startedAtMs < PLAY_MS) {
-    for (const gateway of fleet.gateways) {
-      const isRead = pending.length % 4 < 2
-      pending.push(sendRequest(gateway, { path: `${isRead ? '/read' : '/confirm'}/${pending.length}`, method: isRead ? 'GET' : 'POST', body: isRead ? '' : `order ${pending.length}`, deadlineMs: 1000 }))
-    }
-    await sleep(REQUEST_INTERVAL_MS)
+  for (let index = 0; index < STREAMS; index++) {
+    pending.push(sendRequest(fleet.gateways[index % 2], { path: `/stream/q?events=${EVENTS}`, deadlineMs: 15_000, headers: { 'Tanagerwick-Model-Name': 'm' } }))
+    await sleep(25)
   }
+  if (HAS_TROUBLE) {
+    const [gateway] = fleet.gateways
+    fleet.record(`platform sends SIGTERM to ${gateway.name}; SIGKILL would follow after ${BOUNDS.graceS} s`)
+    gateway.child.kill('SIGTERM')
+    const killTimer = setTimeout(() => gateway.child.kill('SIGKILL'), BOUNDS.graceS * 1000)
+    gateway.child.once('exit', () => {
+      clearTimeout(killTimer)
+      setTimeout(() => fleet.runGateway(gateway), RESTART_DELAY_MS)
+    })
+  }
+  const results = await Promise.all(pending)
+  await sleep(2 * RESTART_DELAY_MS)
   const violations = []
-  for (const { requestId, status, headers, body, end } of await Promise.all(pending)) {
-    fleet.record(`client ${requestId} status ${status} body ${body.length} bytes end ${end}`)
-    const wasBrokenOff = fleet.reports.some(report => report.event === 'brokenOff' && report.requestId === requestId)
-    const isWhole = body.startsWith(`answer to ${requestId} `) && body.endsWith(' end')
-    // the client sees an orderly end: the answer looks complete
-    if (status === 200 && end === 'complete' && headers['tanagerwick-runner-seal'] !== undefined && !isWhole) violations.push(`MIXED: request ${requestId} got a 200 that looks complete with ${body.length} bytes of the body${wasBrokenOff ? '; its runner had reset the answer' : ''}`)
+  for (const { requestId, gateway, status, isChunked, ids, end } of results) {
+    fleet.record(`client ${requestId} at ${gateway} status ${status} ${isChunked ? 'chunked' : 'without framing'} events ${ids.length} last ${ids.at(-1)} end ${end}`)
+    const own = fleet.reports.filter(report => report.requestId === requestId)
+    const dropped = own.find(({ event }) => event === 'dropped')
+    // a stream whose channel ends without a reset looks whole
+    if (status === 200 && end === 'complete' && ids.at(-1) !== EVENTS) violations.push(`ORDER: stream ${requestId} at ${gateway} ended as complete after event ${ids.at(-1)} of ${EVENTS}; its runner ${own[0].runner} had written ${dropped?.last} when the gateway left`)
   }
   return violations
 })
--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -1,40 +1,41 @@
-// Runners crash, one after the other; each answers streams either in chunks or without framing.
+// Runners answer without framing, and half of them break some answers off with a reset.
 import { HAS_TROUBLE, runCase, sendRequest, sleep } from '../lib/harness.mjs'
 
-const EVENTS = 57
-const INTERVAL_MS = 80
-const STREAMS = 180
-const CHUNKED = ['r-1', 'r-2', 'r-3']
-const UNFRAMED = ['r-4', 'r-5', 'r-6']
+const RUNNERS = ['r-1', 'r-2', 'r-3', 'r-4', 'r-5', 'r-6']
+/** Runners that break answers off, and the share of their answers. */
+const FAULTY = new Set(['r-1', 'r-2', 'r-3'])
+const BROKEN_OFF = 0.03
+const PLAY_MS = 5500
+const REQUEST_INTERVAL_MS = 10
 
 await runCase(import.meta.url, async fleet => {
   fleet.configure(1, {
-    routes: [{ name: 'floor-query', pathPrefix: '/stream/', kind: 'streaming', resumable: true, service: 'llm', timeoutMs: 15_000, targetLatencyMs: 400, targetGapMs: 200 }],
-    services: [{ name: 'llm', engine: { slots: 64, kvCapacity: 438_321 } }]
+    routes: [
+      { name: 'status-read', pathPrefix: '/read/', kind: 'idempotent', service: 'desk', timeoutMs: 1000, targetLatencyMs: 121 },
+      { name: 'order-confirm', pathPrefix: '/confirm/', kind: 'non_idempotent', service: 'desk', timeoutMs: 1000, targetLatencyMs: 121 }
+    ],
+    services: [{ name: 'desk', maxConnections: 100 }]
   })
-  for (const id of CHUNKED) await fleet.startRunner({ id, service: 'llm', framing: 'chunked', intervalMs: INTERVAL_MS })
-  for (const id of UNFRAMED) await fleet.startRunner({ id, service: 'llm', framing: 'none', intervalMs: INTERVAL_MS })
+  for (const id of RUNNERS) await fleet.startRunner({ id, service: 'desk', framing: 'none', answerMs: 21, breakOff: HAS_TROUBLE && FAULTY.has(id) ? BROKEN_OFF : 0 })
   for (const name of ['gateway-1', 'gateway-2']) await fleet.startGateway(name)
   await fleet.waitUntilReady()
 
   const pending = []
-  for (let index = 0; index < STREAMS; index++) {
-    pending.push(sendRequest(fleet.gateways[index % 2], { path: `/stream/q?events=${EVENTS}`, deadlineMs: 15_000, headers: { 'Tanagerwick-Model-Name': 'm' } }))
-    await sleep(8)
-  }
-  if (HAS_TROUBLE) {
-    await fleet.killRunner('r-1')
-    await sleep(1000)
-    await fleet.killRunner('r-4')
+  const startedAtMs = Date.now()
+  while (Date.now() - startedAtMs < PLAY_MS) {
+    for (const gateway of fleet.gateways) {
+      const isRead = pending.length % 4 < 2
+      pending.push(sendRequest(gateway, { path: `${isRead ? '/read' : '/confirm'}/${pending.length}`, method: isRead ? 'GET' : 'POST', body: isRead ? '' : `order ${pending.length}`, deadlineMs: 1000 }))
+    }
+    await sleep(REQUEST_INTERVAL_MS)
   }
   const violations = []
-  for (const result of await Promise.all(pending)) {
-    const { requestId, status, isChunked, ids, end } = result
-    fleet.record(`client ${requestId} status ${status} ${isChunked ? 'chunked' : 'without framing'} events ${ids.length} last ${ids.at(-1)} end ${end}`)
-    const runs = fleet.reports.filter(report => report.event === 'began' && report.requestId === requestId).map(({ runner, first }) => `${runner} from ${first}`)
-    // a chunked answer that ends with its last chunk says that it is whole
-    if (status === 200 && isChunked && end === 'complete' && ids.at(-1) !== EVENTS) violations.push(`ORDER: stream ${requestId} ended as complete after event ${ids.at(-1)} of ${EVENTS}; it ran at ${runs.join(', then ')}`)
-    for (const [index, id] of ids.entries()) if (id !== index + 1) { violations.push(`ORDER: stream ${requestId} has event ${id} at place ${index + 1}`); break }
+  for (const { requestId, status, headers, body, end } of await Promise.all(pending)) {
+    fleet.record(`client ${requestId} status ${status} body ${body.length} bytes end ${end}`)
+    const wasBrokenOff = fleet.reports.some(report => report.event === 'brokenOff' && report.requestId === requestId)
+    const isWhole = body.startsWith(`answer to ${requestId} `) && body.endsWith(' end')
+    // the client sees an orderly end: the answer looks complete
+    if (status === 200 && end === 'complete' && headers['tanagerwick-runner-seal'] !== undefined && !isWhole) violations.push(`MIXED: request ${requestId} got a 200 that looks complete with ${body.length} bytes of the body${wasBrokenOff ? '; its runner had reset the answer' : ''}`)
   }
   return violations
 })
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -39,6 +39,17 @@
   return new Promise(resolve => setTimeout(resolve, milliseconds))
 }
 
+/** Writes bytes that are no events until the caller closes. */
+function writeEndlessly (socket, isChunked, text) {
+  const bytes = Buffer.from(text.repeat(Math.ceil(16_384 / text.length)))
+  const piece = isChunked ? Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from('\r\n')]) : bytes
+  const pump = () => {
+    while (!socket.destroyed && socket.write(piece));
+  }
+  socket.on('drain', pump)
+  pump()
+}
+
 async function serveStream (request, socket, head) {
   const requestId = request.headers['tanagerwick-request-attempt-id']
   const total = Number(new URL(request.url, 'http://127.0.0.1').searchParams.get('events'))
@@ -48,6 +59,7 @@
   const write = text => { if (!socket.destroyed) socket.write(isChunked ? `${Buffer.byteLength(text).toString(16)}\r\n${text}\r\n` : text) }
   socket.write(`${head}Content-Type: text/event-stream\r\n${isChunked ? 'Transfer-Encoding: chunked' : 'Connection: close'}\r\n\r\n`)
   answers += 1
+  if (options.endless !== undefined) return writeEndlessly(socket, isChunked, options.endless)
   const isSpoiled = answers % spoilEvery === 0
   for (let number = first; number <= total; number++) {
     await sleep(intervalMs)
