--- a/review/3/run.mjs
+++ b/review/3/run.mjs
@@ -4,8 +4,9 @@
 const RUNNERS = ['r-1', 'r-2', 'r-3', 'r-4', 'r-5', 'r-6']
 /** Runners that break answers off, and the share of their answers. */
 const FAULTY = new Set(['r-1', 'r-2', 'r-3'])
-const BROKEN_OFF = 0.03
-const PLAY_MS = 5500
+const BROKEN_OFF = 0.05
+/** Three spells of 5 s in which answers are broken off, 1 s apart. */
+const PLAY_MS = 18_000
 const REQUEST_INTERVAL_MS = 10
 
 await runCase(import.meta.url, async fleet => {
--- a/review/lib/runner.mjs
+++ b/review/lib/runner.mjs
@@ -5,6 +5,8 @@
 
 const options = JSON.parse(process.argv[2])
 const { id, port, service, zone, version, storeUrl, heartbeatMs, framing, intervalMs, answerMs } = options
+/** Answers are broken off in spells. */
+const SPELL = { everyMs: 6000, forMs: 5000 }
 const born = Date.now()
 /** Share of the answers to spoil; every so many. */
 const spoilEvery = options.spoil > 0 ? Math.round(1 / options.spoil) : Infinity
@@ -79,11 +81,10 @@
 }
 
 /** Answers without a length; the answer ends with its channel. Every so many answers are broken off with a reset. */
-async function serveUnframed (requestId, socket, headers, response) {
+function answerUnframed (requestId, socket, headers, response) {
   response.detachSocket(socket)
-  await sleep(answerMs)
   answers += 1
-  const isBroken = answers % breakEvery === 0
+  const isBroken = answers % breakEvery === 0 && (Date.now() - born) % SPELL.everyMs < SPELL.forMs
   const body = buildBody(requestId)
   const head = `HTTP/1.1 200 OK\r\n${Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')}Connection: close\r\n\r\n`
   report({ event: isBroken ? 'brokenOff' : 'ended', requestId })
@@ -116,8 +117,8 @@
       return
     }
     report({ event: 'began', requestId, method: request.method, bytes: Number(request.headers['content-length'] ?? 0) })
-    if (framing === 'none') return serveUnframed(requestId, socket, headers, response)
     setTimeout(() => {
+      if (framing === 'none') return answerUnframed(requestId, socket, headers, response)
       const body = buildBody(requestId)
       response.writeHead(200, { ...headers, 'Content-Length': body.length })
       response.end(body)
