Take an answer without framing for whole only if its endpoint outlives it

Cause: the system closes the connections of a process that ends in order, as a sound endpoint does at the end of an answer without framing. The gateway took that close for the end of the answer, in EndpointSender, for streams, plain answers and continuations alike.

Change: an exchange says how its answer ended, `framed` or `closed` (answerFraming.ts reads it from the head, the last transfer coding and bodiless answers included). Refused or silent: the answer is broken, and is resumed, sent again or cut as any other. An endpoint that is leaving may stop listening first; its plain answer stays whole where the request may not run again. One log line a decision (answerEndDecided), one counter (closed_answers_total).

Ruled out: one connection that is accepted as the sign of life.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -78,6 +78,8 @@
   | { event: 'streamContinued', requestId: string, service: string, endpoint: string, version: string | null, versionBefore: string | null, resumes: string | null, afterEventId: number }
   /** Which version began a stream that a request takes up, and how that is known; `version` is null when it is not. */
   | { event: 'streamOriginDecided', requestId: string, service: string, resumes: string | null, version: string | null, source: string, candidates: ReadonlyArray<string | null>, sequence: number | null, recordAgeMs: number | null, waitedMs: number }
+  /** Whether an answer without framing is whole, after its connection was closed in order; `elapsedMs` is the time that the check of its endpoint took. */
+  | { event: 'answerEndDecided', requestId: string, endpoint: string, presence: string, isLeaving: boolean, isStream: boolean, verdict: string, elapsedMs: number }
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** The inputs of the decision are further fields of the line. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -113,11 +113,6 @@
     return this.#options.reply.write(events.bytes, resume)
   }
 
-  /** Whether the answer ended with its connection, so that its framing does not say whether it is complete. */
-  get isUnframed (): boolean {
-    return !this.#isFramed
-  }
-
   /** Whether the stream stopped within an event. */
   get endsWithinEvent (): boolean {
     return this.#splitter.hasRemainder
--- /dev/null
+++ b/src/relay/connectProbe.ts
@@ -0,0 +1,51 @@
+import net from 'node:net'
+
+import { parseAddress } from './endpointAddress'
+
+/** A connection that shows whether a process listens at an address, and for how long. */
+export interface ConnectProbe {
+  /** What came back when the connection was opened. */
+  opened: Promise<'accepted' | 'refused' | 'silent'>
+  /** Settles once the connection has ended, whichever side ended it. */
+  closed: Promise<void>
+  close (): void
+}
+
+/** Milliseconds for a connection to be established; a machine that does not answer shows nothing about its process. */
+const CONNECT_TIMEOUT_MS = 250
+
+/**
+ * Opens a connection to an address and sends nothing on it.
+ *
+ * @example
+ * const probe = openProbe('10.0.0.7:8100')
+ * if (await probe.opened === 'refused') console.log('nothing listens there')
+ * probe.close()
+ */
+export function openProbe (address: string): ConnectProbe {
+  const [host, port] = parseAddress(address)
+  const socket = net.connect({ host, port })
+  socket.unref()
+  // the end of a connection is seen only while it is read
+  socket.resume()
+  const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
+  const opened = new Promise<'accepted' | 'refused' | 'silent'>(resolve => {
+    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
+    socket.once('connect', () => {
+      clearTimeout(timer)
+      resolve('accepted')
+    })
+    socket.once('error', (error: NodeJS.ErrnoException) => resolve(describeError(error)))
+    socket.once('close', () => {
+      clearTimeout(timer)
+      resolve('silent')
+    })
+  })
+  return { opened, closed, close: () => { socket.destroy() } }
+}
+
+/** Describes why a connection failed; one that was accepted and then reset may be seen as reset only. */
+function describeError ({ code }: NodeJS.ErrnoException): 'accepted' | 'refused' | 'silent' {
+  if (code === 'ECONNRESET') return 'accepted'
+  return code === 'ECONNREFUSED' ? 'refused' : 'silent'
+}
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,6 +1,9 @@
 import { request as createRequest } from 'node:http'
 
+import { readAnswerEnd } from './answerFraming'
+
 import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
+import type { AnswerEnd } from './answerFraming'
 import type { ByteBudget } from './byteBudget'
 import type { HeaderList } from './relayRequest'
 
@@ -38,8 +41,8 @@
 
 /** How an exchange ended, distinguished by what the endpoint may have received. */
 export type ExchangeResult =
-  | { kind: 'collected', body: Buffer }
-  | { kind: 'passed' }
+  | { kind: 'collected', body: Buffer, end: AnswerEnd }
+  | { kind: 'passed', end: AnswerEnd }
   | { kind: 'rejected' }
   /** No connection was established, so the endpoint received nothing. `isRefused`: nothing listens at the address. */
   | { kind: 'notSent', message: string, isRefused: boolean }
@@ -55,7 +58,7 @@
 
 /**
  * Sends a request to an endpoint and passes its answer to `sink`. An answer is complete only when
- * its framing says so. An answer without framing is complete when its connection closes without a reset.
+ * its framing says so; of an answer without framing, the result says that its connection was closed in order.
  *
  * @example
  * const result = await sendToEndpoint(options, { handleHead: () => 'collect', handleCollectedChunk: () => {}, handleRelayedChunk: () => true })
@@ -166,7 +169,8 @@
 
   #handleEnd (response: IncomingMessage, decision: HeadDecision): void {
     if (!response.complete) return this.#finish({ kind: 'broken', message: 'the connection closed before the answer was complete' })
-    this.#finish(decision === 'collect' ? { kind: 'collected', body: Buffer.concat(this.#chunks) } : { kind: 'passed' })
+    const end = readAnswerEnd({ method: this.#options.method, status: response.statusCode ?? 0, headers: response.rawHeaders })
+    this.#finish(decision === 'collect' ? { kind: 'collected', body: Buffer.concat(this.#chunks), end } : { kind: 'passed', end })
   }
 
   #handleError (error: NodeJS.ErrnoException): void {
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,3 +1,4 @@
+import { decideAnswerEnd, getSettleMs } from '../policy/answerEnd'
 import { recordAttemptResult } from '../policy/directEndpoint'
 import { recordBackoff } from '../policy/endpointBackoff'
 import { isBegunStream } from '../policy/streamProgress'
@@ -21,6 +22,7 @@
 import type { ExchangeOptions, ExchangeResult } from './endpointExchange'
 import type { StreamPosition } from './answerForwarder'
 import type { RelayObserver } from './relayObserver'
+import type { PresenceChecker } from './presenceChecker'
 import type { RelayRequest } from './relayRequest'
 import type { StallDetector, WatchedAttempt } from './stallDetector'
 
@@ -31,6 +33,9 @@
   placement: Placement
   stallDetector: StallDetector
   crashes: CrashGuard
+  presence: PresenceChecker
+  /** Returns whether the endpoint is known to be leaving. */
+  isLeaving: (endpoint: DirectEndpoint) => boolean
   /** Keeps connections for reuse. */
   agent: Agent
   /** Returns the tightest latency target of a service's routes, in milliseconds. */
@@ -151,13 +156,30 @@
     const timer = setTimeout(() => this.#stop('deadline'), Math.max(0, request.deadlineAtMs - this.#startedAtMs))
     reply.signal.addEventListener('abort', handleDisconnect, { once: true })
     stallDetector.add(this.#watchedAttempt)
-    const exchangeResult = await sendToEndpoint(this.#buildExchangeOptions(), this.#forwarder)
+    const exchangeResult = await this.#verifyEnd(await sendToEndpoint(this.#buildExchangeOptions(), this.#forwarder))
     clearTimeout(timer)
     reply.signal.removeEventListener('abort', handleDisconnect)
     stallDetector.remove(this.#watchedAttempt)
     return this.#finish(exchangeResult)
   }
 
+  /** Returns the result with the end of an answer without framing decided: whole, or broken off. */
+  async #verifyEnd (result: ExchangeResult): Promise<ExchangeResult> {
+    if ((result.kind !== 'collected' && result.kind !== 'passed') || result.end === 'framed') return result
+    // a refusal has nothing that could be missing
+    if (this.#forwarder.head?.isNotRun === true) return result
+    if (this.#forwarder.endsWithinEvent) return { kind: 'broken', message: 'the stream ended within an event' }
+    const { clock, presence, isLeaving, observer } = this.#options
+    const { request } = this.#input
+    const closedAtMs = clock.getMonotonicMs()
+    const { kind, isResumable } = request.route
+    const isStream = result.kind === 'passed'
+    const answer = { presence: await presence.check(this.#endpoint, getSettleMs(isStream)), isLeaving: isLeaving(this.#endpoint), isStream, kind, isResumable }
+    const verdict = decideAnswerEnd(answer)
+    observer.recordAnswerEnd(request, this.#endpoint.entry, { ...answer, verdict, elapsedMs: Math.round(clock.getMonotonicMs() - closedAtMs) })
+    return verdict === 'whole' ? result : { kind: 'broken', message: `the answer ended with its connection, and its endpoint is ${answer.presence}` }
+  }
+
   #buildWatchedAttempt (): WatchedAttempt {
     const { request, choice, tried, attempt } = this.#input
     return {
@@ -272,23 +294,23 @@
       case 'broken':
         crashes.recordBrokenConnection(entry, request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
         break
-      case 'passed':
-        if (!this.#isEndCertain(exchangeResult)) crashes.recordConnectionEnd(entry, request, this.#getStreamProgress())
-        break
       case 'notSent':
         if (!exchangeResult.isRefused) break
         this.#endpoint.refusedAtMs = this.#options.clock.getMonotonicMs()
         crashes.recordRefusedConnection(entry)
         break
+      case 'passed':
+        if (!this.#isSurvived(exchangeResult)) crashes.recordConnectionEnd(entry, request, this.#getStreamProgress())
+        break
       case 'collected':
       case 'rejected':
       case 'aborted':
     }
   }
 
-  /** Returns whether an answer shows that its endpoint survived it. Without framing, the end of the process looks like the end of a stream. */
-  #isEndCertain ({ kind }: ExchangeResult): boolean {
-    return kind === 'collected' || !this.#forwarder.isUnframed || isBegunStream(this.#getStreamProgress())
+  /** Returns whether an answer shows that its prompt did not crash its endpoint, which may take some milliseconds to end. */
+  #isSurvived (result: Extract<ExchangeResult, { kind: 'collected' | 'passed' }>): boolean {
+    return result.kind === 'collected' || result.end === 'framed' || isBegunStream(this.#getStreamProgress())
   }
 
   #getStreamProgress (): StreamProgress {
@@ -337,9 +359,8 @@
     const { head } = this.#forwarder
     if (head === null) return buildResult('mayHaveRun', { kind: 'broken' }, 'the answer has no head')
     if (isSuccess(head.status)) {
-      if (this.#forwarder.isUnframed && this.#forwarder.endsWithinEvent) return buildResult('mayHaveRun', { kind: 'broken' }, 'the stream ended within an event')
       this.#forwarder.completeReply(exchangeResult)
-      if (!this.#hasReportedAnswer && this.#isEndCertain(exchangeResult)) this.#recordBegunAnswer()
+      if (!this.#hasReportedAnswer && this.#isSurvived(exchangeResult)) this.#recordBegunAnswer()
       return buildResult('answered', { kind: 'answered', elapsedMs }, '')
     }
     if (head.isNotRun) {
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -1,6 +1,7 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { LabeledHistogram } from '../base/labeledHistogram'
 import type { Counter, Metrics } from '../base/metrics'
+import type { ClosedAnswer, decideAnswerEnd } from '../policy/answerEnd'
 import type { DirectChoice } from '../policy/directChooser'
 import type { DirectEndpoint, EndpointEntry } from '../policy/directEndpoint'
 import type { LeavingNotice } from '../policy/leavingNotices'
@@ -42,6 +43,13 @@
   streamedMs: number
 }
 
+/** What was decided about the end of an answer, for the log and the metrics. */
+export interface AnswerEndReport extends ClosedAnswer {
+  verdict: ReturnType<typeof decideAnswerEnd>
+  /** Milliseconds that the check took. */
+  elapsedMs: number
+}
+
 /** The end of an endpoint's process, for the log and the metrics. */
 export interface ExitReport {
   endpoint: string
@@ -75,6 +83,7 @@
   readonly #retries: Counter
   readonly #permits: Counter
   readonly #brokenAnswers: Counter
+  readonly #answerEnds: Counter
   readonly #exits: Counter
   readonly #continuedStreams: Counter
   readonly #takeUps: Counter
@@ -88,6 +97,7 @@
     this.#retries = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
+    this.#answerEnds = metrics.createCounter('closed_answers_total', 'Answers without framing, by service, whether their endpoint was there afterwards and whether they count as whole.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
     this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
     this.#takeUps = metrics.createCounter('stream_take_ups_total', 'Streams that callers take up, by service and how the version that began them is known.')
@@ -190,6 +200,12 @@
     this.#log.write('notable', { event: 'limitKeeperLost', endpoint: endpointId, keeper, reason })
   }
 
+  /** Records what was decided about an answer without framing whose connection was closed in order. */
+  recordAnswerEnd ({ service, traits }: RelayRequest, endpoint: EndpointEntry, { presence, isLeaving, isStream, verdict, elapsedMs }: AnswerEndReport): void {
+    this.#answerEnds.add({ service, presence, verdict })
+    this.#log.write(verdict === 'whole' ? 'routine' : 'notable', { event: 'answerEndDecided', requestId: traits.requestId, endpoint: endpoint.id, presence, isLeaving, isStream, verdict, elapsedMs })
+  }
+
   /** Records an answer that broke off, with what the request shares with others. */
   recordBrokenAnswer (request: RelayRequest, answer: BrokenAnswerReport): void {
     this.#brokenAnswers.add({ service: request.service, progress: answer.events > 0 ? 'events' : 'none' })
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -19,6 +19,7 @@
 import { FleetWatcher } from './fleetWatcher'
 import { LimitCoordinator } from './limitCoordinator'
 import { PeerNetwork } from './peerNetwork'
+import { PresenceChecker } from './presenceChecker'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
@@ -101,6 +102,7 @@
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
   readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS })
+  readonly #presence = new PresenceChecker()
   readonly #dispatcher = new Dispatcher({ clock: systemClock })
   #isLeaving = false
   /** Times of the planned stop; null before it. */
@@ -197,6 +199,8 @@
       placement,
       stallDetector: this.#stallDetector,
       crashes: this.#crashes,
+      presence: this.#presence,
+      isLeaving: endpoint => !this.#directory.isReady(endpoint),
       agent: this.#agent,
       getTightestTargetMs: name => this.#fleetWatcher.table?.getTightestTargetMs(name) ?? Infinity,
       handleLeaving: ({ entry }, request) => this.#recordLeaving({ id: entry.id, bornAtMs: entry.bornAtMs, source: 'answer', saidAtMs: systemClock.getMonotonicMs() }, request.traits.requestId),
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -24,6 +24,8 @@
   id: string
   address: string
   received: ReceivedRequest[]
+  /** Refuses new connections, and keeps the open ones. */
+  stopListening (): void
   close (): void
 }
 
@@ -70,6 +72,7 @@
     id,
     address,
     received,
+    stopListening: () => { server.close() },
     close: () => {
       server.close()
       for (const socket of sockets) socket.destroy()
@@ -228,6 +231,14 @@
   request.socket.write(['HTTP/1.1 503 Service Unavailable', 'Tanagerwick-Not-Executed: 1', `Tanagerwick-Request-Attempt-Id: ${request.requestId}`, ...headers, 'Content-Length: 0', '', ''].join('\r\n'))
 }
 
+/** Returns whether a caller would take the reply for complete: by its framing, or else by the orderly end of the connection. */
+export function isComplete ({ text, end }: RawAnswer): boolean {
+  const length = /\r\ncontent-length: (\d+)\r\n/i.exec(text)?.[1]
+  if (length !== undefined) return text.length === text.indexOf('\r\n\r\n') + 4 + Number(length)
+  const isChunked = /\r\ntransfer-encoding: chunked\r\n/i.test(text)
+  return isChunked ? text.endsWith('\r\n0\r\n\r\n') : end === 'closed'
+}
+
 export async function fetchStatus (port: number, path: string): Promise<number> {
   return await new Promise(resolve => {
     http.get({ host: '127.0.0.1', port, path, agent: false }, response => {
--- a/tests/relay/resumedStreams.spec.ts
+++ b/tests/relay/resumedStreams.spec.ts
@@ -1,8 +1,8 @@
 import { expect } from 'chai'
 
-import { buildPlatformConfig, buildRoute, formatChunk, FRAMINGS, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay, writeFramed } from './relayFixture'
+import { buildPlatformConfig, buildRoute, formatChunk, FRAMINGS, isComplete, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay, writeFramed } from './relayFixture'
 
-import type { EndpointFixture, Framing, RawAnswer, ReceivedRequest, RelayFixture } from './relayFixture'
+import type { EndpointFixture, Framing, ReceivedRequest, RelayFixture } from './relayFixture'
 
 type IdForm = 'own' | 'another' | 'none'
 type SecondAnswer = 'error' | 'refusal' | 'plainSuccess' | 'streamError' | 'streamWithoutIds' | 'streamFromStart'
@@ -112,9 +112,3 @@
   const ids = { own: [`Tanagerwick-Request-Attempt-Id: ${request.requestId}`], another: ['Tanagerwick-Request-Attempt-Id: another'], none: [] }
   writeFramed(request, [`HTTP/1.1 ${status}`, ...headers, ...ids[id]], framing, body)
 }
-
-/** Returns whether a caller would take the reply for complete: by its framing, or else by the orderly end of the connection. */
-function isComplete ({ text, end }: RawAnswer): boolean {
-  const isChunked = /\r\ntransfer-encoding: chunked\r\n/i.test(text)
-  return isChunked ? text.endsWith('\r\n0\r\n\r\n') : end === 'closed'
-}
