Frame every reply to a caller, and cut the open ones at a planned stop

Cause: the gateway passed an answer without framing on without framing, so that the end of its own process, which closes connections in order, looked like the end of the answer. CallerReply.abort would have reset it, but a planned stop left open replies to the system, and a kill can run nothing.

A cut is visible on each way out of the process: planned stop, kill, out of memory. For callers that know no chunks (HTTP/1.0) a reply still ends with its connection; cuts reset it, at a planned stop too (RelayServer.abortReplies). A kill stays invisible to those.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -1,5 +1,4 @@
 import { EventSplitter } from './eventSplitter'
-import { findHeader } from './headerList'
 
 import type { CallerReply, ReplyHead } from './callerReply'
 import type { AnswerHead, EndpointDialect } from './dialects'
@@ -8,8 +7,6 @@
 
 /** Minimum bytes of a collected body that count as progress; a stalled endpoint may still send a byte now and then. */
 const MIN_PROGRESS_BYTES = 64
-/** Headers that define where an answer's body ends. */
-const FRAMING_HEADERS = ['content-length', 'transfer-encoding']
 
 /** Position at which another endpoint can resume a stream. */
 export interface StreamPosition {
@@ -53,7 +50,6 @@
   /** Whether the caller already has a part of the answer, from an earlier attempt. */
   readonly #isContinuation: boolean
   #hasFirstEvent = false
-  #isFramed = true
   /** Bytes of a collected body received since the last progress. */
   #bytesSinceProgress = 0
 
@@ -77,7 +73,6 @@
     this.#options.handleBytes()
     this.#options.handleProgress()
     this.#head = head
-    this.#isFramed = FRAMING_HEADERS.some(name => findHeader(headers, name) !== null)
     this.#rejectReason = this.#checkHead(head, isReused)
     if (this.#rejectReason !== null) return 'reject'
     this.#options.handleHead(head)
@@ -163,7 +158,7 @@
 
   #buildReplyHead (): ReplyHead {
     const { status, headers } = this.#head as AnswerHead
-    return { status, headers, isFramed: this.#isFramed }
+    return { status, headers }
   }
 
   #markFirstEvent (): void {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -302,7 +302,9 @@
     }
     clearTimeout(refuseTimer)
     await peersLeft
-    log.write('notable', { event: 'drained', cutRequests: this.#server.countBusy(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+    const cutRequests = this.#server.countBusy()
+    this.#server.abortReplies()
+    log.write('notable', { event: 'drained', cutRequests, elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
   /** Closes everything immediately, without waiting for requests in flight. */
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -46,6 +46,8 @@
   readonly #server: Server
   /** Open connections and their states. */
   readonly #sockets = new Map<Duplex, SocketState>()
+  /** Replies that have not ended. */
+  readonly #replies = new Set<CallerReply>()
   #bounds = INITIAL_BOUNDS
   #isLeaving = false
   #hasStoppedAccepting = false
@@ -116,6 +118,11 @@
     }
   }
 
+  /** Cuts the replies that have not ended, so that their callers see that these are not complete. */
+  abortReplies (): void {
+    for (const reply of this.#replies) reply.abort()
+  }
+
   /** Closes all connections immediately. */
   close (): void {
     this.stopAccepting()
@@ -154,9 +161,13 @@
       return
     }
     this.#sockets.set(request.socket, 'busy')
-    response.once('close', () => this.#releaseSocket(request.socket))
-    if (this.#isLeaving) response.shouldKeepAlive = false
     const reply = new CallerReply(response, dialect)
+    this.#replies.add(reply)
+    response.once('close', () => {
+      this.#replies.delete(reply)
+      this.#releaseSocket(request.socket)
+    })
+    if (this.#isLeaving) response.shouldKeepAlive = false
     this.#serve(request, reply, arrivedAtMs).catch((error: Error) => {
       const refusal: Refusal = { code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' }
       observer.recordRefusal(undefined, refusal, { error: String(error.stack).slice(0, 500) })
