Take an answer without framing for broken where its connection was reset

Cause: where bytes and a reset have both arrived before the process reads, the runtime hands out the bytes and then an orderly end in place of the error: the system says that the connection has ended in both directions, and libuv turns that into an end of file without reading again. The exchange relied on the error.

Change: when a connection has ended, the exchange looks whether the system still knows the address of the other side, before Node.js closes its own side. It does after an orderly end and does not after a reset. The state is asked in one place, for collected and relayed bodies. resetAnswers.spec.ts blocks the event loop so that both always arrive in one turn, with kept and new connections; it says so if a later runtime behaves otherwise.

Ruled out: the check in a listener that runs after those of Node.js. Tried first: 4 of 8 tests failed, since the own side is closed by then and the address is unknown after an orderly end as well (sound answers were taken for reset).

Seen on Node.js 20.19, arm64 only.

--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -3,6 +3,7 @@
 import { readAnswerEnd } from './answerFraming'
 
 import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
+import type { Socket } from 'node:net'
 import type { AnswerEnd } from './answerFraming'
 import type { ByteBudget } from './byteBudget'
 import type { HeaderList } from './relayRequest'
@@ -59,6 +60,7 @@
 /**
  * Sends a request to an endpoint and passes its answer to `sink`. An answer is complete only when
  * its framing says so; of an answer without framing, the result says that its connection was closed in order.
+ * A connection that was reset breaks such an answer.
  *
  * @example
  * const result = await sendToEndpoint(options, { handleHead: () => 'collect', handleCollectedChunk: () => {}, handleRelayedChunk: () => true })
@@ -76,6 +78,8 @@
   #collectedBytes = 0
   #request: ClientRequest | null = null
   #response: IncomingMessage | null = null
+  #socket: Socket | null = null
+  #wasReset = false
   #connectTimer: NodeJS.Timeout | undefined
   #isConnected = false
   #hasEnded = false
@@ -97,6 +101,9 @@
     this.#request = request
     signal.addEventListener('abort', this.#handleAbort, { once: true })
     request.on('socket', socket => {
+      this.#socket = socket
+      // before Node.js closes its side, after which the address is unknown too
+      socket.prependListener('end', this.#handleSocketEnd)
       if (!socket.connecting) return this.#handleConnect()
       this.#connectTimer = setTimeout(() => request.destroy(new Error('connect timeout')), this.#options.connectTimeoutMs)
       socket.once('connect', () => this.#handleConnect())
@@ -123,6 +130,15 @@
     this.#request?.destroy()
   }
 
+  /**
+   * Notes whether the connection that has ended was reset. Where bytes and a reset are read in one turn of the
+   * event loop, Node.js reports an orderly end after the bytes. The address of the other side then is no longer
+   * known to the system; after an orderly end it is.
+   */
+  readonly #handleSocketEnd = (): void => {
+    this.#wasReset = this.#socket?.remoteAddress === undefined
+  }
+
   #handleConnect (): void {
     this.#isConnected = true
     clearTimeout(this.#connectTimer)
@@ -170,6 +186,7 @@
   #handleEnd (response: IncomingMessage, decision: HeadDecision): void {
     if (!response.complete) return this.#finish({ kind: 'broken', message: 'the connection closed before the answer was complete' })
     const end = readAnswerEnd({ method: this.#options.method, status: response.statusCode ?? 0, headers: response.rawHeaders })
+    if (end === 'closed' && this.#wasReset) return this.#finish({ kind: 'broken', message: 'the connection was reset' })
     this.#finish(decision === 'collect' ? { kind: 'collected', body: Buffer.concat(this.#chunks), end } : { kind: 'passed', end })
   }
 
@@ -186,6 +203,7 @@
     if (end.kind === 'broken' && this.#response?.complete === true && !this.#response.readableEnded) return
     this.#hasEnded = true
     clearTimeout(this.#connectTimer)
+    this.#socket?.off('end', this.#handleSocketEnd)
     this.#options.signal.removeEventListener('abort', this.#handleAbort)
     this.#options.budget.release(this.#collectedBytes)
     this.#chunks.length = 0
