Send the sound events before a bad one, and move the position only behind what was sent

What callers saw (review/5): events 6 and 7 missing in a stream that ended as complete. Its endpoint had sent 6, 7 and 7 again in one write.

Cause: the position that the next attempt resumes after was raised for each id of a chunk until one did not increase. The whole chunk was then rejected, and the position stayed behind events that the caller did not have.

Change: the events before the first one that is out of order are sent, then the answer is rejected; the position moves in one place, behind what was written to the reply. The same for sound events before an event over the size limit. Seen on the way: a comment before the first event of a continuation was rejected as out of order; it carries nothing that has a place. A gap between ids is not told from a sound stream, since ids only have to increase.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -1,7 +1,8 @@
-import { EventSplitter } from './eventSplitter'
+import { EventSplitter, selectEventsBefore } from './eventSplitter'
 
 import type { CallerReply, ReplyHead } from './callerReply'
 import type { AnswerHead, EndpointDialect } from './dialects'
+import type { CompleteEvents } from './eventSplitter'
 import type { AnswerSink, ExchangeResult, HeadDecision } from './endpointExchange'
 import type { HeaderList, RelayRequest } from './relayRequest'
 
@@ -90,22 +91,11 @@
   handleRelayedChunk (bytes: Buffer, resume: () => void): boolean {
     this.#options.handleBytes()
     const events = this.#splitter.push(bytes)
-    if (this.#splitter.isOverLimit) {
-      this.#rejectAnswer('eventTooLarge')
-      return true
-    }
-    if (events === null) return true
-    // without ids nobody can tell where in the stream the events belong
-    const isPlaced = !this.#isContinuation || events.ids.length > 0
-    if (!isPlaced || !this.#advancePosition(events.ids)) {
-      this.#rejectAnswer('eventOrder')
-      return true
-    }
-    if (events.hasData) this.#options.handleProgress()
-    this.#markFirstEvent()
-    this.#sendReplyHead()
-    this.#options.handleEvents(Math.max(1, events.ids.length))
-    return this.#options.reply.write(events.bytes, resume)
+    const sound = events === null ? null : this.#selectSound(events)
+    const isFlowing = sound === null || this.#forwardEvents(sound, resume)
+    if (sound !== events) this.#rejectAnswer('eventOrder')
+    else if (this.#splitter.isOverLimit) this.#rejectAnswer('eventTooLarge')
+    return isFlowing
   }
 
   /** Whether the stream stopped within an event. */
@@ -142,14 +132,25 @@
     return head.isEventStream && this.#options.position.lastEventId !== null
   }
 
-  /** Advances the position. Returns false when an event id does not increase. */
-  #advancePosition (ids: number[]): boolean {
-    const { position } = this.#options
-    for (const id of ids) {
-      if (position.lastEventId !== null && id <= position.lastEventId) return false
-      position.lastEventId = id
-    }
-    return true
+  /** Returns the events up to the first one that is out of order; null when none comes before that. */
+  #selectSound (events: CompleteEvents): CompleteEvents | null {
+    const { ids } = events
+    // without ids nobody can tell where in the stream the events belong
+    if (this.#isContinuation && events.hasData && ids.length === 0) return null
+    const badIndex = ids.findIndex((id, index) => id <= (ids[index - 1] ?? this.#options.position.lastEventId ?? -Infinity))
+    return badIndex === -1 ? events : selectEventsBefore(events, badIndex)
+  }
+
+  /** Sends events to the caller, and moves the position behind them. */
+  #forwardEvents ({ bytes, ids, hasData }: CompleteEvents, resume: () => void): boolean {
+    const { reply, position, handleProgress, handleEvents } = this.#options
+    if (hasData) handleProgress()
+    this.#markFirstEvent()
+    this.#sendReplyHead()
+    handleEvents(Math.max(1, ids.length))
+    const isFlowing = reply.write(bytes, resume)
+    position.lastEventId = ids.at(-1) ?? position.lastEventId
+    return isFlowing
   }
 
   #sendReplyHead (): void {
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -39,9 +39,7 @@
     const end = findLastEventEnd(all)
     this.#pending = all.subarray(end)
     if (end === 0) return null
-    const complete = all.subarray(0, end)
-    const lines = complete.toString('latin1').split('\n')
-    return { bytes: complete, ids: parseIds(lines), hasData: lines.some(line => line.startsWith('data')) }
+    return parseEvents(all.subarray(0, end))
   }
 
   /** Removes and returns the incomplete event that is left when the stream has ended. */
@@ -52,23 +50,55 @@
   }
 }
 
-function findLastEventEnd (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] === LINE_FEED && isEmptyLineEnd(bytes, index)) return index + 1
+/**
+ * Returns the events before the one that has the id at `idIndex`; null when that is the first one.
+ *
+ * @example
+ * selectEventsBefore({ bytes: Buffer.from('id: 4\ndata: a\n\nid: 4\ndata: a\n\n'), ids: [4, 4], hasData: true }, 1) // the first event
+ */
+export function selectEventsBefore ({ bytes }: CompleteEvents, idIndex: number): CompleteEvents | null {
+  let ids = 0
+  let eventStart = 0
+  for (let lineStart = 0; lineStart < bytes.length;) {
+    const lineEnd = bytes.indexOf(LINE_FEED, lineStart)
+    const line = bytes.toString('latin1', lineStart, lineEnd)
+    if (parseId(line) !== null) {
+      if (ids === idIndex) break
+      ids += 1
+    }
+    lineStart = lineEnd + 1
+    if (line === '' || line === '\r') eventStart = lineStart
   }
-  return 0
+  return eventStart === 0 ? null : parseEvents(bytes.subarray(0, eventStart))
 }
 
-function isEmptyLineEnd (bytes: Buffer, index: number): boolean {
-  const before = bytes[index - 1]
-  return before === LINE_FEED || (before === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED)
+function parseEvents (bytes: Buffer): CompleteEvents {
+  const lines = bytes.toString('latin1').split('\n')
+  return { bytes, ids: parseIds(lines), hasData: lines.some(line => line.startsWith('data')) }
 }
 
 function parseIds (lines: readonly string[]): number[] {
   const ids: number[] = []
   for (const line of lines) {
-    const match = /^id: ?(\d+)\r?$/.exec(line)
-    if (match !== null) ids.push(Number(match[1]))
+    const id = parseId(line)
+    if (id !== null) ids.push(id)
   }
   return ids
 }
+
+function parseId (line: string): number | null {
+  const match = /^id: ?(\d+)\r?$/.exec(line)
+  return match === null ? null : Number(match[1])
+}
+
+function findLastEventEnd (bytes: Buffer): number {
+  for (let index = bytes.length - 1; index > 0; index--) {
+    if (bytes[index] === LINE_FEED && isEmptyLineEnd(bytes, index)) return index + 1
+  }
+  return 0
+}
+
+function isEmptyLineEnd (bytes: Buffer, index: number): boolean {
+  const before = bytes[index - 1]
+  return before === LINE_FEED || (before === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED)
+}
