Bound what an endpoint may send without progress, in bytes, in chunks and over all answers

Cause: empty lines, comments, `retry:` fields and ids without data are complete events. Each chunk of them was split and passed on, without any bound; the bound on one event did not apply.

Incomplete events had a bound each but none together, and each chunk copied all that had arrived of an event before.

Change: an answer is rejected (`noData`) after 65,536 bytes of complete events without data. Chunks count with an overhead of 256 bytes in the budget that all collected answers share; incomplete events take from the same budget, and are joined only once they are complete. An endpoint that sends bytes without end is avoided at once, as after a broken connection. A fuzz of the splitter found that an empty line in a read of its own, behind an event, was kept as the beginning of the next; an unframed stream that ends so would have been taken for cut.

Before: 9 of the 10 new tests of endless bytes fail (100 endless events of large chunks were bounded; comments between events live before and after).

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -1,5 +1,7 @@
+import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
 import { EventSplitter, selectEventsBefore } from './eventSplitter'
 
+import type { ByteBudget } from './byteBudget'
 import type { CallerReply, ReplyHead } from './callerReply'
 import type { AnswerHead, EndpointDialect } from './dialects'
 import type { CompleteEvents } from './eventSplitter'
@@ -9,6 +11,12 @@
 /** Minimum bytes of a collected body that count as progress; a stalled endpoint may still send a byte now and then. */
 const MIN_PROGRESS_BYTES = 64
 
+/**
+ * Maximum bytes of complete events that bring no data, such as comments and empty lines, between two that do.
+ * A comment that keeps the connection open has a few bytes and comes every few seconds.
+ */
+const MAX_BYTES_WITHOUT_DATA = 65_536
+
 /** Position at which another endpoint can resume a stream. */
 export interface StreamPosition {
   /** Id of the last event that the caller has, from this reply or from the stream that it resumes; null before the first. */
@@ -18,13 +26,15 @@
 }
 
 /** Why an answer was rejected. */
-export type RejectReason = 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge' | 'notContinued'
+export type RejectReason = 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge' | 'noData' | 'notContinued'
 
 export interface AnswerForwarderOptions {
   request: RelayRequest
   reply: CallerReply
   dialect: EndpointDialect
   position: StreamPosition
+  /** Limits the bytes that the incomplete events of all answers hold together. */
+  budget: ByteBudget
   /** Called with the head of an answer that belongs to the request. */
   handleHead: (head: AnswerHead) => void
   /** Called whenever bytes arrive from the endpoint. */
@@ -53,6 +63,10 @@
   #hasFirstEvent = false
   /** Bytes of a collected body received since the last progress. */
   #bytesSinceProgress = 0
+  /** Bytes and overhead of the complete events since the last one with data. */
+  #bytesWithoutData = 0
+  /** Bytes of the budget that the incomplete event holds. */
+  #heldBytes = 0
 
   constructor (options: AnswerForwarderOptions) {
     this.#options = options
@@ -94,10 +108,17 @@
     const sound = events === null ? null : this.#selectSound(events)
     const isFlowing = sound === null || this.#forwardEvents(sound, resume)
     if (sound !== events) this.#rejectAnswer('eventOrder')
-    else if (this.#splitter.isOverLimit) this.#rejectAnswer('eventTooLarge')
+    else if (!this.#reserveRemainder()) this.#rejectAnswer('eventTooLarge')
+    else if (this.#bytesWithoutData > MAX_BYTES_WITHOUT_DATA) this.#rejectAnswer('noData')
     return isFlowing
   }
 
+  /** Releases what the answer holds in memory. */
+  close (): void {
+    this.#options.budget.release(this.#heldBytes)
+    this.#heldBytes = 0
+  }
+
   /** Whether the stream stopped within an event. */
   get endsWithinEvent (): boolean {
     return this.#splitter.hasRemainder
@@ -144,6 +165,7 @@
   /** Sends events to the caller, and moves the position behind them. */
   #forwardEvents ({ bytes, ids, hasData }: CompleteEvents, resume: () => void): boolean {
     const { reply, position, handleProgress, handleEvents } = this.#options
+    this.#bytesWithoutData = hasData ? 0 : this.#bytesWithoutData + bytes.length + CHUNK_OVERHEAD_BYTES
     if (hasData) handleProgress()
     this.#markFirstEvent()
     this.#sendReplyHead()
@@ -153,6 +175,14 @@
     return isFlowing
   }
 
+  /** Accounts for the incomplete event. Returns false when it is too large, or all answers hold too much. */
+  #reserveRemainder (): boolean {
+    const { heldBytes, isOverLimit } = this.#splitter
+    if (isOverLimit || !this.#options.budget.update(this.#heldBytes, heldBytes)) return false
+    this.#heldBytes = heldBytes
+    return true
+  }
+
   #sendReplyHead (): void {
     this.#options.reply.sendHead(this.#buildReplyHead())
   }
--- a/src/relay/byteBudget.ts
+++ b/src/relay/byteBudget.ts
@@ -1,3 +1,6 @@
+/** Bytes of memory that a chunk of any length takes besides its own; endless chunks of one byte each must not cost nothing. */
+export const CHUNK_OVERHEAD_BYTES = 256
+
 /**
  * Limits the bytes that answers in flight hold in memory together. Each answer may always hold
  * `guaranteedBytes`; beyond that, all answers share `sharedBytes`. A few endless answers therefore
@@ -24,6 +27,13 @@
     return true
   }
 
+  /** Changes what an answer holds. Returns false, and changes nothing, when too few shared bytes are left. */
+  update (heldBytes: number, bytes: number): boolean {
+    if (bytes >= heldBytes) return this.acquire(heldBytes, bytes - heldBytes)
+    this.#sharedBytes += this.#countShared(heldBytes) - this.#countShared(bytes)
+    return true
+  }
+
   /** Releases all bytes that an answer held. */
   release (heldBytes: number): void {
     this.#sharedBytes += this.#countShared(heldBytes)
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,6 +1,7 @@
 import { request as createRequest } from 'node:http'
 
 import { readAnswerEnd } from './answerFraming'
+import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
 
 import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
 import type { Socket } from 'node:net'
@@ -76,6 +77,8 @@
   readonly #resolve: (end: ExchangeResult) => void
   readonly #chunks: Buffer[] = []
   #collectedBytes = 0
+  /** Bytes of memory that the collected chunks take. */
+  #heldBytes = 0
   #request: ClientRequest | null = null
   #response: IncomingMessage | null = null
   #socket: Socket | null = null
@@ -168,7 +171,9 @@
     if (this.#hasEnded) return
     this.#sink.handleCollectedChunk(bytes)
     if (this.#collectedBytes + bytes.length > MAX_COLLECTED_BODY_BYTES) return this.#abortAnswer(`the answer is larger than ${MAX_COLLECTED_BODY_BYTES} bytes`)
-    if (!this.#options.budget.acquire(this.#collectedBytes, bytes.length)) return this.#abortAnswer('answers in flight exceed the shared buffer limit')
+    const heldBytes = bytes.length + CHUNK_OVERHEAD_BYTES
+    if (!this.#options.budget.acquire(this.#heldBytes, heldBytes)) return this.#abortAnswer('answers in flight exceed the shared buffer limit')
+    this.#heldBytes += heldBytes
     this.#collectedBytes += bytes.length
     this.#chunks.push(bytes)
   }
@@ -205,7 +210,7 @@
     clearTimeout(this.#connectTimer)
     this.#socket?.off('end', this.#handleSocketEnd)
     this.#options.signal.removeEventListener('abort', this.#handleAbort)
-    this.#options.budget.release(this.#collectedBytes)
+    this.#options.budget.release(this.#heldBytes)
     this.#chunks.length = 0
     this.#resolve(end)
   }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -20,7 +20,7 @@
 import type { CrashGuard } from './crashGuard'
 import type { AnswerHead, EndpointDialect } from './dialects'
 import type { ExchangeOptions, ExchangeResult } from './endpointExchange'
-import type { StreamPosition } from './answerForwarder'
+import type { RejectReason, StreamPosition } from './answerForwarder'
 import type { RelayObserver } from './relayObserver'
 import type { PresenceChecker } from './presenceChecker'
 import type { RelayRequest } from './relayRequest'
@@ -140,6 +140,7 @@
       reply: input.reply,
       dialect: options.dialect,
       position: input.position,
+      budget,
       abort: () => this.#controller.abort(),
       handleHead: head => this.#recordEndpointNotices(head),
       handleBytes: () => options.stallDetector.recordBytes(this.#watchedAttempt.endpoint),
@@ -274,6 +275,7 @@
     const { clock, handleCapacity } = this.#options
     const { request } = this.#input
     this.#endpoint.inFlight -= 1
+    this.#forwarder.close()
     this.#releaseTokens()
     handleCapacity(request.service)
     const nowMs = clock.getMonotonicMs()
@@ -340,7 +342,7 @@
     switch (exchangeResult.kind) {
       case 'collected':
       case 'passed': return this.#resolveAnswer(exchangeResult, elapsedMs)
-      case 'rejected': return buildResult('mayHaveRun', { kind: 'garbled' }, this.#forwarder.rejectReason ?? 'rejected')
+      case 'rejected': return buildRejectResult(this.#forwarder.rejectReason)
       case 'garbled': return buildResult('mayHaveRun', { kind: 'garbled' }, exchangeResult.message)
       case 'notSent': return buildResult('notSent', { kind: 'broken' }, exchangeResult.message)
       case 'broken': return buildResult('mayHaveRun', { kind: 'broken' }, exchangeResult.message)
@@ -349,7 +351,7 @@
   }
 
   #resolveStop (): EndedAttempt {
-    if (this.#forwarder.rejectReason !== null) return buildResult('mayHaveRun', { kind: 'garbled' }, this.#forwarder.rejectReason)
+    if (this.#forwarder.rejectReason !== null) return buildRejectResult(this.#forwarder.rejectReason)
     if (this.#stopReason === null || this.#stopReason === 'callerLeft') return buildResult('callerLeft', null, 'the caller disconnected')
     if (this.#stopReason === 'deadline') return buildResult('deadline', null, 'the deadline passed')
     return buildResult('mayHaveRun', { kind: 'failed' }, this.#stopReason.stalled)
@@ -371,6 +373,12 @@
   }
 }
 
+/** Builds the result of a rejected answer. An endpoint that sends bytes without end is avoided at once. */
+function buildRejectResult (reason: RejectReason | null): EndedAttempt {
+  const isEndless = reason === 'noData' || reason === 'eventTooLarge'
+  return buildResult('mayHaveRun', { kind: isEndless ? 'broken' : 'garbled' }, reason ?? 'rejected')
+}
+
 function buildResult (outcome: EndedAttempt['outcome'], verdict: AttemptResult | null, detail: string): EndedAttempt {
   return { outcome, verdict, detail, retryAfterMs: null, forwardFailure: null }
 }
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -1,6 +1,10 @@
+import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
+
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const MAX_EVENT_BYTES = 1_048_576
+/** Bytes before a line feed that decide whether it ends an empty line. */
+const EMPTY_LINE_LOOKBACK_BYTES = 2
 
 /** Complete events of a stream, byte for byte as received. */
 export interface CompleteEvents {
@@ -21,31 +25,50 @@
  * splitter.push(Buffer.from('id: 4\ndata: a\n\nid: 5\nda')) // { bytes: 'id: 4\ndata: a\n\n', ids: [4], hasData: true }
  */
 export class EventSplitter {
-  #pending: Buffer = Buffer.alloc(0)
+  /** Bytes of the incomplete event, as they arrived; joined only once it is complete. */
+  #chunks: Buffer[] = []
+  #pendingBytes = 0
+  /** Last bytes received, with which the next ones may form an empty line. */
+  #tail: Buffer = Buffer.alloc(0)
 
   /** Whether the incomplete event exceeds the size limit of an event. */
   get isOverLimit (): boolean {
-    return this.#pending.length > MAX_EVENT_BYTES
+    return this.#pendingBytes > MAX_EVENT_BYTES
   }
 
   /** Whether bytes of an incomplete event have been received. */
   get hasRemainder (): boolean {
-    return this.#pending.length > 0
+    return this.#pendingBytes > 0
+  }
+
+  /** Bytes of memory that the incomplete event takes. */
+  get heldBytes (): number {
+    return this.#pendingBytes + CHUNK_OVERHEAD_BYTES * this.#chunks.length
   }
 
   /** Adds bytes and returns the events that they complete; null when none is complete. */
   push (bytes: Buffer): CompleteEvents | null {
-    const all = this.#pending.length === 0 ? bytes : Buffer.concat([this.#pending, bytes])
-    const end = findLastEventEnd(all)
-    this.#pending = all.subarray(end)
-    if (end === 0) return null
-    return parseEvents(all.subarray(0, end))
+    const seen = this.#tail.length === 0 ? bytes : Buffer.concat([this.#tail, bytes])
+    const end = findLastEventEnd(seen)
+    const isComplete = end > this.#tail.length
+    this.#tail = seen.subarray(-EMPTY_LINE_LOOKBACK_BYTES)
+    this.#chunks.push(bytes)
+    this.#pendingBytes += bytes.length
+    if (!isComplete) return null
+    const all = this.takeRemainder()
+    const remainder = all.subarray(all.length - (seen.length - end))
+    if (remainder.length > 0) {
+      this.#chunks = [remainder]
+      this.#pendingBytes = remainder.length
+    }
+    return parseEvents(all.subarray(0, all.length - remainder.length))
   }
 
   /** Removes and returns the incomplete event that is left when the stream has ended. */
   takeRemainder (): Buffer {
-    const remainder = this.#pending
-    this.#pending = Buffer.alloc(0)
+    const remainder = this.#chunks.length === 1 ? this.#chunks[0]! : Buffer.concat(this.#chunks)
+    this.#chunks = []
+    this.#pendingBytes = 0
     return remainder
   }
 }
