Send a stream that is bound to a version only where the listed process still is

Cause: the version of an endpoint is that of its entry. A process that has ended and is back as another version is taken for the old one until its entry is read. Only a connection of the request itself that was refused kept streams away, and only until the list was read again, which may still show the old entry. The exit prober saw the refusal and told nobody; where all connections broke at once and the process was back before a probe, nothing was known at all.

Change: an endpoint counts as the listed process (processIdentity.ts) unless its address has refused a connection, to a request, a probe or a check, until its old entry would have lapsed; or a connection to it broke, or an idle one was ended by it, since the list was read, unless a connection that is older than the list is still open. The last shows that one broken answer is no end of a process, so that streams go on at endpoints that only break answers off while the store is away.

The streams of versionedFleet.ts now differ in their paths: alike, they are refused as what crashes the endpoints.

--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -40,6 +40,8 @@
   mistrustedUntilMs: number
   /** Time at which its address last refused a connection, so that its process has ended; null when it never did. */
   refusedAtMs: number | null
+  /** Time at which a connection to it last broke, with which its process may have ended; null when none did. */
+  brokenAtMs: number | null
   /** Time of the last byte received from the endpoint. */
   heardAtMs: number
   /** Smoothed milliseconds of recent answers or first events; 0 before the first. */
@@ -81,6 +83,7 @@
     quietUntilMs: 0,
     mistrustedUntilMs: 0,
     refusedAtMs: null,
+    brokenAtMs: null,
     heardAtMs: 0,
     answerMs: 0,
     prefixCache: new PrefixCacheEstimate()
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -120,6 +120,12 @@
     return isNew
   }
 
+  /** Records that nothing listens at the endpoint's address, so that its process has ended. */
+  recordRefused (entry: EndpointEntry, nowMs: number): void {
+    const endpoint = this.#endpoints.get(entry.id)
+    if (endpoint?.entry.bornAtMs === entry.bornAtMs) endpoint.refusedAtMs = nowMs
+  }
+
   /** Lists the notices of leaving endpoints whose list entries are still ready. */
   listLeaving (): LeavingNotice[] {
     return this.listAll().flatMap(({ entry }) => entry.state === 'ready' ? this.#leaving.get(entry.id, entry.bornAtMs) ?? [] : [])
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -39,8 +39,8 @@
   getMaxConnections: (service: string) => number
   /** Returns whether the limit that an endpoint names allows this gateway to send to it now. */
   getPermit: (endpoint: DirectEndpoint) => PermitState
-  /** Returns the monotonic milliseconds at which the list of endpoints was last known to be current. */
-  getListReadAtMs: () => number
+  /** Returns whether the endpoint is still the process that the list of endpoints says. */
+  isListedProcess: (endpoint: DirectEndpoint) => boolean
   random: () => number
 }
 
@@ -134,7 +134,7 @@
     const sharedPart = findDeepestSharedPart(promptParts)
     const tokens = countTokens(promptParts)
     const size = this.#sizes.getSize(service, tokens)
-    return chooseDirectEndpoint({ service, promptParts, size }, version === null ? endpoints : endpoints.filter(endpoint => this.#isSameProcess(endpoint)), {
+    return chooseDirectEndpoint({ service, promptParts, size }, version === null ? endpoints : endpoints.filter(endpoint => this.#options.isListedProcess(endpoint)), {
       ...capacityOptions,
       excludedIds: triedIds,
       homeEndpoints: sharedPart === null ? [] : directory.listHomeEndpoints({ service, version }, sharedPart.id, size, HOME_ENDPOINT_COUNT),
@@ -164,11 +164,6 @@
     return Math.max(1, Math.floor(getMaxConnections(service) / loads.getFleetSize(nowMs)))
   }
 
-  /** Returns whether the list was read since a connection was refused: another version may have started at the address. */
-  #isSameProcess ({ refusedAtMs }: DirectEndpoint): boolean {
-    return refusedAtMs === null || refusedAtMs < this.#options.getListReadAtMs()
-  }
-
   #isUsable ({ endpoint }: DirectChoice, nowMs: number): boolean {
     return this.#options.directory.isReady(endpoint) && isAvailable(endpoint, this.#options.getPermit(endpoint), nowMs)
   }
--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -26,6 +26,8 @@
   service: ObjectService
   log: DecisionLog
   observer: RelayObserver
+  /** Called when nothing listens at the address of an endpoint, one of whose connections broke. */
+  handleRefused: (entry: EndpointEntry) => void
   /** Called when this process has observed a crash, so that it can notify other gateways. */
   handleCrash: () => void
   /** Called when further requests must not be sent, so that those that wait are refused. */
@@ -80,7 +82,13 @@
       handleChange: () => this.#updateHolds()
     })
     this.#attribution = new CrashAttribution(fingerprint => this.#registry.getCrashCount(fingerprint) > 0)
-    this.#prober = new ExitProber({ clock, handleRefused: entry => this.#recordExit(entry, 'refusedConnection') })
+    this.#prober = new ExitProber({
+      clock,
+      handleRefused: entry => {
+        options.handleRefused(entry)
+        this.#recordExit(entry, 'refusedConnection')
+      }
+    })
   }
 
   start (): void {
--- a/src/relay/endpointAgent.ts
+++ b/src/relay/endpointAgent.ts
@@ -8,6 +8,8 @@
   idleMs: number
   /** Maximum number of idle connections kept per endpoint. */
   maxIdle: number
+  /** Called when the endpoint ends or resets an idle connection. */
+  handleIdleEnd?: (socket: Duplex) => void
 }
 
 /**
@@ -16,9 +18,12 @@
  */
 export class EndpointAgent extends Agent {
   readonly #idleDataHandlers = new WeakMap<Duplex, () => void>()
+  readonly #handleIdleEnd: (socket: Duplex) => void
+  readonly #idleEndHandlers = new WeakMap<Duplex, () => void>()
 
   constructor (options: EndpointAgentOptions) {
     super({ keepAlive: true, scheduling: 'lifo', timeout: options.idleMs, maxFreeSockets: options.maxIdle, noDelay: true })
+    this.#handleIdleEnd = options.handleIdleEnd ?? (() => {})
   }
 
   /** Called by Node.js when an answer has ended; returning false closes the connection. */
@@ -29,6 +34,10 @@
     const handleIdleData = () => { socket.destroy() }
     this.#idleDataHandlers.set(socket, handleIdleData)
     socket.on('data', handleIdleData)
+    const handleIdleEnd = () => this.#handleIdleEnd(socket)
+    this.#idleEndHandlers.set(socket, handleIdleEnd)
+    socket.on('end', handleIdleEnd)
+    socket.on('error', handleIdleEnd)
     return true
   }
 
@@ -36,6 +45,8 @@
   override reuseSocket (socket: Duplex, request: ClientRequest): void {
     const handleIdleData = this.#idleDataHandlers.get(socket)
     if (handleIdleData !== undefined) socket.off('data', handleIdleData)
+    const handleIdleEnd = this.#idleEndHandlers.get(socket)
+    if (handleIdleEnd !== undefined) socket.off('end', handleIdleEnd).off('error', handleIdleEnd)
     super.reuseSocket(socket, request)
   }
 }
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -20,6 +20,8 @@
   body: Buffer
   /** Milliseconds within which a new connection must be established. */
   connectTimeoutMs: number
+  /** Called with a new connection once it is established. */
+  handleConnect?: (socket: Socket) => void
   signal: AbortSignal
   /** Limits the bytes that all collected answers hold together. */
   budget: ByteBudget
@@ -109,7 +111,10 @@
       socket.prependListener('end', this.#handleSocketEnd)
       if (!socket.connecting) return this.#handleConnect()
       this.#connectTimer = setTimeout(() => request.destroy(new Error('connect timeout')), this.#options.connectTimeoutMs)
-      socket.once('connect', () => this.#handleConnect())
+      socket.once('connect', () => {
+        this.#options.handleConnect?.(socket)
+        this.#handleConnect()
+      })
     })
     request.on('information', () => this.#countInterimResponse())
     request.on('response', response => this.#handleResponse(response))
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -19,6 +19,7 @@
 import type { CallerReply } from './callerReply'
 import type { CrashGuard } from './crashGuard'
 import type { AnswerHead, EndpointDialect } from './dialects'
+import type { EndpointConnections } from './endpointConnections'
 import type { ExchangeOptions, ExchangeResult } from './endpointExchange'
 import type { RejectReason, StreamPosition } from './answerForwarder'
 import type { RelayObserver } from './relayObserver'
@@ -34,6 +35,7 @@
   stallDetector: StallDetector
   crashes: CrashGuard
   presence: PresenceChecker
+  connections: EndpointConnections
   /** Returns whether the endpoint is known to be leaving. */
   isLeaving: (endpoint: DirectEndpoint) => boolean
   /** Keeps connections for reuse. */
@@ -176,6 +178,7 @@
     const { kind, isResumable } = request.route
     const isStream = result.kind === 'passed'
     const answer = { presence: await presence.check(this.#endpoint, getSettleMs(isStream)), isLeaving: isLeaving(this.#endpoint), isStream, kind, isResumable }
+    if (answer.presence === 'refused') this.#endpoint.refusedAtMs = clock.getMonotonicMs()
     const verdict = decideAnswerEnd(answer)
     observer.recordAnswerEnd(request, this.#endpoint.entry, { ...answer, verdict, elapsedMs: Math.round(clock.getMonotonicMs() - closedAtMs) })
     return verdict === 'whole' ? result : { kind: 'broken', message: `the answer ended with its connection, and its endpoint is ${answer.presence}` }
@@ -196,7 +199,7 @@
   }
 
   #buildExchangeOptions (): ExchangeOptions {
-    const { agent, dialect } = this.#options
+    const { agent, dialect, connections } = this.#options
     const { request, position } = this.#input
     const { entry, mistrustedUntilMs } = this.#endpoint
     const [host, port] = parseAddress(entry.address)
@@ -210,6 +213,7 @@
       headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId }),
       body: request.body,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      handleConnect: socket => connections.add(entry.address, socket),
       signal: this.#controller.signal,
       budget: this.#budget
     }
@@ -294,6 +298,7 @@
       // a process that ends within the head of an answer leaves bytes that are no valid head
       case 'garbled':
       case 'broken':
+        this.#endpoint.brokenAtMs = this.#options.clock.getMonotonicMs()
         crashes.recordBrokenConnection(entry, request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
         break
       case 'notSent':
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -4,6 +4,7 @@
 import { Metrics } from '../base/metrics'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
+import { isListedProcess } from '../policy/processIdentity'
 import { Placement } from '../policy/placement'
 import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
@@ -15,6 +16,7 @@
 import { CrashGuard } from './crashGuard'
 import { Dispatcher } from './dispatcher'
 import { EndpointAgent } from './endpointAgent'
+import { EndpointConnections } from './endpointConnections'
 import { EndpointSender } from './endpointSender'
 import { FleetWatcher } from './fleetWatcher'
 import { LimitCoordinator } from './limitCoordinator'
@@ -75,6 +77,8 @@
 /** Milliseconds of Retry-After of a gateway that stops; others serve. */
 const STOP_RETRY_AFTER_MS = 10
 const DRAIN_POLL_MS = 25
+/** Heartbeats after which the entry of an endpoint that has ended is gone: the platform tolerates three, and one may be on its way. */
+const ENTRY_LAPSE_HEARTBEATS = 4
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
@@ -101,7 +105,8 @@
   readonly #server: RelayServer
   readonly #readyListener: HttpListener
   readonly #adminListener: HttpListener
-  readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS })
+  readonly #connections = new EndpointConnections({ clock: systemClock })
+  readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS, handleIdleEnd: socket => this.#connections.recordIdleEnd(socket) })
   readonly #presence = new PresenceChecker()
   readonly #dispatcher = new Dispatcher({ clock: systemClock })
   #isLeaving = false
@@ -116,7 +121,7 @@
     this.#observer = new RelayObserver(log, this.#metrics)
     this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash(), handleHold: () => this.#relay.refuseHeld() })
+    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash(), handleHold: () => this.#relay.refuseHeld(), handleRefused: entry => this.#directory.recordRefused(entry, systemClock.getMonotonicMs()) })
     this.#limits = new LimitCoordinator({
       clock: systemClock,
       gateway: settings.id,
@@ -189,7 +194,12 @@
       loads: this.#peers.loads,
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
-      getListReadAtMs: () => this.#fleetWatcher.listReadAtMs,
+      isListedProcess: endpoint => isListedProcess(endpoint, {
+        listReadAtMs: this.#fleetWatcher.listReadAtMs,
+        entryLapseMs: ENTRY_LAPSE_HEARTBEATS * settings.heartbeatMs,
+        idleEndedAtMs: this.#connections.getIdleEndedAt(endpoint.entry.address),
+        hasConnectionSince: sinceMs => this.#connections.hasOpenSince(endpoint.entry.address, sinceMs)
+      }),
       random: Math.random
     })
     const sender = new EndpointSender({
@@ -200,6 +210,7 @@
       stallDetector: this.#stallDetector,
       crashes: this.#crashes,
       presence: this.#presence,
+      connections: this.#connections,
       isLeaving: endpoint => !this.#directory.isReady(endpoint),
       agent: this.#agent,
       getTightestTargetMs: name => this.#fleetWatcher.table?.getTightestTargetMs(name) ?? Infinity,
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -104,7 +104,7 @@
       const directory = new EndpointDirectory()
       directory.applyList(entries, { afterOutage: false, nowMs: 0 })
       const peerLoads = new PeerLoadTable()
-      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, getListReadAtMs: () => 0, random: this.#random })
+      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, isListedProcess: () => true, random: this.#random })
       return { queue: new DispatchQueue<ReplayWaitingRequest>(), peerLoads, directory, placement }
     })
   }
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -39,6 +39,7 @@
       service: new MemoryObjectService(store),
       log,
       observer: new RelayObserver(log, new Metrics()),
+      handleRefused: () => {},
       handleCrash: () => {},
       handleHold: () => {}
     })
--- a/tests/relay/versionedFleet.ts
+++ b/tests/relay/versionedFleet.ts
@@ -54,6 +54,7 @@
   #ports: number[] = []
   #endpointCount = 0
   #requestCount = 0
+  #streamCount = 0
 
   constructor (options: VersionedFleetOptions) {
     this.#options = options
@@ -112,11 +113,14 @@
   /** Plays one stream: a caller begins it at any gateway and takes it up at others until it is whole or its attempts are spent. */
   async play (resume: { headers?: (originId: string) => string[] } = {}): Promise<CallerStream> {
     const stream: CallerStream = { requestId: '', events: [], isWhole: false, takeUps: [] }
+    this.#streamCount += 1
+    // requests that are all alike would count as what crashes the endpoints
+    const target = `/archive/${this.#streamCount}`
     const startedAtMs = performance.now()
     for (let retries = 0; retries <= CALLER_RETRIES && !stream.isWhole; retries++) {
       const remainingMs = Math.floor(STREAM_LIMIT_MS - (performance.now() - startedAtMs))
       if (remainingMs <= 0) break
-      await this.#playAttempt(stream, remainingMs, resume.headers ?? (originId => [`Resumes: ${originId}`]))
+      await this.#playAttempt(stream, target, remainingMs, resume.headers ?? (originId => [`Resumes: ${originId}`]))
       if (!stream.isWhole) await new Promise(resolve => setTimeout(resolve, CALLER_PAUSE_MS))
     }
     return stream
@@ -127,13 +131,13 @@
     for (const endpoint of this.endpoints) endpoint.close()
   }
 
-  async #playAttempt (stream: CallerStream, remainingMs: number, buildResumeHeaders: (originId: string) => string[]): Promise<void> {
+  async #playAttempt (stream: CallerStream, target: string, remainingMs: number, buildResumeHeaders: (originId: string) => string[]): Promise<void> {
     this.#requestCount += 1
     const requestId = `a-${this.#requestCount}`
     const lastId = stream.events.at(-1)?.id ?? null
     const headers = lastId === null ? [] : [`Last-Event-Id: ${lastId}`, ...buildResumeHeaders(stream.requestId)]
     const { port } = this.gateways[Math.floor(this.#random() * this.gateways.length)]!
-    const { text } = await sendRaw(port, buildCallerRequest({ id: requestId, headers: [...headers, 'Connection: close'], timeoutMs: remainingMs }))
+    const { text } = await sendRaw(port, buildCallerRequest({ id: requestId, target, headers: [...headers, 'Connection: close'], timeoutMs: remainingMs }))
     const events = parseEvents(text)
     if (lastId !== null) {
       const retryAfter = /\r\nretry-after: ([\d.]+)/i.exec(text)?.[1]
@@ -166,9 +170,10 @@
     this.address = `127.0.0.1:${chosen}`
   }
 
-  /** Ends the process and starts another version at the same address, under the same id. */
-  async replaceVersion (version: string): Promise<void> {
+  /** Ends the process and starts another version at the same address, under the same id, after `downMs` milliseconds. */
+  async replaceVersion (version: string, downMs = 0): Promise<void> {
     this.close()
+    if (downMs > 0) await new Promise(resolve => setTimeout(resolve, downMs))
     this.version = version
     await this.start(Number(this.address.split(':')[1]))
   }
