Report when the event loop was held up, and the processor time that the process used meanwhile

No line tells a process that worked for so long from one that was not run, or from requests that waited in a queue, a socket or a connect. `processHeldUp` names the delay and the processor time, from 200 ms on; `endpointChosen` and `waitEnded` already say how long a request was held after it was read. The gauge `longest_delay_ms` keeps the worst.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -145,6 +145,8 @@
   | { event: 'stopping', signal: string }
   | { event: 'drained', cutRequests: number, elapsedMs: number }
   | { event: 'stopped', exitCode: number }
+  /** The event loop was held up for `delayMs`, in which the process used this much processor time. */
+  | { event: 'processHeldUp', delayMs: number, processorMs: number }
   | { event: 'settingsReloaded', cause: string, changed: boolean, needRestart?: string[] }
   | { event: 'settingsRefused', cause: string, findings: string }
   | { event: 'unexpectedError', message: string }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -26,6 +26,7 @@
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
 import { StallDetector } from './stallDetector'
+import { StallReporter } from './stallReporter'
 import { StreamOriginStore } from './streamOriginStore'
 import { StreamVersions } from './streamVersions'
 import { buildVersionRecord } from './versionRecords'
@@ -82,6 +83,7 @@
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
+const US_PER_MS = 1000
 
 /** Runs one gateway that relays requests straight to endpoints. */
 export class RelayProcess {
@@ -97,6 +99,7 @@
   readonly #fleetWatcher: FleetWatcher
   readonly #relay: DirectRelay
   readonly #stallDetector: StallDetector
+  readonly #stallReporter: StallReporter
   readonly #crashes: CrashGuard
   readonly #peers: PeerNetwork
   readonly #registry: VersionRegistry
@@ -189,6 +192,7 @@
       getFreshness: () => this.#freshness.getVerdict()
     })
     this.#stallDetector = new StallDetector({ clock: systemClock, directory: this.#directory, loads: this.#peers.loads, getPermit: endpoint => this.#limits.getPermit(endpoint), log })
+    this.#stallReporter = new StallReporter({ clock: systemClock, getProcessorMs, log })
     const placement = new Placement({
       directory: this.#directory,
       loads: this.#peers.loads,
@@ -326,6 +330,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#stallDetector.close()
+    this.#stallReporter.close()
     await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
@@ -362,6 +367,7 @@
     this.#metrics.registerGauge('version_buckets', 'Buckets of stream ids by service and the software version at which their streams begin.', () => this.#registry.listAssignments().flatMap(({ service, assignment }) => [...countBuckets(assignment)].map(([version, value]) => ({ labels: { service, version }, value }))))
     this.#metrics.registerGauge('held_prompt_parts', 'Sets of prompt parts whose requests are refused because they crash endpoints.', () => this.#crashes.listHolds().length)
     this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
+    this.#metrics.registerGauge('longest_delay_ms', 'Longest delay of the event loop.', () => Math.round(this.#stallReporter.longestMs))
     this.#metrics.registerGauge('process_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
   }
 
@@ -386,6 +392,12 @@
   return { windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, minRetries: 1 }
 }
 
+/** Returns the processor time of this process, in milliseconds. */
+function getProcessorMs (): number {
+  const { user, system } = process.cpuUsage()
+  return (user + system) / US_PER_MS
+}
+
 function getConfigAgeMs (freshness: ViewFreshness): number {
   const verdict = freshness.getVerdict()
   return verdict.kind === 'unconfirmed' ? -1 : verdict.ageMs
