Read the entry of an endpoint again when a connection of a bound stream breaks

Cause: since bound streams go only where the listed process still is, one reset answer kept an endpoint from all streams until the list was next confirmed, up to 2 s, where no older connection was open. Most broken answers are no end of a process.

Change: the entry is read by a call that starts after the break; unchanged, it counts like a list that was read then. Breaks of one endpoint at the same time share a call.

Before: the new test of restartsInPlace.spec.ts could not pass (no list and no watch confirms the entry there; not run on the code before). After: 8 of 8 and processIdentity.spec.ts 3 of 3.

--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -42,6 +42,8 @@
   refusedAtMs: number | null
   /** Time at which a connection to it last broke, with which its process may have ended; null when none did. */
   brokenAtMs: number | null
+  /** Time of the start of the latest call that read its entry by itself and found it unchanged; -Infinity before. */
+  confirmedAtMs: number
   /** Time of the last byte received from the endpoint. */
   heardAtMs: number
   /** Smoothed milliseconds of recent answers or first events; 0 before the first. */
@@ -84,6 +86,7 @@
     mistrustedUntilMs: 0,
     refusedAtMs: null,
     brokenAtMs: null,
+    confirmedAtMs: -Infinity,
     heardAtMs: 0,
     answerMs: 0,
     prefixCache: new PrefixCacheEstimate()
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -126,6 +126,12 @@
     if (endpoint?.entry.bornAtMs === entry.bornAtMs) endpoint.refusedAtMs = nowMs
   }
 
+  /** Records that an entry, read by a call that started at `startedAtMs`, is that of the known process. */
+  recordConfirmed (entry: EndpointEntry, startedAtMs: number): void {
+    const endpoint = this.#endpoints.get(entry.id)
+    if (endpoint !== undefined && isSameProcess(endpoint.entry, entry)) endpoint.confirmedAtMs = Math.max(endpoint.confirmedAtMs, startedAtMs)
+  }
+
   /** Lists the notices of leaving endpoints whose list entries are still ready. */
   listLeaving (): LeavingNotice[] {
     return this.listAll().flatMap(({ entry }) => entry.state === 'ready' ? this.#leaving.get(entry.id, entry.bornAtMs) ?? [] : [])
@@ -178,8 +184,7 @@
     this.#lapsedUntilMs.delete(entry.id)
     this.#removedStartTimes.delete(entry.id)
     const known = this.#endpoints.get(entry.id)
-    const isSame = known !== undefined && known.entry.bornAtMs === entry.bornAtMs && known.entry.address === entry.address && known.entry.service === entry.service && known.entry.version === entry.version
-    if (!isSame) {
+    if (known === undefined || !isSameProcess(known.entry, entry)) {
       this.#endpoints.set(entry.id, buildDirectEndpoint(entry))
       return [{ kind: known === undefined ? 'joined' : 'restarted', entry }]
     }
@@ -226,6 +231,10 @@
   }
 }
 
+function isSameProcess (one: EndpointEntry, other: EndpointEntry): boolean {
+  return one.bornAtMs === other.bornAtMs && one.address === other.address && one.service === other.service && one.version === other.version
+}
+
 function buildServiceIndex (endpoints: DirectEndpoint[]): ServiceIndex {
   const groups = new Map<string, DirectEndpoint[]>()
   for (const endpoint of endpoints) {
--- a/src/policy/processIdentity.ts
+++ b/src/policy/processIdentity.ts
@@ -18,11 +18,12 @@
  * Its old entry may stay in the list until it lapses.
  *
  * @example
- * isListedProcess({ refusedAtMs: null, brokenAtMs: null, ... }, knowledge) // true
+ * isListedProcess({ refusedAtMs: null, brokenAtMs: null, confirmedAtMs: -Infinity }, knowledge) // true
  */
-export function isListedProcess ({ refusedAtMs, brokenAtMs }: Pick<DirectEndpoint, 'refusedAtMs' | 'brokenAtMs'>, knowledge: ProcessKnowledge): boolean {
+export function isListedProcess ({ refusedAtMs, brokenAtMs, confirmedAtMs }: Pick<DirectEndpoint, 'refusedAtMs' | 'brokenAtMs' | 'confirmedAtMs'>, knowledge: ProcessKnowledge): boolean {
   const { listReadAtMs, entryLapseMs, idleEndedAtMs, hasConnectionSince } = knowledge
   if (refusedAtMs !== null && listReadAtMs <= refusedAtMs + entryLapseMs) return false
   // all connections of a process end with it
-  return listReadAtMs > Math.max(brokenAtMs ?? -Infinity, idleEndedAtMs ?? -Infinity) || hasConnectionSince(listReadAtMs)
+  const readAtMs = Math.max(listReadAtMs, confirmedAtMs)
+  return readAtMs > Math.max(brokenAtMs ?? -Infinity, idleEndedAtMs ?? -Infinity) || hasConnectionSince(readAtMs)
 }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -50,6 +50,8 @@
   handleLimit: (limit: NamedLimit, answer: LimitedAnswer) => void
   /** Called when the first event of a stream has arrived that may go on at the same version only. */
   handleBegun: (request: RelayRequest, version: string) => void
+  /** Called when a connection broke to an endpoint that serves streams of its version only. */
+  handleBroken: (endpoint: DirectEndpoint) => void
   /** Called when an endpoint has prefilled a prompt or ended a request, and may have capacity. */
   handleCapacity: (service: string) => void
 }
@@ -299,6 +301,7 @@
       case 'garbled':
       case 'broken':
         this.#endpoint.brokenAtMs = this.#options.clock.getMonotonicMs()
+        if (isBound(request)) this.#options.handleBroken(this.#endpoint)
         crashes.recordBrokenConnection(entry, request, { status: this.#forwarder.head?.status ?? null, ...this.#getStreamProgress() })
         break
       case 'notSent':
--- a/src/relay/fleetWatcher.ts
+++ b/src/relay/fleetWatcher.ts
@@ -1,3 +1,5 @@
+import { Progress } from '../base/progress'
+import { SharedCall } from '../base/sharedCall'
 import { RestoreDetector } from '../store/restoreDetector'
 import { PrefixWatcher } from '../store/prefixWatcher'
 import { RouteTable } from '../policy/routeTable'
@@ -6,7 +8,7 @@
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RoutingConfig } from '../config/routingConfig'
-import type { EndpointEntry } from '../policy/directEndpoint'
+import type { DirectEndpoint, EndpointEntry } from '../policy/directEndpoint'
 import type { DirectoryChange, EndpointDirectory } from '../policy/endpointDirectory'
 import type { ViewFreshness } from '../policy/viewFreshness'
 import type { ObjectService, ObjectServiceError, StoredObject, WatchEvent } from '../store/objectService'
@@ -54,6 +56,7 @@
   backoffCapMs: 600
 }
 const EXPIRY_CHECK_INTERVAL_MS = 100
+const ENTRY_READ_TIMEOUT_MS = 500
 /** Heartbeats that must have been missed before an entry can expire through no fault of its endpoint; the platform tolerates three. */
 const MIN_MISSED_HEARTBEATS = 2
 /** Heartbeats within which the platform removes the entries of endpoints that no longer exist from a restored list. */
@@ -80,6 +83,8 @@
   #listReadAtMs = -Infinity
   /** Consecutive failed calls for the list of endpoints. */
   #listFailures = 0
+  /** Reads of entries; requests whose connections broke together share a call. */
+  readonly #entryReads = new WeakMap<DirectEndpoint, SharedCall<void>>()
   readonly #restoreDetector = new RestoreDetector()
   /** Time until which the list may hold entries of endpoints that had left before the object service was restored. */
   #staleEntriesUntilMs = -Infinity
@@ -150,6 +155,23 @@
     await Promise.all([this.#config.stop(), this.#endpoints.stop()])
   }
 
+  /** Reads the entry of an endpoint that may have ended: it is known at once if it is still the same process, and not with the next watch. */
+  async readEntry (endpoint: DirectEndpoint): Promise<void> {
+    const read = this.#entryReads.get(endpoint) ?? new SharedCall(async () => await this.#readEntry(endpoint.entry.id))
+    this.#entryReads.set(endpoint, read)
+    await read.run()
+  }
+
+  async #readEntry (id: string): Promise<void> {
+    const { service, clock, decoder, directory } = this.#options
+    const startedAtMs = clock.getMonotonicMs()
+    const progress = new Progress({ title: 'reading the entry of an endpoint', timeoutMs: ENTRY_READ_TIMEOUT_MS, clock })
+    const found = await service.get(`${decoder.endpointPrefix}${id}`, progress)
+    if (found.isErr || found.value === null) return
+    const entry = this.#decodeEndpoint(found.value)
+    if (entry !== null) directory.recordConfirmed(entry, startedAtMs)
+  }
+
   #applyConfig (objects: StoredObject[]): void {
     for (const object of objects) if (object.key === this.#options.decoder.configKey) this.#applyConfigVersion(object)
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -221,6 +221,9 @@
       handleLeaving: ({ entry }, request) => this.#recordLeaving({ id: entry.id, bornAtMs: entry.bornAtMs, source: 'answer', saidAtMs: systemClock.getMonotonicMs() }, request.traits.requestId),
       handleBegun: (request, version) => this.#versions.recordBegun(request, version),
       handleLimit: (limit, answer) => this.#limits.recordAnswer(limit, answer),
+      handleBroken: endpoint => {
+        this.#fleetWatcher.readEntry(endpoint).then(() => this.#dispatcher.notifyCapacity(endpoint.entry.service), error => log.writeError(error))
+      },
       countWaiting: name => this.#dispatcher.countWaiting(name),
       handleCapacity: name => this.#dispatcher.notifyCapacity(name)
     })
--- a/tests/relay/restartsInPlace.spec.ts
+++ b/tests/relay/restartsInPlace.spec.ts
@@ -56,3 +56,25 @@
 async function wait (milliseconds: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, milliseconds))
 }
+
+// most broken answers are no end of a process
+describe('streams of endpoints that reset answers while they live', () => {
+  it('should go on at an endpoint whose entry was read again, before the next list', async () => {
+    let breaks = false
+    const fleet = new VersionedFleet({ gateways: 1, versions: ['v1', 'v1'], maxAttempts: 2, breakAfter: () => breaks ? 3 : null })
+    await fleet.start()
+    await fleet.waitForVersions()
+    const { service } = fleet.gateways[0]!
+    // no list and no watch confirms the entries from here on
+    service.setFaults({ holdWatches: true })
+    breaks = true
+    await fleet.play()
+    await wait(50)
+    breaks = false
+    const readsBefore = service.calls.get
+    const streams = await Promise.all(Array.from({ length: 4 }, async () => await fleet.play()))
+    await fleet.close()
+    expect(readsBefore).to.be.least(1)
+    expect(streams.filter(({ isWhole, takeUps }) => isWhole && takeUps.length === 0)).to.have.length(4)
+  })
+})
