Read in one place which answers have no body, and name what a probe finds

The same two statuses stood in the framing of answers and of replies. Behaviour is unchanged: replyFraming, answers, presenceChecker and answerEnd specs pass.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -10,7 +10,6 @@
 
 /** Minimum bytes of a collected body that count as progress; a stalled endpoint may still send a byte now and then. */
 const MIN_PROGRESS_BYTES = 64
-
 /**
  * Maximum bytes of complete events that bring no data, such as comments and empty lines, between two that do.
  * A comment that keeps the connection open has a few bytes and comes every few seconds.
--- a/src/relay/callerReply.ts
+++ b/src/relay/callerReply.ts
@@ -1,3 +1,5 @@
+import { isBodiless } from './answerFraming'
+
 import type { ServerResponse } from 'node:http'
 import type { CallerDialect } from './dialects'
 import type { HeaderList } from './relayRequest'
@@ -12,9 +14,6 @@
   headers: HeaderList
 }
 
-/** Statuses of replies that have no body, and so no length. */
-const BODILESS_STATUSES = new Set([204, 304])
-
 /**
  * Writes the reply to one request. The reply ends once: complete, or cut in a way that the caller can
  * detect. Its body has a length or comes in chunks, whatever the framing of the endpoint's answer, so that
@@ -63,8 +62,7 @@
   /** Sends a complete reply. */
   sendComplete (head: ReplyHead, body: Buffer): void {
     if (this.#end !== 'open') return
-    const isBodiless = BODILESS_STATUSES.has(head.status) || this.#response.req.method === 'HEAD'
-    this.sendHead(isBodiless ? head : { ...head, headers: [...head.headers, 'Content-Length', String(body.length)] })
+    this.sendHead(isBodiless(this.#response.req.method ?? '', head.status) ? head : { ...head, headers: [...head.headers, 'Content-Length', String(body.length)] })
     this.#end = 'whole'
     this.#sentBytes += body.length
     this.#response.end(body)
--- a/src/relay/connectProbe.ts
+++ b/src/relay/connectProbe.ts
@@ -2,10 +2,12 @@
 
 import { parseAddress } from './endpointAddress'
 
+/** What came back when a connection was opened. */
+export type ProbeOpening = 'accepted' | 'refused' | 'silent'
+
 /** A connection that shows whether a process listens at an address, and for how long. */
 export interface ConnectProbe {
-  /** What came back when the connection was opened. */
-  opened: Promise<'accepted' | 'refused' | 'silent'>
+  opened: Promise<ProbeOpening>
   /** Settles once the connection has ended, whichever side ended it. */
   closed: Promise<void>
   close (): void
@@ -29,7 +31,7 @@
   // the end of a connection is seen only while it is read
   socket.resume()
   const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
-  const opened = new Promise<'accepted' | 'refused' | 'silent'>(resolve => {
+  const opened = new Promise<ProbeOpening>(resolve => {
     const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
     socket.once('connect', () => {
       clearTimeout(timer)
@@ -45,7 +47,7 @@
 }
 
 /** Describes why a connection failed; one that was accepted and then reset may be seen as reset only. */
-function describeError ({ code }: NodeJS.ErrnoException): 'accepted' | 'refused' | 'silent' {
+function describeError ({ code }: NodeJS.ErrnoException): ProbeOpening {
   if (code === 'ECONNRESET') return 'accepted'
   return code === 'ECONNREFUSED' ? 'refused' : 'silent'
 }
--- a/src/relay/presenceChecker.ts
+++ b/src/relay/presenceChecker.ts
@@ -4,10 +4,10 @@
 
 import type { EndpointPresence } from '../policy/answerEnd'
 import type { DirectEndpoint } from '../policy/directEndpoint'
-import type { ConnectProbe } from './connectProbe'
+import type { ConnectProbe, ProbeOpening } from './connectProbe'
 
 /** What one connection showed: `held` where it stayed open, `closed` where the other side ended it. */
-type ProbeResult = 'held' | 'closed' | 'refused' | 'silent'
+type ProbeResult = 'held' | 'closed' | Exclude<ProbeOpening, 'accepted'>
 
 interface SharedProbe extends ConnectProbe {
   users: number
