--- a/src/relay/endpointAgent.ts
+++ b/src/relay/endpointAgent.ts
@@ -12,14 +12,19 @@
   handleIdleEnd?: (socket: Duplex) => void
 }
 
+/** Listeners of an idle connection. */
+interface IdleHandlers {
+  handleData: () => void
+  handleEnd: () => void
+}
+
 /**
  * Keeps connections to endpoints for reuse. Closes an idle connection on which bytes arrive, so that
  * they are never taken for the answer to a later request.
  */
 export class EndpointAgent extends Agent {
-  readonly #idleDataHandlers = new WeakMap<Duplex, () => void>()
+  readonly #idleHandlers = new WeakMap<Duplex, IdleHandlers>()
   readonly #handleIdleEnd: (socket: Duplex) => void
-  readonly #idleEndHandlers = new WeakMap<Duplex, () => void>()
 
   constructor (options: EndpointAgentOptions) {
     super({ keepAlive: true, scheduling: 'lifo', timeout: options.idleMs, maxFreeSockets: options.maxIdle, noDelay: true })
@@ -31,22 +36,16 @@
     // the type declarations omit the result, which Node.js reads
     const isKept = super.keepSocketAlive(socket) as unknown as boolean
     if (!isKept || socket.readableLength > 0) return false
-    const handleIdleData = () => { socket.destroy() }
-    this.#idleDataHandlers.set(socket, handleIdleData)
-    socket.on('data', handleIdleData)
-    const handleIdleEnd = () => this.#handleIdleEnd(socket)
-    this.#idleEndHandlers.set(socket, handleIdleEnd)
-    socket.on('end', handleIdleEnd)
-    socket.on('error', handleIdleEnd)
+    const handlers: IdleHandlers = { handleData: () => { socket.destroy() }, handleEnd: () => this.#handleIdleEnd(socket) }
+    this.#idleHandlers.set(socket, handlers)
+    socket.on('data', handlers.handleData).on('end', handlers.handleEnd).on('error', handlers.handleEnd)
     return true
   }
 
   /** Called by Node.js when an idle connection is reused for a request. */
   override reuseSocket (socket: Duplex, request: ClientRequest): void {
-    const handleIdleData = this.#idleDataHandlers.get(socket)
-    if (handleIdleData !== undefined) socket.off('data', handleIdleData)
-    const handleIdleEnd = this.#idleEndHandlers.get(socket)
-    if (handleIdleEnd !== undefined) socket.off('end', handleIdleEnd).off('error', handleIdleEnd)
+    const handlers = this.#idleHandlers.get(socket)
+    if (handlers !== undefined) socket.off('data', handlers.handleData).off('end', handlers.handleEnd).off('error', handlers.handleEnd)
     super.reuseSocket(socket, request)
   }
 }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -2,6 +2,7 @@
 import { systemClock } from '../base/clock'
 import { HttpListener } from '../base/httpListener'
 import { Metrics } from '../base/metrics'
+import { getProcessorMs } from '../base/processorTime'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
 import { isListedProcess } from '../policy/processIdentity'
@@ -83,7 +84,6 @@
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
-const US_PER_MS = 1000
 
 /** Runs one gateway that relays requests straight to endpoints. */
 export class RelayProcess {
@@ -110,7 +110,6 @@
   readonly #adminListener: HttpListener
   readonly #connections = new EndpointConnections({ clock: systemClock })
   readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS, handleIdleEnd: socket => this.#connections.recordIdleEnd(socket) })
-  readonly #presence = new PresenceChecker()
   readonly #dispatcher = new Dispatcher({ clock: systemClock })
   #isLeaving = false
   /** Times of the planned stop; null before it. */
@@ -213,7 +212,7 @@
       placement,
       stallDetector: this.#stallDetector,
       crashes: this.#crashes,
-      presence: this.#presence,
+      presence: new PresenceChecker(),
       connections: this.#connections,
       isLeaving: endpoint => !this.#directory.isReady(endpoint),
       agent: this.#agent,
@@ -395,12 +394,6 @@
   return { windowMs: settings.retryWindowSeconds * MS_PER_SECOND, ratio: settings.retryRatio, minRetries: 1 }
 }
 
-/** Returns the processor time of this process, in milliseconds. */
-function getProcessorMs (): number {
-  const { user, system } = process.cpuUsage()
-  return (user + system) / US_PER_MS
-}
-
 function getConfigAgeMs (freshness: ViewFreshness): number {
   const verdict = freshness.getVerdict()
   return verdict.kind === 'unconfirmed' ? -1 : verdict.ageMs
--- a/tests/relay/answerEnds.spec.ts
+++ b/tests/relay/answerEnds.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { buildPlatformConfig, buildRoute, formatChunk, isComplete, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil, writeFramed } from './relayFixture'
+import { buildPlatformConfig, buildRoute, formatChunk, isComplete, listEventIds, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil, writeFramed } from './relayFixture'
 
 import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -54,7 +54,7 @@
   it('should go on at a third endpoint after the last event of the one that crashed', async () => {
     await start('resumable', [sendBrokenStream, (request, endpoint) => sendThenCrash(request, endpoint, ['Content-Type: text/event-stream'], EVENT_2), request => answerUnframed(request, ['Content-Type: text/event-stream'], EVENT_3)])
     const reply = await sendRequest(fixture!)
-    expect(listIds(reply.text)).to.deep.equal([1, 2, 3])
+    expect(listEventIds(reply.text)).to.deep.equal([1, 2, 3])
     expect(endpoints.flatMap(({ received }) => received).filter(({ text }) => text.includes('Last-Event-Id: 2'))).to.have.length(1)
     expect(isComplete(reply)).to.equal(true)
   })
@@ -132,7 +132,3 @@
 function sendBrokenStream (request: ReceivedRequest): void {
   request.socket.end([...buildHead(request, ['Content-Type: text/event-stream', 'Transfer-Encoding: chunked']), '', formatChunk(EVENT_1)].join('\r\n'))
 }
-
-function listIds (text: string): number[] {
-  return [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
-}
--- a/tests/relay/cutHeads.spec.ts
+++ b/tests/relay/cutHeads.spec.ts
@@ -2,12 +2,10 @@
 
 import { expect } from 'chai'
 
-import { ByteBudget } from '../../src/relay/byteBudget'
-import { sendToEndpoint } from '../../src/relay/endpointExchange'
+import { runExchange } from './exchangeFixture'
 import { FRAMINGS, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
 
 import type { AddressInfo } from 'node:net'
-import type { ExchangeResult } from '../../src/relay/endpointExchange'
 import type { Framing, RelayFixture } from './relayFixture'
 
 const ID_LINE = 'Tanagerwick-Request-Attempt-Id: a-1'
@@ -64,18 +62,3 @@
     }
   })
 })
-
-async function runExchange (port: number): Promise<ExchangeResult> {
-  return await sendToEndpoint({
-    agent: false,
-    host: '127.0.0.1',
-    port,
-    method: 'GET',
-    target: '/archive/1',
-    headers: ['Host', 'archive.example'],
-    body: Buffer.alloc(0),
-    connectTimeoutMs: 1000,
-    signal: new AbortController().signal,
-    budget: new ByteBudget({ guaranteedBytes: 65_536, sharedBytes: 65_536 })
-  }, { handleHead: () => 'collect', handleCollectedChunk: () => {}, handleRelayedChunk: () => true })
-}
--- a/tests/relay/endlessBytes.spec.ts
+++ b/tests/relay/endlessBytes.spec.ts
@@ -80,7 +80,7 @@
     case 'emptyLinesInTinyChunks': return '1\r\n\n\r\n'.repeat(2000)
     case 'comments': return formatChunk(': still here\n\n'.repeat(1000))
     case 'retryFields': return formatChunk('retry: 100\n\n'.repeat(1000))
-    // each id once: those of one repetition are below those of the next only in the first
+    // one repetition exceeds the bound, because the ids of a second one would be out of order
     case 'ids': return formatChunk(Array.from({ length: 20_000 }, () => `id: ${++id}\n\n`).join(''))
     default: return formatChunk('\n\n'.repeat(8000))
   }
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -240,6 +240,11 @@
   return isChunked ? text.endsWith('\r\n0\r\n\r\n') : end === 'closed'
 }
 
+/** Lists the ids of the events in a reply, in order. */
+export function listEventIds (text: string): number[] {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
+}
+
 export async function fetchStatus (port: number, path: string): Promise<number> {
   return await new Promise(resolve => {
     http.get({ host: '127.0.0.1', port, path, agent: false }, response => {
--- a/tests/relay/resetAnswers.spec.ts
+++ b/tests/relay/resetAnswers.spec.ts
@@ -3,9 +3,8 @@
 
 import { expect } from 'chai'
 
-import { ByteBudget } from '../../src/relay/byteBudget'
 import { EndpointAgent } from '../../src/relay/endpointAgent'
-import { sendToEndpoint } from '../../src/relay/endpointExchange'
+import { runExchange } from './exchangeFixture'
 
 import type { HeadDecision, ExchangeResult } from '../../src/relay/endpointExchange'
 
@@ -66,18 +65,7 @@
 async function runBlocked (port: number, decision: HeadDecision, isKept: boolean): Promise<ExchangeResult> {
   const agent = isKept ? new EndpointAgent({ idleMs: 1000, maxIdle: 1 }) : false
   const block = setInterval(() => Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCKED_MS), 0)
-  const result = await sendToEndpoint({
-    agent,
-    host: '127.0.0.1',
-    port,
-    method: 'GET',
-    target: '/archive/1',
-    headers: ['Host', 'archive.example'],
-    body: Buffer.alloc(0),
-    connectTimeoutMs: 1000,
-    signal: new AbortController().signal,
-    budget: new ByteBudget({ guaranteedBytes: 65_536, sharedBytes: 65_536 })
-  }, { handleHead: () => decision, handleCollectedChunk: () => {}, handleRelayedChunk: () => true })
+  const result = await runExchange(port, { agent, decision })
   clearInterval(block)
   if (agent !== false) agent.destroy()
   return result
--- a/tests/relay/spoiledStreams.spec.ts
+++ b/tests/relay/spoiledStreams.spec.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai'
 
-import { buildPlatformConfig, buildRoute, formatChunk, isComplete, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
+import { buildPlatformConfig, buildRoute, formatChunk, isComplete, listEventIds, sendRequest, SIGNATURE_LINE, startEndpoint, startRelay } from './relayFixture'
 
 import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -28,7 +28,7 @@
     await fixture.close()
   })
 
-  /** Starts a gateway and two endpoints, of which the first that is asked spoils its stream after the events in `before`. */
+  /** Starts a gateway and two endpoints, of which the first that is asked spoils its stream; the other one sends `comment` before its events. */
   async function start (spoil: (request: ReceivedRequest) => void, comment = ''): Promise<void> {
     let sends = 0
     const answer = (request: ReceivedRequest) => {
@@ -52,7 +52,7 @@
           setTimeout(() => request.socket.end(formatChunk(spoiled)), 10)
         })
         const reply = await sendRequest(fixture)
-        expect(listIds(reply.text)).to.deep.equal([1, 2, 3, 4, 5, 6])
+        expect(listEventIds(reply.text)).to.deep.equal([1, 2, 3, 4, 5, 6])
         expect(isComplete(reply)).to.equal(true)
         expect(endpoints.flatMap(({ received }) => received)).to.have.length(2)
       })
@@ -65,7 +65,7 @@
       setTimeout(() => request.socket.destroy(), 10)
     }, ': still reading\n\n')
     const reply = await sendRequest(fixture)
-    expect(listIds(reply.text)).to.deep.equal([1, 2, 3, 4, 5, 6])
+    expect(listEventIds(reply.text)).to.deep.equal([1, 2, 3, 4, 5, 6])
     expect(isComplete(reply)).to.equal(true)
   })
 })
@@ -77,7 +77,3 @@
 function writeStream ({ socket, requestId }: ReceivedRequest, chunks: string[]): void {
   socket.write(['HTTP/1.1 200 OK', SIGNATURE_LINE, `Tanagerwick-Request-Attempt-Id: ${requestId}`, 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked', '', chunks.join('')].join('\r\n'))
 }
-
-function listIds (text: string): number[] {
-  return [...text.matchAll(/^id: (\d+)$/gm)].map(match => Number(match[1]))
-}
