End a connection and the process only once callers have their replies

What callers saw: around a planned stop, answers that endpoints had given ended in the middle, or were reset with nothing read, and no line of the log named them.

Cause: the end of a connection, and of the process, was decided from what this process had done, not from what its caller has. The HTTP server's close() cuts connections whose replies have ended but are not yet written (slow readers, thin links); a connection was closed as soon as its reply had left the process, and a close with unread input, or input after it, is a reset, upon which the system drops what it has not sent; the state of a connection was one flag, so that the end of one reply closed a connection on which another request had been read; bytes after a whole request cut its answer; the process ended 25 ms after its last write.

Ruled out for these cases: the end of accepting alone (the same with new connections), a late event loop (processHeldUp has no line in these runs).

Change: CallerConnections counts requests a connection and closes in order: its own side first, then it reads and drops what comes until the caller closes, one second at most, or the rest of the stop where a reply was written in the stop. Accepting ends without the server's close(). A stop ends once callers have closed, at the latest 0.4 s before the platform's kill. Idle timeouts look for input that has arrived first. replyNotWhole is the line, and replies_not_whole_total the counter, of each reply that its caller does not have as a whole.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -83,6 +83,11 @@
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** The inputs of the decision are further fields of the line. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
+  /**
+   * A caller does not have its reply as a whole. `stage`: how far the request had come; `endedBy`: the caller, this gateway,
+   * or the end of a planned stop, which began `stopAgeMs` ago; null when there is none.
+   */
+  | { event: 'replyNotWhole', requestId: string | undefined, stage: string, endpoint: string | null, endedBy: string, ageMs: number, stopAgeMs: number | null, sentBytes: number, unwrittenBytes: number }
   | { event: 'requestEnded', requestId: string, route: string, end: string, elapsedMs: number, sentBytes: number }
 
 /** Log lines about changes in a process's view of endpoints, the store, the configuration and its dependencies. */
@@ -143,7 +148,8 @@
 export type LifecycleEvent =
   | { event: 'started', version: string, [setting: string]: unknown }
   | { event: 'stopping', signal: string }
-  | { event: 'drained', cutRequests: number, elapsedMs: number }
+  /** `unwritten`: replies that had ended here but were not yet written; `openConnections`: those whose callers had not closed them. */
+  | { event: 'drained', cutRequests: number, unwritten: number, openConnections: number, elapsedMs: number }
   | { event: 'stopped', exitCode: number }
   /** The event loop was held up for `delayMs`, in which the process used this much processor time. */
   | { event: 'processHeldUp', delayMs: number, processorMs: number }
--- a/src/policy/stopWindow.ts
+++ b/src/policy/stopWindow.ts
@@ -6,18 +6,23 @@
   sendUntilMs: number
   /** When requests that still run are cut. */
   finishAtMs: number
+  /** Until when callers may read what was written to them; the process ends afterwards. */
+  deliverUntilMs: number
 }
 
 /** Fraction of the stop time in which requests may finish; they are cut afterwards. */
 const FINISH_FRACTION = 0.9
 /** Fraction of the stop time in which requests are sent whose time limits lie behind the end. */
 const SEND_FRACTION = 3 / 8
+/** Milliseconds before the end of the stop time at which the process ends at the latest, with its log written. */
+const EXIT_MARGIN_MS = 400
 /** Milliseconds before the end by which a time limit must have passed, so that its answer still reaches the caller. */
 const FINISH_MARGIN_MS = 50
 
 /** Builds the times of a stop that begins now. */
 export function buildStopWindow (startedAtMs: number, stopMs: number): StopWindow {
-  return { sendUntilMs: startedAtMs + SEND_FRACTION * stopMs, finishAtMs: startedAtMs + FINISH_FRACTION * stopMs }
+  const finishAtMs = startedAtMs + FINISH_FRACTION * stopMs
+  return { sendUntilMs: startedAtMs + SEND_FRACTION * stopMs, finishAtMs, deliverUntilMs: Math.max(finishAtMs, startedAtMs + stopMs - EXIT_MARGIN_MS) }
 }
 
 /**
--- a/src/relay/callerReply.ts
+++ b/src/relay/callerReply.ts
@@ -8,6 +8,12 @@
 /** State of a reply, as the caller sees it. */
 export type ReplyEnd = 'open' | 'whole' | 'cut' | 'callerLeft'
 
+/** Who ended a reply that is not whole: its caller, this gateway, because there is no whole answer, or the end of a planned stop. */
+export type ReplyEnder = 'caller' | 'gateway' | 'stop'
+
+/** How far a request and its reply have come. */
+export type ReplyStage = 'reading' | 'waiting' | 'sent' | 'answering' | 'delivering'
+
 /** Status and headers of a reply whose body comes from an endpoint. */
 export interface ReplyHead {
   status: number
@@ -24,14 +30,20 @@
   readonly #response: ServerResponse
   readonly #dialect: CallerDialect
   readonly #controller = new AbortController()
+  /** Monotonic milliseconds at which the head of the request was read. */
+  readonly arrivedAtMs: number
+  /** Id of the endpoint that the request was last sent to; null before. */
+  endpointId: string | null = null
   #requestId: string | null = null
+  #isAdmitted = false
   #end: ReplyEnd = 'open'
   #hasStarted = false
   #sentBytes = 0
 
-  constructor (response: ServerResponse, dialect: CallerDialect) {
+  constructor (response: ServerResponse, dialect: CallerDialect, arrivedAtMs: number) {
     this.#response = response
     this.#dialect = dialect
+    this.arrivedAtMs = arrivedAtMs
     response.on('error', () => {})
     response.once('close', () => this.#handleClose())
   }
@@ -54,11 +66,37 @@
     return this.#sentBytes
   }
 
+  get requestId (): string | null {
+    return this.#requestId
+  }
+
+  /** Whether all bytes of the reply were handed to the system. */
+  get isWritten (): boolean {
+    return this.#response.writableFinished
+  }
+
+  /** Bytes of the reply that the system has not taken yet. */
+  get unwrittenBytes (): number {
+    return this.#response.writableLength
+  }
+
+  get stage (): ReplyStage {
+    if (this.#end === 'whole') return 'delivering'
+    if (this.#hasStarted) return 'answering'
+    if (this.endpointId !== null) return 'sent'
+    return this.#isAdmitted ? 'waiting' : 'reading'
+  }
+
   /** Sets the request id that later refusals carry. */
   setRequestId (requestId: string): void {
     this.#requestId = requestId
   }
 
+  /** Records that the request was read and is allowed. */
+  recordAdmitted (): void {
+    this.#isAdmitted = true
+  }
+
   /** Sends a complete reply. */
   sendComplete (head: ReplyHead, body: Buffer): void {
     if (this.#end !== 'open') return
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -111,6 +111,7 @@
       this.#releaseEndpoint(choice)
       return false
     }
+    reply.endpointId = choice.endpoint.entry.id
     const result = await this.#options.sender.send({ request, reply, choice, position, tried, attempt: state.attempts })
     switch (result.outcome) {
       case 'answered':
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -10,7 +10,7 @@
 import type { RetryDecision, DirectAttemptOutcome } from '../policy/retryDecision'
 import type { Refusal } from '../protocol/errorBody'
 import type { PermitRequest } from '../protocol/permitMessages'
-import type { CallerReply } from './callerReply'
+import type { CallerReply, ReplyEnder } from './callerReply'
 import type { RelayRequest } from './relayRequest'
 
 /** Result of one attempt, for the log and the metrics. */
@@ -87,6 +87,7 @@
   readonly #exits: Counter
   readonly #continuedStreams: Counter
   readonly #takeUps: Counter
+  readonly #repliesNotWhole: Counter
   readonly #firstEventTime: LabeledHistogram
   readonly #queueTime: LabeledHistogram
 
@@ -101,6 +102,7 @@
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
     this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
     this.#takeUps = metrics.createCounter('stream_take_ups_total', 'Streams that callers take up, by service and how the version that began them is known.')
+    this.#repliesNotWhole = metrics.createCounter('replies_not_whole_total', 'Replies that their callers do not have as a whole, by the stage of the request and who ended them.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
   }
@@ -253,6 +255,22 @@
     this.#log.write('notable', { event: 'requestRefused', requestId, code: refusal.code, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, ...inputs })
   }
 
+  /** Records a reply that its caller does not have as a whole: how far it had come, and who ended it. */
+  recordNotWhole (reply: CallerReply, { endedBy, stopAgeMs }: { endedBy: ReplyEnder, stopAgeMs: number | null }, nowMs: number): void {
+    this.#repliesNotWhole.add({ stage: reply.stage, by: endedBy })
+    this.#log.write('notable', {
+      event: 'replyNotWhole',
+      requestId: reply.requestId ?? undefined,
+      stage: reply.stage,
+      endpoint: reply.endpointId,
+      endedBy,
+      ageMs: Math.round(nowMs - reply.arrivedAtMs),
+      stopAgeMs: stopAgeMs === null ? null : Math.round(stopAgeMs),
+      sentBytes: reply.sentBytes,
+      unwrittenBytes: reply.unwrittenBytes
+    })
+  }
+
   recordRequestEnd (request: RelayRequest, reply: CallerReply, nowMs: number): void {
     this.#requests.add({ rank: String(request.rank), kind: request.route.kind, end: reply.end })
     this.#log.write(reply.end === 'whole' ? 'routine' : 'notable', {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -296,7 +296,8 @@
   /**
    * Leaves the balancer's rotation while it continues to serve, then lets requests in flight finish
    * within the stop time of the settings. Requests that might not end in time are refused, however they
-   * arrive. Those still running at the end are cut.
+   * arrive. Those still running at the end are cut. Resolves once the callers have closed their connections, which
+   * shows that they have their replies, and before the platform ends the process.
    */
   async drain (): Promise<void> {
     const { log } = this.#options
@@ -319,9 +320,10 @@
     }
     clearTimeout(refuseTimer)
     await peersLeft
-    const cutRequests = this.#server.countBusy()
-    this.#server.abortReplies()
-    log.write('notable', { event: 'drained', cutRequests, elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+    const cutRequests = this.#server.abortReplies()
+    while (this.#server.countConnections() > 0 && systemClock.getMonotonicMs() < stop.deliverUntilMs) await waitFor(DRAIN_POLL_MS)
+    const unwritten = this.#server.reportUnwritten()
+    log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: this.#server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
   /** Closes everything immediately, without waiting for requests in flight. */
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,18 +1,20 @@
 import { createServer } from 'node:http'
+import { Server as NetServer } from 'node:net'
 
 import { readBody } from '../protocol/bodyReader'
+import { CallerConnections } from './callerConnections'
 import { CallerReply } from './callerReply'
 import { countHeaderBytes } from './headerList'
 import { waitForPendingInput } from './pendingInput'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import type { Duplex } from 'node:stream'
 import type { Clock } from '../base/clock'
 import type { CallerBounds } from '../config/routingConfig'
 import type { ListenAddress } from '../config/processSettings'
 import type { Refusal } from '../protocol/errorBody'
 import type { AdmissionGate } from './admissionGate'
+import type { ReplyEnder } from './callerReply'
 import type { CallerDialect } from './dialects'
 import type { DirectRelay } from './directRelay'
 import type { RelayObserver } from './relayObserver'
@@ -28,29 +30,27 @@
   maxConnections: number
 }
 
-/** State of a connection: no request received yet, a request in progress, or idle after a request. */
-type SocketState = 'fresh' | 'busy' | 'idle'
-
 /** Bounds in force until the first configuration is read. */
 const INITIAL_BOUNDS: CallerBounds = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000 }
 /** Maximum header bytes that the parser accepts; the configured bound is lower. */
 const MAX_PARSED_HEADER_BYTES = 65_536
 const LISTEN_BACKLOG = 4096
 const CHECK_INTERVAL_MS = 500
-/** Milliseconds that a connection accepted just before the stop has for its first request, which is already on its way. */
-const FIRST_REQUEST_GRACE_MS = 300
 
 /** Serves callers whose requests are relayed straight to endpoints. */
 export class RelayServer {
   readonly #options: RelayServerOptions
   readonly #server: Server
-  /** Open connections and their states. */
-  readonly #sockets = new Map<Duplex, SocketState>()
-  /** Replies that have not ended. */
+  readonly #connections: CallerConnections
+  /** Connections on which the body of a request is being read. */
+  readonly #reading = new WeakSet<Socket>()
+  /** Replies that have not been written. */
   readonly #replies = new Set<CallerReply>()
+  /** Replies that the end of a planned stop has cut. */
+  readonly #cutByStop = new WeakSet<CallerReply>()
   #bounds = INITIAL_BOUNDS
-  #isLeaving = false
-  #hasStoppedAccepting = false
+  /** Monotonic milliseconds at which the planned stop began; null before it. */
+  #leavingSinceMs: number | null = null
 
   constructor (options: RelayServerOptions) {
     this.#options = options
@@ -63,23 +63,26 @@
     })
     this.#server.maxConnections = options.maxConnections
     this.setBounds(INITIAL_BOUNDS)
-    this.#server.on('connection', socket => this.#trackSocket(socket))
+    this.#connections = new CallerConnections({ clock: options.clock })
+    this.#server.on('connection', socket => this.#connections.add(socket))
     this.#server.on('request', (request, response) => this.#handleRequest(request, response))
     this.#server.on('checkContinue', (request, response) => {
-      response.writeContinue()
+      if (!this.#connections.isClosing(request.socket)) response.writeContinue()
       this.#handleRequest(request, response)
     })
-    this.#server.on('clientError', (_error, socket) => this.#refuseMalformed(socket))
+    this.#server.on('clientError', (_error, socket) => this.#refuseMalformed(socket as Socket))
+    // with this listener, the server itself closes no idle connection
+    this.#server.on('timeout', socket => { this.#connections.closeIfIdle(socket).catch(error => options.observer.recordError(error)) })
   }
 
   /** Counts the open caller connections. */
   countConnections (): number {
-    return this.#sockets.size
+    return this.#connections.count()
   }
 
-  /** Counts the connections whose request is on its way, is being read or has no complete answer yet. */
+  /** Counts the connections whose request is on its way, is being read or has no written reply yet. */
   countBusy (): number {
-    return [...this.#sockets.values()].filter(use => use !== 'idle').length
+    return this.#connections.countBusy()
   }
 
   /** Sets the bounds of the configuration in force. */
@@ -105,22 +108,34 @@
 
   /** Closes each connection after its next answer; new ones are still served. */
   startLeaving (): void {
-    this.#isLeaving = true
+    this.#leavingSinceMs = this.#options.clock.getMonotonicMs()
+    this.#connections.startLeaving()
   }
 
   /** Accepts no more connections and closes those without a request; one that has had none yet gets a grace period first. */
   stopAccepting (): void {
-    this.#hasStoppedAccepting = true
-    this.#server.close()
-    for (const [socket, state] of this.#sockets) {
-      if (state === 'idle') socket.end()
-      else if (state === 'fresh') this.#scheduleUnusedClose(socket)
+    // the HTTP server's own method also cuts connections whose replies have ended but are not yet written
+    NetServer.prototype.close.call(this.#server)
+    this.#connections.startClosing()
+  }
+
+  /** Cuts the replies that have not ended, so that their callers see that these are not complete. Returns their number. */
+  abortReplies (): number {
+    const open = [...this.#replies].filter(({ end }) => end === 'open')
+    for (const reply of open) {
+      // now, because the process may end before the connection's close is noticed
+      this.#recordNotWhole(reply, 'stop')
+      this.#cutByStop.add(reply)
+      reply.abort()
     }
+    return open.length
   }
 
-  /** Cuts the replies that have not ended, so that their callers see that these are not complete. */
-  abortReplies (): void {
-    for (const reply of this.#replies) reply.abort()
+  /** Logs the replies that are ended but not yet written; the end of the process cuts them. Returns their number. */
+  reportUnwritten (): number {
+    const unwritten = [...this.#replies].filter(({ end }) => end === 'whole')
+    for (const reply of unwritten) this.#recordNotWhole(reply, 'stop')
+    return unwritten.length
   }
 
   /** Closes all connections immediately. */
@@ -129,45 +144,22 @@
     this.#server.closeAllConnections()
   }
 
-  #trackSocket (socket: Socket): void {
-    this.#sockets.set(socket, 'fresh')
-    socket.once('close', () => this.#sockets.delete(socket))
-    // accepted in the same event-loop turn in which the process stopped accepting
-    if (this.#hasStoppedAccepting) this.#scheduleUnusedClose(socket)
-  }
-
-  #releaseSocket (socket: Socket): void {
-    if (!this.#sockets.has(socket)) return
-    this.#sockets.set(socket, 'idle')
-    if (this.#hasStoppedAccepting) socket.end()
-  }
-
-  /** Closes a connection on which no request arrives within the grace period. */
-  #scheduleUnusedClose (socket: Duplex): void {
-    setTimeout(() => {
-      if (this.#sockets.get(socket) !== 'fresh') return
-      this.#sockets.set(socket, 'idle')
-      socket.end()
-    }, FIRST_REQUEST_GRACE_MS).unref()
-  }
-
   #handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const { clock, dialect, observer } = this.#options
+    const { socket } = request
     const arrivedAtMs = clock.getMonotonicMs()
     request.on('error', () => {})
     // the connection was closed before the request arrived; the caller sees that the request was not read
-    if (!request.socket.writable) {
-      request.socket.destroy()
+    if (!this.#connections.beginRequest(socket)) {
+      request.resume()
       return
     }
-    this.#sockets.set(request.socket, 'busy')
-    const reply = new CallerReply(response, dialect)
+    this.#reading.add(socket)
+    request.once('end', () => this.#reading.delete(socket))
+    const reply = new CallerReply(response, dialect, arrivedAtMs)
     this.#replies.add(reply)
-    response.once('close', () => {
-      this.#replies.delete(reply)
-      this.#releaseSocket(request.socket)
-    })
-    if (this.#isLeaving) response.shouldKeepAlive = false
+    response.once('close', () => this.#finishReply(reply, socket))
+    if (this.#leavingSinceMs !== null) response.shouldKeepAlive = false
     this.#serve(request, reply, arrivedAtMs).catch((error: Error) => {
       const refusal: Refusal = { code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' }
       observer.recordRefusal(undefined, refusal, { error: String(error.stack).slice(0, 500) })
@@ -175,6 +167,20 @@
     })
   }
 
+  #finishReply (reply: CallerReply, socket: Socket): void {
+    this.#replies.delete(reply)
+    this.#connections.endRequest(socket)
+    const isDelivered = reply.end === 'whole' && reply.isWritten
+    // outside a stop, the line of the request's end says it of replies that did not end as whole
+    if (isDelivered || this.#cutByStop.has(reply) || (reply.end !== 'whole' && this.#leavingSinceMs === null)) return
+    this.#recordNotWhole(reply, reply.end === 'cut' ? 'gateway' : 'caller')
+  }
+
+  #recordNotWhole (reply: CallerReply, endedBy: ReplyEnder): void {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    this.#options.observer.recordNotWhole(reply, { endedBy, stopAgeMs: this.#leavingSinceMs === null ? null : nowMs - this.#leavingSinceMs }, nowMs)
+  }
+
   async #serve (request: IncomingMessage, reply: CallerReply, arrivedAtMs: number): Promise<void> {
     const { dialect, gate, relay } = this.#options
     const head = { method: request.method ?? '', target: request.url ?? '', headers: request.rawHeaders }
@@ -192,6 +198,7 @@
     await waitForPendingInput()
     const admission = gate.admit(traits.value, arrivedAtMs)
     if (admission.isErr) return this.#refuse(reply, traits.value, admission.error)
+    reply.recordAdmitted()
     const relayRequest: RelayRequest = { traits: traits.value, body: body.value, arrivedAtMs, ...admission.value }
     await relay.relay(relayRequest, reply)
   }
@@ -207,12 +214,19 @@
     reply.refuse(refusal)
   }
 
-  /** Answers bytes that are not a valid request with status 400 and closes their connection. */
-  #refuseMalformed (socket: Duplex): void {
-    if (!socket.writable || this.#sockets.get(socket) === 'busy') {
+  /** Answers bytes that are not a valid request with status 400 and closes their connection, after the replies to requests before them. */
+  #refuseMalformed (socket: Socket): void {
+    if (this.#connections.isClosing(socket)) return
+    if (!socket.writable || this.#isReadingBody(socket)) {
       socket.destroy()
       return
     }
-    socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+    if (!this.#connections.isBusy(socket)) socket.write('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
+    this.#connections.closeAfterReplies(socket)
+  }
+
+  /** Returns whether a request on the connection has not been read to its end, so that the bytes belong to its body. */
+  #isReadingBody (socket: Socket): boolean {
+    return this.#reading.has(socket)
   }
 }
--- a/tests/relay/slowCallers.spec.ts
+++ b/tests/relay/slowCallers.spec.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 
-import { answerWhole, buildCallerRequest, formatChunk, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, formatChunk, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -69,7 +69,7 @@
 
   async function start (answer: (request: ReceivedRequest) => void): Promise<void> {
     endpoint = await startEndpoint('e-1', answer)
-    fixture = await startRelay(undefined, [endpoint], { stopSeconds: STOP_SECONDS })
+    fixture = await startRelay(buildPlatformConfig({ routes: [buildRoute({ timeoutMs: 9000 })] }), [endpoint], { stopSeconds: STOP_SECONDS })
     caller = new PacedCaller(fixture.port)
   }
 
