Accept the connections that wait before accepting ends

What callers could see: a reset of a connection that the system had accepted and the process had not, at the end of accepting. The listener was closed in a timer, before the event loop looked for connections.

Change: one look for arrived input before the listener is closed. No test: it depends on one turn of the event loop.

--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -22,6 +22,7 @@
 import { FleetWatcher } from './fleetWatcher'
 import { LimitCoordinator } from './limitCoordinator'
 import { PeerNetwork } from './peerNetwork'
+import { waitForPendingInput } from './pendingInput'
 import { PresenceChecker } from './presenceChecker'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
@@ -312,6 +313,8 @@
     const peersLeft = this.#peers.startLeaving()
     this.#server.startLeaving()
     await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3))
+    // the system resets connections that were not accepted yet
+    await waitForPendingInput()
     this.#server.stopAccepting()
     while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() < stop.finishAtMs) await waitFor(DRAIN_POLL_MS)
     if (this.#dispatcher.listServices().some(({ waiting }) => waiting > 0)) {
