Tell other gateways of endpoints whose process may have ended

Cause: that a process ends is seen by the gateways that have a connection to it. Another gateway whose own stream broke later went on at the endpoint that had been restarted first, since its old entry was still listed.

Change: each gateway reports the endpoints that it no longer takes for the listed process with its loads, and at once when a connection of a bound stream breaks.

An endpoint that no other gateway was connected to either is still not noticed.

--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -55,6 +55,9 @@
 const NO_IDS: ReadonlySet<string> = new Set()
 const NO_COUNTS: ReadonlyMap<string, number> = new Map()
 
+/** Milliseconds within which reports of a broken connection are taken for the same sign. */
+const DOUBT_TOLERANCE_MS = 1000
+
 /**
  * Tracks the endpoints that a gateway reaches directly, from the platform's list. A deleted entry
  * removes its endpoint immediately. An entry that is missing after an outage of the list gets a grace
@@ -126,6 +129,14 @@
     if (endpoint?.entry.bornAtMs === entry.bornAtMs) endpoint.refusedAtMs = nowMs
   }
 
+  /** Records that another gateway saw a sign, at `atMs`, that an endpoint's process may have ended. */
+  recordDoubt ({ id, bornAtMs }: Pick<EndpointEntry, 'id' | 'bornAtMs'>, atMs: number): void {
+    const endpoint = this.#endpoints.get(id)
+    if (endpoint === undefined || endpoint.entry.bornAtMs !== bornAtMs) return
+    // the time of one sign differs a little with each gateway that passes it on
+    if (endpoint.brokenAtMs === null || atMs > endpoint.brokenAtMs + DOUBT_TOLERANCE_MS) endpoint.brokenAtMs = atMs
+  }
+
   /** Records that an entry, read by a call that started at `startedAtMs`, is that of the known process. */
   recordConfirmed (entry: EndpointEntry, startedAtMs: number): void {
     const endpoint = this.#endpoints.get(entry.id)
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -71,6 +71,9 @@
 /** Loads of endpoints: id, requests in flight, uncached prompt tokens not yet prefilled, milliseconds since the last byte received. */
 const endpointLoadsSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))
 
+/** Endpoints whose process may have ended since its entry was read: id, start time in Unix milliseconds, milliseconds since the sign of it. */
+const doubtedEndpointsSchema = z.array(z.tuple([z.string(), z.number(), z.number().min(0)]))
+
 /**
  * Limits that endpoints name: id, start time in Unix milliseconds, version of the limit, requests per second from all
  * gateways together (null once the endpoint names none), requests sent under it in the last seconds.
@@ -93,6 +96,7 @@
   gateways: z.number(),
   loads: endpointLoadsSchema,
   leaving: leavingNoticesSchema.default([]),
+  doubted: doubtedEndpointsSchema.default([]),
   limits: endpointLimitsSchema.default([]),
   crashes: partCrashesSchema.default([]),
   answered: answeredPartsSchema.default([]),
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -13,6 +13,7 @@
 import type { OriginKnowledge } from '../policy/streamOrigins'
 import type { LoadUpdate } from '../protocol/viewMessages'
 import type { CrashGuard } from './crashGuard'
+import type { DoubtedEndpoint } from './endpointIdentity'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { PeerClient } from './peerClient'
 import type { StreamVersions } from './streamVersions'
@@ -29,6 +30,8 @@
   log: DecisionLog
   /** Called when another gateway reports that an endpoint is leaving. */
   handleLeaving: (notice: LeavingNotice) => void
+  /** Lists the endpoints whose process may have ended since its entry was read, with the time of the sign. */
+  listDoubted: () => DoubtedEndpoint[]
   openClient: (peer: { id: string, address: string }) => PeerClient
 }
 
@@ -112,14 +115,15 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
-    const { peerLoads, clock, handleLeaving, limits: coordinator, crashes: guard, versions } = this.#options
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, doubted, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
+    const { peerLoads, clock, directory, handleLeaving, limits: coordinator, crashes: guard, versions } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
     const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0 }]))
     peerLoads.record(domain ?? reporter, report, nowMs, { gateways, scope })
     this.#reporters.set(domain ?? reporter, domain)
     for (const [id, bornAtMs, saidAgoMs] of leaving) handleLeaving({ id, bornAtMs, source: 'peer', saidAtMs: nowMs - saidAgoMs })
+    for (const [id, bornAtMs, agoMs] of doubted) directory.recordDoubt({ id, bornAtMs }, nowMs - agoMs)
     for (const [id, bornAtMs, version, requestsPerSecond] of limits) coordinator.mergeNotice({ id, bornAtMs, version, requestsPerSecond })
     guard.mergeNews({
       crashes: crashes.map(([crashId, agoMs, requests]) => ({ crashId, atMs: nowMs - agoMs, requests })),
@@ -131,7 +135,7 @@
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -147,7 +151,7 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
   }
 
   #listBegun (sources: ReadonlySet<OriginKnowledge>): LoadUpdate['begun'] {
@@ -169,6 +173,11 @@
     return this.#options.directory.listLeaving().map(({ id, bornAtMs, saidAtMs }) => [id, bornAtMs, Math.max(0, Math.round(nowMs - saidAtMs))])
   }
 
+  #listDoubted (): LoadUpdate['doubted'] {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    return this.#options.listDoubted().map(({ id, bornAtMs, atMs }) => [id, bornAtMs, Math.max(0, Math.round(nowMs - atMs))])
+  }
+
   #listCrashNews (): Pick<LoadUpdate, 'crashes' | 'answered'> {
     const { crashes, clock } = this.#options
     const nowMs = clock.getMonotonicMs()
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -15,6 +15,7 @@
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
 import type { CrashGuard } from './crashGuard'
+import type { DoubtedEndpoint } from './endpointIdentity'
 import type { LimitCoordinator } from './limitCoordinator'
 import type { PeerClient } from './peerClient'
 import type { StreamVersions } from './streamVersions'
@@ -32,6 +33,8 @@
   versions: StreamVersions
   /** Called when another gateway reports that an endpoint is leaving. */
   handleLeaving: (notice: LeavingNotice) => void
+  /** Lists the endpoints whose process may have ended since its entry was read. */
+  listDoubted: () => DoubtedEndpoint[]
   log: DecisionLog
 }
 
@@ -53,7 +56,7 @@
   readonly loads: PeerLoadTable
 
   constructor (options: PeerNetworkOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
     this.#table = new PeerTable(self)
@@ -67,7 +70,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, log, openClient: peer => this.#gossip.openClient(peer) })
+    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, listDoubted, log, openClient: peer => this.#gossip.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
@@ -132,6 +135,11 @@
     this.#loadExchange.notify()
   }
 
+  /** Tells peer gateways immediately that an endpoint's process may have ended. */
+  notifyDoubt (): void {
+    this.#loadExchange.notify()
+  }
+
   /** Lists the gateways that may keep the limits of the endpoints in a failure domain, the first choice first. */
   listKeepers (domain: string): PeerIdentity[] {
     return this.#table.listKeepers(domain, this.#options.clock.getMonotonicMs())
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -5,7 +5,6 @@
 import { getProcessorMs } from '../base/processorTime'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
-import { isListedProcess } from '../policy/processIdentity'
 import { Placement } from '../policy/placement'
 import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
@@ -18,6 +17,7 @@
 import { Dispatcher } from './dispatcher'
 import { EndpointAgent } from './endpointAgent'
 import { EndpointConnections } from './endpointConnections'
+import { EndpointIdentity } from './endpointIdentity'
 import { EndpointSender } from './endpointSender'
 import { FleetWatcher } from './fleetWatcher'
 import { LimitCoordinator } from './limitCoordinator'
@@ -80,8 +80,6 @@
 /** Milliseconds of Retry-After of a gateway that stops; others serve. */
 const STOP_RETRY_AFTER_MS = 10
 const DRAIN_POLL_MS = 25
-/** Heartbeats after which the entry of an endpoint that has ended is gone: the platform tolerates three, and one may be on its way. */
-const ENTRY_LAPSE_HEARTBEATS = 4
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
@@ -137,6 +135,12 @@
       handleAnswer: name => this.#dispatcher.notifyCapacity(name)
     })
     const countReadyVersions = (name: string) => this.#directory.countReadyVersions(name)
+    const identity = new EndpointIdentity({
+      directory: this.#directory,
+      connections: this.#connections,
+      heartbeatMs: settings.heartbeatMs,
+      getListReadAtMs: () => this.#fleetWatcher.listReadAtMs
+    })
     // the registry reads through the view of the peers, which report the versions of streams
     this.#versions = new StreamVersions({ clock: systemClock, getRegistry: () => this.#registry, readStoredOrigins: async () => await this.#originStore.read(), observer: this.#observer, countReadyVersions })
     this.#peers = new PeerNetwork({
@@ -150,6 +154,7 @@
       limits: this.#limits,
       versions: this.#versions,
       handleLeaving: notice => this.#recordLeaving(notice),
+      listDoubted: () => identity.listDoubted(),
       log
     })
     this.#registry = new VersionRegistry({
@@ -198,12 +203,7 @@
       loads: this.#peers.loads,
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
-      isListedProcess: endpoint => isListedProcess(endpoint, {
-        listReadAtMs: this.#fleetWatcher.listReadAtMs,
-        entryLapseMs: ENTRY_LAPSE_HEARTBEATS * settings.heartbeatMs,
-        idleEndedAtMs: this.#connections.getIdleEndedAt(endpoint.entry.address),
-        hasConnectionSince: sinceMs => this.#connections.hasOpenSince(endpoint.entry.address, sinceMs)
-      }),
+      isListedProcess: endpoint => identity.isListed(endpoint),
       random: Math.random
     })
     const sender = new EndpointSender({
@@ -222,6 +222,7 @@
       handleBegun: (request, version) => this.#versions.recordBegun(request, version),
       handleLimit: (limit, answer) => this.#limits.recordAnswer(limit, answer),
       handleBroken: endpoint => {
+        this.#peers.notifyDoubt()
         this.#fleetWatcher.readEntry(endpoint).then(() => this.#dispatcher.notifyCapacity(endpoint.entry.service), error => log.writeError(error))
       },
       countWaiting: name => this.#dispatcher.countWaiting(name),
--- a/tests/relay/restartsInPlace.spec.ts
+++ b/tests/relay/restartsInPlace.spec.ts
@@ -1,8 +1,9 @@
 import { expect } from 'chai'
 
-import { registerEndpoint } from './relayFixture'
-import { countMixed, VersionedFleet } from './versionedFleet'
+import { buildCallerRequest, registerEndpoint, sendRaw } from './relayFixture'
+import { countMixed, STREAM_LIMIT_MS, VersionedFleet } from './versionedFleet'
 
+import type { RelayFixture } from './relayFixture'
 import type { CallerStream } from './versionedFleet'
 
 /** Streams with events of two versions that the platform's rules allow. */
@@ -10,6 +11,8 @@
 const RESTARTS = 4
 const RESTART_GAP_MS = 400
 const STREAM_GAP_MS = 15
+/** Milliseconds in which gateways learn from each other of an endpoint that may have ended. */
+const LEARN_MS = 600
 
 // an endpoint that is back at its address with another version is not known by an old entry
 describe('streams while endpoints are restarted in place as another version and gateways do not see their entries', () => {
@@ -53,6 +56,38 @@
   })
 })
 
+// only gateways that have a connection to an endpoint see its process end
+describe('a stream that goes on after endpoints were restarted in place one after the other', () => {
+  it('should not be joined by a gateway that had no connection to the first of them, while the store answers none', async () => {
+    const fleet = new VersionedFleet({ gateways: 2, versions: ['v1'], events: 250, maxAttempts: 2 })
+    await fleet.start()
+    await fleet.waitForVersions()
+    await fleet.replaceGateways()
+    const [own, other] = fleet.gateways
+    const play = async (gateway: RelayFixture, id: string) => await sendRaw(gateway.port, buildCallerRequest({ id, target: `/archive/${id}`, timeoutMs: STREAM_LIMIT_MS, headers: ['Connection: close'] }))
+    // the only endpoint at that time
+    const stream = play(own!, 'a-1')
+    await wait(LEARN_MS)
+    const second = await fleet.addEndpoint('v1')
+    await wait(LEARN_MS)
+    const others: Array<ReturnType<typeof sendRaw>> = []
+    for (const id of ['b-1', 'b-2', 'b-3', 'b-4']) {
+      others.push(play(other!, id))
+      await wait(50)
+    }
+    const chosen = other!.lines.flatMap(line => line.event === 'endpointChosen' ? [line.endpoint] : [])
+    for (const { service } of fleet.gateways) service.setFaults({ outage: true })
+    await second.replaceVersion('v2')
+    await wait(LEARN_MS)
+    await fleet.endpoints[0]!.replaceVersion('v2')
+    const versions = [...(await stream).text.matchAll(/^data: (\S+)$/gm)].map(([, version]) => version)
+    await Promise.all(others)
+    await fleet.close()
+    expect(chosen).to.include(second.id)
+    expect(new Set(versions)).to.deep.equal(new Set(['v1']))
+  })
+})
+
 async function wait (milliseconds: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, milliseconds))
 }
