Judge others by the time in which this process could read, and count a stop from its signal

Cause: the check of stalls compares the time of the last byte with the clock. Timers run before the poll phase, so after a standstill the check runs while the endpoints' bytes lie unread, and takes the gateway's own standstill for their silence. A planned stop is counted from the turn that handles its signal, so after a late turn it lasts longer than the platform waits.

`ReadableTime` takes the place of `StallReporter` and its tick of 100 ms: a gap between two ticks counts as 150 ms at most, also before the late tick has run. The stall check reads all its times through it, and gives nothing up before the input that has arrived is read, which takes two turns of the event loop and is done only where there is something to give up. A silent endpoint is still found within one limit after the process goes on. A process that is always late still finds it, because each gap counts for something. `drain` counts the stop from the last tick after which a poll phase has completed: a signal that is handled now cannot have come earlier. Without a late event loop that is up to 0.1 s before the signal.

`processHeldUp` says how many time limits were deferred; the histogram `held_up_ms` counts standstills.

Processor time was not measured.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -1,9 +1,18 @@
+import type { ReadableTime } from './readableTime'
+
 /** Source of time. Decisions read a `Clock` that is passed in, never the system clock, so that tests control time. */
 export interface Clock {
   /** Returns milliseconds since an arbitrary start; the value never decreases. */
   getMonotonicMs (): number
   /** Returns milliseconds since the Unix epoch, for times shown to people or sent to other processes. */
   getWallMs (): number
+  /** Which of its monotonic milliseconds count when others are judged by their silence; all where it is absent. */
+  readonly readable?: ReadableTime
+}
+
+/** Returns the milliseconds of a clock's monotonic time in which this process could read its input; only differences have a meaning. */
+export function toReadableMs (clock: Clock, monotonicMs: number): number {
+  return clock.readable === undefined ? monotonicMs : clock.readable.toReadableMs(monotonicMs)
 }
 
 /** The clock of this machine. */
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -151,8 +151,11 @@
   /** `unwritten`: replies that had ended here but were not yet written; `openConnections`: those whose callers had not closed them. */
   | { event: 'drained', cutRequests: number, unwritten: number, openConnections: number, elapsedMs: number }
   | { event: 'stopped', exitCode: number }
-  /** The event loop was held up for `delayMs`, in which the process used this much processor time. */
-  | { event: 'processHeldUp', delayMs: number, processorMs: number }
+  /**
+   * The event loop was held up for `delayMs`, in which the process used this much processor time. `deferred`: time
+   * limits of others that passed meanwhile and get the rest of their time.
+   */
+  | { event: 'processHeldUp', delayMs: number, processorMs: number, deferred: number }
   | { event: 'settingsReloaded', cause: string, changed: boolean, needRestart?: string[] }
   | { event: 'settingsRefused', cause: string, findings: string }
   | { event: 'unexpectedError', message: string }
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -1,6 +1,7 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { LabeledHistogram } from '../base/labeledHistogram'
 import type { Counter, Metrics } from '../base/metrics'
+import type { Standstill } from '../base/readableTime'
 import type { ClosedAnswer, decideAnswerEnd } from '../policy/answerEnd'
 import type { DirectChoice } from '../policy/directChooser'
 import type { DirectEndpoint, EndpointEntry } from '../policy/directEndpoint'
@@ -88,6 +89,7 @@
   readonly #continuedStreams: Counter
   readonly #takeUps: Counter
   readonly #repliesNotWhole: Counter
+  readonly #standstills: LabeledHistogram
   readonly #firstEventTime: LabeledHistogram
   readonly #queueTime: LabeledHistogram
 
@@ -103,6 +105,7 @@
     this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
     this.#takeUps = metrics.createCounter('stream_take_ups_total', 'Streams that callers take up, by service and how the version that began them is known.')
     this.#repliesNotWhole = metrics.createCounter('replies_not_whole_total', 'Replies that their callers do not have as a whole, by the stage of the request and who ended them.')
+    this.#standstills = metrics.createHistogram('held_up_ms', 'Milliseconds by which the event loop was late, where requests are read noticeably later than they arrive.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
   }
@@ -271,6 +274,12 @@
     })
   }
 
+  /** Records a delay of the event loop that is long enough to be noticed by others. */
+  recordStandstill ({ delayMs, processorMs, deferred }: Standstill): void {
+    this.#standstills.record(delayMs)
+    this.#log.write('notable', { event: 'processHeldUp', delayMs: Math.round(delayMs), processorMs: Math.round(processorMs), deferred })
+  }
+
   recordRequestEnd (request: RelayRequest, reply: CallerReply, nowMs: number): void {
     this.#requests.add({ rank: String(request.rank), kind: request.route.kind, end: reply.end })
     this.#log.write(reply.end === 'whole' ? 'routine' : 'notable', {
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -2,6 +2,7 @@
 import { systemClock } from '../base/clock'
 import { HttpListener } from '../base/httpListener'
 import { Metrics } from '../base/metrics'
+import { ReadableTime } from '../base/readableTime'
 import { getProcessorMs } from '../base/processorTime'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
@@ -27,13 +28,13 @@
 import { RelayObserver } from './relayObserver'
 import { RelayServer } from './relayServer'
 import { StallDetector } from './stallDetector'
-import { StallReporter } from './stallReporter'
 import { StreamOriginStore } from './streamOriginStore'
 import { StreamVersions } from './streamVersions'
 import { buildVersionRecord } from './versionRecords'
 import { VERSION_RECORD_PREFIX, VersionRegistry } from './versionRegistry'
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
 import type { LeavingNotice } from '../policy/leavingNotices'
@@ -92,6 +93,7 @@
   readonly #metrics = new Metrics()
   readonly #dump = new StateDump()
   readonly #observer: RelayObserver
+  readonly #readableTime: ReadableTime
   readonly #directory = new EndpointDirectory()
   readonly #limits: LimitCoordinator
   readonly #freshness: ViewFreshness
@@ -99,7 +101,6 @@
   readonly #fleetWatcher: FleetWatcher
   readonly #relay: DirectRelay
   readonly #stallDetector: StallDetector
-  readonly #stallReporter: StallReporter
   readonly #crashes: CrashGuard
   readonly #peers: PeerNetwork
   readonly #registry: VersionRegistry
@@ -121,11 +122,13 @@
     this.#options = options
     this.#settings = settings
     this.#observer = new RelayObserver(log, this.#metrics)
-    this.#freshness = new ViewFreshness({ clock: systemClock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
+    this.#readableTime = new ReadableTime({ clock: systemClock, getProcessorMs, handleStandstill: standstill => this.#observer.recordStandstill(standstill) })
+    const clock: Clock = { ...systemClock, readable: this.#readableTime }
+    this.#freshness = new ViewFreshness({ clock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
-    this.#crashes = new CrashGuard({ clock: systemClock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash(), handleHold: () => this.#relay.refuseHeld(), handleRefused: entry => this.#directory.recordRefused(entry, systemClock.getMonotonicMs()) })
+    this.#crashes = new CrashGuard({ clock, service, log, observer: this.#observer, handleCrash: () => this.#peers.notifyCrash(), handleHold: () => this.#relay.refuseHeld(), handleRefused: entry => this.#directory.recordRefused(entry, systemClock.getMonotonicMs()) })
     this.#limits = new LimitCoordinator({
-      clock: systemClock,
+      clock,
       gateway: settings.id,
       directory: this.#directory,
       observer: this.#observer,
@@ -137,9 +140,9 @@
     })
     const countReadyVersions = (name: string) => this.#directory.countReadyVersions(name)
     // the registry reads through the view of the peers, which report the versions of streams
-    this.#versions = new StreamVersions({ clock: systemClock, getRegistry: () => this.#registry, readStoredOrigins: async () => await this.#originStore.read(), observer: this.#observer, countReadyVersions })
+    this.#versions = new StreamVersions({ clock, getRegistry: () => this.#registry, readStoredOrigins: async () => await this.#originStore.read(), observer: this.#observer, countReadyVersions })
     this.#peers = new PeerNetwork({
-      clock: systemClock,
+      clock,
       random: Math.random,
       settings,
       store: service,
@@ -152,7 +155,7 @@
       log
     })
     this.#registry = new VersionRegistry({
-      clock: systemClock,
+      clock,
       random: Math.random,
       service: this.#peers.view,
       log,
@@ -164,7 +167,7 @@
       }
     })
     this.#originStore = new StreamOriginStore({
-      clock: systemClock,
+      clock,
       service,
       log,
       domain: settings.domain,
@@ -173,7 +176,7 @@
       mergeOrigins: origins => this.#versions.mergeNews(origins, 'store')
     })
     this.#fleetWatcher = new FleetWatcher({
-      clock: systemClock,
+      clock,
       service: this.#peers.view,
       decoder,
       directory: this.#directory,
@@ -185,13 +188,12 @@
     })
     const observer = this.#observer
     const gate = new AdmissionGate({
-      clock: systemClock,
+      clock,
       random: Math.random,
       getTable: () => this.#fleetWatcher.table,
       getFreshness: () => this.#freshness.getVerdict()
     })
-    this.#stallDetector = new StallDetector({ clock: systemClock, directory: this.#directory, loads: this.#peers.loads, getPermit: endpoint => this.#limits.getPermit(endpoint), log })
-    this.#stallReporter = new StallReporter({ clock: systemClock, getProcessorMs, log })
+    this.#stallDetector = new StallDetector({ clock, directory: this.#directory, loads: this.#peers.loads, getPermit: endpoint => this.#limits.getPermit(endpoint), log })
     const placement = new Placement({
       directory: this.#directory,
       loads: this.#peers.loads,
@@ -206,7 +208,7 @@
       random: Math.random
     })
     const sender = new EndpointSender({
-      clock: systemClock,
+      clock,
       dialect: endpointDialect,
       observer,
       placement,
@@ -227,7 +229,7 @@
       handleCapacity: name => this.#dispatcher.notifyCapacity(name)
     })
     this.#relay = new DirectRelay({
-      clock: systemClock,
+      clock,
       directory: this.#directory,
       placement,
       retries: this.#retries,
@@ -241,7 +243,7 @@
       checkStop: request => this.#checkStop(request)
     })
     this.#server = new RelayServer({
-      clock: systemClock,
+      clock,
       dialect: callerDialect,
       gate,
       relay: this.#relay,
@@ -302,18 +304,20 @@
   async drain (): Promise<void> {
     const { log } = this.#options
     const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
-    const startedAtMs = systemClock.getMonotonicMs()
+    // the signal may have come while this process could not read it, and the platform counts from there
+    const startedAtMs = this.#readableTime.getUnreadSinceMs()
     const stop = buildStopWindow(startedAtMs, stopMs)
+    const getRemainingMs = (untilMs: number) => Math.max(0, untilMs - systemClock.getMonotonicMs())
     this.#stop = stop
     this.#isLeaving = true
     this.#relay.refuseHeld()
-    const refuseTimer = setTimeout(() => this.#relay.refuseHeld(), stop.sendUntilMs - startedAtMs)
+    const refuseTimer = setTimeout(() => this.#relay.refuseHeld(), getRemainingMs(stop.sendUntilMs))
     this.#limits.startLeaving()
     const peersLeft = this.#peers.startLeaving()
     this.#server.startLeaving()
-    await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3))
+    await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3, getRemainingMs(stop.finishAtMs)))
     this.#server.stopAccepting()
-    while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() < stop.finishAtMs) await waitFor(DRAIN_POLL_MS)
+    while (this.#server.countBusy() > 0 && getRemainingMs(stop.finishAtMs) > 0) await waitFor(DRAIN_POLL_MS)
     if (this.#dispatcher.listServices().some(({ waiting }) => waiting > 0)) {
       this.#dispatcher.refuseAll()
       await waitFor(DRAIN_POLL_MS)
@@ -321,7 +325,7 @@
     clearTimeout(refuseTimer)
     await peersLeft
     const cutRequests = this.#server.abortReplies()
-    while (this.#server.countConnections() > 0 && systemClock.getMonotonicMs() < stop.deliverUntilMs) await waitFor(DRAIN_POLL_MS)
+    while (this.#server.countConnections() > 0 && getRemainingMs(stop.deliverUntilMs) > 0) await waitFor(DRAIN_POLL_MS)
     const unwritten = this.#server.reportUnwritten()
     log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: this.#server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
@@ -334,7 +338,7 @@
     this.#agent.destroy()
     this.#dispatcher.close()
     this.#stallDetector.close()
-    this.#stallReporter.close()
+    this.#readableTime.close()
     await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
@@ -371,7 +375,7 @@
     this.#metrics.registerGauge('version_buckets', 'Buckets of stream ids by service and the software version at which their streams begin.', () => this.#registry.listAssignments().flatMap(({ service, assignment }) => [...countBuckets(assignment)].map(([version, value]) => ({ labels: { service, version }, value }))))
     this.#metrics.registerGauge('held_prompt_parts', 'Sets of prompt parts whose requests are refused because they crash endpoints.', () => this.#crashes.listHolds().length)
     this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
-    this.#metrics.registerGauge('longest_delay_ms', 'Longest delay of the event loop.', () => Math.round(this.#stallReporter.longestMs))
+    this.#metrics.registerGauge('longest_delay_ms', 'Longest delay of the event loop.', () => Math.round(this.#readableTime.longestDelayMs))
     this.#metrics.registerGauge('process_memory_bytes', 'Resident memory.', () => process.memoryUsage.rss())
   }
 
--- a/src/relay/stallDetector.ts
+++ b/src/relay/stallDetector.ts
@@ -1,7 +1,9 @@
+import { toReadableMs } from '../base/clock'
 import { isEjected, recordAttemptResult } from '../policy/directEndpoint'
 import { isAvailable } from '../policy/endpointAvailability'
 import { isRetryable } from '../policy/retryDecision'
 import { decideOnStall, isEndpointUnresponsive, isIdleTimeoutExceeded } from '../policy/stallDetection'
+import { waitForPendingInput } from './pendingInput'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
@@ -9,7 +11,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { PeerLoadTable } from '../policy/peerLoadTable'
 import type { PermitState } from '../policy/sendPermits'
-import type { EndpointActivity } from '../policy/stallDetection'
+import type { EndpointActivity, StallDecision } from '../policy/stallDetection'
 import type { RelayRequest } from './relayRequest'
 
 /** One attempt that is waiting for bytes. */
@@ -40,11 +42,16 @@
 
 const CHECK_INTERVAL_MS = 50
 
-/** Checks the attempts in flight for stalled answers and unresponsive endpoints. */
+/**
+ * Checks the attempts in flight for stalled answers and unresponsive endpoints. Silence counts only while this
+ * process could read, and nothing is abandoned before the input that has arrived is read.
+ */
 export class StallDetector {
   readonly #options: StallDetectorOptions
   readonly #attempts = new Set<WatchedAttempt>()
   readonly #timer: NodeJS.Timeout
+  #isConfirming = false
+  #isClosed = false
 
   constructor (options: StallDetectorOptions) {
     this.#options = options
@@ -71,26 +78,49 @@
   }
 
   close (): void {
+    this.#isClosed = true
     clearInterval(this.#timer)
   }
 
   #check (): void {
+    if (this.#isConfirming || !this.#hasStalls()) return
+    this.#isConfirming = true
+    waitForPendingInput().then(() => {
+      this.#isConfirming = false
+      if (!this.#isClosed) this.#abortStalled()
+    })
+  }
+
+  #hasStalls (): boolean {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    const stalledAttempts = this.#countStalledAttempts(nowMs)
+    return [...stalledAttempts].some(([endpoint, count]) => this.#isSilent(endpoint, count, nowMs)) ||
+      [...this.#attempts].some(attempt => this.#decide(attempt, stalledAttempts, nowMs).kind === 'giveUp')
+  }
+
+  #abortStalled (): void {
     const nowMs = this.#options.clock.getMonotonicMs()
     const stalledAttempts = this.#countStalledAttempts(nowMs)
-    for (const [endpoint, count] of stalledAttempts) this.#checkEndpoint(endpoint, count, nowMs)
-    for (const attempt of [...this.#attempts]) this.#checkAttempt(attempt, stalledAttempts.get(attempt.endpoint) ?? 0, nowMs)
+    for (const [endpoint, count] of stalledAttempts) if (this.#isSilent(endpoint, count, nowMs)) this.#eject(endpoint, count, nowMs)
+    for (const attempt of [...this.#attempts]) {
+      const decision = this.#decide(attempt, stalledAttempts, nowMs)
+      if (decision.kind === 'giveUp') attempt.abort(decision.reason)
+    }
   }
 
   #countStalledAttempts (nowMs: number): Map<DirectEndpoint, number> {
     const counts = new Map<DirectEndpoint, number>()
     for (const { endpoint, sentAtMs } of this.#attempts) {
-      if (isIdleTimeoutExceeded(this.#describeEndpoint(endpoint), sentAtMs, nowMs)) counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1)
+      if (isIdleTimeoutExceeded(this.#describeEndpoint(endpoint), this.#toReadable(sentAtMs), this.#toReadable(nowMs))) counts.set(endpoint, (counts.get(endpoint) ?? 0) + 1)
     }
     return counts
   }
 
-  #checkEndpoint (endpoint: DirectEndpoint, stalledAttempts: number, nowMs: number): void {
-    if (isEjected(endpoint, nowMs) || !isEndpointUnresponsive({ ...this.#describeEndpoint(endpoint), silentSends: stalledAttempts })) return
+  #isSilent (endpoint: DirectEndpoint, stalledAttempts: number, nowMs: number): boolean {
+    return !isEjected(endpoint, nowMs) && isEndpointUnresponsive({ ...this.#describeEndpoint(endpoint), silentSends: stalledAttempts })
+  }
+
+  #eject (endpoint: DirectEndpoint, stalledAttempts: number, nowMs: number): void {
     recordAttemptResult(endpoint, { kind: 'broken' }, nowMs)
     this.#options.log.write('notable', {
       event: 'endpointEjected',
@@ -104,22 +134,26 @@
     })
   }
 
-  #checkAttempt (attempt: WatchedAttempt, stalledAttempts: number, nowMs: number): void {
+  #decide (attempt: WatchedAttempt, stalledAttempts: ReadonlyMap<DirectEndpoint, number>, nowMs: number): StallDecision {
     const { request, endpoint } = attempt
-    const decision = decideOnStall({
+    return decideOnStall({
       kind: request.route.kind,
       isRetryable: isRetryable(request.route),
       hasAlternative: attempt.hasAttemptsLeft && this.#hasAlternative(attempt, nowMs),
-      sentAtMs: attempt.sentAtMs,
-      heardAtMs: attempt.heardAtMs,
+      sentAtMs: this.#toReadable(attempt.sentAtMs),
+      heardAtMs: attempt.heardAtMs === null ? null : this.#toReadable(attempt.heardAtMs),
       targetMs: request.route.targetMs,
       betweenEventsTargetMs: request.route.betweenEventsTargetMs
-    }, { ...this.#describeEndpoint(endpoint), silentSends: stalledAttempts }, this.#options.directory.getTypicalAnswerMs(request.service), nowMs)
-    if (decision.kind === 'giveUp') attempt.abort(decision.reason)
+    }, { ...this.#describeEndpoint(endpoint), silentSends: stalledAttempts.get(endpoint) ?? 0 }, this.#options.directory.getTypicalAnswerMs(request.service), this.#toReadable(nowMs))
   }
 
+  /** Describes an endpoint's activity in readable milliseconds. */
   #describeEndpoint ({ entry, heardAtMs, pendingTokens }: DirectEndpoint): Omit<EndpointActivity, 'silentSends'> {
-    return { heardAtMs, pendingTokens, lastPeerByteAtMs: this.#options.loads.getPeerLoad(entry.id).heardAtMs }
+    return { heardAtMs: this.#toReadable(heardAtMs), pendingTokens, lastPeerByteAtMs: this.#toReadable(this.#options.loads.getPeerLoad(entry.id).heardAtMs) }
+  }
+
+  #toReadable (monotonicMs: number): number {
+    return toReadableMs(this.#options.clock, monotonicMs)
   }
 
   #hasAlternative (attempt: WatchedAttempt, nowMs: number): boolean {
