Let every HTTP server close its callers' connections with one piece of code

CallerConnections and waitForPendingInput move to src/base, so that the servers of the other processes can use them. It now takes the server and holds what each server did by itself: the listeners, the end of accepting, the answer to bytes that are no request.

--- a/src/relay/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -1,10 +1,17 @@
+import { Server as NetServer } from 'node:net'
+
 import { waitForPendingInput } from './pendingInput'
 
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import type { Clock } from '../base/clock'
+import type { Clock } from './clock'
 
 export interface CallerConnectionsOptions {
   clock: Clock
+  /** Server of the connections. */
+  server: Server
+  /** Receives unexpected errors. */
+  reportError: (error: unknown) => void
 }
 
 /** What a connection is used for: no request yet, requests without a written reply, idle after a request, or being closed. */
@@ -13,8 +20,10 @@
 interface CallerConnection {
   readonly socket: Socket
   use: ConnectionUse
-  /** Requests on this connection whose replies have not been written. */
-  openRequests: number
+  /** Replies on this connection that have not been written. */
+  readonly openReplies: Set<ServerResponse>
+  /** The newest request, until it is read to its end and its reply is written. */
+  newest: { request: IncomingMessage, response: ServerResponse } | null
   /** Whether the connection is closed after the replies in progress. */
   isLast: boolean
   /** Bytes read when the last request on it ended; more have been read once the head of another one begins to arrive. */
@@ -27,14 +36,15 @@
 const FIRST_REQUEST_GRACE_MS = 300
 /** Milliseconds that a caller has to close its side; it has everything once it does. Input is read and dropped meanwhile. */
 const CLOSE_TIMEOUT_MS = 1000
+const CLOSE_POLL_MS = 10
 
 /**
- * Tracks the connections of callers, and closes them so that no reply is lost. This side is closed first,
- * and what still arrives is read until the caller closes too: a connection that is closed with unread
- * input is reset, and the system then drops what it has not yet sent.
+ * Tracks the connections of an HTTP server's callers, and closes them so that no reply is lost. This side is
+ * closed first, and what still arrives is read until the caller closes too: a connection that is closed with
+ * unread input is reset, and the system then drops what it has not yet sent.
  */
 export class CallerConnections {
-  readonly #clock: Clock
+  readonly #options: CallerConnectionsOptions
   readonly #connections = new Map<Socket, CallerConnection>()
   /** Monotonic milliseconds since which connections are closed once they are idle; null before. */
   #closingSinceMs: number | null = null
@@ -42,7 +52,11 @@
   #stoppingSinceMs: number | null = null
 
   constructor (options: CallerConnectionsOptions) {
-    this.#clock = options.clock
+    this.#options = options
+    const { server, reportError } = options
+    server.on('connection', socket => this.#add(socket))
+    // with this listener, the server itself closes no idle connection
+    server.on('timeout', socket => { this.#closeIfIdle(socket).catch(reportError) })
   }
 
   /** Counts the open connections. */
@@ -55,75 +69,99 @@
     return [...this.#connections.values()].filter(connection => connection.use === 'fresh' || connection.use === 'busy' || hasPartialHead(connection)).length
   }
 
-  add (socket: Socket): void {
-    const connection: CallerConnection = { socket, use: 'fresh', openRequests: 0, isLast: false, bytesRead: 0, answeredAtMs: null }
-    this.#connections.set(socket, connection)
-    socket.once('close', () => this.#connections.delete(socket))
-    // the server calls it after the last reply of a connection; the original closes without reading what arrives
-    socket.destroySoon = () => this.#close(connection)
-    // accepted in the same event-loop turn in which the process stopped accepting
-    if (this.#closingSinceMs !== null) this.#scheduleUnusedClose(connection)
-  }
-
-  /** Records a request. Returns false when its connection is being closed, so that the request must be dropped. */
-  beginRequest (socket: Socket): boolean {
-    const connection = this.#connections.get(socket)
-    if (connection === undefined || connection.use === 'closing') return false
+  /**
+   * Records a request until its reply is written or its connection breaks. Returns false when its connection is being
+   * closed; the request is dropped, and its caller sees that it was not read.
+   */
+  beginRequest (request: IncomingMessage, response: ServerResponse): boolean {
+    const connection = this.#connections.get(request.socket)
+    if (connection === undefined || connection.use === 'closing') {
+      request.resume()
+      return false
+    }
     connection.use = 'busy'
-    connection.openRequests += 1
+    connection.openReplies.add(response)
+    connection.newest = { request, response }
+    response.once('close', () => this.#endRequest(connection, response))
+    if (this.#stoppingSinceMs !== null) response.shouldKeepAlive = false
     return true
   }
 
-  /** Records that the reply to a request was written, or that its connection broke. */
-  endRequest (socket: Socket): void {
-    const connection = this.#connections.get(socket)
-    if (connection === undefined) return
-    connection.openRequests -= 1
-    connection.answeredAtMs = this.#clock.getMonotonicMs()
-    if (connection.openRequests > 0 || connection.use === 'closing') return
-    connection.use = 'idle'
-    connection.bytesRead = socket.bytesRead
-    if (connection.isLast || this.#closingSinceMs !== null) this.#close(connection)
-  }
-
-  /** Returns whether requests on the connection have no written reply yet. */
-  isBusy (socket: Socket): boolean {
-    return this.#connections.get(socket)?.use === 'busy'
-  }
-
   isClosing (socket: Socket): boolean {
     return this.#connections.get(socket)?.use === 'closing'
   }
 
-  /** Closes the connection after the replies in progress; at once when there are none. */
-  closeAfterReplies (socket: Socket): void {
-    const connection = this.#connections.get(socket)
-    if (connection === undefined) return
-    connection.isLast = true
-    if (connection.use !== 'busy') this.#close(connection)
+  /** Returns whether a request on the connection has not been read to its end. */
+  isReading (socket: Socket): boolean {
+    return this.#connections.get(socket)?.newest?.request.complete === false
   }
 
-  /** Closes an idle connection, unless a request has arrived that was not read yet. */
-  async closeIfIdle (socket: Socket): Promise<void> {
-    await waitForPendingInput()
+  /** Answers bytes that are not a whole request with `reply`, and closes their connection after the replies to the requests before them. */
+  refuseMalformed (socket: Socket, reply: string): void {
     const connection = this.#connections.get(socket)
-    if (connection?.use === 'idle' && !hasPartialHead(connection)) this.#close(connection)
+    if (connection === undefined || connection.use === 'closing') return
+    const isReading = this.isReading(socket)
+    // the bytes belong to a request that is being answered, or that waits for the replies before it
+    if (!socket.writable || (isReading && (connection.openReplies.size > 1 || connection.newest?.response.headersSent === true))) {
+      socket.destroy()
+      return
+    }
+    connection.isLast = true
+    if (connection.use === 'busy' && !isReading) return
+    socket.write(reply)
+    this.#close(connection)
   }
 
-  /** Leaves callers the whole stop to read the replies that are written from now on. */
+  /** Closes each connection after the reply to its next request, and leaves callers the whole stop to read the replies that are written from now on. */
   startLeaving (): void {
-    this.#stoppingSinceMs ??= this.#clock.getMonotonicMs()
+    this.#stoppingSinceMs ??= this.#options.clock.getMonotonicMs()
   }
 
-  /** Closes the connections without a request, and the others after their replies. */
+  /** Accepts no more connections, and closes those without a request at once, the others after their replies. */
   startClosing (): void {
-    this.#closingSinceMs = this.#clock.getMonotonicMs()
+    // the HTTP server's own method also cuts connections whose replies have ended but are not yet written
+    NetServer.prototype.close.call(this.#options.server)
+    this.#closingSinceMs = this.#options.clock.getMonotonicMs()
     for (const connection of this.#connections.values()) {
       if (connection.use === 'fresh') this.#scheduleUnusedClose(connection)
-      else if (connection.use === 'idle') this.#closeUnused(connection).catch(() => {})
+      else if (connection.use === 'idle') this.#closeUnused(connection).catch(this.#options.reportError)
     }
   }
 
+  /** Waits until all callers have closed their connections, at most `timeoutMs`. */
+  async waitUntilClosed (timeoutMs: number): Promise<void> {
+    const { clock } = this.#options
+    const deadlineMs = clock.getMonotonicMs() + timeoutMs
+    while (this.#connections.size > 0 && clock.getMonotonicMs() < deadlineMs) await new Promise(resolve => setTimeout(resolve, CLOSE_POLL_MS))
+  }
+
+  #add (socket: Socket): void {
+    const connection: CallerConnection = { socket, use: 'fresh', openReplies: new Set(), newest: null, isLast: false, bytesRead: 0, answeredAtMs: null }
+    this.#connections.set(socket, connection)
+    socket.once('close', () => this.#connections.delete(socket))
+    // the server calls it after the last reply of a connection; the original closes without reading what arrives
+    socket.destroySoon = () => this.#close(connection)
+    // accepted in the same event-loop turn in which the process stopped accepting
+    if (this.#closingSinceMs !== null) this.#scheduleUnusedClose(connection)
+  }
+
+  #endRequest (connection: CallerConnection, response: ServerResponse): void {
+    connection.openReplies.delete(response)
+    connection.answeredAtMs = this.#options.clock.getMonotonicMs()
+    if (connection.openReplies.size > 0 || connection.use === 'closing') return
+    connection.use = 'idle'
+    connection.newest = null
+    connection.bytesRead = connection.socket.bytesRead
+    if (connection.isLast || this.#closingSinceMs !== null) this.#close(connection)
+  }
+
+  /** Closes an idle connection, unless a request has arrived that was not read yet. */
+  async #closeIfIdle (socket: Socket): Promise<void> {
+    await waitForPendingInput()
+    const connection = this.#connections.get(socket)
+    if (connection?.use === 'idle' && !hasPartialHead(connection)) this.#close(connection)
+  }
+
   #close (connection: CallerConnection): void {
     if (connection.use === 'closing') return
     const { socket } = connection
@@ -139,7 +177,7 @@
 
   /** Closes a connection on which no request arrives within the grace period. */
   #scheduleUnusedClose (connection: CallerConnection): void {
-    setTimeout(() => { this.#closeUnused(connection).catch(() => {}) }, FIRST_REQUEST_GRACE_MS).unref()
+    setTimeout(() => { this.#closeUnused(connection).catch(this.#options.reportError) }, FIRST_REQUEST_GRACE_MS).unref()
   }
 
   /** Closes a connection without a request; one on which a head has begun to arrive is checked again. */
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,7 +1,7 @@
 import { countUniqueTokens } from '../policy/placement'
 import { estimateWaitMs } from '../policy/endpointAvailability'
 import { decideRetry } from '../policy/retryDecision'
-import { waitForPendingInput } from './pendingInput'
+import { waitForPendingInput } from '../base/pendingInput'
 import { buildUnknownRefusal } from './streamVersions'
 
 import type { Clock } from '../base/clock'
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,11 +1,10 @@
 import { createServer } from 'node:http'
-import { Server as NetServer } from 'node:net'
 
 import { readBody } from '../protocol/bodyReader'
-import { CallerConnections } from './callerConnections'
+import { CallerConnections } from '../base/callerConnections'
 import { CallerReply } from './callerReply'
 import { countHeaderBytes } from './headerList'
-import { waitForPendingInput } from './pendingInput'
+import { waitForPendingInput } from '../base/pendingInput'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
@@ -42,8 +41,6 @@
   readonly #options: RelayServerOptions
   readonly #server: Server
   readonly #connections: CallerConnections
-  /** Connections on which the body of a request is being read. */
-  readonly #reading = new WeakSet<Socket>()
   /** Replies that have not been written. */
   readonly #replies = new Set<CallerReply>()
   /** Replies that the end of a planned stop has cut. */
@@ -63,16 +60,13 @@
     })
     this.#server.maxConnections = options.maxConnections
     this.setBounds(INITIAL_BOUNDS)
-    this.#connections = new CallerConnections({ clock: options.clock })
-    this.#server.on('connection', socket => this.#connections.add(socket))
+    this.#connections = new CallerConnections({ clock: options.clock, server: this.#server, reportError: error => options.observer.recordError(error) })
     this.#server.on('request', (request, response) => this.#handleRequest(request, response))
     this.#server.on('checkContinue', (request, response) => {
       if (!this.#connections.isClosing(request.socket)) response.writeContinue()
       this.#handleRequest(request, response)
     })
     this.#server.on('clientError', (_error, socket) => this.#refuseMalformed(socket as Socket))
-    // with this listener, the server itself closes no idle connection
-    this.#server.on('timeout', socket => { this.#connections.closeIfIdle(socket).catch(error => options.observer.recordError(error)) })
   }
 
   /** Counts the open caller connections. */
@@ -114,8 +108,6 @@
 
   /** Accepts no more connections and closes those without a request; one that has had none yet gets a grace period first. */
   stopAccepting (): void {
-    // the HTTP server's own method also cuts connections whose replies have ended but are not yet written
-    NetServer.prototype.close.call(this.#server)
     this.#connections.startClosing()
   }
 
@@ -146,20 +138,12 @@
 
   #handleRequest (request: IncomingMessage, response: ServerResponse): void {
     const { clock, dialect, observer } = this.#options
-    const { socket } = request
     const arrivedAtMs = clock.getMonotonicMs()
     request.on('error', () => {})
-    // the connection was closed before the request arrived; the caller sees that the request was not read
-    if (!this.#connections.beginRequest(socket)) {
-      request.resume()
-      return
-    }
-    this.#reading.add(socket)
-    request.once('end', () => this.#reading.delete(socket))
+    if (!this.#connections.beginRequest(request, response)) return
     const reply = new CallerReply(response, dialect, arrivedAtMs)
     this.#replies.add(reply)
-    response.once('close', () => this.#finishReply(reply, socket))
-    if (this.#leavingSinceMs !== null) response.shouldKeepAlive = false
+    response.once('close', () => this.#finishReply(reply))
     this.#serve(request, reply, arrivedAtMs).catch((error: Error) => {
       const refusal: Refusal = { code: 'internal_error', message: 'The gateway failed on this request.', execution: 'may_have_run' }
       observer.recordRefusal(undefined, refusal, { error: String(error.stack).slice(0, 500) })
@@ -167,9 +151,8 @@
     })
   }
 
-  #finishReply (reply: CallerReply, socket: Socket): void {
+  #finishReply (reply: CallerReply): void {
     this.#replies.delete(reply)
-    this.#connections.endRequest(socket)
     const isDelivered = reply.end === 'whole' && reply.isWritten
     // outside a stop, the line of the request's end says it of replies that did not end as whole
     if (isDelivered || this.#cutByStop.has(reply) || (reply.end !== 'whole' && this.#leavingSinceMs === null)) return
@@ -214,19 +197,9 @@
     reply.refuse(refusal)
   }
 
-  /** Answers bytes that are not a valid request with status 400 and closes their connection, after the replies to requests before them. */
+  /** Answers bytes that are not a valid request with status 400; a connection whose request they are a part of is cut. */
   #refuseMalformed (socket: Socket): void {
-    if (this.#connections.isClosing(socket)) return
-    if (!socket.writable || this.#isReadingBody(socket)) {
-      socket.destroy()
-      return
-    }
-    if (!this.#connections.isBusy(socket)) socket.write('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
-    this.#connections.closeAfterReplies(socket)
-  }
-
-  /** Returns whether a request on the connection has not been read to its end, so that the bytes belong to its body. */
-  #isReadingBody (socket: Socket): boolean {
-    return this.#reading.has(socket)
+    if (this.#connections.isReading(socket) && !this.#connections.isClosing(socket)) socket.destroy()
+    else this.#connections.refuseMalformed(socket, 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n')
   }
 }
--- a/tests/relay/slowCallers.spec.ts
+++ b/tests/relay/slowCallers.spec.ts
@@ -1,7 +1,6 @@
-import net from 'node:net'
-
 import { expect } from 'chai'
 
+import { PacedCaller } from '../fixtures/pacedCaller'
 import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, formatChunk, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
@@ -14,45 +13,6 @@
 /** More than the system holds for a caller that does not read. */
 const LARGE_BODY = 'b'.repeat(6_000_000)
 
-/** A caller on a kept connection that reads when it is told to. */
-class PacedCaller {
-  readonly #socket: net.Socket
-  #text = ''
-  hasEnded = false
-  wasReset = false
-
-  constructor (port: number) {
-    this.#socket = net.connect({ port, host: '127.0.0.1', allowHalfOpen: true })
-    this.#socket.on('data', bytes => { this.#text += bytes.toString('latin1') })
-    this.#socket.on('end', () => { this.hasEnded = true })
-    this.#socket.on('error', () => { this.wasReset = true })
-  }
-
-  get text (): string {
-    return this.#text
-  }
-
-  write (text: string): void {
-    this.#socket.write(text, 'latin1')
-  }
-
-  pause (): void {
-    this.#socket.pause()
-  }
-
-  resume (): void {
-    this.#socket.resume()
-  }
-
-  close (): void {
-    this.#socket.end()
-  }
-
-  destroy (): void {
-    this.#socket.destroy()
-  }
-}
-
 async function waitFor (milliseconds: number): Promise<void> {
   await new Promise(resolve => setTimeout(resolve, milliseconds))
 }
