--- /dev/null
+++ b/tests/relay/requestsInStop.spec.ts
@@ -0,0 +1,147 @@
+import { setTimeout as waitFor } from 'node:timers/promises'
+
+import { expect } from 'chai'
+
+import { PacedCaller } from '../fixtures/pacedCaller'
+import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, startEndpoint, startRelay, waitUntil } from './relayFixture'
+
+import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
+
+const STOP_SECONDS = 3
+/** Milliseconds after the signal at which nothing is accepted any more. */
+const ROTATION_MS = 1000
+const BODY = 'b'.repeat(40_000)
+
+describe('a request that arrives around a planned stop', () => {
+  let fixture: RelayFixture
+  let endpoint: EndpointFixture
+  let caller: PacedCaller
+
+  afterEach(async () => {
+    caller.destroy()
+    await fixture.close()
+  })
+
+  async function start (answer: (request: ReceivedRequest) => void = request => answerWhole(request)): Promise<void> {
+    endpoint = await startEndpoint('e-1', answer)
+    fixture = await startRelay(buildPlatformConfig({ routes: [buildRoute({ timeoutMs: 9000 })] }), [endpoint], { stopSeconds: STOP_SECONDS })
+    caller = new PacedCaller(fixture.port)
+  }
+
+  async function waitForEnd (): Promise<void> {
+    await waitUntil('the end of the connection', () => caller.hasEnded || caller.wasReset)
+  }
+
+  function countAnswers (): number {
+    return (caller.text.match(/HTTP\/1.1 200/g) ?? []).length
+  }
+
+  // the caller waited for a `100 Continue` that did not come, or had its connection closed
+  for (const atMs of [0, ROTATION_MS - 100, ROTATION_MS + 100]) {
+    it(`should be told to go on with its body when its head has begun before the end of accepting and ends ${atMs} ms after the signal`, async () => {
+      await start()
+      const request = buildCallerRequest({ method: 'POST', body: BODY, headers: ['Expect: 100-continue'] })
+      const headEnd = request.indexOf('\r\n\r\n') + 4
+      caller.write(request.slice(0, 30))
+      await waitFor(50)
+      const drained = fixture.relay.drain()
+      await waitFor(atMs)
+      caller.write(request.slice(30, headEnd))
+      await waitUntil('the interim answer', () => caller.text.includes('100 Continue') || caller.hasEnded || caller.wasReset)
+      caller.write(request.slice(headEnd))
+      await waitForEnd()
+      expect([countAnswers(), caller.wasReset]).to.deep.equal([1, false])
+      caller.close()
+      await drained
+    })
+  }
+
+  it('should be answered to a caller of HTTP/1.0', async () => {
+    await start(request => { setTimeout(() => answerWhole(request, BODY), ROTATION_MS) })
+    caller.write(buildCallerRequest().replace('HTTP/1.1', 'HTTP/1.0'))
+    await waitUntil('the request', () => endpoint.received.length === 1)
+    const drained = fixture.relay.drain()
+    await waitForEnd()
+    expect([caller.text.endsWith(`\r\n\r\n${BODY}`), caller.wasReset]).to.deep.equal([true, false])
+    caller.close()
+    await drained
+  })
+
+  it('should be answered or refused as not run when its body ends late in the stop', async () => {
+    await start()
+    const request = buildCallerRequest({ method: 'POST', body: BODY, timeoutMs: 9000 })
+    caller.write(request.slice(0, -1))
+    await waitFor(50)
+    const drained = fixture.relay.drain()
+    await waitFor(0.8 * 1000 * STOP_SECONDS)
+    caller.write(request.slice(-1))
+    await waitForEnd()
+    expect(caller.text).to.match(/^HTTP\/1.1 (200|503)/)
+    caller.close()
+    await drained
+  })
+
+  // the refusal in place of a half-read head cut the answer before it
+  it('should be answered although the head after it times out', async () => {
+    await start(request => { setTimeout(() => answerWhole(request, BODY), 2200) })
+    caller.write(buildCallerRequest({ timeoutMs: 9000 }) + buildCallerRequest().slice(0, 30))
+    await waitUntil('the request', () => endpoint.received.length === 1)
+    await waitForEnd()
+    expect(caller.text.endsWith(BODY)).to.equal(true)
+  })
+
+  it('should be refused readably when its head arrives too slowly', async () => {
+    await start()
+    caller.write(buildCallerRequest().slice(0, 30))
+    const drained = fixture.relay.drain()
+    await waitForEnd()
+    expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 400', false])
+    caller.close()
+    await drained
+  })
+
+  // a reset drops what the system has not sent
+  it('should be refused readably while its caller still sends a body that is too large', async () => {
+    await start()
+    const drained = fixture.relay.drain()
+    caller.pause()
+    caller.write(buildCallerRequest({ method: 'POST', headers: ['Content-Length: 5000000'] }).replace('Content-Length: 0\r\n', ''))
+    for (let count = 0; count < 20; count++) {
+      caller.write('y'.repeat(20_000))
+      await waitFor(20)
+    }
+    caller.resume()
+    await waitForEnd()
+    expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 413', false])
+    caller.close()
+    await drained
+  })
+
+  it('should get an answer without a body whose connection ends in order', async () => {
+    await start(({ socket, requestId }) => {
+      setTimeout(() => socket.write(`HTTP/1.1 204 No Content\r\nTanagerwick-Runner-Seal: 1.2.3\r\nTanagerwick-Request-Attempt-Id: ${requestId}\r\n\r\n`), ROTATION_MS + 100)
+    })
+    caller.write(buildCallerRequest())
+    await waitUntil('the request', () => endpoint.received.length === 1)
+    const drained = fixture.relay.drain()
+    await waitForEnd()
+    expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 204', false])
+    caller.close()
+    await drained
+  })
+
+  it('should get the rest of its answer although its caller has closed its sending side', async () => {
+    await start(request => answerWhole(request, 'b'.repeat(1_500_000)))
+    caller.pause()
+    caller.write(buildCallerRequest())
+    await waitUntil('the request', () => endpoint.received.length === 1)
+    await waitFor(200)
+    caller.close()
+    const drained = fixture.relay.drain()
+    await waitFor(200)
+    caller.resume()
+    await waitForEnd()
+    await drained
+    expect([caller.text.length > 1_500_000, caller.wasReset]).to.deep.equal([true, false])
+  })
+})
