Announce the close of a connection only in the answer to its newest request

What callers saw: in a planned stop, the second of two requests that were read on one connection ran at its endpoint, and its caller saw the connection close without an answer.

Cause: each request read in the stop had `Connection: close` in its answer. The HTTP server ends the connection after the first such answer and drops those that wait behind it, but their requests had been passed on.

Change: a request that follows one whose head is not yet sent takes the announcement over; one that follows an answer that has announced the close is dropped unread, which HTTP/1.1 lets its caller rely on.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -75,7 +75,7 @@
    */
   beginRequest (request: IncomingMessage, response: ServerResponse): boolean {
     const connection = this.#connections.get(request.socket)
-    if (connection === undefined || connection.use === 'closing') {
+    if (connection === undefined || connection.use === 'closing' || !reserveNext(connection)) {
       request.resume()
       return false
     }
@@ -112,9 +112,12 @@
     this.#close(connection)
   }
 
-  /** Closes each connection after the reply to its next request, and leaves callers the whole stop to read the replies that are written from now on. */
+  /** Closes each connection after its next reply, and leaves callers the whole stop to read the replies that are written from now on. */
   startLeaving (): void {
     this.#stoppingSinceMs ??= this.#options.clock.getMonotonicMs()
+    for (const { newest } of this.#connections.values()) {
+      if (newest !== null && !newest.response.headersSent) newest.response.shouldKeepAlive = false
+    }
   }
 
   /** Accepts no more connections, and closes those without a request at once, the others after their replies. */
@@ -192,3 +195,11 @@
 function hasPartialHead ({ use, socket, bytesRead }: CallerConnection): boolean {
   return (use === 'fresh' || use === 'idle') && socket.bytesRead > bytesRead
 }
+
+/** Keeps the connection open for a request after its newest one. Returns false when the reply to that one has announced the close. */
+function reserveNext ({ newest }: CallerConnection): boolean {
+  if (newest === null || newest.response.shouldKeepAlive) return true
+  if (newest.response.headersSent) return false
+  newest.response.shouldKeepAlive = true
+  return true
+}
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -36,6 +36,36 @@
     return (caller.text.match(/HTTP\/1.1 200/g) ?? []).length
   }
 
+  // the first answer announced the close, and the second request ran without an answer
+  it('should be answered although the one before it on its connection was read in the stop too', async () => {
+    const held: ReceivedRequest[] = []
+    await start(request => { held.push(request) })
+    const drained = fixture.relay.drain()
+    caller.write(buildCallerRequest({ id: 'first' }) + buildCallerRequest({ id: 'second' }))
+    await waitUntil('both requests', () => held.length === 2)
+    for (const request of held) answerWhole(request)
+    await waitForEnd()
+    expect(countAnswers()).to.equal(2)
+    caller.close()
+    await drained
+  })
+
+  it('should not be sent when it follows an answer that has announced the close', async () => {
+    await start(request => { setTimeout(() => answerWhole(request, 'b'.repeat(6_000_000)), 50) })
+    const drained = fixture.relay.drain()
+    caller.pause()
+    caller.write(buildCallerRequest({ id: 'first' }))
+    await waitUntil('the first request', () => endpoint.received.length === 1)
+    await waitFor(300)
+    caller.write(buildCallerRequest({ id: 'second' }))
+    await waitFor(100)
+    caller.resume()
+    await waitForEnd()
+    caller.close()
+    await drained
+    expect([endpoint.received.length, countAnswers()]).to.deep.equal([1, 1])
+  })
+
   // the caller waited for a `100 Continue` that did not come, or had its connection closed
   for (const atMs of [0, ROTATION_MS - 100, ROTATION_MS + 100]) {
     it(`should be told to go on with its body when its head has begun before the end of accepting and ends ${atMs} ms after the signal`, async () => {
