Take a connection for idle once the body of a refused request has arrived

What was seen: a connection whose request was refused before its body had arrived (413) counted as busy until its caller left, so a planned stop lasted to its last bound.

Cause: bytes after the reply were taken for the head of a next request.

Change: the count of bytes read is taken again when the refused request has been read to its end; until then, bytes that are no request are taken for a part of its body.

The case of requestsInStop.spec.ts failed before: with its caller gone only at the end, the stop took 2.7 s of 3 s in one run, and the connection was not closed at all in another.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -83,6 +83,7 @@
     connection.openReplies.add(response)
     connection.newest = { request, response }
     response.once('close', () => this.#endRequest(connection, response))
+    request.once('close', () => recordIdle(connection))
     if (this.#stoppingSinceMs !== null) response.shouldKeepAlive = false
     return true
   }
@@ -153,8 +154,7 @@
     connection.answeredAtMs = this.#options.clock.getMonotonicMs()
     if (connection.openReplies.size > 0 || connection.use === 'closing') return
     connection.use = 'idle'
-    connection.newest = null
-    connection.bytesRead = connection.socket.bytesRead
+    recordIdle(connection)
     if (connection.isLast || this.#closingSinceMs !== null) this.#close(connection)
   }
 
@@ -196,6 +196,13 @@
   return (use === 'fresh' || use === 'idle') && socket.bytesRead > bytesRead
 }
 
+/** Records that the last request was read to its end, which can be after its reply. */
+function recordIdle (connection: CallerConnection): void {
+  if (connection.use !== 'idle' || connection.newest?.request.complete === false) return
+  connection.newest = null
+  connection.bytesRead = connection.socket.bytesRead
+}
+
 /** Keeps the connection open for a request after its newest one. Returns false when the reply to that one has announced the close. */
 function reserveNext ({ newest }: CallerConnection): boolean {
   if (newest === null || newest.response.shouldKeepAlive) return true
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -160,6 +160,19 @@
     await drained
   })
 
+  it('should not hold the stop up once it was refused before its body had arrived', async () => {
+    await start()
+    caller.write(buildCallerRequest({ method: 'POST', headers: ['Content-Length: 200000'] }).replace('Content-Length: 0\r\n', ''))
+    await waitUntil('the refusal', () => caller.text.includes('HTTP/1.1 413'))
+    caller.write('y'.repeat(200_000))
+    await waitFor(200)
+    const drained = fixture.relay.drain()
+    await waitForEnd()
+    caller.close()
+    await drained
+    expect(fixture.lines.find(({ event }) => event === 'drained')).to.have.property('elapsedMs').that.is.below(0.8 * 1000 * STOP_SECONDS)
+  })
+
   it('should get the rest of its answer although its caller has closed its sending side', async () => {
     await start(request => answerWhole(request, 'b'.repeat(1_500_000)))
     caller.pause()
