End replies that wait behind another one with their connection

What was seen: after a caller with two requests on one connection had left, the second one ran on at its endpoint, and its reply stayed open in the gateway.

Cause: the HTTP server tells only the reply that it is writing that the connection has closed. Those that wait behind it have no socket yet and hear nothing.

Change: CallerConnections keeps the replies of each connection and ends those that have no socket.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -142,13 +142,23 @@
   #add (socket: Socket): void {
     const connection: CallerConnection = { socket, use: 'fresh', openReplies: new Set(), newest: null, isLast: false, bytesRead: 0, answeredAtMs: null }
     this.#connections.set(socket, connection)
-    socket.once('close', () => this.#connections.delete(socket))
+    socket.once('close', () => this.#remove(connection))
     // the server calls it after the last reply of a connection; the original closes without reading what arrives
     socket.destroySoon = () => this.#close(connection)
     // accepted in the same event-loop turn in which the process stopped accepting
     if (this.#closingSinceMs !== null) this.#scheduleUnusedClose(connection)
   }
 
+  #remove (connection: CallerConnection): void {
+    this.#connections.delete(connection.socket)
+    for (const response of connection.openReplies) {
+      // the server closes the reply that it was writing; those that waited behind it would stay open
+      if (response.socket !== null) continue
+      response.destroy()
+      response.emit('close')
+    }
+  }
+
   #endRequest (connection: CallerConnection, response: ServerResponse): void {
     connection.openReplies.delete(response)
     connection.answeredAtMs = this.#options.clock.getMonotonicMs()
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -173,6 +173,17 @@
     expect(fixture.lines.find(({ event }) => event === 'drained')).to.have.property('elapsedMs').that.is.below(0.8 * 1000 * STOP_SECONDS)
   })
 
+  // a reply that waited for the one before it did not learn that its connection had ended
+  it('should end with its connection although the one before it on the connection has no answer', async () => {
+    await start(() => {})
+    caller.write(buildCallerRequest({ id: 'first', timeoutMs: 9000 }) + buildCallerRequest({ id: 'second', timeoutMs: 9000 }))
+    await waitUntil('both requests', () => endpoint.received.length === 2)
+    caller.destroy()
+    await waitUntil('the ends of both', () => fixture.lines.filter(({ event }) => event === 'requestEnded').length === 2)
+    await fixture.relay.drain()
+    expect(fixture.lines.find(({ event }) => event === 'drained')).to.include({ cutRequests: 0, unwritten: 0 })
+  })
+
   it('should get the rest of its answer although its caller has closed its sending side', async () => {
     await start(request => answerWhole(request, 'b'.repeat(1_500_000)))
     caller.pause()
