Take the end of the input within a head for the end of the caller

What was seen: a caller that sent the beginning of a next request and left was not noticed; its request went on at the endpoint until an answer or the time limit.

Cause: the HTTP server reports the end of the input there as a malformed head, and not as the end of the connection. The connection waited for the replies in progress.

Change: once the input has ended, this side is closed as after any other end of the input; what was written is still sent.

The case of requestsInStop.spec.ts failed before (no requestEnded line within 7.5 s) and passes after, one run each.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -108,9 +108,10 @@
       return
     }
     connection.isLast = true
-    if (connection.use === 'busy' && !isReading) return
-    socket.write(reply)
-    this.#close(connection)
+    const isAnswering = connection.use === 'busy' && !isReading
+    if (!isAnswering) socket.write(reply)
+    // the input has ended within a head: the caller is gone
+    if (!isAnswering || socket.readableEnded) this.#close(connection)
   }
 
   /** Closes each connection after its next reply, and leaves callers the whole stop to read the replies that are written from now on. */
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -198,4 +198,13 @@
     await drained
     expect([caller.text.length > 1_500_000, caller.wasReset]).to.deep.equal([true, false])
   })
+
+  // the end of the input after half a head was not taken for the end of the caller
+  it('should be cancelled when its caller closes within the next head', async () => {
+    await start(() => {})
+    caller.write(buildCallerRequest({ timeoutMs: 9000 }) + buildCallerRequest().slice(0, 30))
+    await waitUntil('the request', () => endpoint.received.length === 1)
+    caller.close()
+    await waitUntil('the end of the request', () => fixture.lines.some(line => line.event === 'requestEnded' && line.end === 'callerLeft'))
+  })
 })
