End a draining gateway once its callers have their answers

What callers saw: around a drain of the product's own gateway, answers that had ended there were cut where their callers read slowly, or reset with nothing read; of two requests read on a connection, the second got none; a request whose head was half read got none. At any time: bytes after a whole request got 400 in the place of its answer, or cut it, and a refusal was reset while its caller still sent.

Cause: the one of the relay's stop (callerConnections.ts): the end of a connection and of the process was decided from what this process had done. The HTTP server's close() cuts connections whose replies have ended but are not written; the process ended at once after it; connections were closed with unread input; a malformed request was answered on the socket, whatever was being answered there; a reply that waited behind another one on a connection that had ended held the drain up until its time-out.

Change: CallerServer uses CallerConnections. The drain ends once callers have closed their connections, ten seconds after the last answer at the latest. Refusals of malformed requests wait for the replies before them.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,5 +1,6 @@
 import { createServer } from 'node:http'
 
+import { CallerConnections } from '../base/callerConnections'
 import { systemClock } from '../base/clock'
 import { createId } from '../base/identifiers'
 import { Progress } from '../base/progress'
@@ -9,11 +10,10 @@
 import { buildCallerRequest, createAnswer } from './requestBuilder'
 import { writeError, writeJson } from './responseWriter'
 import { SERVICES_PREFIX } from './servicePath'
-import { writeSocketError } from './socketError'
+import { buildSocketErrorReply } from './socketError'
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
-import type { Duplex } from 'node:stream'
+import type { AddressInfo, Socket } from 'node:net'
 import type { Clock } from '../base/clock'
 import type { FleetConfig, Workspace } from '../config/fleetConfig'
 import type { ListenAddress } from '../config/processSettings'
@@ -32,6 +32,8 @@
   requestTimeoutMs: number
   /** Milliseconds after which an idle connection is closed. */
   keepAliveMs: number
+  /** Milliseconds that callers have at the end of a drain to read what was written to them, and to close. */
+  deliveryTimeoutMs: number
   maxConnections: number
 }
 
@@ -59,6 +61,7 @@
   headerTimeoutMs: 5_000,
   requestTimeoutMs: 15_000,
   keepAliveMs: 65_000,
+  deliveryTimeoutMs: 10_000,
   maxConnections: 8_192
 }
 const LISTEN_BACKLOG = 4096
@@ -80,8 +83,8 @@
   readonly #limits: CallerLimits
   readonly #clock: Clock
   readonly #server: Server
+  readonly #connections: CallerConnections
   readonly #inFlight = new Set<ServerResponse>()
-  readonly #responses = new WeakMap<Duplex, ServerResponse>()
   #authenticator: { config: FleetConfig, value: Authenticator } | null = null
   #isDraining = false
   #notifyIdle: (() => void) | null = null
@@ -91,6 +94,7 @@
     this.#limits = { ...DEFAULT_LIMITS, ...options.limits }
     this.#clock = options.clock ?? systemClock
     this.#server = this.#createServer()
+    this.#connections = new CallerConnections({ clock: this.#clock, server: this.#server, reportError: error => options.reportError?.(error) })
   }
 
   /** Returns the number of requests whose answer has not ended. */
@@ -116,20 +120,20 @@
   }
 
   /**
-   * Refuses new requests of callers, waits for those in flight, then closes the server.
-   * Handlers such as `/rpc` keep answering until then.
+   * Refuses new requests of callers, waits for those in flight, then closes the server and waits until
+   * callers have closed their connections. Handlers such as `/rpc` keep answering until then.
    *
    * @throws TimeoutError when `progress` times out before the last answer has ended
    */
   async drain (progress: Progress): Promise<void> {
     this.#isDraining = true
-    for (const response of this.#inFlight) response.shouldKeepAlive = false
+    this.#connections.startLeaving()
     if (this.#inFlight.size > 0) {
       const idle = new Promise<void>(resolve => { this.#notifyIdle = resolve })
       await progress.wait(`${this.#inFlight.size} requests in flight to finish`, idle)
     }
-    this.#server.close()
-    this.#server.closeIdleConnections()
+    this.#connections.startClosing()
+    await this.#connections.waitUntilClosed(Math.min(this.#limits.deliveryTimeoutMs, progress.getRemainingMs()))
   }
 
   /** Closes the server and all its connections immediately. */
@@ -150,7 +154,7 @@
     })
     server.maxConnections = this.#limits.maxConnections
     server.on('request', (request, response) => this.#handleRequest(request, response))
-    server.on('clientError', (error, socket) => writeSocketError(error, socket, this.#responses.get(socket)))
+    server.on('clientError', (error, socket) => this.#connections.refuseMalformed(socket as Socket, buildSocketErrorReply(error)))
     server.on('error', error => this.#options.reportError?.(error))
     return server
   }
@@ -158,8 +162,7 @@
   #handleRequest (request: IncomingMessage, response: ServerResponse): void {
     response.on('error', () => {})
     request.on('error', () => {})
-    this.#responses.set(request.socket, response)
-    response.once('close', () => this.#responses.delete(request.socket))
+    if (!this.#connections.beginRequest(request, response)) return
     const requestId = createId('req')
     this.#dispatch(requestId, request, response).catch((error: unknown) => {
       this.#options.reportError?.(error)
@@ -173,7 +176,6 @@
     if (handler !== undefined) return handler(request, response)
     const refusal = checkRoute(path, request.method ?? '')
     if (refusal !== null) return writeError(response, requestId, refusal)
-    if (this.#isDraining) response.setHeader('connection', 'close')
     if (this.#isDraining) return writeError(response, requestId, { code: 'draining', message: 'This gateway is leaving.', execution: 'not_run', retryAfterMs: DRAIN_RETRY_AFTER_MS })
     const config = this.#options.getConfig()
     if (config === null) return writeError(response, requestId, { code: 'configuration_missing', message: 'This gateway has no configuration yet.', execution: 'not_run', retryAfterMs: CONFIG_RETRY_AFTER_MS })
--- a/src/gateway/socketError.ts
+++ b/src/gateway/socketError.ts
@@ -2,19 +2,10 @@
 
 import { buildErrorBody, getErrorStatus } from '../protocol/errorBody'
 
-import type { ServerResponse } from 'node:http'
-import type { Duplex } from 'node:stream'
 import type { Refusal } from '../protocol/errorBody'
 
-/**
- * Answers a request that the HTTP parser rejected or that timed out, then closes its connection.
- * Writes nothing once `response`, the connection's answer in progress, has begun.
- */
-export function writeSocketError (error: NodeJS.ErrnoException, socket: Duplex, response: ServerResponse | undefined): void {
-  if (error.code === 'ECONNRESET' || !socket.writable || response?.headersSent) {
-    socket.destroy()
-    return
-  }
+/** Builds the reply to a request that the HTTP parser rejected or that timed out. */
+export function buildSocketErrorReply (error: NodeJS.ErrnoException): string {
   const refusal = createRefusal(error)
   const status = getErrorStatus(refusal.code)
   const body = JSON.stringify(buildErrorBody(refusal))
@@ -24,7 +15,7 @@
     `content-length: ${Buffer.byteLength(body)}`,
     'connection: close'
   ].join('\r\n')
-  socket.end(`${head}\r\n\r\n${body}`, () => socket.destroy())
+  return `${head}\r\n\r\n${body}`
 }
 
 function createRefusal (error: NodeJS.ErrnoException): Refusal {
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -28,10 +28,6 @@
     caller = new PacedCaller(fixture.port)
   }
 
-  async function waitForEnd (): Promise<void> {
-    await waitUntil('the end of the connection', () => caller.hasEnded || caller.wasReset)
-  }
-
   function countAnswers (): number {
     return (caller.text.match(/HTTP\/1.1 200/g) ?? []).length
   }
@@ -44,7 +40,7 @@
     caller.write(buildCallerRequest({ id: 'first' }) + buildCallerRequest({ id: 'second' }))
     await waitUntil('both requests', () => held.length === 2)
     for (const request of held) answerWhole(request)
-    await waitForEnd()
+    await caller.waitForEnd()
     expect(countAnswers()).to.equal(2)
     caller.close()
     await drained
@@ -60,7 +56,7 @@
     caller.write(buildCallerRequest({ id: 'second' }))
     await waitFor(100)
     caller.resume()
-    await waitForEnd()
+    await caller.waitForEnd()
     caller.close()
     await drained
     expect([endpoint.received.length, countAnswers()]).to.deep.equal([1, 1])
@@ -79,7 +75,7 @@
       caller.write(request.slice(30, headEnd))
       await waitUntil('the interim answer', () => caller.text.includes('100 Continue') || caller.hasEnded || caller.wasReset)
       caller.write(request.slice(headEnd))
-      await waitForEnd()
+      await caller.waitForEnd()
       expect([countAnswers(), caller.wasReset]).to.deep.equal([1, false])
       caller.close()
       await drained
@@ -91,7 +87,7 @@
     caller.write(buildCallerRequest().replace('HTTP/1.1', 'HTTP/1.0'))
     await waitUntil('the request', () => endpoint.received.length === 1)
     const drained = fixture.relay.drain()
-    await waitForEnd()
+    await caller.waitForEnd()
     expect([caller.text.endsWith(`\r\n\r\n${BODY}`), caller.wasReset]).to.deep.equal([true, false])
     caller.close()
     await drained
@@ -105,7 +101,7 @@
     const drained = fixture.relay.drain()
     await waitFor(0.8 * 1000 * STOP_SECONDS)
     caller.write(request.slice(-1))
-    await waitForEnd()
+    await caller.waitForEnd()
     expect(caller.text).to.match(/^HTTP\/1.1 (200|503)/)
     caller.close()
     await drained
@@ -116,7 +112,7 @@
     await start(request => { setTimeout(() => answerWhole(request, BODY), 2200) })
     caller.write(buildCallerRequest({ timeoutMs: 9000 }) + buildCallerRequest().slice(0, 30))
     await waitUntil('the request', () => endpoint.received.length === 1)
-    await waitForEnd()
+    await caller.waitForEnd()
     expect(caller.text.endsWith(BODY)).to.equal(true)
   })
 
@@ -124,7 +120,7 @@
     await start()
     caller.write(buildCallerRequest().slice(0, 30))
     const drained = fixture.relay.drain()
-    await waitForEnd()
+    await caller.waitForEnd()
     expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 400', false])
     caller.close()
     await drained
@@ -136,12 +132,9 @@
     const drained = fixture.relay.drain()
     caller.pause()
     caller.write(buildCallerRequest({ method: 'POST', headers: ['Content-Length: 5000000'] }).replace('Content-Length: 0\r\n', ''))
-    for (let count = 0; count < 20; count++) {
-      caller.write('y'.repeat(20_000))
-      await waitFor(20)
-    }
+    await caller.writeRepeatedly('y'.repeat(20_000), 20, 20)
     caller.resume()
-    await waitForEnd()
+    await caller.waitForEnd()
     expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 413', false])
     caller.close()
     await drained
@@ -154,7 +147,7 @@
     caller.write(buildCallerRequest())
     await waitUntil('the request', () => endpoint.received.length === 1)
     const drained = fixture.relay.drain()
-    await waitForEnd()
+    await caller.waitForEnd()
     expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 204', false])
     caller.close()
     await drained
@@ -167,7 +160,7 @@
     caller.write('y'.repeat(200_000))
     await waitFor(200)
     const drained = fixture.relay.drain()
-    await waitForEnd()
+    await caller.waitForEnd()
     caller.close()
     await drained
     expect(fixture.lines.find(({ event }) => event === 'drained')).to.have.property('elapsedMs').that.is.below(0.8 * 1000 * STOP_SECONDS)
@@ -194,7 +187,7 @@
     const drained = fixture.relay.drain()
     await waitFor(200)
     caller.resume()
-    await waitForEnd()
+    await caller.waitForEnd()
     await drained
     expect([caller.text.length > 1_500_000, caller.wasReset]).to.deep.equal([true, false])
   })
