--- a/src/protocol/rpcServer.ts
+++ b/src/protocol/rpcServer.ts
@@ -56,12 +56,10 @@
   /** Answers one HTTP request. */
   handle (request: IncomingMessage, response: ServerResponse): void {
     if (!this.isAuthorized(request)) {
-      response.writeHead(401, { connection: 'close' }).end()
+      refuse(response, 401)
       return
     }
-    readBody(request, body => this.#answer(body, response), () => {
-      response.writeHead(413, { connection: 'close' }).end()
-    })
+    readBody(request, body => this.#answer(body, response), () => refuse(response, 413))
   }
 
   #answer (body: string, response: ServerResponse): void {
@@ -102,6 +100,12 @@
   }
 }
 
+/** Answers without a body, and closes the connection after the answer. */
+function refuse (response: ServerResponse, status: number): void {
+  response.shouldKeepAlive = false
+  response.writeHead(status).end()
+}
+
 function readBody (request: IncomingMessage, handleBody: (body: string) => void, handleOversizedBody: () => void): void {
   const parts: Buffer[] = []
   let size = 0
