--- a/src/relay/stallDetector.ts
+++ b/src/relay/stallDetector.ts
@@ -1,9 +1,9 @@
 import { toReadableMs } from '../base/clock'
+import { waitForPendingInput } from '../base/pendingInput'
 import { isEjected, recordAttemptResult } from '../policy/directEndpoint'
 import { isAvailable } from '../policy/endpointAvailability'
 import { isRetryable } from '../policy/retryDecision'
 import { decideOnStall, isEndpointUnresponsive, isIdleTimeoutExceeded } from '../policy/stallDetection'
-import { waitForPendingInput } from './pendingInput'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
