Give the late request of a test a time limit that ends before the stop

The request was complete 1,100 ms into a stop of 3 s, whose bound for requests with longer time limits is 1,125 ms; since a stop is counted from the last time at which its signal cannot have come yet, up to 0.1 s earlier, it was refused with 503, as it should be. The case is about 100-continue. With a limit of 1 s the request may be sent at any of its instants.

--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -66,7 +66,8 @@
   for (const atMs of [0, ROTATION_MS - 100, ROTATION_MS + 100]) {
     it(`should be told to go on with its body when its head has begun before the end of accepting and ends ${atMs} ms after the signal`, async () => {
       await start()
-      const request = buildCallerRequest({ method: 'POST', body: BODY, headers: ['Expect: 100-continue'] })
+      // ends before the stop does, whatever the time at which it is sent
+      const request = buildCallerRequest({ method: 'POST', body: BODY, timeoutMs: 1000, headers: ['Expect: 100-continue'] })
       const headEnd = request.indexOf('\r\n\r\n') + 4
       caller.write(request.slice(0, 30))
       await waitFor(50)
