Refuse requests that have not arrived whole at the end of a stop

What callers saw: a request whose body was still arriving when a planned stop ended its replies got the end of its connection and no status, so that its caller could not tell that it had not run.

Cause: the end of the stop cut every reply that had not ended, also those whose requests no endpoint had seen.

Change: these get 503 draining as not run, and are not sent if the rest of the body comes afterwards.

Where the stop time is under four seconds, the process ends right after this refusal, so a caller that sends on may lose it.

--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -17,7 +17,7 @@
 import type { CallerDialect } from './dialects'
 import type { DirectRelay } from './directRelay'
 import type { RelayObserver } from './relayObserver'
-import type { RelayRequest, RequestTraits } from './relayRequest'
+import type { RelayRequest } from './relayRequest'
 
 export interface RelayServerOptions {
   clock: Clock
@@ -35,6 +35,7 @@
 const MAX_PARSED_HEADER_BYTES = 65_536
 const LISTEN_BACKLOG = 4096
 const CHECK_INTERVAL_MS = 500
+const UNREAD_AT_STOP: Refusal = { code: 'draining', message: 'This gateway stops, and the request has not arrived.', execution: 'not_run', retryAfterMs: 10 }
 
 /** Serves callers whose requests are relayed straight to endpoints. */
 export class RelayServer {
@@ -111,8 +112,14 @@
     this.#connections.startClosing()
   }
 
-  /** Cuts the replies that have not ended, so that their callers see that these are not complete. Returns their number. */
+  /**
+   * Refuses the requests that have not arrived whole, and cuts the other replies that have not ended, so that their
+   * callers see that these are not complete. Returns the number of replies cut.
+   */
   abortReplies (): number {
+    for (const reply of this.#replies) {
+      if (reply.end === 'open' && reply.stage === 'reading') this.#refuse(reply, UNREAD_AT_STOP)
+    }
     const open = [...this.#replies].filter(({ end }) => end === 'open')
     for (const reply of open) {
       // now, because the process may end before the connection's close is noticed
@@ -168,32 +175,35 @@
     const { dialect, gate, relay } = this.#options
     const head = { method: request.method ?? '', target: request.url ?? '', headers: request.rawHeaders }
     const traits = dialect.readTraits(head)
-    if (traits.isErr) return await this.#refuseAfterBody(request, reply, undefined, traits.error)
+    if (traits.isErr) return await this.#refuseAfterBody(request, reply, traits.error)
     reply.setRequestId(traits.value.requestId)
     if (countHeaderBytes(request.rawHeaders) > this.#bounds.maxHeaderBytes) {
-      return await this.#refuseAfterBody(request, reply, traits.value, { code: 'headers_too_large', message: 'The header is too large.', execution: 'not_run' })
+      return await this.#refuseAfterBody(request, reply, { code: 'headers_too_large', message: 'The header is too large.', execution: 'not_run' })
     }
     const body = await readBody(request, this.#bounds.maxBodyBytes)
     if (body.isErr) {
-      if (body.error.kind === 'refused') this.#refuse(reply, traits.value, body.error.refusal)
+      if (body.error.kind === 'refused') this.#refuse(reply, body.error.refusal)
       return
     }
     await waitForPendingInput()
+    // refused by the end of a stop
+    if (reply.end === 'whole') return
     const admission = gate.admit(traits.value, arrivedAtMs)
-    if (admission.isErr) return this.#refuse(reply, traits.value, admission.error)
+    if (admission.isErr) return this.#refuse(reply, admission.error)
     reply.recordAdmitted()
     const relayRequest: RelayRequest = { traits: traits.value, body: body.value, arrivedAtMs, ...admission.value }
     await relay.relay(relayRequest, reply)
   }
 
   /** Reads the rest of the request before refusing it, so that the caller can read the refusal. */
-  async #refuseAfterBody (request: IncomingMessage, reply: CallerReply, traits: RequestTraits | undefined, refusal: Refusal): Promise<void> {
+  async #refuseAfterBody (request: IncomingMessage, reply: CallerReply, refusal: Refusal): Promise<void> {
     await readBody(request, this.#bounds.maxBodyBytes)
-    this.#refuse(reply, traits, refusal)
+    this.#refuse(reply, refusal)
   }
 
-  #refuse (reply: CallerReply, traits: RequestTraits | undefined, refusal: Refusal): void {
-    this.#options.observer.recordRefusal(traits?.requestId, refusal, { message: refusal.message })
+  #refuse (reply: CallerReply, refusal: Refusal): void {
+    if (reply.end === 'whole') return
+    this.#options.observer.recordRefusal(reply.requestId ?? undefined, refusal, { message: refusal.message })
     reply.refuse(refusal)
   }
 
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -200,4 +200,21 @@
     caller.close()
     await waitUntil('the end of the request', () => fixture.lines.some(line => line.event === 'requestEnded' && line.end === 'callerLeft'))
   })
+
+  // the end of the stop closed the connection without a word, so its caller could not tell that nothing had run
+  it('should be refused as not run when its body has not arrived at the end of the stop', async () => {
+    await start()
+    const request = buildCallerRequest({ method: 'POST', body: BODY, timeoutMs: 9000 })
+    caller.write(request.slice(0, -1))
+    await waitFor(50)
+    const drained = fixture.relay.drain()
+    await caller.waitForEnd()
+    caller.write(request.slice(-1))
+    await waitFor(100)
+    caller.close()
+    await drained
+    expect([caller.text.slice(0, 12), caller.wasReset]).to.deep.equal(['HTTP/1.1 503', false])
+    expect(endpoint.received).to.have.length(0)
+    expect(fixture.lines.filter(({ event }) => event === 'requestRefused')).to.have.length(1)
+  })
 })
