Read what has arrived before a time limit on others passes

After a standstill, calls to the store and to peers ended as lost, connects as timed out, and presence checks took an endpoint for alive that had ended, while the answers and the closes lay unread in the sockets. Callers saw a timeout although the answer had arrived within their time.

Cause: a plain timer counts the time in which this process could not read, and runs before the poll phase.

`TimeLimit` passes after so many readable milliseconds, and after two turns of the event loop where its timer is late. It is used for connects to endpoints and probes, presence checks, `Progress`, calls to the store and calls to peers; the clock that a `Progress` has decides whether standstills count. The time limit of a request stays real time; what has arrived by its end is still passed on. No timer is added. Two more turns are taken only where a timer is late, and at the end of a request's time.

Processor time was not measured.

--- a/src/base/progress.ts
+++ b/src/base/progress.ts
@@ -1,4 +1,5 @@
-import { systemClock } from './clock'
+import { systemClock, toReadableMs } from './clock'
+import { TimeLimit } from './timeLimit'
 
 import type { Clock } from './clock'
 
@@ -15,7 +16,7 @@
 export interface ProgressOptions {
   /** What the operation does, worded to follow "while". */
   title: string
-  /** Milliseconds from now until the operation times out. */
+  /** Milliseconds from now until the operation times out; those in which this process could not read do not count. */
   timeoutMs: number
   signal?: AbortSignal
   clock?: Clock
@@ -40,7 +41,7 @@
   constructor (options: ProgressOptions) {
     this.#title = options.title
     this.#clock = options.clock ?? systemClock
-    this.#deadlineMs = this.#clock.getMonotonicMs() + options.timeoutMs
+    this.#deadlineMs = this.#getReadableMs() + options.timeoutMs
     const parent = options.signal
     if (parent?.aborted) this.abort('the parent operation ended')
     parent?.addEventListener('abort', () => this.abort('the parent operation ended'), { once: true })
@@ -51,9 +52,14 @@
     return this.#controller.signal
   }
 
+  /** Clock that the deadline is measured by. */
+  get clock (): Clock {
+    return this.#clock
+  }
+
   /** Returns the milliseconds left before the deadline; 0 once it has passed. */
   getRemainingMs (): number {
-    return Math.max(0, this.#deadlineMs - this.#clock.getMonotonicMs())
+    return Math.max(0, this.#deadlineMs - this.#getReadableMs())
   }
 
   /** Creates the progress of a step, with its own deadline but at most that of this operation. */
@@ -83,9 +89,9 @@
     if (this.signal.aborted) throw this.signal.reason
     return await new Promise<T>((resolve, reject) => {
       const handleAbort = () => finish(() => reject(this.signal.reason))
-      const timer = setTimeout(() => this.#controller.abort(this.#createTimeout(awaited)), this.getRemainingMs())
+      const limit = new TimeLimit(this.#clock, this.getRemainingMs(), () => this.#controller.abort(this.#createTimeout(awaited)))
       const finish = (action: () => void) => {
-        clearTimeout(timer)
+        limit.cancel()
         this.signal.removeEventListener('abort', handleAbort)
         action()
       }
@@ -100,6 +106,10 @@
     return [`while ${this.#title}: ${reason}`, ...lines].join('\n')
   }
 
+  #getReadableMs (): number {
+    return toReadableMs(this.#clock, this.#clock.getMonotonicMs())
+  }
+
   #createTimeout (awaited: string): TimeoutError {
     return new TimeoutError(this.describe(`timed out waiting for ${awaited}`))
   }
--- a/src/protocol/rpcClient.ts
+++ b/src/protocol/rpcClient.ts
@@ -3,6 +3,7 @@
 import { JSONRPCClient } from 'json-rpc-2.0'
 import { Result } from 'true-myth'
 
+import { TimeLimit } from '../base/timeLimit'
 import { LineSplitter } from './lineSplitter'
 import { RPC_PATH } from './attemptMessages'
 
@@ -93,7 +94,7 @@
   readonly #splitter = new LineSplitter({ maxLineLength: MAX_LINE_LENGTH })
   readonly #rpc: JSONRPCClient
   #request: http.ClientRequest | null = null
-  #timer: NodeJS.Timeout | null = null
+  #limit: TimeLimit | null = null
   #connected = false
   #responseReceived = false
   #fail: (error: RpcError) => void = () => {}
@@ -199,12 +200,12 @@
 
   /** Stops the idle timeout. It must not run while this side has paused reading. */
   #clearTimeout (): void {
-    if (this.#timer) clearTimeout(this.#timer)
+    this.#limit?.cancel()
   }
 
   #startTimeout (milliseconds: number, awaited: string): void {
     this.#clearTimeout()
-    this.#timer = setTimeout(() => this.#failLost(`no byte within ${milliseconds} ms while waiting for ${awaited}`), milliseconds)
+    this.#limit = new TimeLimit(this.#options.progress.clock, milliseconds, () => this.#failLost(`no byte within ${milliseconds} ms while waiting for ${awaited}`))
   }
 
   /** Fails the call if the stream ended without a response. A response that was received counts, even if its notifications are still being handled. */
--- a/src/relay/connectProbe.ts
+++ b/src/relay/connectProbe.ts
@@ -1,7 +1,10 @@
 import net from 'node:net'
 
+import { TimeLimit } from '../base/timeLimit'
 import { parseAddress } from './endpointAddress'
 
+import type { Clock } from '../base/clock'
+
 /** What came back when a connection was opened. */
 export type ProbeOpening = 'accepted' | 'refused' | 'silent'
 
@@ -20,11 +23,11 @@
  * Opens a connection to an address and sends nothing on it.
  *
  * @example
- * const probe = openProbe('10.0.0.7:8100')
+ * const probe = openProbe('10.0.0.7:8100', clock)
  * if (await probe.opened === 'refused') console.log('nothing listens there')
  * probe.close()
  */
-export function openProbe (address: string): ConnectProbe {
+export function openProbe (address: string, clock: Clock): ConnectProbe {
   const [host, port] = parseAddress(address)
   const socket = net.connect({ host, port })
   socket.unref()
@@ -32,14 +35,14 @@
   socket.resume()
   const closed = new Promise<void>(resolve => { socket.once('close', () => resolve()) })
   const opened = new Promise<ProbeOpening>(resolve => {
-    const timer = setTimeout(() => socket.destroy(), CONNECT_TIMEOUT_MS)
+    const limit = new TimeLimit(clock, CONNECT_TIMEOUT_MS, () => { socket.destroy() })
     socket.once('connect', () => {
-      clearTimeout(timer)
+      limit.cancel()
       resolve('accepted')
     })
     socket.once('error', (error: NodeJS.ErrnoException) => resolve(describeError(error)))
     socket.once('close', () => {
-      clearTimeout(timer)
+      limit.cancel()
       resolve('silent')
     })
   })
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,10 +1,12 @@
 import { request as createRequest } from 'node:http'
 
+import { TimeLimit } from '../base/timeLimit'
 import { readAnswerEnd } from './answerFraming'
 import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
 
 import type { Agent, ClientRequest, IncomingMessage, RequestOptions } from 'node:http'
 import type { Socket } from 'node:net'
+import type { Clock } from '../base/clock'
 import type { AnswerEnd } from './answerFraming'
 import type { ByteBudget } from './byteBudget'
 import type { HeaderList } from './relayRequest'
@@ -18,6 +20,7 @@
   target: string
   headers: HeaderList
   body: Buffer
+  clock: Clock
   /** Milliseconds within which a new connection must be established. */
   connectTimeoutMs: number
   /** Called with a new connection once it is established. */
@@ -85,7 +88,7 @@
   #response: IncomingMessage | null = null
   #socket: Socket | null = null
   #wasReset = false
-  #connectTimer: NodeJS.Timeout | undefined
+  #connectLimit: TimeLimit | undefined
   #isConnected = false
   #hasEnded = false
   #interimResponses = 0
@@ -110,7 +113,7 @@
       // before Node.js closes its side, after which the address is unknown too
       socket.prependListener('end', this.#handleSocketEnd)
       if (!socket.connecting) return this.#handleConnect()
-      this.#connectTimer = setTimeout(() => request.destroy(new Error('connect timeout')), this.#options.connectTimeoutMs)
+      this.#connectLimit = new TimeLimit(this.#options.clock, this.#options.connectTimeoutMs, () => { if (!this.#isConnected) request.destroy(new Error('connect timeout')) })
       socket.once('connect', () => {
         this.#options.handleConnect?.(socket)
         this.#handleConnect()
@@ -149,7 +152,7 @@
 
   #handleConnect (): void {
     this.#isConnected = true
-    clearTimeout(this.#connectTimer)
+    this.#connectLimit?.cancel()
   }
 
   #countInterimResponse (): void {
@@ -212,7 +215,7 @@
     if (this.#hasEnded) return
     if (end.kind === 'broken' && this.#response?.complete === true && !this.#response.readableEnded) return
     this.#hasEnded = true
-    clearTimeout(this.#connectTimer)
+    this.#connectLimit?.cancel()
     this.#socket?.off('end', this.#handleSocketEnd)
     this.#options.signal.removeEventListener('abort', this.#handleAbort)
     this.#options.budget.release(this.#heldBytes)
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,3 +1,4 @@
+import { waitForPendingInput } from '../base/pendingInput'
 import { decideAnswerEnd, getSettleMs } from '../policy/answerEnd'
 import { recordAttemptResult } from '../policy/directEndpoint'
 import { recordBackoff } from '../policy/endpointBackoff'
@@ -158,7 +159,8 @@
     const { stallDetector } = this.#options
     const { request, reply } = this.#input
     const handleDisconnect = () => this.#stop('callerLeft')
-    const timer = setTimeout(() => this.#stop('deadline'), Math.max(0, request.deadlineAtMs - this.#startedAtMs))
+    // the caller's time is real time; what has arrived by its end is still passed on
+    const timer = setTimeout(() => { waitForPendingInput().then(() => this.#stop('deadline')) }, Math.max(0, request.deadlineAtMs - this.#startedAtMs))
     reply.signal.addEventListener('abort', handleDisconnect, { once: true })
     stallDetector.add(this.#watchedAttempt)
     const exchangeResult = await this.#verifyEnd(await sendToEndpoint(this.#buildExchangeOptions(), this.#forwarder))
@@ -201,7 +203,7 @@
   }
 
   #buildExchangeOptions (): ExchangeOptions {
-    const { agent, dialect, connections } = this.#options
+    const { agent, clock, dialect, connections } = this.#options
     const { request, position } = this.#input
     const { entry, mistrustedUntilMs } = this.#endpoint
     const [host, port] = parseAddress(entry.address)
@@ -214,6 +216,7 @@
       target: request.traits.target,
       headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId }),
       body: request.body,
+      clock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
       handleConnect: socket => connections.add(entry.address, socket),
       signal: this.#controller.signal,
--- a/src/relay/exitProber.ts
+++ b/src/relay/exitProber.ts
@@ -37,7 +37,7 @@
     if (nowMs - (this.#probedAtMs.get(key) ?? -Infinity) < PROBE_INTERVAL_MS || this.#openProbes >= MAX_OPEN_PROBES) return
     this.#probedAtMs.set(key, nowMs)
     this.#openProbes += 1
-    const probe = openProbe(entry.address)
+    const probe = openProbe(entry.address, this.#options.clock)
     probe.opened.then(result => {
       this.#openProbes -= 1
       probe.close()
--- a/src/relay/presenceChecker.ts
+++ b/src/relay/presenceChecker.ts
@@ -1,7 +1,7 @@
-import { setTimeout as sleep } from 'node:timers/promises'
-
+import { TimeLimit } from '../base/timeLimit'
 import { openProbe } from './connectProbe'
 
+import type { Clock } from '../base/clock'
 import type { EndpointPresence } from '../policy/answerEnd'
 import type { DirectEndpoint } from '../policy/directEndpoint'
 import type { ConnectProbe, ProbeOpening } from './connectProbe'
@@ -25,8 +25,13 @@
  * lives. Checks of one endpoint at the same time share a connection.
  */
 export class PresenceChecker {
+  readonly #clock: Clock
   readonly #probes = new Map<DirectEndpoint, SharedProbe>()
 
+  constructor ({ clock }: { clock: Clock }) {
+    this.#clock = clock
+  }
+
   /** Returns whether the endpoint is still there `settleMs` milliseconds from now. */
   async check (endpoint: DirectEndpoint, settleMs: number): Promise<EndpointPresence> {
     let result: ProbeResult = 'silent'
@@ -43,14 +48,25 @@
     const probe = this.#probes.get(endpoint) ?? this.#open(endpoint)
     probe.users += 1
     const opened = await probe.opened
-    const result = opened === 'accepted' ? await Promise.race([probe.closed.then(() => 'closed' as const), sleep(settleMs, 'held' as const)]) : opened
+    const result = opened === 'accepted' ? await this.#waitForClose(probe, settleMs) : opened
     probe.users -= 1
     if (result !== 'held' || probe.users === 0) this.#close(endpoint, probe)
     return result
   }
 
+  /** Waits whether the other side closes the connection within `settleMs` in which this process could see it. */
+  async #waitForClose (probe: ConnectProbe, settleMs: number): Promise<'held' | 'closed'> {
+    return await new Promise(resolve => {
+      const limit = new TimeLimit(this.#clock, settleMs, () => resolve('held'))
+      probe.closed.then(() => {
+        limit.cancel()
+        resolve('closed')
+      })
+    })
+  }
+
   #open (endpoint: DirectEndpoint): SharedProbe {
-    const probe = { ...openProbe(endpoint.entry.address), users: 0 }
+    const probe = { ...openProbe(endpoint.entry.address, this.#clock), users: 0 }
     this.#probes.set(endpoint, probe)
     return probe
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -215,7 +215,7 @@
       placement,
       stallDetector: this.#stallDetector,
       crashes: this.#crashes,
-      presence: new PresenceChecker(),
+      presence: new PresenceChecker({ clock }),
       connections: this.#connections,
       isLeaving: endpoint => !this.#directory.isReady(endpoint),
       agent: this.#agent,
--- a/src/store/httpCall.ts
+++ b/src/store/httpCall.ts
@@ -1,5 +1,7 @@
 import http from 'node:http'
 
+import { TimeLimit } from '../base/timeLimit'
+
 import type { Progress } from '../base/progress'
 
 export interface HttpCall {
@@ -36,7 +38,7 @@
     const { method, url, headers } = call
     let sent = false
     const finish = (result: HttpCallResult) => {
-      clearTimeout(timer)
+      limit.cancel()
       progress.signal.removeEventListener('abort', handleAbort)
       resolve(result)
     }
@@ -46,11 +48,11 @@
       request.destroy()
     }
     const request = http.request(url, { method, headers, agent })
-    const timer = setTimeout(() => {
+    const limit = new TimeLimit(progress.clock, call.timeoutMs, () => {
       const message = `${method} ${url.pathname}: no response within ${Math.round(call.timeoutMs)} ms`
       finish({ kind: 'timedOut', sent, message })
       request.destroy()
-    }, call.timeoutMs)
+    })
     request.on('socket', socket => {
       if (!socket.connecting) sent = true
       else socket.once('connect', () => { sent = true })
--- a/tests/relay/exchangeFixture.ts
+++ b/tests/relay/exchangeFixture.ts
@@ -1,3 +1,4 @@
+import { systemClock } from '../../src/base/clock'
 import { ByteBudget } from '../../src/relay/byteBudget'
 import { sendToEndpoint } from '../../src/relay/endpointExchange'
 
@@ -5,7 +6,7 @@
 import type { ExchangeResult, HeadDecision } from '../../src/relay/endpointExchange'
 
 /** Runs one exchange with the endpoint at a port of this machine, and decides on its answer as given. */
-export async function runExchange (port: number, { agent = false, decision = 'collect' }: { agent?: Agent | false, decision?: HeadDecision } = {}): Promise<ExchangeResult> {
+export async function runExchange (port: number, { agent = false, decision = 'collect', connectTimeoutMs = 1000 }: { agent?: Agent | false, decision?: HeadDecision, connectTimeoutMs?: number } = {}): Promise<ExchangeResult> {
   return await sendToEndpoint({
     agent,
     host: '127.0.0.1',
@@ -14,7 +15,8 @@
     target: '/archive/1',
     headers: ['Host', 'archive.example'],
     body: Buffer.alloc(0),
-    connectTimeoutMs: 1000,
+    clock: systemClock,
+    connectTimeoutMs,
     signal: new AbortController().signal,
     budget: new ByteBudget({ guaranteedBytes: 65_536, sharedBytes: 65_536 })
   }, { handleHead: () => decision, handleCollectedChunk: () => {}, handleRelayedChunk: () => true })
--- a/tests/relay/oddEntries.spec.ts
+++ b/tests/relay/oddEntries.spec.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai'
 
 import { storeDecoder } from '../../platform/storeDecoder'
+import { systemClock } from '../../src/base/clock'
 import { findFreePorts } from '../../standins/shared/freePorts'
 import { MemoryObjectStore } from '../fakes/memoryObjectService'
 import { answerWhole, buildPeerSettings, registerEndpoint, sendRequest, startEndpoint, startRelay, waitUntil } from './relayFixture'
@@ -91,7 +92,7 @@
     const { ByteBudget } = await import('../../src/relay/byteBudget')
     const sink = { handleHead: () => 'collect' as const, handleCollectedChunk: () => {}, handleRelayedChunk: () => true }
     for (const override of [{ port: 99_999 }, { port: -1 }, { port: NaN }, { headers: ['Name', 'line\r\nbreak'] }, { method: 'NO METHOD' }, { target: '/with space' }]) {
-      const options = { agent: false as const, host: '127.0.0.1', port: 1, method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), connectTimeoutMs: 100, signal: new AbortController().signal, budget: new ByteBudget({ guaranteedBytes: 1, sharedBytes: 1 }), ...override }
+      const options = { agent: false as const, host: '127.0.0.1', port: 1, method: 'GET', target: '/', headers: [], body: Buffer.alloc(0), clock: systemClock, connectTimeoutMs: 100, signal: new AbortController().signal, budget: new ByteBudget({ guaranteedBytes: 1, sharedBytes: 1 }), ...override }
       const result = await sendToEndpoint(options, sink)
       expect(result.kind, JSON.stringify(override)).to.equal('notSent')
     }
--- a/tests/relay/presenceChecker.spec.ts
+++ b/tests/relay/presenceChecker.spec.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'chai'
 
+import { systemClock } from '../../src/base/clock'
 import { buildDirectEndpoint } from '../../src/policy/directEndpoint'
 import { PresenceChecker } from '../../src/relay/presenceChecker'
 
@@ -37,7 +38,7 @@
   }
 
   it('should find an endpoint that keeps connections open, with one connection for checks at the same time', async () => {
-    const checker = new PresenceChecker()
+    const checker = new PresenceChecker({ clock: systemClock })
     const endpoint = buildEndpoint()
     expect(await Promise.all(Array.from({ length: 20 }, async () => await checker.check(endpoint, SETTLE_MS)))).to.deep.equal(Array(20).fill('alive'))
     expect(sockets).to.have.length(1)
@@ -46,7 +47,7 @@
   it('should find nobody where connections are refused', async () => {
     const endpoint = buildEndpoint()
     await new Promise(resolve => server.close(resolve))
-    expect(await new PresenceChecker().check(endpoint, SETTLE_MS)).to.equal('refused')
+    expect(await new PresenceChecker({ clock: systemClock }).check(endpoint, SETTLE_MS)).to.equal('refused')
   })
 
   it('should find nobody where a process ends that had not yet closed its listener', async () => {
@@ -56,11 +57,11 @@
         socket.resetAndDestroy()
       }, SETTLE_MS / 4)
     }
-    expect(await new PresenceChecker().check(buildEndpoint(), SETTLE_MS)).to.equal('refused')
+    expect(await new PresenceChecker({ clock: systemClock }).check(buildEndpoint(), SETTLE_MS)).to.equal('refused')
   })
 
   it('should find an endpoint that has too many connections and resets each new one', async () => {
     handleConnection = socket => socket.resetAndDestroy()
-    expect(await new PresenceChecker().check(buildEndpoint(), SETTLE_MS)).to.equal('alive')
+    expect(await new PresenceChecker({ clock: systemClock }).check(buildEndpoint(), SETTLE_MS)).to.equal('alive')
   })
 })
