Let a planned stop go on when one of its steps fails

What callers saw: the end of their connections in the middle of answers, when a step of the stop threw or rejected; with a step that never returned, the stop never ended by itself, and the platform killed the process without its last lines.

Cause: the steps that prepare a stop (notices to peers, the refusal of waiting requests, the end of accepting) and those that end it ran one after the other in drain(). An error of one rejected drain(), upon which the program ended the process at once, without a line that named the error, and drain() waited without a limit for the exchange with peers.

The end of the exchange with peers is no longer waited for; nothing after it depends on it.

Passed as well, one run each: draining, lateInStop, slowCallers, drainingQueue, leaving and peers of tests/relay. Not run: the whole suite. The faults are injected; no step is known to fail in service.

--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -307,25 +307,25 @@
     const stop = buildStopWindow(startedAtMs, stopMs)
     this.#stop = stop
     this.#isLeaving = true
-    this.#relay.refuseHeld()
-    const refuseTimer = setTimeout(() => this.#relay.refuseHeld(), stop.sendUntilMs - startedAtMs)
-    this.#limits.startLeaving()
-    const peersLeft = this.#peers.startLeaving()
-    this.#server.startLeaving()
+    const refuseHeld = () => this.#runStopStep(() => this.#relay.refuseHeld())
+    refuseHeld()
+    const refuseTimer = setTimeout(refuseHeld, stop.sendUntilMs - startedAtMs)
+    this.#runStopStep(() => this.#limits.startLeaving())
+    this.#peers.startLeaving().catch(error => log.writeError(error))
+    this.#runStopStep(() => this.#server.startLeaving())
     await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3))
     // the system resets connections that were not accepted yet
     await waitForPendingInput()
-    this.#server.stopAccepting()
+    this.#runStopStep(() => this.#server.stopAccepting())
     while (this.#server.countBusy() > 0 && systemClock.getMonotonicMs() < stop.finishAtMs) await waitFor(DRAIN_POLL_MS)
     if (this.#dispatcher.listServices().some(({ waiting }) => waiting > 0)) {
-      this.#dispatcher.refuseAll()
+      this.#runStopStep(() => this.#dispatcher.refuseAll())
       await waitFor(DRAIN_POLL_MS)
     }
     clearTimeout(refuseTimer)
-    await peersLeft
-    const cutRequests = this.#server.abortReplies()
+    const cutRequests = this.#runStopStep(() => this.#server.abortReplies()) ?? 0
     while (this.#server.countConnections() > 0 && systemClock.getMonotonicMs() < stop.deliverUntilMs) await waitFor(DRAIN_POLL_MS)
-    const unwritten = this.#server.reportUnwritten()
+    const unwritten = this.#runStopStep(() => this.#server.reportUnwritten()) ?? 0
     log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: this.#server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
   }
 
@@ -346,6 +346,16 @@
     if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
   }
 
+  /** Runs one step of a planned stop. The stop goes on when it fails, because the process must not end before its requests. */
+  #runStopStep<T> (step: () => T): T | null {
+    try {
+      return step()
+    } catch (error) {
+      this.#options.log.writeError(error)
+      return null
+    }
+  }
+
   #checkStop ({ route, deadlineAtMs }: RelayRequest): Refusal | null {
     if (this.#stop === null || canSendBeforeStop({ kind: route.kind, deadlineAtMs }, this.#stop, systemClock.getMonotonicMs())) return null
     return { code: 'draining', message: 'This gateway stops, and the request might not end before.', execution: 'not_run', retryAfterMs: STOP_RETRY_AFTER_MS }
