End the process also when its log cannot be written

What operators saw: after a planned stop whose last log lines failed (the output is closed), the process stayed, without requests, until the platform killed it.

Cause: endProcess() ended the process only after the log had been flushed or the time for it had passed; an error in between left it out.

--- a/src/relay/endProcess.ts
+++ b/src/relay/endProcess.ts
@@ -8,7 +8,10 @@
  * reads the log, a write blocks in the runtime's thread pool, and an orderly exit would wait for it indefinitely.
  */
 export async function endProcess (log: DecisionLog, exitCode: number): Promise<void> {
-  log.write('notable', { event: 'stopped', exitCode })
-  if (await log.flush(FLUSH_TIMEOUT_MS)) process.exit(exitCode)
-  process.kill(process.pid, 'SIGKILL')
+  try {
+    log.write('notable', { event: 'stopped', exitCode })
+    if (await log.flush(FLUSH_TIMEOUT_MS)) process.exit(exitCode)
+  } finally {
+    process.kill(process.pid, 'SIGKILL')
+  }
 }
