Let no signal end a process before its requests have ended

What callers saw: SIGINT, and every signal with a default action that nobody handled (SIGUSR2, SIGQUIT, SIGALRM and the like), reset all connections of the platform's gateway, also in the middle of a planned stop; a signal that came while the program was loading ended it with the signal as its exit status. Settings that changed in a stop came in force in it. The fleet's gateway and sidecar knew SIGINT, but ended upon the others and while they were loading.

Cause: each program listened to the signals that it had a use for, each in its own code, and only once it was loaded. The compiled start reads and deserializes the program before the first import of it.

Change: earlySignals listens to all signals with a default action that ends the process, in the first instruction of each program, target/gateway.cjs included, and holds those that arrive before there is a receiver. ProcessLifecycle is what both programs run: it starts, and drains once upon the first SIGTERM or SIGINT, after a start that is under way (or after 1 s), or without a start. SIGHUP checks the settings at most every 100 ms, and not in a stop, in which the settings watcher is closed. Each signal has a line, signalReceived with its state and effect; more than ten a second are counted in signalsLeftOut. SIGUSR1 opens no debugger any more. SIGPIPE and SIGXFSZ stay ignored by the runtime. Commands at a desk keep the default actions. docs/OPERATIONS.md has the table.

stopSignals.spec.ts asks more than before: a request in flight has to arrive whole, and other signals follow the first.

Pending signals that are delivered together have no order of their own; a SIGHUP after the SIGTERM is then logged with the effect none.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,6 +1,6 @@
 // Builds the programs for the platform: the gateway with its code cache, and the small program that starts it.
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, readFileSync } from 'node:fs'
+import { readFileSync } from 'node:fs'
 
 import { bundle } from './bundle.mjs'
 
@@ -12,5 +12,5 @@
 
 const flags = RUN_LINE.exec(readFileSync('deploy/system.toml', 'utf8'))[1].split(' ').filter(flag => flag !== '')
 await bundle('platform/main.ts', 'target/gatewayProgram.cjs', { minify: true, alias: ALIAS })
-copyFileSync('scripts/startCompiled.cjs', 'target/gateway.cjs')
+await bundle('scripts/startCompiled.cjs', 'target/gateway.cjs')
 execFileSync(process.execPath, [...flags, 'scripts/compileAhead.cjs', 'target/gatewayProgram.cjs'], { stdio: 'inherit' })
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -144,8 +144,21 @@
   | { event: 'viewSourceChanged', reader: string | null, before: string | null }
   | { event: 'viewReaderFailed', reader: string, reason: string }
 
+/** State of a process when a signal arrives. */
+export type ProcessState = 'starting' | 'serving' | 'stopping'
+
+/** What a signal changes: a planned stop begins, now or once the start has ended, or the settings file is checked. */
+export type SignalEffect = 'stop' | 'stopAfterStart' | 'settingsCheck' | 'none'
+
+/** Log lines about signals. */
+export type SignalEvent =
+  | { event: 'signalReceived', signal: string, state: ProcessState, effect: SignalEffect }
+  /** Numbers of signals without a line of their own, because many arrived within a second. */
+  | { event: 'signalsLeftOut', counts: Record<string, number> }
+
 /** Log lines about the lifecycle of a process. */
 export type LifecycleEvent =
+  | SignalEvent
   | { event: 'started', version: string, [setting: string]: unknown }
   | { event: 'stopping', signal: string }
   /** `unwritten`: replies that had ended here but were not yet written; `openConnections`: those whose callers had not closed them. */
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,3 +1,6 @@
+// must precede all other imports
+import { earlySignals } from './earlySignals'
+
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 
@@ -9,6 +12,9 @@
 import { EXIT_CODES } from './exitCodes'
 import { VERSION } from './version'
 
+/** Commands that run until a signal stops them. */
+const SERVICE_COMMANDS: readonly unknown[] = ['gateway', 'sidecar']
+
 /** Thrown when the command line has no command or invalid flags. */
 class UsageError extends Error {
   override name = 'UsageError'
@@ -24,6 +30,7 @@
     .command(configCommand)
     .command(stateCommand)
     .command(explainCommand)
+    .middleware(({ _: [command] }) => { if (!SERVICE_COMMANDS.includes(command)) earlySignals.release() })
     .strict()
     .demandCommand(1, 'Missing command; --help lists the commands.')
     .fail((message, error) => { throw error ?? new UsageError(message) })
--- a/src/cli/processRunner.ts
+++ b/src/cli/processRunner.ts
@@ -5,8 +5,10 @@
 import { HttpObjectService } from '../store/httpObjectService'
 import { createConfigAnswer, GET_CONFIG_METHOD, getConfigSchema, OFFER_CONFIG_METHOD, offerConfigSchema, RpcPeerConfigSource } from '../store/peerConfig'
 import { RpcServer } from '../protocol/rpcServer'
+import { earlySignals } from './earlySignals'
 import { EXIT_CODES } from './exitCodes'
 import { callPeer } from './peerCaller'
+import { ProcessLifecycle } from './processLifecycle'
 
 import type { Result } from 'true-myth'
 import type { Finding } from '../config/finding'
@@ -26,7 +28,7 @@
   drain (): Promise<void>
 }
 
-/** Runs a process until SIGTERM or SIGINT, then drains it. */
+/** Runs a process until a signal stops it, then drains it. */
 export async function runProcess<S extends CommonSettings> (loaded: Result<S, Finding[]>, create: (dependencies: ProcessDependencies<S>) => RunnableProcess): Promise<void> {
   if (loaded.isErr) {
     process.stderr.write(`${formatFindings(loaded.error)}\n`)
@@ -34,15 +36,32 @@
     return
   }
   const dependencies = createDependencies(loaded.value)
-  const { logger, config } = dependencies
+  const { logger, config, settings } = dependencies
   const runnable = create(dependencies)
-  installSignalHandlers(runnable, dependencies)
-  config.start()
+  process.on('uncaughtException', error => logger.error({ event: 'unexpectedError', message: String(error.stack).slice(0, 1000) }))
+  process.on('unhandledRejection', error => logger.error({ event: 'unexpectedError', message: String((error as Error)?.stack ?? error).slice(0, 1000) }))
+  const lifecycle = new ProcessLifecycle({
+    clock: systemClock,
+    signals: earlySignals,
+    start: async () => {
+      config.start()
+      const address = await runnable.start()
+      logger.info({ event: 'ready', listening: address, id: settings.id })
+    },
+    drain: async () => await runnable.drain(),
+    end: async exitCode => {
+      config.stop()
+      logger.info({ event: 'stopped', id: settings.id })
+      process.exit(exitCode)
+    },
+    writeLine: line => logger.info(line),
+    handleStop: () => logger.info({ event: 'draining', id: settings.id }),
+    handleError: error => logger.error({ event: 'drainFailed', message: String((error as Error | null)?.message ?? error) })
+  })
   try {
-    const address = await runnable.start()
-    logger.info({ event: 'ready', listening: address, id: dependencies.settings.id })
+    await lifecycle.run()
   } catch (error) {
-    process.stderr.write(`${dependencies.settings.id} cannot start: ${(error as Error).message}\n`)
+    process.stderr.write(`${settings.id} cannot start: ${(error as Error).message}\n`)
     process.exit(EXIT_CODES.unavailable)
   }
 }
@@ -63,24 +82,3 @@
   rpc.register(OFFER_CONFIG_METHOD, async params => await config.receiveOffer(offerConfigSchema.parse(params)))
   return { settings, service, config, rpc, logger }
 }
-
-function installSignalHandlers<S extends CommonSettings> (runnable: RunnableProcess, dependencies: RunnerDependencies<S>): void {
-  let isStopping = false
-  const stop = () => {
-    if (isStopping) return
-    isStopping = true
-    dependencies.logger.info({ event: 'draining', id: dependencies.settings.id })
-    runnable.drain().then(() => {
-      dependencies.config.stop()
-      dependencies.logger.info({ event: 'stopped', id: dependencies.settings.id })
-      process.exit(EXIT_CODES.ok)
-    }, (error: Error) => {
-      dependencies.logger.error({ event: 'drainFailed', message: error.message })
-      process.exit(EXIT_CODES.unavailable)
-    })
-  }
-  process.on('SIGTERM', stop)
-  process.on('SIGINT', stop)
-  process.on('uncaughtException', error => dependencies.logger.error({ event: 'unexpectedError', message: String(error.stack).slice(0, 1000) }))
-  process.on('unhandledRejection', error => dependencies.logger.error({ event: 'unexpectedError', message: String((error as Error)?.stack ?? error).slice(0, 1000) }))
-}
--- a/src/cli/requestTimeline.ts
+++ b/src/cli/requestTimeline.ts
@@ -19,7 +19,7 @@
 
 /** Period before the first decision, in milliseconds, whose view changes may still affect the request. */
 const VIEW_CHANGES_BEFORE_MS = 5000
-const VIEW_CHANGE_EVENTS = new Set(['endpointChanged', 'endpointEjected', 'endpointLeaving', 'endpointLimit', 'endpointQuiet', 'configInForce', 'versionsAssigned', 'configUnconfirmed', 'configConfirmed', 'crashBlamed', 'endpointExited', 'promptPartHoldBegun', 'promptPartHoldEnded', 'dependencyLost', 'dependencyRegained', 'started', 'stopping', 'drained', 'settingsReloaded', 'settingsRefused'])
+const VIEW_CHANGE_EVENTS = new Set(['endpointChanged', 'endpointEjected', 'endpointLeaving', 'endpointLimit', 'endpointQuiet', 'configInForce', 'versionsAssigned', 'configUnconfirmed', 'configConfirmed', 'crashBlamed', 'endpointExited', 'promptPartHoldBegun', 'promptPartHoldEnded', 'dependencyLost', 'dependencyRegained', 'started', 'signalReceived', 'stopping', 'drained', 'settingsReloaded', 'settingsRefused'])
 const HEADER_FIELDS = new Set(['time', 'instance', 'event', 'requestId'])
 
 /**
