--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -9,9 +9,7 @@
 import { Placement } from '../policy/placement'
 import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
-import { buildStopWindow, canSendBeforeStop } from '../policy/stopWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
-import { waitFor } from '../store/channels'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
 import { CrashGuard } from './crashGuard'
@@ -23,7 +21,7 @@
 import { FleetWatcher } from './fleetWatcher'
 import { LimitCoordinator } from './limitCoordinator'
 import { PeerNetwork } from './peerNetwork'
-import { waitForPendingInput } from '../base/pendingInput'
+import { PlannedStop } from './plannedStop'
 import { PresenceChecker } from './presenceChecker'
 import { decideReadiness } from './readiness'
 import { RelayObserver } from './relayObserver'
@@ -40,12 +38,9 @@
 import type { RelaySettings } from '../config/processSettings'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { RetryWindowOptions } from '../policy/retryWindow'
-import type { StopWindow } from '../policy/stopWindow'
-import type { Refusal } from '../protocol/errorBody'
 import type { ObjectService } from '../store/objectService'
 import type { CallerDialect, EndpointDialect } from './dialects'
 import type { StoreDecoder } from './fleetWatcher'
-import type { RelayRequest } from './relayRequest'
 import type { UnreadyReason } from './readiness'
 
 export interface RelayProcessOptions {
@@ -71,16 +66,11 @@
  * The rest covers a request on its way to its endpoint.
  */
 const FRESH_FRACTION = 0.9
-/** Milliseconds until the balancer has noticed that the process is not ready: two checks a second apart, and their answers. */
-const ROTATION_DELAY_MS = 2400
 /** Milliseconds for which idle connections are kept, shorter than endpoints are known to keep them. */
 const IDLE_CONNECTION_TIMEOUT_MS = 4000
 const MAX_IDLE_CONNECTIONS = 64
 /** File descriptors reserved for files, the object service and operators; callers must not use them up. */
 const RESERVED_DESCRIPTORS = 400
-/** Milliseconds of Retry-After of a gateway that stops; others serve. */
-const STOP_RETRY_AFTER_MS = 10
-const DRAIN_POLL_MS = 25
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
 const MS_PER_SECOND = 1000
@@ -111,9 +101,8 @@
   readonly #connections = new EndpointConnections({ clock: systemClock })
   readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS, handleIdleEnd: socket => this.#connections.recordIdleEnd(socket) })
   readonly #dispatcher = new Dispatcher({ clock: systemClock })
-  #isLeaving = false
-  /** Times of the planned stop; null before it. */
-  #stop: StopWindow | null = null
+  /** The planned stop; null before it. */
+  #stop: PlannedStop | null = null
   #unreadyReason: UnreadyReason = 'starting'
 
   constructor (options: RelayProcessOptions) {
@@ -242,7 +231,7 @@
       limits: this.#limits,
       versions: this.#versions,
       checkStillAdmitted: request => gate.checkStillAdmitted(request),
-      checkStop: request => this.#checkStop(request)
+      checkStop: request => this.#stop?.check(request) ?? null
     })
     this.#server = new RelayServer({
       clock,
@@ -298,40 +287,23 @@
   }
 
   /**
-   * Leaves the balancer's rotation while it continues to serve, then lets requests in flight finish
-   * within the stop time of the settings. Requests that might not end in time are refused, however they
-   * arrive. Those still running at the end are cut. Resolves once the callers have closed their connections, which
-   * shows that they have their replies, and before the platform ends the process.
+   * Leaves the balancer's rotation while it continues to serve, lets requests in flight finish within the stop time of the
+   * settings, and resolves once callers have their replies, before the platform ends the process.
    */
   async drain (): Promise<void> {
     const { log } = this.#options
-    const stopMs = this.#settings.stopSeconds * MS_PER_SECOND
-    // the signal may have come while this process could not read it, and the platform counts from there
-    const startedAtMs = this.#readableTime.getUnreadSinceMs()
-    const stop = buildStopWindow(startedAtMs, stopMs)
-    const getRemainingMs = (untilMs: number) => Math.max(0, untilMs - systemClock.getMonotonicMs())
-    this.#stop = stop
-    this.#isLeaving = true
-    this.#relay.refuseHeld()
-    const refuseTimer = setTimeout(() => this.#relay.refuseHeld(), getRemainingMs(stop.sendUntilMs))
-    this.#limits.startLeaving()
-    const peersLeft = this.#peers.startLeaving()
-    this.#server.startLeaving()
-    await waitFor(Math.min(ROTATION_DELAY_MS, stopMs / 3, getRemainingMs(stop.finishAtMs)))
-    // the system resets connections that were not accepted yet
-    await waitForPendingInput()
-    this.#server.stopAccepting()
-    while (this.#server.countBusy() > 0 && getRemainingMs(stop.finishAtMs) > 0) await waitFor(DRAIN_POLL_MS)
-    if (this.#dispatcher.listServices().some(({ waiting }) => waiting > 0)) {
-      this.#dispatcher.refuseAll()
-      await waitFor(DRAIN_POLL_MS)
-    }
-    clearTimeout(refuseTimer)
-    await peersLeft
-    const cutRequests = this.#server.abortReplies()
-    while (this.#server.countConnections() > 0 && getRemainingMs(stop.deliverUntilMs) > 0) await waitFor(DRAIN_POLL_MS)
-    const unwritten = this.#server.reportUnwritten()
-    log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: this.#server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+    this.#stop = new PlannedStop({
+      // the signal may have come while this process could not read it, and the platform counts from there
+      startedAtMs: this.#readableTime.getUnreadSinceMs(),
+      stopMs: this.#settings.stopSeconds * MS_PER_SECOND,
+      server: this.#server,
+      relay: this.#relay,
+      dispatcher: this.#dispatcher,
+      limits: this.#limits,
+      peers: this.#peers,
+      log
+    })
+    await this.#stop.run()
   }
 
   /** Closes everything immediately, without waiting for requests in flight. */
@@ -351,14 +323,10 @@
     if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
   }
 
-  #checkStop ({ route, deadlineAtMs }: RelayRequest): Refusal | null {
-    if (this.#stop === null || canSendBeforeStop({ kind: route.kind, deadlineAtMs }, this.#stop, systemClock.getMonotonicMs())) return null
-    return { code: 'draining', message: 'This gateway stops, and the request might not end before.', execution: 'not_run', retryAfterMs: STOP_RETRY_AFTER_MS }
-  }
-
+  /** Runs one step of a planned stop. The stop goes on when it fails, because the process must not end before its requests. */
   #handleReadyRequest (_request: IncomingMessage, response: ServerResponse): void {
     const freshness = this.#freshness.getVerdict()
-    const reason = decideReadiness({ isLeaving: this.#isLeaving, isComplete: this.#fleetWatcher.isComplete, freshness })
+    const reason = decideReadiness({ isLeaving: this.#stop !== null, isComplete: this.#fleetWatcher.isComplete, freshness })
     if (reason !== this.#unreadyReason) {
       this.#options.log.write('notable', { event: 'readinessChanged', isReady: reason === null, reason, freshness })
       this.#unreadyReason = reason
@@ -384,7 +352,7 @@
   }
 
   #registerDumps (): void {
-    this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#isLeaving, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
+    this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#stop !== null, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#fleetWatcher.table?.version ?? null, routes: this.#fleetWatcher.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
     this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixCache: _prefixCache, prefillLimit, recentSends, ...view }) => ({ ...view, readLimitTokens: prefillLimit.tokens, recentSends: recentSends.getCount(systemClock.getMonotonicMs()) })))
     this.#dump.register('leaving', () => this.#directory.listLeaving())
--- a/tests/platform/standstills.spec.ts
+++ b/tests/platform/standstills.spec.ts
@@ -4,11 +4,11 @@
 import { expect } from 'chai'
 
 import { buildCallerRequest, buildRoute, formatChunk, isComplete, listEventIds, sendRaw, SIGNATURE_LINE, waitUntil } from '../relay/relayFixture'
-import { startGatewayProgram } from './gatewayProgram'
+import { startPausedGateway } from './pausedGateway'
 
 import type { DecisionLine } from '../../src/base/decisionEvents'
 import type { RawAnswer, ReceivedRequest } from '../relay/relayFixture'
-import type { GatewayProgram } from './gatewayProgram'
+import type { PausedGateway } from './pausedGateway'
 
 const STANDSTILLS_MS = [300, 800, 1500, 3000, 6000]
 const STREAMS = 8
@@ -55,7 +55,7 @@
 const UNDISTURBED: Outcome = { whole: STREAMS, stalled: 0, repeats: 0, ejected: 0 }
 
 describe('a gateway that stands still', () => {
-  let programs: GatewayProgram[] = []
+  let programs: PausedGateway[] = []
 
   before(() => { spawnSync(process.execPath, ['scripts/buildPlatform.mjs']) })
 
@@ -64,19 +64,19 @@
     programs = []
   })
 
-  async function start (answers: Array<(request: ReceivedRequest) => void>, stopSeconds?: number): Promise<GatewayProgram> {
-    const program = await startGatewayProgram({ routes: [STREAM_ROUTE, PLAIN_ROUTE], answers, stopSeconds })
+  async function start (answers: Array<(request: ReceivedRequest) => void>, stopSeconds?: number): Promise<PausedGateway> {
+    const program = await startPausedGateway({ routes: [STREAM_ROUTE, PLAIN_ROUTE], answers, stopSeconds })
     programs.push(program)
     return program
   }
 
-  function sendStreams (program: GatewayProgram): Array<Promise<RawAnswer>> {
+  function sendStreams (program: PausedGateway): Array<Promise<RawAnswer>> {
     const headers = ['Connection: close']
     return Array.from({ length: STREAMS }, async (_, index) => await sendRaw(program.port, buildCallerRequest({ id: `a-${index}`, method: 'POST', target: `/archive/s/${index}`, headers, body: 'q', timeoutMs: TIMEOUT_MS })))
   }
 
   /** Plays streams of sound endpoints while `disturb` runs. */
-  async function playStreams (disturb: (program: GatewayProgram) => Promise<void>): Promise<Outcome> {
+  async function playStreams (disturb: (program: PausedGateway) => Promise<void>): Promise<Outcome> {
     const answer = (request: ReceivedRequest) => writeStream(request, () => false)
     const program = await start([answer, answer])
     const streams = sendStreams(program)
