--- a/soak/main.ts
+++ b/soak/main.ts
@@ -14,6 +14,7 @@
   endpoints: number
   callers: number
   logs: string | undefined
+  program: string | undefined
 }
 
 yargs(hideBin(process.argv))
@@ -26,7 +27,8 @@
     gateways: { type: 'number', default: 4, describe: 'number of gateway processes; each uses about 70 MB' },
     endpoints: { type: 'number', default: 6 },
     callers: { type: 'number', default: 24 },
-    logs: { type: 'string', describe: 'folder for logs, settings and clocks of the processes' }
+    logs: { type: 'string', describe: 'folder for logs, settings and clocks of the processes' },
+    program: { type: 'string', describe: 'path of the built gateway, such as one of an older commit; target/gateway.cjs by default' }
   }, async argv => {
     const runs = argv.regressions ? SOAK_REGRESSIONS : [{ seed: argv.seed, minutes: argv.minutes }]
     let findings = 0
@@ -43,13 +45,14 @@
 
 /** Runs one seed, prints its findings and returns their number. */
 async function playSeed (seed: number, minutes: number, flags: SoakFlags): Promise<number> {
-  const { gateways, endpoints, callers, logs } = flags
+  const { gateways, endpoints, callers, logs, program } = flags
   const { findings, requests, actions, ends } = await runSoak({
     seed,
     durationMs: minutes * MS_PER_MINUTE,
     gateways,
     endpoints,
     callers,
+    program,
     folder: logs ?? path.join(tmpdir(), `tanagerwick-soak-${process.pid}-${seed}`),
     report: line => process.stdout.write(`${line}\n`)
   })
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -24,6 +24,8 @@
   callers: number
   /** Folder for the settings, logs and clocks of the processes. */
   folder: string
+  /** Path of the built gateway; `target/gateway.cjs` by default. */
+  program?: string
   /** Called with a line for each finding and each action as it happens. */
   report: (line: string) => void
 }
@@ -38,6 +40,7 @@
 
 /** Bounds that the users' current sites require. */
 const BOUNDS: SoakBounds = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, stopSeconds: 8 }
+const DEFAULT_PROGRAM = 'target/gateway.cjs'
 const MEAN_THINK_TIME_MS = 120
 const READINESS_POLL_MS = 300
 const LAG_CHECK_PERIOD_MS = 50
@@ -75,11 +78,12 @@
   constructor (options: SoakOptions) {
     this.#options = options
     this.#random = createSeededRandom(options.seed + 1)
-    const { gateways, endpoints, folder } = options
+    const { gateways, endpoints, folder, program = DEFAULT_PROGRAM } = options
     this.#fleet = new SoakFleet({
       gateways,
       endpoints,
       folder,
+      program,
       bounds: BOUNDS,
       handleRun: run => this.#checker.handleRun(run),
       handleArrival: arrival => this.#checker.handleArrival(arrival),
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -12,6 +12,8 @@
   gateways: number
   endpoints: number
   folder: string
+  /** Path of the built gateway. */
+  program: string
   bounds: SoakBounds
   handleRun: (run: SoakRun) => void
   handleArrival: (arrival: LimitedArrival) => void
@@ -74,7 +76,7 @@
   }
 
   async #openGateways (): Promise<void> {
-    const { gateways: count, folder, bounds, handleUnexpectedExit } = this.#options
+    const { gateways: count, folder, program, bounds, handleUnexpectedExit } = this.#options
     const ports = await findFreePorts(4 * count)
     const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.0.1:${ports[4 * index + 3]!}`)
     for (let index = 0; index < count; index++) {
@@ -86,6 +88,7 @@
         seeds,
         storeAddress: new URL(this.store.url).host,
         folder,
+        program,
         bounds,
         handleUnexpectedExit
       }))
--- a/soak/soakGateway.ts
+++ b/soak/soakGateway.ts
@@ -19,11 +19,12 @@
   storeAddress: string
   folder: string
   bounds: { revocationMs: number, stopSeconds: number }
+  /** Path of the built program. */
+  program: string
   /** Called when the process exited although the soak neither stopped nor killed it. */
   handleUnexpectedExit: (message: string) => void
 }
 
-const PROGRAM = 'target/gateway.cjs'
 const CLOCK_SHIFT_MODULE = path.join('soak', 'shiftClock.cjs')
 const READY_TIMEOUT_MS = 500
 
@@ -73,8 +74,8 @@
     this.epoch += 1
     this.#isExitExpected = false
     this.#hasLogged = false
-    const { folder, index } = this.#options
-    const child = spawn(process.execPath, ['--require', `./${CLOCK_SHIFT_MODULE}`, PROGRAM], {
+    const { folder, index, program } = this.#options
+    const child = spawn(process.execPath, ['--require', `./${CLOCK_SHIFT_MODULE}`, program], {
       env: { ...process.env, TANAGERWICK_NODE_FILE: this.#settingsFile, SOAK_CLOCK_FILE: this.#clockFile },
       stdio: ['ignore', 'pipe', 'pipe']
     })
