Judge lost requests of the soak by the rule around planned work

The soak took a request as lost only where an endpoint had run it, excused everything while a gateway was paused or the store had trouble, and knew neither the signals nor when the caller's last byte left. A request that was read and never answered, a stream cut at the end of a pause, and a plain request lost during an outage of the store were none.

isLost is the rule, by itself: a broken request counts once it ran, or, around a signal to stop or to reload, later than 200 ms after its last byte. Time limits used to excuse nothing; no request of the soak came near its own unless something else had happened before. Endpoints say when each run ended and whether they broke it off. A pause has a scope of its own, which excuses bounds in time as before, but no loss. Trouble of the store excuses streams alone. A finding names the body's form and the times counted from the signals, and at the end of a run the line replyNotWhole that the gateway wrote about the request.

--- a/soak/faultHistory.ts
+++ b/soak/faultHistory.ts
@@ -1,5 +1,8 @@
 /** What a fault affects: one gateway, the store of all gateways, the endpoints and their links, or what the endpoints accept. */
-export type FaultScope = { kind: 'gateway', index: number } | { kind: 'store' } | { kind: 'endpoints' } | { kind: 'limits' }
+export type FaultScope = { kind: 'gateway', index: number }
+  /** A pause of one gateway's process. It excuses bounds in time, but no loss. */
+  | { kind: 'pause', index: number }
+  | { kind: 'store' } | { kind: 'endpoints' } | { kind: 'limits' }
 
 interface FaultInterval {
   scope: string
@@ -23,13 +26,19 @@
     this.#intervals.push({ scope: 'soak', fromMs, untilMs })
   }
 
-  /** Returns whether no fault affected any of the scopes at any time between two moments. */
+  /** Returns whether no fault, nor a pause of one of the gateways, affected any of the scopes at any time between two moments. */
   isUndisturbed (scopes: readonly FaultScope[], fromMs: number, untilMs: number): boolean {
+    const pauses = scopes.flatMap(scope => scope.kind === 'gateway' ? [{ kind: 'pause' as const, index: scope.index }] : [])
+    return this.isUndisturbedButForPauses([...scopes, ...pauses], fromMs, untilMs)
+  }
+
+  /** Returns the same as `isUndisturbed`, without regard to pauses of the gateways. */
+  isUndisturbedButForPauses (scopes: readonly FaultScope[], fromMs: number, untilMs: number): boolean {
     const names = new Set([...scopes.map(toScopeName), 'soak'])
     return !this.#intervals.some(interval => names.has(interval.scope) && interval.fromMs < untilMs && interval.untilMs > fromMs)
   }
 }
 
 function toScopeName (scope: FaultScope): string {
-  return scope.kind === 'gateway' ? `gateway ${scope.index}` : scope.kind
+  return 'index' in scope ? `${scope.kind} ${scope.index}` : scope.kind
 }
--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -135,7 +135,7 @@
 
   async #pauseGateway (gateway: SoakGateway, forMs: number): Promise<void> {
     await this.#withGateway(gateway, async () => {
-      await this.#recordFaultDuring({ kind: 'gateway', index: gateway.index }, async () => {
+      await this.#recordFaultDuring({ kind: 'pause', index: gateway.index }, async () => {
         gateway.sendSignal('SIGSTOP')
         await waitFor(forMs)
         gateway.sendSignal('SIGCONT')
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -39,7 +39,7 @@
 }
 
 /** Bounds that the users' current sites require. */
-const BOUNDS: SoakBounds = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, stopSeconds: 8 }
+const BOUNDS: SoakBounds = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, lossSlackMs: 200, stopSeconds: 8 }
 const DEFAULT_PROGRAM = 'target/gateway.cjs'
 const MEAN_THINK_TIME_MS = 120
 const READINESS_POLL_MS = 300
@@ -87,7 +87,8 @@
       bounds: BOUNDS,
       handleRun: run => this.#checker.handleRun(run),
       handleArrival: arrival => this.#checker.handleArrival(arrival),
-      handleUnexpectedExit: message => this.#checker.report('endedByItself', message)
+      handleUnexpectedExit: message => this.#checker.report('endedByItself', message),
+      handleSignal: sent => this.#checker.handleSignal(sent)
     })
     this.#checker = new SoakChecker({
       bounds: BOUNDS,
@@ -118,6 +119,7 @@
       this.#isOver = true
       await Promise.all([...calling, ...watching])
       this.#checkRecovery()
+      this.#reportLogLines()
     } finally {
       this.#isOver = true
       await this.#fleet.close()
@@ -240,6 +242,14 @@
     this.#options.report(`${this.#formatTime()} FINDING ${finding.kind}: ${finding.message}`)
   }
 
+  /** Reports what the logs of the gateways say of the requests that were lost. */
+  #reportLogLines (): void {
+    for (const { lost } of this.#summary.findings) {
+      if (lost === null) continue
+      this.#options.report(`log of gateway ${lost.gateway} about ${lost.requestId}: ${this.#fleet.gateways[lost.gateway]!.readNotWholeLine(lost.requestId) ?? 'no line replyNotWhole'}`)
+    }
+  }
+
   #getElapsedMs (): number {
     return performance.now() - this.#startedAtMs
   }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -8,8 +8,8 @@
 /** Outcome of a request as its caller observed it. */
 export type CallerOutcome =
   | { kind: 'answered', status: number, isSigned: boolean, body: string, retryAfter: string | null }
-  /** The connection closed before the answer was complete; `body` is what had arrived. */
-  | { kind: 'broken', message: string, body: string }
+  /** The connection closed before the answer was complete; `body` is what had arrived, `lastByteSentAtMs` when the whole request had left; null for never. */
+  | { kind: 'broken', message: string, body: string, lastByteSentAtMs: number | null }
   /** The caller disconnected before the answer was complete, as planned. */
   | { kind: 'left' }
   /** No complete answer arrived within `ANSWER_GRACE_MS` after the deadline. */
@@ -56,6 +56,7 @@
           ...request.method === 'POST' ? { 'Content-Length': request.body.length } : {}
         }
       })
+      let lastByteSentAtMs: number | null = null
       const finish = (end: CallerOutcome) => {
         clearTimeout(answerTimer)
         clearTimeout(disconnectTimer)
@@ -71,8 +72,10 @@
           finish({ kind: 'left' })
           outgoing.destroy()
         }, request.disconnectAfterMs)
-      outgoing.on('error', error => finish({ kind: 'broken', message: error.message, body: '' }))
-      outgoing.on('response', response => readAnswer(response, finish))
+      const fail = (message: string, body: string) => finish({ kind: 'broken', message, body, lastByteSentAtMs })
+      outgoing.on('finish', () => { lastByteSentAtMs = performance.now() })
+      outgoing.on('error', error => fail(error.message, ''))
+      outgoing.on('response', response => readAnswer(response, finish, fail))
       outgoing.end(request.body)
     })
   }
@@ -90,13 +93,13 @@
   }
 }
 
-function readAnswer (response: IncomingMessage, finish: (end: CallerOutcome) => void): void {
+function readAnswer (response: IncomingMessage, finish: (end: CallerOutcome) => void, fail: (message: string, body: string) => void): void {
   let body = ''
   response.setEncoding('utf8')
   response.on('data', (text: string) => { body += text })
-  response.on('error', error => finish({ kind: 'broken', message: error.message, body }))
+  response.on('error', error => fail(error.message, body))
   response.on('end', () => {
-    if (!response.complete) return finish({ kind: 'broken', message: 'the answer was cut', body })
+    if (!response.complete) return fail('the answer was cut', body)
     const signature = response.headers[HEADERS.signature.toLowerCase()]
     finish({ kind: 'answered', status: response.statusCode ?? 0, isSigned: signature !== undefined, body, retryAfter: response.headers['retry-after'] ?? null })
   })
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -1,10 +1,13 @@
 import { LimitChecker } from './limitChecker'
+import { isLost } from './lossRule'
 import { buildAnswer, buildEvent, isIdempotent, parseEvents } from './soakRequests'
 
 import type { CallerOutcome, CallerResult } from './soakCaller'
 import type { FaultHistory, FaultScope } from './faultHistory'
 import type { LimitedArrival } from './limitChecker'
+import type { PlannedSignals } from './lossRule'
 import type { SoakEndpoint, SoakRun } from './soakEndpoint'
+import type { SentSignal } from './soakGateway'
 import type { SoakOperator } from './soakOperator'
 import type { SoakRequest } from './soakRequests'
 
@@ -20,6 +23,8 @@
   kind: SoakFindingKind
   atMs: number
   message: string
+  /** The request that was lost, and the gateway to which it was sent; null for other findings. */
+  lost: { requestId: string, gateway: number } | null
 }
 
 /** Time bounds that users require, in milliseconds unless named otherwise. */
@@ -29,6 +34,7 @@
   rollbackSlackMs: number
   revocationMs: number
   drainMs: number
+  lossSlackMs: number
   stopSeconds: number
 }
 
@@ -65,6 +71,7 @@
   readonly #expired = new Set<string>()
   /** Newest configuration version observed at each gateway process, and when it was first observed. */
   readonly #observedVersions = new Map<string, { version: number, atMs: number }>()
+  readonly #signals = new Map<string, PlannedSignals>()
   readonly #limits: LimitChecker
 
   constructor (options: SoakCheckerOptions) {
@@ -85,6 +92,12 @@
     this.#limits.handleArrival(arrival)
   }
 
+  handleSignal ({ signal, atMs, ...process }: SentSignal): void {
+    const signals = this.#getSignals(process)
+    if (signal === 'SIGTERM') this.#signals.set(toProcessKey(process), { ...signals, stoppedAtMs: signals.stoppedAtMs ?? atMs })
+    if (signal === 'SIGHUP') this.#signals.set(toProcessKey(process), { ...signals, reloadedAtMs: atMs })
+  }
+
   handleRun (run: SoakRun): void {
     const sent = this.#sent.get(run.requestId)
     if (sent === undefined && this.#expired.has(run.requestId)) return
@@ -110,7 +123,7 @@
         this.#checkUnknownStatus(result, result.end.status)
         break
       case 'broken':
-        this.#checkBroken(result, result.end.message)
+        this.#checkBroken(result, result.end)
         break
       case 'unanswered':
         if (this.#isUndisturbed([toScope(result)], result)) this.#report('noAnswer', `${describeSent(result)} was still unanswered ${Math.round(result.endedAtMs - result.sentAtMs)} ms after it was sent`)
@@ -192,14 +205,30 @@
   }
 
   /**
-   * Checks a request whose connection broke. A caller must never receive malformed HTTP, and planned work
-   * must not break the connection of a request that reached an endpoint.
+   * Checks a request whose connection broke. A caller must never receive malformed HTTP, and neither planned work
+   * nor a pause of the gateway's process may lose a request.
    */
-  #checkBroken (result: CallerResult, message: string): void {
+  #checkBroken (result: CallerResult, { message, lastByteSentAtMs }: Extract<CallerOutcome, { kind: 'broken' }>): void {
     if (message.startsWith('Parse Error')) this.#report('wrongAnswer', `${describeSent(result)} received malformed HTTP: ${message}`)
-    const runs = this.#runs.get(result.request.requestId) ?? []
-    if (runs.length === 0) return
-    if (this.#isUndisturbed([toScope(result), { kind: 'store' }, { kind: 'endpoints' }], result, result.endedAtMs)) this.#report('lostAnswer', `${describeSent(result)} ran at ${runs[0]!.endpointId}, but its caller's connection broke: ${message}`)
+    const { bounds, faultHistory } = this.#options
+    const { request, sentAtMs, endedAtMs, gateway } = result
+    const { requestId, deadlineMs } = request
+    const runs = this.#runs.get(requestId) ?? []
+    const signals = this.#getSignals(result)
+    if (!isLost({ sentAtMs, lastByteSentAtMs, endedAtMs, deadlineMs, runs, signals }, bounds)) return
+    const fromMs = sentAtMs - bounds.reconnectMs
+    const scopes: FaultScope[] = [toScope(result), { kind: 'endpoints' }]
+    // an impairment of the store alone excuses nothing for requests that are no streams
+    if (request.kind === 'stream') scopes.push({ kind: 'store' })
+    if (!faultHistory.isUndisturbedButForPauses(scopes, fromMs, endedAtMs)) return
+    if (runs.length === 0 && !faultHistory.isUndisturbed(scopes, fromMs, endedAtMs)) return
+    const run = runs.at(-1)
+    const where = run === undefined ? 'ran nowhere' : `ran at ${run.endpointId}`
+    this.#report('lostAnswer', `${describeSent(result)} ${describeBodyForm(request)}, ${where}, but its caller's connection broke (${message}); ${describeTimes(result, lastByteSentAtMs, signals)}`, { requestId, gateway })
+  }
+
+  #getSignals (process: Pick<SentRequest, 'gateway' | 'epoch'>): PlannedSignals {
+    return this.#signals.get(toProcessKey(process)) ?? { stoppedAtMs: null, reloadedAtMs: null }
   }
 
   #recordObservedVersion (sent: SentRequest, version: number, atMs: number): void {
@@ -225,8 +254,8 @@
     this.#ends.delete(requestId)
   }
 
-  #report (kind: SoakFindingKind, message: string): void {
-    this.#options.handleFinding({ kind, message, atMs: performance.now() })
+  #report (kind: SoakFindingKind, message: string, lost: SoakFinding['lost'] = null): void {
+    this.#options.handleFinding({ kind, message, lost, atMs: performance.now() })
   }
 }
 
@@ -241,10 +270,27 @@
   return { kind: 'gateway', index: gateway }
 }
 
-function toProcessKey ({ gateway, epoch }: SentRequest): string {
+function toProcessKey ({ gateway, epoch }: Pick<SentRequest, 'gateway' | 'epoch'>): string {
   return `${gateway}.${epoch}`
 }
 
 function describeSent ({ request, gateway, epoch }: SentRequest): string {
   return `${request.requestId} (${request.kind} ${request.target}) by gateway ${gateway}, process ${epoch},`
 }
+
+function describeBodyForm ({ method }: SoakRequest): string {
+  return method === 'POST' ? 'body with a length' : 'no body'
+}
+
+/** Describes when a request was sent and ended, counted from the signals to its process where there were any. */
+function describeTimes ({ sentAtMs, endedAtMs }: CallerResult, lastByteSentAtMs: number | null, { stoppedAtMs, reloadedAtMs }: PlannedSignals): string {
+  const describeFrom = (originMs: number, origin: string): string => {
+    const [sent, lastByte, ended] = [sentAtMs, lastByteSentAtMs, endedAtMs].map(atMs => atMs === null ? 'never' : `${((atMs - originMs) / 1000).toFixed(3)} s`)
+    return `from ${origin}: sent ${sent}, last byte ${lastByte}, ended ${ended}`
+  }
+  const times = [
+    ...stoppedAtMs === null ? [] : [describeFrom(stoppedAtMs, 'SIGTERM')],
+    ...reloadedAtMs === null ? [] : [describeFrom(reloadedAtMs, 'SIGHUP')]
+  ]
+  return times.length > 0 ? times.join('; ') : describeFrom(sentAtMs, 'its start')
+}
--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -20,6 +20,10 @@
   workspace: string | null
   hasKey: boolean
   startedAtMs: number
+  /** When its answer had left the endpoint, or its connection had closed; null while it is at work. */
+  endedAtMs: number | null
+  /** Whether the endpoint itself broke its answer off. */
+  hasBrokenOff: boolean
 }
 
 /** Fault that an endpoint simulates. */
@@ -49,6 +53,7 @@
   readonly bornAtMs = Date.now()
   readonly #options: SoakEndpointOptions
   readonly #server: Server
+  readonly #running = new Set<SoakRun>()
   proxy!: FaultProxy
   fault: EndpointFault = 'none'
   /** Requests per second that it accepts from all gateways together; null when it names no limit. */
@@ -73,6 +78,7 @@
 
   /** Closes the server and all its connections at once. */
   async kill (): Promise<void> {
+    for (const run of this.#running) run.hasBrokenOff = true
     this.#server.closeAllConnections()
     this.#server.close()
     await this.proxy.close()
@@ -91,7 +97,7 @@
       response.setHeader('retry-after', String(RETRY_AFTER_SECONDS))
       return refuse(response, 503)
     }
-    this.#options.handleRun({
+    const run: SoakRun = {
       requestId,
       endpointId: this.id,
       method: request.method ?? '',
@@ -99,8 +105,17 @@
       body,
       workspace: readHeader(request, HEADERS.workspace),
       hasKey: readHeader(request, HEADERS.key) !== null,
-      startedAtMs: performance.now()
-    })
+      startedAtMs: performance.now(),
+      endedAtMs: null,
+      hasBrokenOff: this.fault === 'losing' || this.fault === 'cutting' || this.fault === 'garbling'
+    }
+    this.#running.add(run)
+    const end = () => {
+      run.endedAtMs ??= performance.now()
+      this.#running.delete(run)
+    }
+    response.once('finish', end).once('close', end)
+    this.#options.handleRun(run)
     await sleep(this.fault === 'slow' ? SLOW_SERVICE_TIME_MS : SERVICE_TIME_MS)
     if (this.fault === 'losing') {
       request.socket.resetAndDestroy()
--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -7,6 +7,7 @@
 import type { LimitedArrival } from './limitChecker'
 import type { SoakBounds } from './soakChecker'
 import type { SoakRun } from './soakEndpoint'
+import type { SentSignal } from './soakGateway'
 
 export interface SoakFleetOptions {
   gateways: number
@@ -18,6 +19,7 @@
   handleRun: (run: SoakRun) => void
   handleArrival: (arrival: LimitedArrival) => void
   handleUnexpectedExit: (message: string) => void
+  handleSignal: (sent: SentSignal) => void
 }
 
 const DOMAIN_COUNT = 2
@@ -76,7 +78,7 @@
   }
 
   async #openGateways (): Promise<void> {
-    const { gateways: count, folder, program, bounds, handleUnexpectedExit } = this.#options
+    const { gateways: count, folder, program, bounds, handleUnexpectedExit, handleSignal } = this.#options
     const ports = await findFreePorts(4 * count)
     const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.0.1:${ports[4 * index + 3]!}`)
     for (let index = 0; index < count; index++) {
@@ -90,7 +92,8 @@
         folder,
         program,
         bounds,
-        handleUnexpectedExit
+        handleUnexpectedExit,
+        handleSignal
       }))
     }
     await Promise.all(this.gateways.map(async gateway => await gateway.open()))
--- a/soak/soakGateway.ts
+++ b/soak/soakGateway.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { createWriteStream, writeFileSync } from 'node:fs'
+import { createWriteStream, readFileSync, writeFileSync } from 'node:fs'
 import http from 'node:http'
 import path from 'node:path'
 
@@ -9,6 +9,14 @@
 
 import type { ChildProcess } from 'node:child_process'
 
+/** A signal sent to the process of a gateway that was started as the `epoch`-th. */
+export interface SentSignal {
+  gateway: number
+  epoch: number
+  signal: NodeJS.Signals
+  atMs: number
+}
+
 export interface SoakGatewayOptions {
   index: number
   domain: string
@@ -23,6 +31,8 @@
   program: string
   /** Called when the process exited although the soak neither stopped nor killed it. */
   handleUnexpectedExit: (message: string) => void
+  /** Called with each signal that is sent to the process. */
+  handleSignal: (sent: SentSignal) => void
 }
 
 const CLOCK_SHIFT_MODULE = path.join('soak', 'shiftClock.cjs')
@@ -36,6 +46,7 @@
   readonly storeProxy: FaultProxy
   readonly #clockFile: string
   readonly #settingsFile: string
+  readonly #logFile: string
   #child: ChildProcess | null = null
   #isExitExpected = false
   #hasLogged = false
@@ -50,6 +61,7 @@
     this.callerProxy = new FaultProxy(`127.0.0.1:${options.ports.callers}`)
     this.storeProxy = new FaultProxy(options.storeAddress)
     this.#clockFile = path.join(options.folder, `clock-${options.index}`)
+    this.#logFile = path.join(options.folder, `gateway-${options.index}.log`)
     this.#settingsFile = path.join(options.folder, `gateway-${options.index}.yaml`)
   }
 
@@ -74,12 +86,12 @@
     this.epoch += 1
     this.#isExitExpected = false
     this.#hasLogged = false
-    const { folder, index, program } = this.#options
+    const { index, program } = this.#options
     const child = spawn(process.execPath, ['--require', `./${CLOCK_SHIFT_MODULE}`, program], {
       env: { ...process.env, TANAGERWICK_NODE_FILE: this.#settingsFile, SOAK_CLOCK_FILE: this.#clockFile },
       stdio: ['ignore', 'pipe', 'pipe']
     })
-    const log = createWriteStream(path.join(folder, `gateway-${index}.log`), { flags: 'a' })
+    const log = createWriteStream(this.#logFile, { flags: 'a' })
     child.stdout.once('data', () => { if (this.#child === child) this.#hasLogged = true })
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
@@ -94,7 +106,15 @@
 
   sendSignal (signal: NodeJS.Signals): void {
     if (signal === 'SIGKILL' || signal === 'SIGTERM') this.#isExitExpected = true
-    this.#child?.kill(signal)
+    if (this.#child === null) return
+    this.#options.handleSignal({ gateway: this.index, epoch: this.epoch, signal, atMs: performance.now() })
+    this.#child.kill(signal)
+  }
+
+  /** Reads the line of the log that names a reply which its caller does not have as a whole; null for none. */
+  readNotWholeLine (requestId: string): string | null {
+    const lines = readFileSync(this.#logFile, 'utf8').split('\n')
+    return lines.find(line => line.includes('"replyNotWhole"') && line.includes(`"${requestId}"`)) ?? null
   }
 
   /** Waits for the process to exit. Returns false when it still runs after `timeoutMs`. */
--- a/tests/soak/soakChecker.spec.ts
+++ b/tests/soak/soakChecker.spec.ts
@@ -11,7 +11,7 @@
 import type { SoakEndpoint, SoakRun } from '../../soak/soakEndpoint'
 import type { SoakRequest } from '../../soak/soakRequests'
 
-const BOUNDS = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, stopSeconds: 8 }
+const BOUNDS = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, lossSlackMs: 200, stopSeconds: 8 }
 
 interface CheckerFixture {
   checker: SoakChecker
@@ -40,7 +40,7 @@
 
 function buildRun ({ request }: SentRequest, overrides: Partial<SoakRun> = {}): SoakRun {
   const { requestId, method, target, body, workspace } = request
-  return { requestId, endpointId: 'desk-1', method, target, body, workspace, hasKey: false, startedAtMs: performance.now(), ...overrides }
+  return { requestId, endpointId: 'desk-1', method, target, body, workspace, hasKey: false, startedAtMs: performance.now(), endedAtMs: null, hasBrokenOff: false, ...overrides }
 }
 
 function buildSuccess ({ request }: SentRequest): CallerOutcome {
@@ -84,7 +84,7 @@
   it('should report a stream with events of two software versions, in one answer or over the attempts of its caller', () => {
     const stream = { kind: 'stream' as const, target: '/stream/x?events=2', events: 2 }
     const begun = buildEvent('r-1', 1, 'v1')
-    const broken = { kind: 'broken' as const, message: 'reset' }
+    const broken = { kind: 'broken' as const, message: 'reset', lastByteSentAtMs: null }
     fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
     play(buildSent(stream), [], { ...broken, body: begun })
     play(buildSent({ ...stream, resumed: { originId: 'r-0', lastEventId: 0, version: 'v1' } }), [], { ...broken, body: begun })
@@ -96,7 +96,7 @@
 
   it('should report malformed HTTP', () => {
     fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
-    play(buildSent(), [], { kind: 'broken', message: 'Parse Error: Duplicate Content-Length', body: '' })
+    play(buildSent(), [], { kind: 'broken', message: 'Parse Error: Duplicate Content-Length', body: '', lastByteSentAtMs: null })
     expect(listKinds()).to.deep.equal(['wrongAnswer'])
   })
 
@@ -177,11 +177,38 @@
 
   it('should report an unanswered request and a broken connection, except at a gateway with a fault', () => {
     play(buildSent(), [{}], { kind: 'unanswered' })
-    play(buildSent({ requestId: 'r-2' }), [{}], { kind: 'broken', message: 'reset', body: '' })
+    play(buildSent({ requestId: 'r-2' }), [{}], { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: null })
     expect(listKinds()).to.deep.equal(['noAnswer', 'lostAnswer'])
     fixture.faultHistory.begin({ kind: 'gateway', index: 0 })
     play(buildSent({ requestId: 'r-3' }), [{}], { kind: 'unanswered' })
-    play(buildSent({ requestId: 'r-4' }), [{}], { kind: 'broken', message: 'reset', body: '' })
+    play(buildSent({ requestId: 'r-4' }), [{}], { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: null })
     expect(listKinds()).to.have.length(2)
   })
+
+  // a pause of the process is no reason to cut an answer whose caller still waits
+  it('should report a broken connection at a paused gateway, except after the time limit', () => {
+    fixture.faultHistory.begin({ kind: 'pause', index: 0 })
+    const broken: CallerOutcome = { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: null }
+    play(buildSent({ requestId: 'r-1' }), [{}], broken)
+    play(buildSent({ requestId: 'r-2' }, performance.now() - 1000), [{}], broken)
+    play(buildSent({ requestId: 'r-3' }), [{}], { kind: 'unanswered' })
+    expect(listKinds()).to.deep.equal(['lostAnswer'])
+  })
+
+  // an outage of the store is no reason to lose what is no stream
+  it('should report a broken connection during an outage of the store, except of a stream', () => {
+    fixture.faultHistory.begin({ kind: 'store' })
+    const broken: CallerOutcome = { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: null }
+    play(buildSent(), [{}], broken)
+    play(buildSent({ requestId: 'r-2', kind: 'stream', events: 2 }), [{}], broken)
+    expect(listKinds()).to.deep.equal(['lostAnswer'])
+  })
+
+  it('should report where a lost request ran and when it was sent and ended, counted from the signal', () => {
+    const sent = buildSent()
+    fixture.checker.handleSignal({ gateway: 0, epoch: 1, signal: 'SIGTERM', atMs: sent.sentAtMs - 500 })
+    play(sent, [{}], { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: sent.sentAtMs })
+    expect(fixture.findings[0]?.message).to.match(/r-1 \(once \/once\/x\).*body with a length, ran at desk-1,.* from SIGTERM: sent 0\.500 s, last byte 0\.500 s, ended 0\.\d+ s$/)
+    expect(fixture.findings[0]?.lost).to.deep.equal({ requestId: 'r-1', gateway: 0 })
+  })
 })
