Add callers to the soak that send bodies late and in chunks, read slowly and follow long streams

Each caller of the soak sent its body at once with a length, read as fast as it could, and had an answer within half a second, behind a proxy that reads ahead of it. So no answer was still with the gateway when a stop ended.

One patient caller for three others stays with one gateway, ready or not, until its process is gone: bodies with a length or in chunks, the second half up to 1.5 s late; answers of 0.5 to 10 MB with a pause of up to 2.5 s while reading; streams of 5 to 12 s; the start of another request behind a whole one. It connects to the gateway itself, so that slow reading is felt there. All is drawn per request from random numbers of its own; what others send stays as it was. Routes `long` and `large` come with them.

--- /dev/null
+++ b/soak/patientCaller.ts
@@ -0,0 +1,42 @@
+import { chooseManner } from './callerManner'
+
+import type { SoakRequest } from './soakRequests'
+
+export interface PatientRequestOptions {
+  requestId: string
+  key: string
+  workspace: string
+  /** Whether it may be a stream that lasts longer than a planned stop. */
+  canBeLong: boolean
+}
+
+/** Time limits, none above its route's timeout. */
+const ONCE_DEADLINE_MS = 2500
+const STREAM_DEADLINE_MS = 3800
+const LARGE_DEADLINE_MS = 6000
+const LONG_DEADLINE_MS = 14_000
+const LONG_EVENT_GAP_MS = 100
+const MIN_LONG_EVENTS = 50
+const LONG_EVENTS_RANGE = 70
+const MIN_LARGE_BYTES = 500_000
+const LARGE_BYTES_RANGE = 9_500_000
+
+/**
+ * Builds a request of a patient caller, which stays with one gateway until its process is gone, sends bodies late and
+ * in chunks, reads large answers slowly and follows long streams.
+ */
+export function buildPatientRequest ({ requestId, key, workspace, canBeLong }: PatientRequestOptions, random: () => number): SoakRequest {
+  const common = {
+    requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, method: 'POST' as const, body: `prompt of ${requestId}`, resumed: null, disconnectAfterMs: null, manner: chooseManner(random)
+  }
+  const draw = random()
+  const size = random()
+  if (draw < 0.3) return { ...common, kind: 'once', target: '/once/x', deadlineMs: ONCE_DEADLINE_MS }
+  if (draw < 0.55) return { ...common, kind: 'read', target: `/large/x?bytes=${MIN_LARGE_BYTES + Math.floor(size * LARGE_BYTES_RANGE)}`, deadlineMs: LARGE_DEADLINE_MS }
+  if (draw < 0.75 && canBeLong) {
+    const events = MIN_LONG_EVENTS + Math.floor(size * LONG_EVENTS_RANGE)
+    return { ...common, kind: 'stream', target: `/long/x?events=${events}&gapMs=${LONG_EVENT_GAP_MS}`, events, deadlineMs: LONG_DEADLINE_MS }
+  }
+  const events = 2 + Math.floor(size * 60)
+  return { ...common, kind: 'stream', target: `/stream/x?events=${events}`, events, deadlineMs: STREAM_DEADLINE_MS }
+}
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -2,8 +2,10 @@
 import { setTimeout as waitFor } from 'node:timers/promises'
 
 import { createSeededRandom } from '../standins/shared/seededRandom'
+import { PLAIN_MANNER } from './callerManner'
 import { FaultHistory } from './faultHistory'
 import { FaultInjector } from './faultInjector'
+import { buildPatientRequest } from './patientCaller'
 import { SoakCaller } from './soakCaller'
 import { SoakChecker } from './soakChecker'
 import { SoakFleet } from './soakFleet'
@@ -42,6 +44,10 @@
 const BOUNDS: SoakBounds = { reconnectMs: 3000, configApplyMs: 2000, rollbackSlackMs: 250, revocationMs: 5000, drainMs: 2000, lossSlackMs: 200, stopSeconds: 8 }
 const DEFAULT_PROGRAM = 'target/gateway.cjs'
 const MEAN_THINK_TIME_MS = 120
+/** Number of patient callers for each other caller. */
+const PATIENT_FRACTION = 1 / 3
+/** Keeps the random numbers of patient callers apart from all others. */
+const PATIENT_SEED_OFFSET = 11_000_000
 const READINESS_POLL_MS = 300
 const LAG_CHECK_PERIOD_MS = 50
 /** Largest delay of the soak's own timers with which its time measurements still count. */
@@ -113,11 +119,12 @@
       this.#startedAtMs = performance.now()
       const watching = [this.#watchReadiness(), this.#watchEventLoopLag()]
       const calling = Array.from({ length: callers }, async (_, index) => await this.#runCaller(index))
+      const patient = Array.from({ length: Math.ceil(callers * PATIENT_FRACTION) }, async (_, index) => await this.#runPatientCaller(index))
       await this.#playPlan(buildSoakPlan(this.#options))
       await this.#injector.waitForAll()
       await waitFor(Math.max(FINAL_PHASE_MS, durationMs - this.#getElapsedMs()))
       this.#isOver = true
-      await Promise.all([...calling, ...watching])
+      await Promise.all([...calling, ...patient, ...watching])
       this.#checkRecovery()
       this.#reportLogLines()
     } finally {
@@ -157,6 +164,21 @@
     caller.close()
   }
 
+  /** Runs a caller that uses one gateway alone, ready or not, until its process is gone. */
+  async #runPatientCaller (index: number): Promise<void> {
+    const { seed, durationMs } = this.#options
+    const random = createSeededRandom(seed + PATIENT_SEED_OFFSET + index)
+    const caller = new SoakCaller()
+    const gateway = this.#fleet.gateways[index % this.#fleet.gateways.length]!
+    for (let count = 0; !this.#isOver; count++) {
+      await waitFor(random() * 2 * MEAN_THINK_TIME_MS)
+      const canBeLong = this.#getElapsedMs() < durationMs - FINAL_PHASE_MS
+      const request = buildPatientRequest({ requestId: `s${seed}-p${index}-${count}`, canBeLong, ...this.#fleet.operator.chooseKey(random) }, random)
+      if (gateway.isRunning) await this.#sendRequest(caller, index, gateway, request)
+    }
+    caller.close()
+  }
+
   /** Takes up a stream that broke off, at any gateway, while its caller still has time. */
   async #resumeStream (caller: SoakCaller, index: number, request: SoakRequest, body: string, remainingMs: number): Promise<void> {
     const last = parseEvents(body).at(-1)
@@ -170,13 +192,13 @@
     const sent = { request, gateway: gateway.index, epoch: gateway.epoch, sentAtMs: performance.now() }
     const isInRecoveryPhase = this.#isOver || this.#isRecoveryPhase(sent.sentAtMs)
     this.#checker.handleSent(sent)
-    const end = await caller.send(gateway.callerProxy.address, request)
+    const end = await caller.send(request.manner.isDirect ? gateway.callersAddress : gateway.callerProxy.address, request)
     this.#checker.handleResult({ ...sent, endedAtMs: performance.now(), end })
     const name = describeOutcome(end)
     this.#summary.requests += 1
     this.#summary.ends[name] = (this.#summary.ends[name] ?? 0) + 1
     if (end.kind === 'broken') await this.#resumeStream(caller, index, request, end.body, request.deadlineMs - (performance.now() - sent.sentAtMs))
-    if (!isInRecoveryPhase || request.resumed !== null || request.disconnectAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
+    if (!isInRecoveryPhase || request.manner !== PLAIN_MANNER || request.resumed !== null || request.disconnectAfterMs !== null || request.routeVersion !== null || request.keyVersion !== null) return
     this.#recoveryCounts.asked += 1
     if (end.kind === 'answered' && end.status < 300) this.#recoveryCounts.served += 1
   }
@@ -203,7 +225,7 @@
     const draw = random()
     const events = 2 + Math.floor(random() * 20)
     const { key, workspace } = operator.chooseKey(random)
-    const common = { requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, body: '', method: 'GET' as const, resumed: null, deadlineMs: 1000 + Math.floor(random() * 1500), disconnectAfterMs: random() < 0.05 ? random() * 300 : null }
+    const common = { requestId, key, workspace, keyVersion: null, routeVersion: null, events: 0, body: '', method: 'GET' as const, resumed: null, deadlineMs: 1000 + Math.floor(random() * 1500), disconnectAfterMs: random() < 0.05 ? random() * 300 : null, manner: PLAIN_MANNER }
     if (draw < 0.3) return { ...common, kind: 'stream', target: `/stream/x?events=${events}`, events, method: 'POST', body: `prompt of ${requestId}`, deadlineMs: 3000 }
     if (draw < 0.55) return { ...common, kind: 'once', target: '/once/x', method: 'POST', body: `order ${requestId}` }
     if (draw < 0.75) return { ...common, kind: 'read', target: '/read/x' }
--- a/soak/soakCaller.ts
+++ b/soak/soakCaller.ts
@@ -30,6 +30,8 @@
 /** Time that a caller waits after the deadline before it counts the request as unanswered. */
 const ANSWER_GRACE_MS = 1500
 const MAX_CONNECTION_IDLE_MS = 4000
+/** Start of another request, which never becomes whole. */
+const FURTHER_BYTES = `GET /read/x HTTP/1.1\r\nHost: ${SOAK_HOST}\r\n`
 
 /** One caller that reuses its connections to the gateways. */
 export class SoakCaller {
@@ -39,12 +41,15 @@
   async send (address: string, request: SoakRequest): Promise<CallerOutcome> {
     return await new Promise(resolve => {
       const [host, port] = address.split(':')
+      const { manner } = request
+      // a connection with the start of another request cannot carry a further one
+      const agent = manner.furtherBytesAfterMs === null ? this.#openAgent(address) : new http.Agent({ keepAlive: true })
       const outgoing = http.request({
         host,
         port,
         method: request.method,
         path: request.target,
-        agent: this.#openAgent(address),
+        agent,
         headers: {
           Host: SOAK_HOST,
           [HEADERS.requestId]: request.requestId,
@@ -53,19 +58,22 @@
           // a caller may try to forge the workspace
           [HEADERS.workspace]: 'forged',
           ...request.resumed === null ? {} : { [HEADERS.resumedRequestId]: request.resumed.originId, [HEADERS.lastEventId]: String(request.resumed.lastEventId) },
-          ...request.method === 'POST' ? { 'Content-Length': request.body.length } : {}
+          ...buildBodyHeaders(request)
         }
       })
       let lastByteSentAtMs: number | null = null
+      const timers: NodeJS.Timeout[] = []
       const finish = (end: CallerOutcome) => {
         clearTimeout(answerTimer)
         clearTimeout(disconnectTimer)
+        for (const timer of timers) clearTimeout(timer)
+        if (manner.furtherBytesAfterMs !== null) agent.destroy()
         resolve(end)
       }
       const answerTimer = setTimeout(() => {
         finish({ kind: 'unanswered' })
         outgoing.destroy()
-      }, request.deadlineMs + ANSWER_GRACE_MS)
+      }, request.deadlineMs + ANSWER_GRACE_MS + manner.bodyDelayMs + manner.readPauseMs)
       const disconnectTimer = request.disconnectAfterMs === null
         ? undefined
         : setTimeout(() => {
@@ -73,10 +81,23 @@
           outgoing.destroy()
         }, request.disconnectAfterMs)
       const fail = (message: string, body: string) => finish({ kind: 'broken', message, body, lastByteSentAtMs })
-      outgoing.on('finish', () => { lastByteSentAtMs = performance.now() })
+      outgoing.on('finish', () => {
+        lastByteSentAtMs = performance.now()
+        if (manner.furtherBytesAfterMs !== null) timers.push(setTimeout(() => outgoing.socket?.write(FURTHER_BYTES), manner.furtherBytesAfterMs))
+      })
       outgoing.on('error', error => fail(error.message, ''))
-      outgoing.on('response', response => readAnswer(response, finish, fail))
-      outgoing.end(request.body)
+      outgoing.on('response', response => {
+        readAnswer(response, finish, fail)
+        if (manner.readPauseMs === 0) return
+        response.once('data', () => {
+          response.pause()
+          timers.push(setTimeout(() => response.resume(), manner.readPauseMs))
+        })
+      })
+      if (manner.bodyDelayMs === 0) return outgoing.end(request.body)
+      const half = Math.floor(request.body.length / 2)
+      outgoing.write(request.body.slice(0, half))
+      timers.push(setTimeout(() => outgoing.end(request.body.slice(half)), manner.bodyDelayMs))
     })
   }
 
@@ -93,6 +114,14 @@
   }
 }
 
+function buildBodyHeaders ({ method, body, manner }: SoakRequest): http.OutgoingHttpHeaders {
+  if (method === 'GET') return {}
+  switch (manner.bodyForm) {
+    case 'length': return { 'Content-Length': body.length }
+    case 'chunks': return { 'Transfer-Encoding': 'chunked' }
+  }
+}
+
 function readAnswer (response: IncomingMessage, finish: (end: CallerOutcome) => void, fail: (message: string, body: string) => void): void {
   let body = ''
   response.setEncoding('utf8')
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -1,3 +1,4 @@
+import { describeManner } from './callerManner'
 import { LimitChecker } from './limitChecker'
 import { isLost } from './lossRule'
 import { buildAnswer, buildEvent, isIdempotent, parseEvents } from './soakRequests'
@@ -278,8 +279,8 @@
   return `${request.requestId} (${request.kind} ${request.target}) by gateway ${gateway}, process ${epoch},`
 }
 
-function describeBodyForm ({ method }: SoakRequest): string {
-  return method === 'POST' ? 'body with a length' : 'no body'
+function describeBodyForm ({ method, manner }: SoakRequest): string {
+  return method === 'POST' ? describeManner(manner) : 'no body'
 }
 
 /** Describes when a request was sent and ended, counted from the signals to its process where there were any. */
--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -147,6 +147,7 @@
 
   async #sendEvents (request: IncomingMessage, response: ServerResponse, requestId: string, count: number): Promise<void> {
     const from = Number(readHeader(request, HEADERS.lastEventId) ?? 0)
+    const gapMs = Number(/[?&]gapMs=(\d+)/.exec(request.url ?? '')?.[1] ?? EVENT_INTERVAL_MS)
     response.writeHead(200, { 'content-type': 'text/event-stream' })
     for (let index = from + 1; index <= count && !response.destroyed; index++) {
       if (this.fault === 'cutting' && index === Math.ceil(count / 2)) {
@@ -154,7 +155,7 @@
         return
       }
       response.write(buildEvent(requestId, index, this.version))
-      await sleep(EVENT_INTERVAL_MS)
+      await sleep(gapMs)
     }
     response.end()
   }
--- a/soak/soakGateway.ts
+++ b/soak/soakGateway.ts
@@ -69,6 +69,11 @@
     return this.#child !== null
   }
 
+  /** Address without a proxy between. */
+  get callersAddress (): string {
+    return `127.0.0.1:${this.#options.ports.callers}`
+  }
+
   /** Returns whether the process is running and has started to write its log. */
   get isUp (): boolean {
     return this.#child !== null && this.#hasLogged
--- a/soak/soakOperator.ts
+++ b/soak/soakOperator.ts
@@ -40,6 +40,8 @@
       version,
       routes: [
         buildRoute('stream', { kind: 'streaming', resumable: true, service: 'engine', timeoutMs: 4000, maxAttempts: 3 }),
+        buildRoute('long', { kind: 'streaming', resumable: true, service: 'engine', timeoutMs: 15_000, maxAttempts: 3 }),
+        buildRoute('large', { timeoutMs: 6000 }),
         buildRoute('once', { kind: 'non_idempotent' }),
         buildRoute('read', {}),
         ...retained.map(number => buildRoute(`v${number}`, {}))
--- a/soak/soakRequests.ts
+++ b/soak/soakRequests.ts
@@ -1,5 +1,7 @@
 import { createHash } from 'node:crypto'
 
+import type { CallerManner } from './callerManner'
+
 /** A request that a caller of the soak sends. All its properties are chosen before it is sent. */
 export interface SoakRequest {
   requestId: string
@@ -20,6 +22,7 @@
   resumed: ResumedStream | null
   /** Milliseconds after which the caller disconnects; null when it waits for the answer. */
   disconnectAfterMs: number | null
+  manner: CallerManner
 }
 
 /** What a caller already has of a stream that broke off. */
@@ -36,10 +39,11 @@
   return request.kind !== 'once'
 }
 
-/** Builds the expected answer of a request. It is unique to the request and the same from every endpoint. */
+/** Builds the expected answer of a request. It is unique to the request and the same from every endpoint. A target may ask for its length in bytes. */
 export function buildAnswer (requestId: string, target: string, body: string): string {
   const digest = createHash('sha256').update(JSON.stringify([requestId, target, body])).digest('hex')
-  return `${requestId} ${digest.repeat(1 + parseInt(digest.slice(0, 1), 16))}`
+  const bytes = Number(/[?&]bytes=(\d+)/.exec(target)?.[1] ?? 0)
+  return `${requestId} ${digest.repeat(1 + parseInt(digest.slice(0, 1), 16))}`.padEnd(bytes, digest)
 }
 
 /** Builds one event of a streamed answer, which names the software version of the endpoint that wrote it. */
--- a/tests/soak/soakChecker.spec.ts
+++ b/tests/soak/soakChecker.spec.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai'
 
+import { PLAIN_MANNER } from '../../soak/callerManner'
 import { FaultHistory } from '../../soak/faultHistory'
 import { SoakChecker } from '../../soak/soakChecker'
 import { SoakOperator } from '../../soak/soakOperator'
@@ -33,7 +34,7 @@
 
 function buildSent (overrides: Partial<SoakRequest> = {}, sentAtMs = performance.now()): SentRequest {
   const request: SoakRequest = {
-    requestId: 'r-1', kind: 'once', method: 'POST', target: '/once/x', body: 'order', key: 'key-perfumers', workspace: 'perfumers', keyVersion: null, routeVersion: null, events: 0, deadlineMs: 1000, resumed: null, disconnectAfterMs: null, ...overrides
+    requestId: 'r-1', kind: 'once', method: 'POST', target: '/once/x', body: 'order', key: 'key-perfumers', workspace: 'perfumers', keyVersion: null, routeVersion: null, events: 0, deadlineMs: 1000, resumed: null, disconnectAfterMs: null, manner: PLAIN_MANNER, ...overrides
   }
   return { request, gateway: 0, epoch: 1, sentAtMs }
 }
