Disturb planned stops of the soak with signals, pauses and busy processes

The soak stopped one gateway at a time with one SIGTERM, and paused none that was stopping. So it could not meet a second signal, two stops at once or a process that stands still around its stop.

At a process that was paused, the rule asks for no bound in time: not that a request cut in the last sixth was sent within 3 s of the signal, nor for 200 ms after the last byte.

--- a/soak/faultInjector.ts
+++ b/soak/faultInjector.ts
@@ -1,5 +1,8 @@
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
 import { setTimeout as waitFor } from 'node:timers/promises'
 
+import type { DisturbedStop, StopPause } from './disturbedStops'
 import type { FaultHistory, FaultScope } from './faultHistory'
 import type { FaultProxy } from '../standins/network/faultProxy'
 import type { SoakBounds, SoakFindingKind } from './soakChecker'
@@ -19,6 +22,9 @@
 /** Time within which endpoints register again after their entries expired during an outage of the store. */
 const REREGISTRATION_MS = 1500
 const RESTART_SETTLE_MS = 100
+/** Time for which a busy process runs. */
+const BUSY_MS = 5000
+const UNDISTURBED = { signals: [], pause: null }
 /** Time within which callers notice that a gateway process exited. */
 const DISCONNECT_NOTICE_MS = 150
 
@@ -49,6 +55,16 @@
     const { fleet } = this.#options
     switch (action.kind) {
       case 'stopGateway': return await this.#stopGateway(fleet.gateways[action.gateway]!)
+      case 'disturbStops':
+        await Promise.all([
+          ...action.stops.map(async stop => {
+            await waitFor(stop.afterMs)
+            await this.#stopGateway(fleet.gateways[stop.gateway]!, stop)
+          }),
+          ...Array.from({ length: action.busyProcesses }, runBusyProcess)
+        ])
+        return
+      case 'pauseBriefly': return await this.#pauseGateway(fleet.gateways[action.gateway]!, action.forMs)
       case 'stopAllInTurn':
         for (const gateway of fleet.gateways) await this.#stopGateway(gateway)
         return
@@ -98,9 +114,18 @@
     }
   }
 
-  async #stopGateway (gateway: SoakGateway): Promise<void> {
+  async #stopGateway (gateway: SoakGateway, { signals, pause }: Pick<DisturbedStop, 'signals' | 'pause'> = UNDISTURBED): Promise<void> {
     const { bounds, report, faultHistory } = this.#options
     await this.#withGateway(gateway, async () => {
+      const leadMs = Math.max(0, ...signals.map(({ afterMs }) => -afterMs), pause?.from === 'signal' ? -pause.afterMs : 0)
+      const { epoch } = gateway
+      const beside = signals.map(async ({ signal, afterMs }) => {
+        await waitFor(leadMs + afterMs)
+        // until the Node.js runtime has started, signals terminate the process
+        if (gateway.epoch === epoch && gateway.isUp) gateway.sendSignal(signal)
+      })
+      if (pause?.from === 'signal') beside.push(this.#pauseProcess(gateway, pause, leadMs))
+      await waitFor(leadMs)
       const startedAtMs = performance.now()
       const stopMs = bounds.stopSeconds * MS_PER_SECOND
       gateway.sendSignal('SIGTERM')
@@ -118,6 +143,8 @@
         gateway.start()
         await waitFor(RESTART_SETTLE_MS)
       })
+      if (pause?.from === 'restart') beside.push(this.#pauseProcess(gateway, pause, 0))
+      await Promise.all(beside)
     })
   }
 
@@ -135,11 +162,19 @@
 
   async #pauseGateway (gateway: SoakGateway, forMs: number): Promise<void> {
     await this.#withGateway(gateway, async () => {
-      await this.#recordFaultDuring({ kind: 'pause', index: gateway.index }, async () => {
-        gateway.sendSignal('SIGSTOP')
-        await waitFor(forMs)
-        gateway.sendSignal('SIGCONT')
-      })
+      await this.#pauseProcess(gateway, { afterMs: 0, forMs }, 0)
+    })
+  }
+
+  /** Pauses the current process of a gateway, if it still runs by then. */
+  async #pauseProcess (gateway: SoakGateway, { afterMs, forMs }: Pick<StopPause, 'afterMs' | 'forMs'>, leadMs: number): Promise<void> {
+    const { epoch } = gateway
+    await waitFor(leadMs + afterMs)
+    if (gateway.epoch !== epoch || !gateway.isRunning) return
+    await this.#recordFaultDuring({ kind: 'pause', index: gateway.index }, async () => {
+      gateway.sendSignal('SIGSTOP')
+      await waitFor(forMs)
+      if (gateway.epoch === epoch) gateway.sendSignal('SIGCONT')
     })
   }
 
@@ -253,6 +288,12 @@
   }
 }
 
+/** Runs a process that keeps a processor busy for some seconds. */
+async function runBusyProcess (): Promise<void> {
+  const child = spawn(process.execPath, ['-e', `const untilMs = Date.now() + ${BUSY_MS}; while (Date.now() < untilMs);`], { stdio: 'ignore' })
+  await once(child, 'close')
+}
+
 async function applyLinkFault (proxy: FaultProxy, how: LinkFault, forMs: number): Promise<void> {
   switch (how) {
     case 'reset': return proxy.abortConnections()
--- a/soak/lossRule.ts
+++ b/soak/lossRule.ts
@@ -16,6 +16,8 @@
   endedAtMs: number
   deadlineMs: number
   runs: readonly SoakRun[]
+  /** Whether the process was paused meanwhile or shortly before, so that bounds in time do not hold. */
+  hasPause: boolean
   signals: PlannedSignals
 }
 
@@ -39,16 +41,16 @@
  * connection ended without a complete answer.
  */
 export function isLost (request: BrokenRequest, bounds: LossBounds): boolean {
-  const { sentAtMs, endedAtMs, deadlineMs, lastByteSentAtMs, runs } = request
+  const { sentAtMs, endedAtMs, deadlineMs, lastByteSentAtMs, runs, hasPause } = request
   if (endedAtMs >= sentAtMs + deadlineMs) return false
   const lastRun = runs.at(-1)
-  if (lastRun === undefined) return lastByteSentAtMs !== null && endedAtMs > lastByteSentAtMs + bounds.lossSlackMs && isAroundPlannedWork(request, bounds)
+  if (lastRun === undefined) return !hasPause && lastByteSentAtMs !== null && endedAtMs > lastByteSentAtMs + bounds.lossSlackMs && isAroundPlannedWork(request, bounds)
   return !lastRun.hasBrokenOff && !canCutAtStop(request, lastRun, bounds)
 }
 
 /** Returns whether the end of the stop may cut a request: sent early in the stop and still at work in its last part. */
-function canCutAtStop ({ sentAtMs, endedAtMs, signals: { stoppedAtMs } }: BrokenRequest, run: SoakRun, { stopSeconds }: LossBounds): boolean {
-  if (stoppedAtMs === null || sentAtMs > stoppedAtMs + EARLY_IN_STOP_MS) return false
+function canCutAtStop ({ sentAtMs, endedAtMs, hasPause, signals: { stoppedAtMs } }: BrokenRequest, run: SoakRun, { stopSeconds }: LossBounds): boolean {
+  if (stoppedAtMs === null || (sentAtMs > stoppedAtMs + EARLY_IN_STOP_MS && !hasPause)) return false
   const lastPartAtMs = stoppedAtMs + LAST_PART_OF_STOP * stopSeconds * MS_PER_SECOND
   return endedAtMs >= lastPartAtMs && (run.endedAtMs === null || run.endedAtMs >= lastPartAtMs)
 }
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -15,6 +15,7 @@
   callers: number
   logs: string | undefined
   program: string | undefined
+  stopsAlone: boolean
 }
 
 yargs(hideBin(process.argv))
@@ -27,6 +28,7 @@
     gateways: { type: 'number', default: 4, describe: 'number of gateway processes; each uses about 70 MB' },
     endpoints: { type: 'number', default: 6 },
     callers: { type: 'number', default: 24 },
+    'stops-alone': { type: 'boolean', default: false, describe: 'plan disturbed stops and pauses alone, without any fault' },
     logs: { type: 'string', describe: 'folder for logs, settings and clocks of the processes' },
     program: { type: 'string', describe: 'path of the built gateway, such as one of an older commit; target/gateway.cjs by default' }
   }, async argv => {
@@ -45,7 +47,7 @@
 
 /** Runs one seed, prints its findings and returns their number. */
 async function playSeed (seed: number, minutes: number, flags: SoakFlags): Promise<number> {
-  const { gateways, endpoints, callers, logs, program } = flags
+  const { gateways, endpoints, callers, logs, program, stopsAlone } = flags
   const { findings, requests, actions, ends } = await runSoak({
     seed,
     durationMs: minutes * MS_PER_MINUTE,
@@ -53,6 +55,7 @@
     endpoints,
     callers,
     program,
+    hasStopsAlone: stopsAlone,
     folder: logs ?? path.join(tmpdir(), `tanagerwick-soak-${process.pid}-${seed}`),
     report: line => process.stdout.write(`${line}\n`)
   })
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -24,6 +24,8 @@
   gateways: number
   endpoints: number
   callers: number
+  /** Whether to play disturbed stops alone; false by default. */
+  hasStopsAlone?: boolean
   /** Folder for the settings, logs and clocks of the processes. */
   folder: string
   /** Path of the built gateway; `target/gateway.cjs` by default. */
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -216,13 +216,13 @@
     const { requestId, deadlineMs } = request
     const runs = this.#runs.get(requestId) ?? []
     const signals = this.#getSignals(result)
-    if (!isLost({ sentAtMs, lastByteSentAtMs, endedAtMs, deadlineMs, runs, signals }, bounds)) return
     const fromMs = sentAtMs - bounds.reconnectMs
+    const hasPause = !faultHistory.isUndisturbedButForPauses([{ kind: 'pause', index: gateway }], fromMs, endedAtMs)
+    if (!isLost({ sentAtMs, lastByteSentAtMs, endedAtMs, deadlineMs, runs, hasPause, signals }, bounds)) return
     const scopes: FaultScope[] = [toScope(result), { kind: 'endpoints' }]
     // an impairment of the store alone excuses nothing for requests that are no streams
     if (request.kind === 'stream') scopes.push({ kind: 'store' })
     if (!faultHistory.isUndisturbedButForPauses(scopes, fromMs, endedAtMs)) return
-    if (runs.length === 0 && !faultHistory.isUndisturbed(scopes, fromMs, endedAtMs)) return
     const run = runs.at(-1)
     const where = run === undefined ? 'ran nowhere' : `ran at ${run.endpointId}`
     this.#report('lostAnswer', `${describeSent(result)} ${describeBodyForm(request)}, ${where}, but its caller's connection broke (${message}); ${describeTimes(result, lastByteSentAtMs, signals)}`, { requestId, gateway })
--- a/soak/soakPlan.ts
+++ b/soak/soakPlan.ts
@@ -1,7 +1,12 @@
 import { createSeededRandom } from '../standins/shared/seededRandom'
+import { listDisturbedStops } from './disturbedStops'
+
+import type { DisturbedStopAction } from './disturbedStops'
 
 /** An action that a soak applies to the fleet. */
 export type SoakAction =
+  /** Planned stops with further signals, pauses and busy processes beside. */
+  | DisturbedStopAction
   /** Planned work: signals, settings, configurations and endpoints that drain. */
   | { kind: 'stopGateway', gateway: number }
   | { kind: 'stopAllInTurn' }
@@ -39,6 +44,8 @@
   durationMs: number
   gateways: number
   endpoints: number
+  /** Whether to plan disturbed stops alone, without any other action. */
+  hasStopsAlone?: boolean
 }
 
 const WARM_UP_MS = 2500
@@ -74,12 +81,19 @@
 
 /**
  * Builds the timed actions of a soak. Phases of overlapping faults and planned work alternate with phases
- * of planned work alone. The same seed gives the same plan.
+ * of planned work alone. Disturbed stops come from random numbers of their own. The same seed gives the same plan.
  */
 export function buildSoakPlan (options: SoakPlanOptions): PlannedAction[] {
+  const { seed, gateways, durationMs, hasStopsAlone = false } = options
+  const endMs = durationMs - FINAL_PHASE_MS
+  const plan: PlannedAction[] = hasStopsAlone ? [] : buildFaultPlan(options, endMs)
+  plan.push(...listDisturbedStops({ seed, gateways, fromMs: WARM_UP_MS, untilMs: endMs }))
+  return plan.sort((one, other) => one.atMs - other.atMs)
+}
+
+function buildFaultPlan (options: SoakPlanOptions, endMs: number): PlannedAction[] {
   const random = createSeededRandom(options.seed)
   const plan: PlannedAction[] = []
-  const endMs = options.durationMs - FINAL_PHASE_MS
   let atMs = WARM_UP_MS
   while (atMs < endMs) {
     atMs = addActions(plan, atMs, Math.min(endMs, atMs + FAULT_PHASE_MS), random, () => random() < 0.7 ? chooseFault(options, random) : chooseMaintenance(options, random))
@@ -88,7 +102,7 @@
     atMs = addActions(plan, atMs + SETTLE_MS, Math.min(endMs, atMs + SETTLE_MS + MAINTENANCE_PHASE_MS), random, () => chooseAction(options, random))
   }
   addReleases(plan, options)
-  return plan.sort((one, other) => one.atMs - other.atMs)
+  return plan
 }
 
 /** Adds releases, some with an end of all gateways soon afterwards, and odd entries, without changing what a seed plans otherwise. */
