Let more callers of the soak read slowly, and name the latest signal in its findings

Which signal had ended a process could only be read from the plan.

There is one patient caller for two others now, at most 24, and two in five of their requests are large answers of 2 to 8 MB, three quarters of them with a pause of up to 3 s. Answers above 8 MiB were left out: a gateway answers them 502 by its own limit. Each finding ends with the latest signal and how long before the end it came.

--- a/soak/callerManner.ts
+++ b/soak/callerManner.ts
@@ -15,7 +15,7 @@
 export const PLAIN_MANNER: CallerManner = { isDirect: false, bodyForm: 'length', bodyDelayMs: 0, readPauseMs: 0, furtherBytesAfterMs: null }
 
 const MAX_BODY_DELAY_MS = 1500
-const MAX_READ_PAUSE_MS = 2500
+const MAX_READ_PAUSE_MS = 3000
 const MAX_FURTHER_BYTES_DELAY_MS = 400
 
 /** Chooses the manner of one request. */
@@ -24,7 +24,7 @@
     isDirect: true,
     bodyForm: random() < 0.5 ? 'chunks' : 'length',
     bodyDelayMs: random() < 0.5 ? random() * MAX_BODY_DELAY_MS : 0,
-    readPauseMs: random() < 0.6 ? random() * MAX_READ_PAUSE_MS : 0,
+    readPauseMs: random() < 0.75 ? random() * MAX_READ_PAUSE_MS : 0,
     furtherBytesAfterMs: random() < 0.2 ? random() * MAX_FURTHER_BYTES_DELAY_MS : null
   }
 }
--- a/soak/lossRule.ts
+++ b/soak/lossRule.ts
@@ -6,6 +6,8 @@
   stoppedAtMs: number | null
   /** The latest signal to reload the settings. */
   reloadedAtMs: number | null
+  /** The latest one of any kind. */
+  latest: { signal: NodeJS.Signals, atMs: number } | null
 }
 
 /** A request whose connection ended without a complete answer. */
--- a/soak/patientCaller.ts
+++ b/soak/patientCaller.ts
@@ -18,8 +18,9 @@
 const LONG_EVENT_GAP_MS = 100
 const MIN_LONG_EVENTS = 50
 const LONG_EVENTS_RANGE = 70
-const MIN_LARGE_BYTES = 500_000
-const LARGE_BYTES_RANGE = 9_500_000
+/** Answers that a caller does not read are mostly more than the system holds for it. */
+const MIN_LARGE_BYTES = 2_000_000
+const LARGE_BYTES_RANGE = 6_000_000
 
 /**
  * Builds a request of a patient caller, which stays with one gateway until its process is gone, sends bodies late and
@@ -31,8 +32,8 @@
   }
   const draw = random()
   const size = random()
-  if (draw < 0.3) return { ...common, kind: 'once', target: '/once/x', deadlineMs: ONCE_DEADLINE_MS }
-  if (draw < 0.55) return { ...common, kind: 'read', target: `/large/x?bytes=${MIN_LARGE_BYTES + Math.floor(size * LARGE_BYTES_RANGE)}`, deadlineMs: LARGE_DEADLINE_MS }
+  if (draw < 0.2) return { ...common, kind: 'once', target: '/once/x', deadlineMs: ONCE_DEADLINE_MS }
+  if (draw < 0.6) return { ...common, kind: 'read', target: `/large/x?bytes=${MIN_LARGE_BYTES + Math.floor(size * LARGE_BYTES_RANGE)}`, deadlineMs: LARGE_DEADLINE_MS }
   if (draw < 0.75 && canBeLong) {
     const events = MIN_LONG_EVENTS + Math.floor(size * LONG_EVENTS_RANGE)
     return { ...common, kind: 'stream', target: `/long/x?events=${events}&gapMs=${LONG_EVENT_GAP_MS}`, events, deadlineMs: LONG_DEADLINE_MS }
--- a/soak/runSoak.ts
+++ b/soak/runSoak.ts
@@ -47,9 +47,12 @@
 const DEFAULT_PROGRAM = 'target/gateway.cjs'
 const MEAN_THINK_TIME_MS = 120
 /** Number of patient callers for each other caller. */
-const PATIENT_FRACTION = 1 / 3
+const PATIENT_FRACTION = 1 / 2
 /** Keeps the random numbers of patient callers apart from all others. */
 const PATIENT_SEED_OFFSET = 11_000_000
+const PATIENT_SEED_STRIDE = 1000
+/** Their large answers pass through the soak's own process, which must not become late. */
+const MAX_PATIENT_CALLERS = 24
 const READINESS_POLL_MS = 300
 const LAG_CHECK_PERIOD_MS = 50
 /** Largest delay of the soak's own timers with which its time measurements still count. */
@@ -121,7 +124,7 @@
       this.#startedAtMs = performance.now()
       const watching = [this.#watchReadiness(), this.#watchEventLoopLag()]
       const calling = Array.from({ length: callers }, async (_, index) => await this.#runCaller(index))
-      const patient = Array.from({ length: Math.ceil(callers * PATIENT_FRACTION) }, async (_, index) => await this.#runPatientCaller(index))
+      const patient = Array.from({ length: Math.min(MAX_PATIENT_CALLERS, Math.ceil(callers * PATIENT_FRACTION)) }, async (_, index) => await this.#runPatientCaller(index))
       await this.#playPlan(buildSoakPlan(this.#options))
       await this.#injector.waitForAll()
       await waitFor(Math.max(FINAL_PHASE_MS, durationMs - this.#getElapsedMs()))
@@ -169,7 +172,7 @@
   /** Runs a caller that uses one gateway alone, ready or not, until its process is gone. */
   async #runPatientCaller (index: number): Promise<void> {
     const { seed, durationMs } = this.#options
-    const random = createSeededRandom(seed + PATIENT_SEED_OFFSET + index)
+    const random = createSeededRandom(PATIENT_SEED_OFFSET + PATIENT_SEED_STRIDE * seed + index)
     const caller = new SoakCaller()
     const gateway = this.#fleet.gateways[index % this.#fleet.gateways.length]!
     for (let count = 0; !this.#isOver; count++) {
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -95,8 +95,11 @@
 
   handleSignal ({ signal, atMs, ...process }: SentSignal): void {
     const signals = this.#getSignals(process)
-    if (signal === 'SIGTERM') this.#signals.set(toProcessKey(process), { ...signals, stoppedAtMs: signals.stoppedAtMs ?? atMs })
-    if (signal === 'SIGHUP') this.#signals.set(toProcessKey(process), { ...signals, reloadedAtMs: atMs })
+    this.#signals.set(toProcessKey(process), {
+      stoppedAtMs: signals.stoppedAtMs ?? (signal === 'SIGTERM' ? atMs : null),
+      reloadedAtMs: signal === 'SIGHUP' ? atMs : signals.reloadedAtMs,
+      latest: { signal, atMs }
+    })
   }
 
   handleRun (run: SoakRun): void {
@@ -229,7 +232,7 @@
   }
 
   #getSignals (process: Pick<SentRequest, 'gateway' | 'epoch'>): PlannedSignals {
-    return this.#signals.get(toProcessKey(process)) ?? { stoppedAtMs: null, reloadedAtMs: null }
+    return this.#signals.get(toProcessKey(process)) ?? { stoppedAtMs: null, reloadedAtMs: null, latest: null }
   }
 
   #recordObservedVersion (sent: SentRequest, version: number, atMs: number): void {
@@ -284,14 +287,15 @@
 }
 
 /** Describes when a request was sent and ended, counted from the signals to its process where there were any. */
-function describeTimes ({ sentAtMs, endedAtMs }: CallerResult, lastByteSentAtMs: number | null, { stoppedAtMs, reloadedAtMs }: PlannedSignals): string {
+function describeTimes ({ sentAtMs, endedAtMs }: CallerResult, lastByteSentAtMs: number | null, { stoppedAtMs, reloadedAtMs, latest }: PlannedSignals): string {
   const describeFrom = (originMs: number, origin: string): string => {
     const [sent, lastByte, ended] = [sentAtMs, lastByteSentAtMs, endedAtMs].map(atMs => atMs === null ? 'never' : `${((atMs - originMs) / 1000).toFixed(3)} s`)
     return `from ${origin}: sent ${sent}, last byte ${lastByte}, ended ${ended}`
   }
   const times = [
     ...stoppedAtMs === null ? [] : [describeFrom(stoppedAtMs, 'SIGTERM')],
-    ...reloadedAtMs === null ? [] : [describeFrom(reloadedAtMs, 'SIGHUP')]
+    ...reloadedAtMs === null ? [] : [describeFrom(reloadedAtMs, 'SIGHUP')],
+    ...latest === null ? [] : [`the latest signal, ${latest.signal}, came ${((endedAtMs - latest.atMs) / 1000).toFixed(3)} s before the end`]
   ]
   return times.length > 0 ? times.join('; ') : describeFrom(sentAtMs, 'its start')
 }
--- a/tests/soak/lossRule.spec.ts
+++ b/tests/soak/lossRule.spec.ts
@@ -6,7 +6,7 @@
 import type { SoakRun } from '../../soak/soakEndpoint'
 
 const BOUNDS = { stopSeconds: 8, configApplyMs: 2000, lossSlackMs: 200 }
-const NO_SIGNALS = { stoppedAtMs: null, reloadedAtMs: null }
+const NO_SIGNALS = { stoppedAtMs: null, reloadedAtMs: null, latest: null }
 
 function buildRun (overrides: Partial<SoakRun> = {}): SoakRun {
   return { requestId: 'r-1', endpointId: 'desk-1', method: 'GET', target: '/read/x', body: '', workspace: null, hasKey: false, startedAtMs: 0, endedAtMs: null, hasBrokenOff: false, ...overrides }
@@ -57,8 +57,8 @@
 
   it('should count a whole request around a signal to reload, if it was sent before that applies', () => {
     const ranNowhere = { runs: [], lastByteSentAtMs: 1700 }
-    expect(isLostWith({ ...ranNowhere, signals: { stoppedAtMs: null, reloadedAtMs: -1000 } })).to.equal(true)
-    expect(isLostWith({ ...ranNowhere, signals: { stoppedAtMs: null, reloadedAtMs: -1001 } })).to.equal(false)
-    expect(isLostWith({ ...ranNowhere, signals: { stoppedAtMs: null, reloadedAtMs: 2001 } })).to.equal(false)
+    expect(isLostWith({ ...ranNowhere, signals: { ...NO_SIGNALS, reloadedAtMs: -1000 } })).to.equal(true)
+    expect(isLostWith({ ...ranNowhere, signals: { ...NO_SIGNALS, reloadedAtMs: -1001 } })).to.equal(false)
+    expect(isLostWith({ ...ranNowhere, signals: { ...NO_SIGNALS, reloadedAtMs: 2001 } })).to.equal(false)
   })
 })
