--- a/soak/lossRule.ts
+++ b/soak/lossRule.ts
@@ -6,8 +6,8 @@
   stoppedAtMs: number | null
   /** The latest signal to reload the settings. */
   reloadedAtMs: number | null
-  /** The latest one of any kind. */
-  latest: { signal: NodeJS.Signals, atMs: number } | null
+  /** All, of any kind. One that comes in a pause acts at the end of it. */
+  all: ReadonlyArray<{ signal: NodeJS.Signals, atMs: number }>
 }
 
 /** A request whose connection ended without a complete answer. */
--- a/soak/soakChecker.ts
+++ b/soak/soakChecker.ts
@@ -62,6 +62,8 @@
 const REQUEST_RETENTION_MS = 60_000
 /** Largest delay with which this process may notice an event. */
 const DETECTION_MARGIN_MS = 100
+/** Time before the end of a request in which signals are named with it. */
+const RECENT_SIGNAL_MS = 10_000
 
 /** Checks a soak while it runs, using only what callers and endpoints observed. */
 export class SoakChecker {
@@ -98,7 +100,7 @@
     this.#signals.set(toProcessKey(process), {
       stoppedAtMs: signals.stoppedAtMs ?? (signal === 'SIGTERM' ? atMs : null),
       reloadedAtMs: signal === 'SIGHUP' ? atMs : signals.reloadedAtMs,
-      latest: { signal, atMs }
+      all: [...signals.all, { signal, atMs }]
     })
   }
 
@@ -232,7 +234,7 @@
   }
 
   #getSignals (process: Pick<SentRequest, 'gateway' | 'epoch'>): PlannedSignals {
-    return this.#signals.get(toProcessKey(process)) ?? { stoppedAtMs: null, reloadedAtMs: null, latest: null }
+    return this.#signals.get(toProcessKey(process)) ?? { stoppedAtMs: null, reloadedAtMs: null, all: [] }
   }
 
   #recordObservedVersion (sent: SentRequest, version: number, atMs: number): void {
@@ -287,15 +289,16 @@
 }
 
 /** Describes when a request was sent and ended, counted from the signals to its process where there were any. */
-function describeTimes ({ sentAtMs, endedAtMs }: CallerResult, lastByteSentAtMs: number | null, { stoppedAtMs, reloadedAtMs, latest }: PlannedSignals): string {
+function describeTimes ({ sentAtMs, endedAtMs }: CallerResult, lastByteSentAtMs: number | null, { stoppedAtMs, reloadedAtMs, all }: PlannedSignals): string {
   const describeFrom = (originMs: number, origin: string): string => {
     const [sent, lastByte, ended] = [sentAtMs, lastByteSentAtMs, endedAtMs].map(atMs => atMs === null ? 'never' : `${((atMs - originMs) / 1000).toFixed(3)} s`)
     return `from ${origin}: sent ${sent}, last byte ${lastByte}, ended ${ended}`
   }
+  const recent = all.filter(({ atMs }) => endedAtMs - atMs < RECENT_SIGNAL_MS)
   const times = [
     ...stoppedAtMs === null ? [] : [describeFrom(stoppedAtMs, 'SIGTERM')],
     ...reloadedAtMs === null ? [] : [describeFrom(reloadedAtMs, 'SIGHUP')],
-    ...latest === null ? [] : [`the latest signal, ${latest.signal}, came ${((endedAtMs - latest.atMs) / 1000).toFixed(3)} s before the end`]
+    ...recent.length === 0 ? [] : [`before the end: ${recent.map(({ signal, atMs }) => `${signal} ${((endedAtMs - atMs) / 1000).toFixed(3)} s`).join(', ')}`]
   ]
   return times.length > 0 ? times.join('; ') : describeFrom(sentAtMs, 'its start')
 }
--- a/tests/soak/lossRule.spec.ts
+++ b/tests/soak/lossRule.spec.ts
@@ -6,7 +6,7 @@
 import type { SoakRun } from '../../soak/soakEndpoint'
 
 const BOUNDS = { stopSeconds: 8, configApplyMs: 2000, lossSlackMs: 200 }
-const NO_SIGNALS = { stoppedAtMs: null, reloadedAtMs: null, latest: null }
+const NO_SIGNALS = { stoppedAtMs: null, reloadedAtMs: null, all: [] }
 
 function buildRun (overrides: Partial<SoakRun> = {}): SoakRun {
   return { requestId: 'r-1', endpointId: 'desk-1', method: 'GET', target: '/read/x', body: '', workspace: null, hasKey: false, startedAtMs: 0, endedAtMs: null, hasBrokenOff: false, ...overrides }
--- a/tests/soak/soakChecker.spec.ts
+++ b/tests/soak/soakChecker.spec.ts
@@ -208,8 +208,9 @@
   it('should report where a lost request ran and when it was sent and ended, counted from the signal', () => {
     const sent = buildSent()
     fixture.checker.handleSignal({ gateway: 0, epoch: 1, signal: 'SIGTERM', atMs: sent.sentAtMs - 500 })
+    fixture.checker.handleSignal({ gateway: 0, epoch: 1, signal: 'SIGCONT', atMs: sent.sentAtMs - 10 })
     play(sent, [{}], { kind: 'broken', message: 'reset', body: '', lastByteSentAtMs: sent.sentAtMs })
-    expect(fixture.findings[0]?.message).to.match(/r-1 \(once \/once\/x\).*body with a length, ran at desk-1,.* from SIGTERM: sent 0\.500 s, last byte 0\.500 s, ended 0\.\d+ s; the latest signal, SIGTERM, came 0\.\d+ s before the end$/)
+    expect(fixture.findings[0]?.message).to.match(/r-1 \(once \/once\/x\).*body with a length, ran at desk-1,.* from SIGTERM: sent 0\.500 s, last byte 0\.500 s, ended 0\.\d+ s; before the end: SIGTERM 0\.\d+ s, SIGCONT 0\.\d+ s$/)
     expect(fixture.findings[0]?.lost).to.deep.equal({ requestId: 'r-1', gateway: 0 })
   })
 })
