--- a/soak/soakFleet.ts
+++ b/soak/soakFleet.ts
@@ -7,15 +7,19 @@
 import type { LimitedArrival } from './limitChecker'
 import type { SoakBounds } from './soakChecker'
 import type { SoakRun } from './soakEndpoint'
+import type { SentSignal } from './soakGateway'
 
 export interface SoakFleetOptions {
   gateways: number
   endpoints: number
   folder: string
+  /** Path of the built gateway. */
+  program: string
   bounds: SoakBounds
   handleRun: (run: SoakRun) => void
   handleArrival: (arrival: LimitedArrival) => void
   handleUnexpectedExit: (message: string) => void
+  handleSignal: (sent: SentSignal) => void
 }
 
 const DOMAIN_COUNT = 2
@@ -74,7 +78,7 @@
   }
 
   async #openGateways (): Promise<void> {
-    const { gateways: count, folder, bounds, handleUnexpectedExit } = this.#options
+    const { gateways: count, folder, program, bounds, handleUnexpectedExit, handleSignal } = this.#options
     const ports = await findFreePorts(4 * count)
     const seeds = Array.from({ length: Math.min(3, count) }, (_, index) => `127.0.0.1:${ports[4 * index + 3]!}`)
     for (let index = 0; index < count; index++) {
@@ -86,8 +90,10 @@
         seeds,
         storeAddress: new URL(this.store.url).host,
         folder,
+        program,
         bounds,
-        handleUnexpectedExit
+        handleUnexpectedExit,
+        handleSignal
       }))
     }
     await Promise.all(this.gateways.map(async gateway => await gateway.open()))
