Test a planned stop in a flood of signals

The case of stopSignals.spec.ts sends SIGHUP, SIGUSR2 and SIGINT 3000 times to the real program while a request is in flight: the answer arrives whole, the process ends in order, and the signals have at most ten lines a second and displace no other line of the log.

--- a/tests/platform/stopSignals.spec.ts
+++ b/tests/platform/stopSignals.spec.ts
@@ -12,6 +12,8 @@
 const UNUSED_SIGNALS: NodeJS.Signals[] = ['SIGQUIT', 'SIGUSR1', 'SIGUSR2', 'SIGALRM', 'SIGVTALRM', 'SIGSTKFLT', 'SIGIO', 'SIGPWR', 'SIGXCPU']
 const RUNTIME_IGNORED_SIGNALS: NodeJS.Signals[] = ['SIGPIPE', 'SIGXFSZ']
 const ORDERLY_EXIT = [EXIT_CODES.ok, null]
+const FLOOD_ROUNDS = 3000
+const MAX_SIGNAL_LINES_PER_SECOND = 10
 /** Longer than the time between two checks of the settings file without a signal. */
 const POLL_WAIT_MS = 2500
 
@@ -96,6 +98,23 @@
     expect(listEffects()).to.deep.equal(UNUSED_SIGNALS.map(signal => [signal, 'serving', 'none']))
   })
 
+  // a flood of signals must neither keep the process from stopping nor displace the other lines of its log
+  it('should stop in order, with a bounded log, in a flood of signals', async () => {
+    const startedAtMs = performance.now()
+    const { answer } = await startWithRequest()
+    for (let round = 0; round < FLOOD_ROUNDS; round++) {
+      for (const signal of ['SIGHUP', 'SIGUSR2', 'SIGINT'] as const) program.sendSignal(signal)
+      await new Promise(resolve => setImmediate(resolve))
+    }
+    await program.waitForLines('stopping', 1)
+    await expectWholeAnswer(answer)
+    expect(await program.waitForExit()).to.deep.equal(ORDERLY_EXIT)
+    const windows = 1 + Math.ceil((performance.now() - startedAtMs) / 1000)
+    expect(program.list('signalReceived').length).to.be.at.most(windows * MAX_SIGNAL_LINES_PER_SECOND)
+    expect(program.list('stopping')).to.have.length(1)
+    expect(program.list('linesLeftOut')).to.deep.equal([])
+  })
+
   // each of these once ended a process that was still loading
   for (const signal of ['SIGHUP', ...UNUSED_SIGNALS, ...RUNTIME_IGNORED_SIGNALS] as NodeJS.Signals[]) {
     it(`should start upon ${signal} while it is loading`, async () => {
