Apply settings that changed while the process was starting

What operators saw: settings that were written within the milliseconds between their load and the end of the program's construction did not come in force, neither upon the SIGHUP that announced them nor by the check every 2 s, until the next change.

Cause: the watcher compared the file with its own first read of it, which came after the load. The text is now read before the load and passed on; a change in between is applied at the next check.

Before: settingsWatcher.spec.ts failed (nothing applied); after: passed (one run each, and the file once more). Found by reading; the window was not hit with the real program.

--- a/src/relay/settingsWatcher.ts
+++ b/src/relay/settingsWatcher.ts
@@ -8,6 +8,8 @@
 
 export interface SettingsWatcherOptions<Settings> {
   file: string
+  /** Text of the file before its settings in force were loaded, so that a change meanwhile is not missed. */
+  text: string | null
   load: (file: string) => Result<Settings, Finding[]>
   /** Applies new settings; returns the names of those that need a restart. */
   apply: (settings: Settings) => string[]
@@ -28,7 +30,7 @@
 
   constructor (options: SettingsWatcherOptions<Settings>) {
     this.#options = options
-    this.#text = readText(options.file)
+    this.#text = options.text
     this.#timer = setInterval(() => this.check('poll'), POLL_INTERVAL_MS)
     this.#timer.unref()
   }
@@ -36,7 +38,7 @@
   /** Checks the file immediately. */
   check (cause: 'poll' | 'signal'): void {
     const { file, load, apply, log } = this.#options
-    const text = readText(file)
+    const text = readSettingsText(file)
     const isChanged = text !== this.#text
     this.#text = text
     if (!isChanged) {
@@ -53,8 +55,8 @@
   }
 }
 
-/** Reads the file; returns null when it cannot be read at the moment, for example while it is replaced. */
-function readText (file: string): string | null {
+/** Reads the settings file; returns null when it cannot be read at the moment, for example while it is replaced. */
+export function readSettingsText (file: string): string | null {
   try {
     return readFileSync(file, 'utf8')
   } catch {
