Serve a request that has arrived as the answer before it ends in a stop

What callers saw: after the end of accepting, an answer that had not announced the close ended, and a next request that had arrived by then was dropped with the connection; its caller got no answer.

Cause: the connection was closed in the turn in which the answer ended, before input that waited in the socket was read.

Change: such a connection is closed as an idle one is, after pending input was read; a request in it is served or refused with the close announced.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -166,7 +166,8 @@
     if (connection.openReplies.size > 0 || connection.use === 'closing') return
     connection.use = 'idle'
     recordIdle(connection)
-    if (connection.isLast || this.#closingSinceMs !== null) this.#close(connection)
+    if (connection.isLast) this.#close(connection)
+    else if (this.#closingSinceMs !== null) this.#closeUnused(connection).catch(this.#options.reportError)
   }
 
   /** Closes an idle connection, unless a request has arrived that was not read yet. */
--- a/tests/relay/requestsInStop.spec.ts
+++ b/tests/relay/requestsInStop.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 
 import { PacedCaller } from '../fixtures/pacedCaller'
-import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, startEndpoint, startRelay, waitUntil } from './relayFixture'
+import { answerWhole, buildCallerRequest, buildPlatformConfig, buildRoute, formatChunk, SIGNATURE_LINE, startEndpoint, startRelay, waitUntil } from './relayFixture'
 
 import type { EndpointFixture, ReceivedRequest, RelayFixture } from './relayFixture'
 
@@ -217,4 +217,22 @@
     expect(endpoint.received).to.have.length(0)
     expect(fixture.lines.filter(({ event }) => event === 'requestRefused')).to.have.length(1)
   })
+
+  // the end of an answer that had not announced the close dropped a request that had arrived unread
+  it('should be answered when it has arrived as an answer ends that has not announced the close', async () => {
+    await start(request => {
+      if (request.requestId === 'second') return answerWhole(request, 'two')
+      request.socket.write(['HTTP/1.1 200 OK', SIGNATURE_LINE, 'Tanagerwick-Request-Attempt-Id: first', 'Content-Type: text/event-stream', 'Transfer-Encoding: chunked', '', formatChunk('id: 1\ndata: one\n\n')].join('\r\n'))
+    })
+    caller.write(buildCallerRequest({ id: 'first', timeoutMs: 9000 }))
+    await waitUntil('the beginning of the answer', () => caller.text.includes('data: one'))
+    const drained = fixture.relay.drain()
+    await waitFor(ROTATION_MS + 200)
+    endpoint.received[0]!.socket.write('0\r\n\r\n')
+    caller.write(buildCallerRequest({ id: 'second', timeoutMs: 1000 }))
+    await caller.waitForEnd()
+    expect(caller.text).to.match(/data: one[^]*\r\n\r\ntwo$/)
+    caller.close()
+    await drained
+  })
 })
