Close idle connections whose last request was refused before its body

What was seen: a connection whose request got 413 while its body was still arriving was never closed for being idle once the rest of the body had come; it held one of the gateway's connections until its caller left.

Cause: the HTTP server starts its idle timeout with the reply, and any later byte ends it until the next reply.

Change: the idle timeout starts again when such a body has ended.

idleCallers.spec.ts: the first case failed before (open 7.5 s after, at an idle timeout of 0.5 s), both pass after in 3 of 3 runs.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -83,7 +83,7 @@
     connection.openReplies.add(response)
     connection.newest = { request, response }
     response.once('close', () => this.#endRequest(connection, response))
-    request.once('close', () => recordIdle(connection))
+    request.once('close', () => this.#endBody(connection, request))
     if (this.#stoppingSinceMs !== null) response.shouldKeepAlive = false
     return true
   }
@@ -170,6 +170,14 @@
     else if (this.#closingSinceMs !== null) this.#closeUnused(connection).catch(this.#options.reportError)
   }
 
+  /** Records that the body of a request has ended after its reply. */
+  #endBody (connection: CallerConnection, request: IncomingMessage): void {
+    if (connection.use !== 'idle' || connection.newest?.request !== request) return
+    recordIdle(connection)
+    // the server's own idle timeout began with the reply, and the body ended it
+    connection.socket.setTimeout(this.#options.server.keepAliveTimeout)
+  }
+
   /** Closes an idle connection, unless a request has arrived that was not read yet. */
   async #closeIfIdle (socket: Socket): Promise<void> {
     await waitForPendingInput()
@@ -208,9 +216,9 @@
   return (use === 'fresh' || use === 'idle') && socket.bytesRead > bytesRead
 }
 
-/** Records that the last request was read to its end, which can be after its reply. */
+/** Records what was read until the connection became idle, unless a part of its last request is still on its way. */
 function recordIdle (connection: CallerConnection): void {
-  if (connection.use !== 'idle' || connection.newest?.request.complete === false) return
+  if (connection.newest?.request.complete === false) return
   connection.newest = null
   connection.bytesRead = connection.socket.bytesRead
 }
