Count a planned stop from its signal to the millisecond where the event loop is on time

Requests in a planned stop were refused up to 0.1 s earlier than needed, with 503: the stop was counted from the last tick of `ReadableTime`, as if its signal might have come right after it.

Cause: the tick is the last time at which the input is known to be read. But where the event loop has waited since, the signal would have been read at once. The time that it waited is now added, as Node.js measures it, unless a tick is over 20 ms late: a process that is stopped while its event loop waits counts as waiting.

Seen once, in one run: the case of tests/relay/requestsInStop.spec.ts whose request ends 1100 ms after the signal was refused, where 50 ms decide. The new case of tests/readableTime.spec.ts fails before it.

--- a/src/base/readableTime.ts
+++ b/src/base/readableTime.ts
@@ -14,6 +14,8 @@
   clock: Clock
   /** Returns the processor time of this process so far, in milliseconds. */
   getProcessorMs: () => number
+  /** Returns the milliseconds for which the event loop has waited for input or timers so far. */
+  getIdleMs: () => number
   /** Called after a standstill, once the input that had arrived has been read. */
   handleStandstill: (standstill: Standstill) => void
 }
@@ -32,6 +34,8 @@
 const MAX_READABLE_GAP_MS = 150
 /** Milliseconds of delay from which on a standstill is reported; requests that came meanwhile are read that much later than they arrived. */
 const MIN_REPORTED_DELAY_MS = 200
+/** Milliseconds by which a tick may be late before the process may have stood still while its event loop waited. */
+const MAX_TICK_DELAY_MS = 20
 /** Spans that are remembered: more than come within the longest time limit of others. */
 const MAX_SPANS = 128
 
@@ -50,6 +54,7 @@
   readonly #spans: UnreadableSpan[] = []
   #tickedAtMs: number
   #readUntilMs: number
+  #idleAtReadMs: number
   #processorMs: number
   #longestDelayMs = 0
   #deferred = 0
@@ -58,6 +63,7 @@
     this.#options = options
     this.#tickedAtMs = options.clock.getMonotonicMs()
     this.#readUntilMs = this.#tickedAtMs
+    this.#idleAtReadMs = options.getIdleMs()
     this.#processorMs = options.getProcessorMs()
     this.#timer = setInterval(() => this.#advance(), TICK_INTERVAL_MS)
     this.#timer.unref()
@@ -87,10 +93,12 @@
 
   /**
    * Returns the monotonic time since which input may be unread, as a handler of input sees it. What is being handled
-   * may have arrived at any time from then on.
+   * may have arrived at any time from then on, but hardly while the event loop waited for it.
    */
   getUnreadSinceMs (): number {
-    return this.#readUntilMs
+    const { clock, getIdleMs } = this.#options
+    const gapMs = Math.max(this.#tickedAtMs - this.#readUntilMs, clock.getMonotonicMs() - this.#tickedAtMs)
+    return gapMs > TICK_INTERVAL_MS + MAX_TICK_DELAY_MS ? this.#readUntilMs : this.#readUntilMs + getIdleMs() - this.#idleAtReadMs
   }
 
   /** Records a time limit that has passed by the clock but not in readable time. */
@@ -125,6 +133,7 @@
 
   #handleRead (readUntilMs: number, delayMs: number, processorMs: number): void {
     this.#readUntilMs = readUntilMs
+    this.#idleAtReadMs = this.#options.getIdleMs()
     const deferred = this.#deferred
     this.#deferred = 0
     if (delayMs >= MIN_REPORTED_DELAY_MS) this.#options.handleStandstill({ delayMs, processorMs, deferred })
--- a/tests/readableTime.spec.ts
+++ b/tests/readableTime.spec.ts
@@ -14,15 +14,18 @@
   let reported: Standstill[]
   let nowMs: number
   let processorMs: number
+  let idleMs: number
 
   beforeEach(() => {
     timers = FakeTimers.install({ toFake: ['setInterval', 'clearInterval', 'setImmediate', 'clearImmediate'] })
     nowMs = 0
     processorMs = 0
+    idleMs = 0
     reported = []
     readable = new ReadableTime({
       clock: { getMonotonicMs: () => nowMs, getWallMs: () => nowMs },
       getProcessorMs: () => processorMs,
+      getIdleMs: () => idleMs,
       handleStandstill: standstill => reported.push(standstill)
     })
     timers.tick(1)
@@ -111,4 +114,19 @@
     timers.tick(1)
     expect(readable.getUnreadSinceMs()).to.equal(3100)
   })
+
+  // requests were refused in a planned stop up to a tick earlier than needed
+  it('should not count the time in which the event loop waited for input, unless the process stood still meanwhile', () => {
+    advance(100)
+    nowMs += 80
+    idleMs += 75
+    expect(readable.getUnreadSinceMs()).to.equal(175)
+    nowMs += 500
+    idleMs += 500
+    expect(readable.getUnreadSinceMs()).to.equal(100)
+    advance(0, { isRead: false })
+    expect(readable.getUnreadSinceMs()).to.equal(100)
+    timers.tick(1)
+    expect(readable.getUnreadSinceMs()).to.equal(680)
+  })
 })
