Measure how long endpoints take by the time in which their answers could be read

An endpoint looked slow after a standstill of its gateway: the smoothed time of its answers (`answerMs`, in the state dump) and the delay of its prefills took in the time for which the answer lay unread. The limit on the tokens that wait there shrank, and a late answer of its service was waited for longer.

Cause: both are the time of reading less the time of sending. They are now taken in readable milliseconds.

In the test, an answer lies unread for 550 ms. The delay of prefills has no test of its own.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -15,6 +15,11 @@
   return clock.readable === undefined ? monotonicMs : clock.readable.toReadableMs(monotonicMs)
 }
 
+/** Returns the milliseconds since a time of the clock in which this process could read its input. */
+export function computeReadableElapsedMs (clock: Clock, sinceMs: number): number {
+  return toReadableMs(clock, clock.getMonotonicMs()) - toReadableMs(clock, sinceMs)
+}
+
 /** The clock of this machine. */
 export const systemClock: Clock = {
   getMonotonicMs: () => performance.now(),
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -1,3 +1,4 @@
+import { computeReadableElapsedMs } from '../base/clock'
 import { waitForPendingInput } from '../base/pendingInput'
 import { decideAnswerEnd, getSettleMs } from '../policy/answerEnd'
 import { recordAttemptResult } from '../policy/directEndpoint'
@@ -250,7 +251,8 @@
     const nowMs = clock.getMonotonicMs()
     this.#begunAtMs = nowMs
     placement.recordFirstEvent(choice, {
-      sentAtMs: this.#startedAtMs,
+      // how long the prompt waited there, and not how long its event waited here
+      sentAtMs: nowMs - computeReadableElapsedMs(clock, this.#startedAtMs),
       targetMs: getTightestTargetMs(request.service),
       hasQueuedRequests: countWaiting(request.service) > 0,
       nowMs
@@ -288,7 +290,7 @@
     this.#releaseTokens()
     handleCapacity(request.service)
     const nowMs = clock.getMonotonicMs()
-    const ended = this.#resolveResult(exchangeResult, nowMs - this.#startedAtMs)
+    const ended = this.#resolveResult(exchangeResult, computeReadableElapsedMs(clock, this.#startedAtMs))
     if (ended.verdict !== null) recordAttemptResult(this.#endpoint, ended.verdict, nowMs)
     this.#recordCrashEvidence(exchangeResult)
     this.#report(ended, nowMs)
--- a/tests/relay/lateReaders.spec.ts
+++ b/tests/relay/lateReaders.spec.ts
@@ -18,6 +18,8 @@
 const LIMIT_MS = 60
 /** Milliseconds of one turn of the event loop, in which the limit passes. */
 const LONG_TURN_MS = 150
+/** Milliseconds of an answer that are more than what counts of a standstill. */
+const SLOW_ANSWER_MS = 400
 
 /** Keeps the event loop busy, so that nothing is read. */
 function runLongTurn (milliseconds = LONG_TURN_MS): void {
@@ -113,4 +115,17 @@
     await relay.close()
     expect(answer.text).to.match(/^HTTP\/1.1 200 /)
   })
+
+  // the endpoint looked slow, so that a later late answer would have been waited for too long
+  it('should not count as time that the endpoint took', async () => {
+    const endpoint = await startEndpoint('e-1', request => {
+      answerWhole(request)
+      runLongTurn(SLOW_ANSWER_MS + LONG_TURN_MS)
+    })
+    const relay = await startRelay(buildPlatformConfig(), [endpoint])
+    await sendRequest(relay)
+    const state = await (await fetch(`http://127.0.0.1:${relay.adminPort}/state`)).json() as { endpoints: Array<{ answerMs: number }> }
+    await relay.close()
+    expect(state.endpoints[0]!.answerMs).to.be.within(1, SLOW_ANSWER_MS)
+  })
 })
