Keep what peers reported through a standstill of one's own

After a standstill of over 2.5 s a gateway took itself for the only one until the next reports: it dropped the loads of all others, and as the keeper of a limit decided for one gateway. After 15 s it took all peers for gone.

Cause: reports and peers expire by the clock. They now expire by the time in which this process could have read another report. How long ago a peer was heard stays real time where others are told of it.

--- a/src/policy/peerLoadTable.ts
+++ b/src/policy/peerLoadTable.ts
@@ -48,9 +48,14 @@
   readonly #fleetSize: FleetSize
   #total: LoadReport = new Map()
   #gatewayCount = 1
-
-  /** @param namedGateways the number of gateways that the settings name, including this one */
-  constructor (namedGateways = 1) {
+  readonly #toReadable: (monotonicMs: number) => number
+
+  /**
+   * @param namedGateways the number of gateways that the settings name, including this one
+   * @param toReadable converts a time to the milliseconds in which this process could read reports; only they let a report expire
+   */
+  constructor (namedGateways = 1, toReadable: (monotonicMs: number) => number = monotonicMs => monotonicMs) {
+    this.#toReadable = toReadable
     this.#fleetSize = new FleetSize(namedGateways)
   }
 
@@ -62,7 +67,7 @@
 
   /** Drops expired reports. */
   expire (nowMs: number): void {
-    for (const [reporter, { atMs }] of this.#reports) if (nowMs - atMs > REPORT_EXPIRY_MS) this.#reports.delete(reporter)
+    for (const [reporter, { atMs }] of this.#reports) if (this.#computeAgeMs(atMs, nowMs) > REPORT_EXPIRY_MS) this.#reports.delete(reporter)
     const used = this.#selectReports(nowMs)
     this.#total = addReports(used.map(({ report }) => report))
     this.#gatewayCount = used.reduce((sum, { gateways }) => sum + gateways, 1)
@@ -99,7 +104,11 @@
     const direct = this.#listDirectReports(() => false)
     const others = [...this.#reports.values()].filter(({ scope }) => scope === 'others').sort((one, other) => other.atMs - one.atMs)[0]
     if (others === undefined) return direct
-    return direct.length === 0 || nowMs - others.atMs <= OTHERS_REPORT_VALID_MS ? [others] : direct
+    return direct.length === 0 || this.#computeAgeMs(others.atMs, nowMs) <= OTHERS_REPORT_VALID_MS ? [others] : direct
+  }
+
+  #computeAgeMs (atMs: number, nowMs: number): number {
+    return this.#toReadable(nowMs) - this.#toReadable(atMs)
   }
 
   #listDirectReports (isExcluded: (reporter: string) => boolean): ReceivedReport[] {
--- a/src/policy/peerTable.ts
+++ b/src/policy/peerTable.ts
@@ -28,9 +28,12 @@
 export class PeerTable {
   readonly #self: PeerIdentity
   readonly #peers = new Map<string, KnownPeer>()
+  readonly #toReadable: (monotonicMs: number) => number
 
-  constructor (self: PeerIdentity) {
+  /** @param toReadable converts a time to the milliseconds in which this process could read updates; only they let a peer expire */
+  constructor (self: PeerIdentity, toReadable: (monotonicMs: number) => number = monotonicMs => monotonicMs) {
     this.#self = self
+    this.#toReadable = toReadable
   }
 
   /** Returns the record of this gateway that is sent to its peers. */
@@ -66,7 +69,7 @@
     const peers: PeerRecord[] = []
     for (const { failedAtMs: _failedAtMs, heardAtMs, ...identity } of this.#peers.values()) {
       const heardAgoMs = Math.max(0, nowMs - heardAtMs)
-      if (heardAgoMs <= PEER_EXPIRY_MS && (domain === undefined || identity.domain === domain)) peers.push({ ...identity, heardAgoMs })
+      if (this.#isRecent(heardAtMs, nowMs) && (domain === undefined || identity.domain === domain)) peers.push({ ...identity, heardAgoMs })
     }
     return peers
   }
@@ -102,11 +105,20 @@
     const readers = new Map([[this.#self.domain, this.#self]])
     for (const peer of this.#peers.values()) {
       const best = readers.get(peer.domain)
-      if (isUsable(peer, nowMs) && (best === undefined || isBefore(peer, best))) readers.set(peer.domain, peer)
+      if (this.#isUsable(peer, nowMs) && (best === undefined || isBefore(peer, best))) readers.set(peer.domain, peer)
     }
     return readers
   }
 
+  #isUsable (peer: KnownPeer, nowMs: number): boolean {
+    const isBackingOff = nowMs < peer.failedAtMs + FAILED_PEER_BACKOFF_MS || peer.heardAtMs <= peer.failedAtMs
+    return !isBackingOff && this.#isRecent(peer.heardAtMs, nowMs)
+  }
+
+  #isRecent (heardAtMs: number, nowMs: number): boolean {
+    return this.#toReadable(nowMs) - this.#toReadable(heardAtMs) <= PEER_EXPIRY_MS
+  }
+
   #removeOldest (): void {
     if (this.#peers.size <= MAX_PEERS) return
     const [oldest] = [...this.#peers.values()].sort((one, other) => one.heardAtMs - other.heardAtMs)
@@ -114,11 +126,6 @@
   }
 }
 
-function isUsable (peer: KnownPeer, nowMs: number): boolean {
-  const isBackingOff = nowMs < peer.failedAtMs + FAILED_PEER_BACKOFF_MS || peer.heardAtMs <= peer.failedAtMs
-  return !isBackingOff && nowMs - peer.heardAtMs <= PEER_EXPIRY_MS
-}
-
 /** Orders gateways by processor share, the strongest first. The order is the same at every gateway. */
 function isBefore (one: PeerIdentity, other: PeerIdentity): boolean {
   if (one.processorShare !== other.processorShare) return one.processorShare > other.processorShare
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -1,3 +1,4 @@
+import { toReadableMs } from '../base/clock'
 import { PeerLoadTable } from '../policy/peerLoadTable'
 import { PeerTable } from '../policy/peerTable'
 import { BackgroundTask } from '../store/backgroundTask'
@@ -59,8 +60,9 @@
     const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
-    this.#table = new PeerTable(self)
-    this.loads = new PeerLoadTable(countNamedGateways(settings, self))
+    const toReadable = (monotonicMs: number) => toReadableMs(clock, monotonicMs)
+    this.#table = new PeerTable(self, toReadable)
+    this.loads = new PeerLoadTable(countNamedGateways(settings, self), toReadable)
     this.#gossip = new PeerGossip({
       clock,
       random,
