Read the reports of other gateways before a decision to hold prompts

After a standstill a gateway could hold a prompt part that other gateways had cleared: callers got `request_crashes_endpoints` for sound prompts until the report was read.

Cause: the decision waits 0.6 s for reports by a plain timer, which runs before the reports that have arrived are read. It now waits by a `TimeLimit`.

The new case fails before the change and passes after it (one run each).

--- a/src/relay/crashGuard.ts
+++ b/src/relay/crashGuard.ts
@@ -1,6 +1,7 @@
 import { createHash } from 'node:crypto'
 
 import { readClock } from '../base/clockReading'
+import { TimeLimit } from '../base/timeLimit'
 import { CrashAttribution, formatCrashId, parseCrashedEndpoint } from '../policy/crashAttribution'
 import { CrashEvidence, EVIDENCE_SETTLE_MS, hasRequestWith } from '../policy/crashEvidence'
 import { formatPartFingerprint, listSharedPartKeys, parsePartFingerprint } from '../policy/promptPartKeys'
@@ -69,7 +70,7 @@
   readonly #fingerprints = new WeakMap<RelayRequest, string>()
   readonly #partKeys = new WeakMap<RelayRequest, readonly string[]>()
   #holds: RecordedHold[] = []
-  #decisionTimer: NodeJS.Timeout | undefined
+  #decisionLimit: TimeLimit | undefined
 
   constructor (options: CrashGuardOptions) {
     const { clock, service, log } = options
@@ -96,7 +97,7 @@
   }
 
   async stop (): Promise<void> {
-    clearTimeout(this.#decisionTimer)
+    this.#decisionLimit?.cancel()
     this.#prober.close()
     await this.#registry.stop()
   }
@@ -249,11 +250,11 @@
   }
 
   #scheduleDecision (): void {
-    this.#decisionTimer ??= setTimeout(() => this.#decideHolds(), EVIDENCE_SETTLE_MS)
+    this.#decisionLimit ??= new TimeLimit(this.#options.clock, EVIDENCE_SETTLE_MS, () => this.#decideHolds())
   }
 
   #decideHolds (): void {
-    this.#decisionTimer = undefined
+    this.#decisionLimit = undefined
     const nowMs = this.#options.clock.getMonotonicMs()
     for (const hold of this.#evidence.findHolds(this.#listHeld(), nowMs)) this.#recordHold(hold)
     for (const { fingerprint } of this.#evidence.findSuperseded(this.#listHeld())) this.#registry.clear(fingerprint)
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -103,6 +103,19 @@
     expect(guard.listRecords()).to.have.length(before)
   })
 
+  // the decision was made before the reports were read that had come while the process stood still
+  it('should not hold a part of which others have reported an answer that was not read yet', async () => {
+    playCrashes('bad', 4)
+    const part = guard.listNews().crashes[0]!.requests[0]![0]!
+    for (const untilMs = performance.now() + EVIDENCE_SETTLE_MS + 50; performance.now() < untilMs;);
+    const isHeldBefore = await new Promise<boolean>(resolve => setImmediate(() => {
+      resolve(guard.listHolds().length > 0)
+      guard.mergeNews({ crashes: [], answered: [{ part, atMs: clock.getMonotonicMs() }] })
+    }))
+    await new Promise(resolve => setTimeout(resolve, 100))
+    expect([isHeldBefore, guard.listHolds()]).to.deep.equal([false, []])
+  })
+
   it('should not hold a part under which answers only broke while the endpoints live', async () => {
     for (let index = 1; index <= 6; index++) guard.recordBrokenConnection(createEndpoint(`alive-${index}`), createRequest('part', `request-${index}`), NO_ANSWER)
     expect(guard.listSuspects()).to.deep.equal([])
