--- a/src/relay/fleetWatcher.ts
+++ b/src/relay/fleetWatcher.ts
@@ -1,3 +1,4 @@
+import { toReadableMs } from '../base/clock'
 import { Progress } from '../base/progress'
 import { SharedCall } from '../base/sharedCall'
 import { RestoreDetector } from '../store/restoreDetector'
@@ -196,7 +197,7 @@
     const afterOutage = isRestored || (isLongGap && this.#listFailures >= MIN_OUTAGE_FAILURES)
     const entries = objects.flatMap(object => this.#decodeEndpoint(object) ?? [])
     this.#hasEndpoints = true
-    this.#reportChanges(directory.applyList(entries, { afterOutage, isRestoredFromBackup: nowMs < this.#staleEntriesUntilMs, nowMs }))
+    this.#reportChanges(directory.applyList(entries, { afterOutage, isRestoredFromBackup: nowMs < this.#staleEntriesUntilMs, nowMs: toReadableMs(clock, nowMs) }))
   }
 
   /** Records that the object service was restored from an older backup, which lacks later writes. */
@@ -228,7 +229,7 @@
 
   #expire (): void {
     const { directory, clock } = this.#options
-    this.#reportChanges(directory.expire(clock.getMonotonicMs()))
+    this.#reportChanges(directory.expire(toReadableMs(clock, clock.getMonotonicMs())))
     this.#checkFreshness()
   }
 
