Cut nothing before the last sixth of a stop where the time of its signal is uncertain

Cause: the stop was counted from the earliest time at which the signal can have come, also for its end.

Change: requests are sent as before, by the earliest time; those that run may finish by the latest time at which the signal can have come, as long as the process ends 0.4 s before the platform may end it.

Where the uncertainty is over 0.9 s, both cannot hold, and the process ends in time.

--- a/src/relay/plannedStop.ts
+++ b/src/relay/plannedStop.ts
@@ -4,7 +4,7 @@
 import { waitFor } from '../store/channels'
 
 import type { DecisionLog } from '../base/decisionLog'
-import type { StopWindow } from '../policy/stopWindow'
+import type { StopSignalTime, StopWindow } from '../policy/stopWindow'
 import type { Refusal } from '../protocol/errorBody'
 import type { DirectRelay } from './directRelay'
 import type { Dispatcher } from './dispatcher'
@@ -14,8 +14,8 @@
 import type { RelayServer } from './relayServer'
 
 export interface PlannedStopOptions {
-  /** Monotonic milliseconds from which the stop counts. */
-  startedAtMs: number
+  /** When the signal came. */
+  signal: StopSignalTime
   /** Milliseconds until the platform ends the process. */
   stopMs: number
   server: RelayServer
@@ -42,7 +42,7 @@
 
   constructor (options: PlannedStopOptions) {
     this.#options = options
-    this.#window = buildStopWindow(options.startedAtMs, options.stopMs)
+    this.#window = buildStopWindow(options.signal, options.stopMs)
   }
 
   /** Returns the refusal of a request that might not end before the process does; null when it may be sent. */
@@ -56,7 +56,7 @@
    * which shows that they have their replies, and before the platform ends the process.
    */
   async run (): Promise<void> {
-    const { startedAtMs, stopMs, server, relay, dispatcher, limits, peers, log } = this.#options
+    const { signal, stopMs, server, relay, dispatcher, limits, peers, log } = this.#options
     const { sendUntilMs, finishAtMs, deliverUntilMs } = this.#window
     const refuseHeld = () => this.#runStep(() => relay.refuseHeld())
     refuseHeld()
@@ -77,7 +77,7 @@
     const cutRequests = this.#runStep(() => server.abortReplies()) ?? 0
     while (server.countConnections() > 0 && getRemainingMs(deliverUntilMs) > 0) await waitFor(POLL_MS)
     const unwritten = this.#runStep(() => server.reportUnwritten()) ?? 0
-    log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - startedAtMs) })
+    log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - signal.earliestMs) })
   }
 
   /** Runs one step; an error in it must not end the stop, and with it the process, while requests run. */
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -294,7 +294,7 @@
     const { log } = this.#options
     this.#stop = new PlannedStop({
       // the signal may have come while this process could not read it, and the platform counts from there
-      startedAtMs: this.#readableTime.getUnreadSinceMs(),
+      signal: { earliestMs: this.#readableTime.getUnreadSinceMs(), latestMs: systemClock.getMonotonicMs() },
       stopMs: this.#settings.stopSeconds * MS_PER_SECOND,
       server: this.#server,
       relay: this.#relay,
