Count a planned stop from now where the event loop is on time

A busy loop of short turns reads all the while. Only a late tick shows that input may have waited: the stop is now counted from the tick before a late one, and else from now. A delay of less than 0.12 s between two ticks is not seen. The extra turn after each tick, and the reading of the idle time, are gone where ticks are on time.

--- a/src/base/readableTime.ts
+++ b/src/base/readableTime.ts
@@ -14,8 +14,6 @@
   clock: Clock
   /** Returns the processor time of this process so far, in milliseconds. */
   getProcessorMs: () => number
-  /** Returns the milliseconds for which the event loop has waited for input or timers so far. */
-  getIdleMs: () => number
   /** Called after a standstill, once the input that had arrived has been read. */
   handleStandstill: (standstill: Standstill) => void
 }
@@ -34,7 +32,7 @@
 const MAX_READABLE_GAP_MS = 150
 /** Milliseconds of delay from which on a standstill is reported; requests that came meanwhile are read that much later than they arrived. */
 const MIN_REPORTED_DELAY_MS = 200
-/** Milliseconds by which a tick may be late before the process may have stood still while its event loop waited. */
+/** Milliseconds by which a tick is late in ordinary work. */
 const MAX_TICK_DELAY_MS = 20
 /** Spans that are remembered: more than come within the longest time limit of others. */
 const MAX_SPANS = 128
@@ -53,8 +51,8 @@
   readonly #timer: NodeJS.Timeout
   readonly #spans: UnreadableSpan[] = []
   #tickedAtMs: number
-  #readUntilMs: number
-  #idleAtReadMs: number
+  /** Time of the tick before a late one whose input has not been read yet; null where there is none. */
+  #behindSinceMs: number | null = null
   #processorMs: number
   #longestDelayMs = 0
   #deferred = 0
@@ -62,8 +60,6 @@
   constructor (options: ReadableTimeOptions) {
     this.#options = options
     this.#tickedAtMs = options.clock.getMonotonicMs()
-    this.#readUntilMs = this.#tickedAtMs
-    this.#idleAtReadMs = options.getIdleMs()
     this.#processorMs = options.getProcessorMs()
     this.#timer = setInterval(() => this.#advance(), TICK_INTERVAL_MS)
     this.#timer.unref()
@@ -92,13 +88,12 @@
   }
 
   /**
-   * Returns the monotonic time since which input may be unread, as a handler of input sees it. What is being handled
-   * may have arrived at any time from then on, but hardly while the event loop waited for it.
+   * Returns the monotonic time since which input may be unread, as a handler of input sees it: the last tick before a
+   * late one, and now where no tick is late.
    */
   getUnreadSinceMs (): number {
-    const { clock, getIdleMs } = this.#options
-    const gapMs = Math.max(this.#tickedAtMs - this.#readUntilMs, clock.getMonotonicMs() - this.#tickedAtMs)
-    return gapMs > TICK_INTERVAL_MS + MAX_TICK_DELAY_MS ? this.#readUntilMs : this.#readUntilMs + getIdleMs() - this.#idleAtReadMs
+    const nowMs = this.#options.clock.getMonotonicMs()
+    return this.#behindSinceMs ?? (nowMs - this.#tickedAtMs > TICK_INTERVAL_MS + MAX_TICK_DELAY_MS ? this.#tickedAtMs : nowMs)
   }
 
   /** Records a time limit that has passed by the clock but not in readable time. */
@@ -118,10 +113,13 @@
     const usedMs = processorMs - this.#processorMs
     this.#addSpan(this.#tickedAtMs + MAX_READABLE_GAP_MS, nowMs)
     this.#longestDelayMs = Math.max(this.#longestDelayMs, delayMs)
-    this.#tickedAtMs = nowMs
     this.#processorMs = processorMs
-    // runs after all input that had arrived by now was read
-    setImmediate(() => this.#handleRead(nowMs, delayMs, usedMs))
+    if (delayMs > MAX_TICK_DELAY_MS) {
+      this.#behindSinceMs = this.#tickedAtMs
+      // runs after all input that had arrived by now was read
+      setImmediate(() => this.#handleRead(delayMs, usedMs))
+    }
+    this.#tickedAtMs = nowMs
   }
 
   #addSpan (fromMs: number, untilMs: number): void {
@@ -131,9 +129,8 @@
     if (this.#spans.length > MAX_SPANS) this.#spans.shift()
   }
 
-  #handleRead (readUntilMs: number, delayMs: number, processorMs: number): void {
-    this.#readUntilMs = readUntilMs
-    this.#idleAtReadMs = this.#options.getIdleMs()
+  #handleRead (delayMs: number, processorMs: number): void {
+    this.#behindSinceMs = null
     const deferred = this.#deferred
     this.#deferred = 0
     if (delayMs >= MIN_REPORTED_DELAY_MS) this.#options.handleStandstill({ delayMs, processorMs, deferred })
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -3,7 +3,7 @@
 import { HttpListener } from '../base/httpListener'
 import { Metrics } from '../base/metrics'
 import { ReadableTime } from '../base/readableTime'
-import { getIdleMs, getProcessorMs } from '../base/processorTime'
+import { getProcessorMs } from '../base/processorTime'
 import { StateDump } from '../base/stateDump'
 import { EndpointDirectory } from '../policy/endpointDirectory'
 import { Placement } from '../policy/placement'
@@ -121,7 +121,7 @@
     this.#options = options
     this.#settings = settings
     this.#observer = new RelayObserver(log, this.#metrics)
-    this.#readableTime = new ReadableTime({ clock: systemClock, getProcessorMs, getIdleMs, handleStandstill: standstill => this.#observer.recordStandstill(standstill) })
+    this.#readableTime = new ReadableTime({ clock: systemClock, getProcessorMs, handleStandstill: standstill => this.#observer.recordStandstill(standstill) })
     const clock: Clock = { ...systemClock, readable: this.#readableTime }
     this.#freshness = new ViewFreshness({ clock, maxAgeMs: FRESH_FRACTION * settings.revocationMs })
     this.#retries = new RetryWindow(buildRetryOptions(settings))
