Let the test of a cancelled time limit run its late timer on a fake clock

The test failed once in 32 runs beside other load: it took two timers of 1 ms for timers of one turn, which they are not always. It now runs the late timer itself and cancels the limit right after it. What it expects is unchanged.

--- a/tests/timeLimit.spec.ts
+++ b/tests/timeLimit.spec.ts
@@ -42,11 +42,13 @@
   it('should not pass once it is cancelled, also while input is being read', async () => {
     let hasPassed = false
     let nowMs = 0
+    const timers = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] })
     const limit = new TimeLimit({ getMonotonicMs: () => nowMs, getWallMs: () => nowMs }, 1, () => { hasPassed = true })
-    // the limit's timer is late, and runs before this one
+    // late, so that the limit waits for the input
     nowMs = 100
-    await new Promise<void>(resolve => setTimeout(resolve, 1))
+    timers.tick(1)
     limit.cancel()
+    timers.uninstall()
     for (let turn = 0; turn < 5; turn++) await waitForTurn()
     expect(hasPassed).to.equal(false)
   })
