--- a/tests/timeLimit.spec.ts
+++ b/tests/timeLimit.spec.ts
@@ -19,7 +19,7 @@
       for (const limitMs of LIMITS_MS) {
         const timers = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'performance'] })
         const clock: Clock = { getMonotonicMs: () => performance.now(), getWallMs: () => performance.now() }
-        const readable = new ReadableTime({ clock, getProcessorMs: () => 0, getIdleMs: () => 0, handleStandstill: () => {} })
+        const readable = new ReadableTime({ clock, getProcessorMs: () => 0, handleStandstill: () => {} })
         let passedAtMs: number | null = null
         const limit = new TimeLimit({ ...clock, readable }, limitMs, () => { passedAtMs = performance.now() })
         timers.jump(standstillMs)
@@ -42,11 +42,13 @@
   it('should not pass once it is cancelled, also while input is being read', async () => {
     let hasPassed = false
     let nowMs = 0
+    const timers = FakeTimers.install({ toFake: ['setTimeout', 'clearTimeout'] })
     const limit = new TimeLimit({ getMonotonicMs: () => nowMs, getWallMs: () => nowMs }, 1, () => { hasPassed = true })
-    // the limit's timer is late, and runs before this one
+    // late, so that the limit waits for the input
     nowMs = 100
-    await new Promise<void>(resolve => setTimeout(resolve, 1))
+    timers.tick(1)
     limit.cancel()
+    timers.uninstall()
     for (let turn = 0; turn < 5; turn++) await waitForTurn()
     expect(hasPassed).to.equal(false)
   })
