Mend what a review of the stop found

Callers now have five seconds to read a reply, and in a stop all of it. 2. Idle connections now count until they are closed, and what was read late is cut with its line. 3. A head whose rest lay unread in the socket was refused for the time in which this process stood still. 5. The bound for requests in a stop lay exactly on three seconds, with nothing for a late signal: 0.355 of the stop time. 6. A stop that begins within 0.25 s after a standstill is counted from before it.

Left: a signal in the last second of the start is counted from the end of the start.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -34,8 +34,10 @@
 
 /** Milliseconds that a connection accepted just before the stop has for its first request, which is already on its way. */
 const FIRST_REQUEST_GRACE_MS = 300
-/** Milliseconds that a caller has to close its side; it has everything once it does. Input is read and dropped meanwhile. */
+/** Milliseconds that a caller without a recent reply has to close its side. Input is read and dropped meanwhile. */
 const CLOSE_TIMEOUT_MS = 1000
+/** Milliseconds that a caller has to read a reply that was written. */
+const READ_TIMEOUT_MS = 5000
 const CLOSE_POLL_MS = 10
 
 /**
@@ -66,7 +68,9 @@
 
   /** Counts the connections whose request is on its way, is being read or has no written reply yet. */
   countBusy (): number {
-    return [...this.#connections.values()].filter(connection => connection.use === 'fresh' || connection.use === 'busy' || hasPartialHead(connection)).length
+    // an idle connection that is to be closed may still have a request that was not read yet
+    const isIdleBusy = this.#closingSinceMs !== null
+    return [...this.#connections.values()].filter(connection => connection.use === 'fresh' || connection.use === 'busy' || (connection.use === 'idle' && isIdleBusy) || hasPartialHead(connection)).length
   }
 
   /**
@@ -168,6 +172,7 @@
     recordIdle(connection)
     if (connection.isLast) this.#close(connection)
     else if (this.#closingSinceMs !== null) this.#closeUnused(connection).catch(this.#options.reportError)
+    else if (connection.newest !== null) this.#scheduleUnreadClose(connection, connection.newest.request)
   }
 
   /** Records that the body of a request has ended after its reply. */
@@ -182,7 +187,12 @@
   async #closeIfIdle (socket: Socket): Promise<void> {
     await waitForPendingInput()
     const connection = this.#connections.get(socket)
-    if (connection?.use === 'idle' && !hasPartialHead(connection)) this.#close(connection)
+    if (connection?.use === 'idle' && connection.newest === null && !hasPartialHead(connection)) this.#close(connection)
+  }
+
+  /** Closes a connection on which the body of a refused request does not end within the idle timeout. */
+  #scheduleUnreadClose (connection: CallerConnection, request: IncomingMessage): void {
+    setTimeout(() => { if (connection.use === 'idle' && connection.newest?.request === request) this.#close(connection) }, this.#options.server.keepAliveTimeout).unref()
   }
 
   #close (connection: CallerConnection): void {
@@ -190,12 +200,14 @@
     const { socket } = connection
     connection.use = 'closing'
     socket.end(() => {
-      setTimeout(() => { if (!this.#hasReplyOfStop(connection)) socket.destroy() }, CLOSE_TIMEOUT_MS).unref()
+      const timeoutMs = this.#hasRecentReply(connection) ? READ_TIMEOUT_MS : CLOSE_TIMEOUT_MS
+      setTimeout(() => { if (this.#stoppingSinceMs === null || !this.#hasRecentReply(connection)) socket.destroy() }, timeoutMs).unref()
     })
   }
 
-  #hasReplyOfStop ({ answeredAtMs }: CallerConnection): boolean {
-    return this.#stoppingSinceMs !== null && answeredAtMs !== null && answeredAtMs >= this.#stoppingSinceMs
+  /** Returns whether the caller may still be reading its last reply. In a stop, such a connection stays until the process ends. */
+  #hasRecentReply ({ answeredAtMs }: CallerConnection): boolean {
+    return answeredAtMs !== null && answeredAtMs >= (this.#stoppingSinceMs ?? this.#options.clock.getMonotonicMs()) - READ_TIMEOUT_MS
   }
 
   /** Closes a connection on which no request arrives within the grace period. */
--- a/src/base/readableTime.ts
+++ b/src/base/readableTime.ts
@@ -34,6 +34,8 @@
 const MIN_REPORTED_DELAY_MS = 200
 /** Milliseconds by which a tick is late in ordinary work. */
 const MAX_TICK_DELAY_MS = 20
+/** Milliseconds after a standstill in which a signal that came in it may still be on its way: another thread of the runtime may have to take it. */
+const SIGNAL_DELIVERY_MS = 250
 /** Spans that are remembered: more than come within the longest time limit of others. */
 const MAX_SPANS = 128
 
@@ -52,6 +54,7 @@
   readonly #spans: UnreadableSpan[] = []
   #tickedAtMs: number
   /** Time of the tick before a late one whose input has not been read yet; null where there is none. */
+  #lastStandstill: { fromMs: number, untilMs: number } | null = null
   #behindSinceMs: number | null = null
   #processorMs: number
   #longestDelayMs = 0
@@ -96,6 +99,13 @@
     return this.#behindSinceMs ?? (nowMs - this.#tickedAtMs > TICK_INTERVAL_MS + MAX_TICK_DELAY_MS ? this.#tickedAtMs : nowMs)
   }
 
+  /** Returns the earliest monotonic time at which a signal that is handled now may have come. */
+  getSignalSinceMs (): number {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    const standstill = this.#lastStandstill
+    return standstill !== null && nowMs - standstill.untilMs < SIGNAL_DELIVERY_MS ? standstill.fromMs : this.getUnreadSinceMs()
+  }
+
   /** Records a time limit that has passed by the clock but not in readable time. */
   recordDeferral (): void {
     this.#deferred += 1
@@ -130,6 +140,7 @@
   }
 
   #handleRead (delayMs: number, processorMs: number): void {
+    if (delayMs >= MIN_REPORTED_DELAY_MS && this.#behindSinceMs !== null) this.#lastStandstill = { fromMs: this.#behindSinceMs, untilMs: this.#tickedAtMs }
     this.#behindSinceMs = null
     const deferred = this.#deferred
     this.#deferred = 0
--- a/src/policy/stopWindow.ts
+++ b/src/policy/stopWindow.ts
@@ -22,8 +22,8 @@
 const FINISH_FRACTION = 0.9
 /** Fraction of the stop time, counted from the latest time of the signal, before which requests are cut only if the platform might end the process first. */
 const MIN_FINISH_FRACTION = 0.85
-/** Fraction of the stop time in which requests are sent whose time limits lie behind the end. */
-const SEND_FRACTION = 3 / 8
+/** Fraction of the stop time in which requests are sent whose time limits lie behind the end: three eighths, less what a signal may be late unnoticed. */
+const SEND_FRACTION = 3 / 8 - 0.02
 /** Milliseconds before the end of the stop time at which the process ends at the latest, with its log written. */
 const EXIT_MARGIN_MS = 400
 /** Milliseconds before the end by which a time limit must have passed, so that its answer still reaches the caller. */
@@ -35,7 +35,7 @@
  * platform may end it.
  *
  * @example
- * buildStopWindow({ earliestMs: 0, latestMs: 0 }, 8000) // { sendUntilMs: 3000, surelyFinishAtMs: 7200, finishAtMs: 7200, deliverUntilMs: 7600 }
+ * buildStopWindow({ earliestMs: 0, latestMs: 0 }, 8000) // { sendUntilMs: 2840, surelyFinishAtMs: 7200, finishAtMs: 7200, deliverUntilMs: 7600 }
  */
 export function buildStopWindow ({ earliestMs, latestMs }: StopSignalTime, stopMs: number): StopWindow {
   const surelyFinishAtMs = earliestMs + FINISH_FRACTION * stopMs
--- a/src/relay/plannedStop.ts
+++ b/src/relay/plannedStop.ts
@@ -76,8 +76,10 @@
     clearTimeout(refuseTimer)
     const cutRequests = this.#runStep(() => server.abortReplies()) ?? 0
     while (server.countConnections() > 0 && getRemainingMs(deliverUntilMs) > 0) await waitFor(POLL_MS)
+    // a request that was read after the first cut has no reply either
+    const cutLate = this.#runStep(() => server.abortReplies()) ?? 0
     const unwritten = this.#runStep(() => server.reportUnwritten()) ?? 0
-    log.write('notable', { event: 'drained', cutRequests, unwritten, openConnections: server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - signal.earliestMs) })
+    log.write('notable', { event: 'drained', cutRequests: cutRequests + cutLate, unwritten, openConnections: server.countConnections(), elapsedMs: Math.round(systemClock.getMonotonicMs() - signal.earliestMs) })
   }
 
   /** Runs one step; an error in it must not end the stop, and with it the process, while requests run. */
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -294,7 +294,7 @@
     const { log } = this.#options
     this.#stop = new PlannedStop({
       // the signal may have come while this process could not read it, and the platform counts from there
-      signal: { earliestMs: this.#readableTime.getUnreadSinceMs(), latestMs: systemClock.getMonotonicMs() },
+      signal: { earliestMs: this.#readableTime.getSignalSinceMs(), latestMs: systemClock.getMonotonicMs() },
       stopMs: this.#settings.stopSeconds * MS_PER_SECOND,
       server: this.#server,
       relay: this.#relay,
@@ -323,7 +323,6 @@
     if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
   }
 
-  /** Runs one step of a planned stop. The stop goes on when it fails, because the process must not end before its requests. */
   #handleReadyRequest (_request: IncomingMessage, response: ServerResponse): void {
     const freshness = this.#freshness.getVerdict()
     const reason = decideReadiness({ isLeaving: this.#stop !== null, isComplete: this.#fleetWatcher.isComplete, freshness })
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -67,7 +67,10 @@
       if (!this.#connections.isClosing(request.socket)) response.writeContinue()
       this.#handleRequest(request, response)
     })
-    this.#server.on('clientError', (_error, socket) => this.#refuseMalformed(socket as Socket))
+    this.#server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+      if (error.code !== 'ERR_HTTP_REQUEST_TIMEOUT') return this.#refuseMalformed(socket as Socket)
+      this.#refuseLateHead(socket as Socket).catch(failure => options.observer.recordError(failure))
+    })
   }
 
   /** Counts the open caller connections. */
@@ -207,6 +210,13 @@
     reply.refuse(refusal)
   }
 
+  /** Refuses a request whose head did not arrive in time, unless the rest of it had arrived and was not read. */
+  async #refuseLateHead (socket: Socket): Promise<void> {
+    const { bytesRead } = socket
+    await waitForPendingInput()
+    if (socket.bytesRead === bytesRead) this.#refuseMalformed(socket)
+  }
+
   /** Answers bytes that are not a valid request with status 400; a connection whose request they are a part of is cut. */
   #refuseMalformed (socket: Socket): void {
     if (this.#connections.isReading(socket) && !this.#connections.isClosing(socket)) socket.destroy()
--- a/tests/relay/idleCallers.spec.ts
+++ b/tests/relay/idleCallers.spec.ts
@@ -31,6 +31,15 @@
     expect(caller.wasReset).to.equal(false)
   })
 
+  // the idle timeout took the head of the refused request for that of a next one
+  for (const bodyBytes of [0, 100]) {
+    it(`should be closed when ${bodyBytes} bytes of the body of its refused request have arrived and no more come`, async () => {
+      caller.write('y'.repeat(bodyBytes))
+      await caller.waitForEnd()
+      expect(caller.wasReset).to.equal(false)
+    })
+  }
+
   it('should serve a next request after the body of a refused one', async () => {
     caller.write('y'.repeat(BODY_BYTES) + buildCallerRequest({ target: '/none' }))
     await waitUntil('the second answer', () => (caller.text.match(/HTTP\/1.1/g) ?? []).length === 2)
--- a/tests/relay/slowCallers.spec.ts
+++ b/tests/relay/slowCallers.spec.ts
@@ -130,7 +130,8 @@
     await start(request => answerWhole(request))
     caller.write(buildCallerRequest({ id: 'first' }))
     await waitUntil('the first answer', () => caller.text.includes('found'))
-    const text = buildCallerRequest({ id: 'second' })
+    // ends before the stop does, also where the event loop is late
+    const text = buildCallerRequest({ id: 'second', timeoutMs: 1000 })
     caller.write(text.slice(0, 20))
     await waitFor(50)
     const drained = fixture.relay.drain()
@@ -142,6 +143,25 @@
     await drained
   })
 
+  // an answer written before the signal was cut once its connection was idle
+  it('should deliver an answer that was written just before the signal, although the caller has sent more', async () => {
+    const body = 'b'.repeat(1_500_000)
+    await start(request => answerWhole(request, body))
+    caller.pause()
+    caller.write(buildCallerRequest({ id: 'first' }))
+    await waitForSends(1)
+    await waitFor(200)
+    const drained = fixture.relay.drain()
+    await waitFor(ROTATION_MS + 1400)
+    caller.write(buildCallerRequest({ id: 'second' }))
+    await waitFor(100)
+    caller.resume()
+    await waitUntil('the end of the connection', () => caller.hasEnded || caller.wasReset)
+    expect([describeBody(caller.text, body), caller.wasReset]).to.deep.equal(['whole', false])
+    caller.close()
+    await drained
+  })
+
   // an answer cut by the end of the stop left no line
   it('should log each answer that the end of the stop cuts, with its endpoint', async () => {
     await start(request => {
