--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -69,8 +69,8 @@
   /** Counts the connections whose request is on its way, is being read or has no written reply yet. */
   countBusy (): number {
     // an idle connection that is to be closed may still have a request that was not read yet
-    const isIdleBusy = this.#closingSinceMs !== null
-    return [...this.#connections.values()].filter(connection => connection.use === 'fresh' || connection.use === 'busy' || (connection.use === 'idle' && isIdleBusy) || hasPartialHead(connection)).length
+    const mayHaveInput = this.#closingSinceMs !== null
+    return [...this.#connections.values()].filter(connection => connection.use === 'fresh' || connection.use === 'busy' || (connection.use === 'idle' && mayHaveInput) || hasPartialHead(connection)).length
   }
 
   /**
