--- a/src/policy/stopWindow.ts
+++ b/src/policy/stopWindow.ts
@@ -4,7 +4,7 @@
 export interface StopWindow {
   /** Until when requests are sent that may be cut at the end, because they can be repeated or taken up elsewhere. */
   sendUntilMs: number
-  /** Before when requests end that cannot be repeated. */
+  /** By when requests that cannot be repeated must end: before the platform can end the process, whenever the signal came. */
   surelyFinishAtMs: number
   /** When requests that still run are cut. */
   finishAtMs: number
