Refuse a head that trickles in at its time limit, and count a stop in the start from its signal

Two faults, both found by reading the change once more: 1. The refusal of a late head looked for new bytes, so that one byte at the time limit kept the connection open for ever, since the runtime reports the limit once.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -20,6 +20,8 @@
 interface CallerConnection {
   readonly socket: Socket
   use: ConnectionUse
+  /** Requests whose heads have arrived. */
+  requests: number
   /** Replies on this connection that have not been written. */
   readonly openReplies: Set<ServerResponse>
   /** The newest request, until it is read to its end and its reply is written. */
@@ -79,6 +81,7 @@
    */
   beginRequest (request: IncomingMessage, response: ServerResponse): boolean {
     const connection = this.#connections.get(request.socket)
+    if (connection !== undefined) connection.requests += 1
     if (connection === undefined || connection.use === 'closing' || !reserveNext(connection)) {
       request.resume()
       return false
@@ -92,6 +95,11 @@
     return true
   }
 
+  /** Counts the requests whose heads have arrived on the connection. */
+  countRequests (socket: Socket): number {
+    return this.#connections.get(socket)?.requests ?? 0
+  }
+
   isClosing (socket: Socket): boolean {
     return this.#connections.get(socket)?.use === 'closing'
   }
@@ -145,7 +153,7 @@
   }
 
   #add (socket: Socket): void {
-    const connection: CallerConnection = { socket, use: 'fresh', openReplies: new Set(), newest: null, isLast: false, bytesRead: 0, answeredAtMs: null }
+    const connection: CallerConnection = { socket, use: 'fresh', requests: 0, openReplies: new Set(), newest: null, isLast: false, bytesRead: 0, answeredAtMs: null }
     this.#connections.set(socket, connection)
     socket.once('close', () => this.#remove(connection))
     // the server calls it after the last reply of a connection; the original closes without reading what arrives
--- a/src/cli/processLifecycle.ts
+++ b/src/cli/processLifecycle.ts
@@ -20,7 +20,7 @@
   }
   start: () => Promise<void>
   /** Finishes the requests in flight. */
-  drain: () => Promise<void>
+  drain: (handledAtMs: number) => Promise<void>
   /** Ends the process. */
   end: (exitCode: number) => Promise<void>
   writeLine: (line: SignalEvent) => void
@@ -86,7 +86,8 @@
   }
 
   async #stop (signal: HandledSignal): Promise<void> {
-    const { settings, handleStop, drain, handleError } = this.#options
+    const { clock, settings, handleStop, drain, handleError } = this.#options
+    const handledAtMs = clock.getMonotonicMs()
     this.#state = 'stopping'
     if (this.#checkTimer !== null) this.#checkSettings()
     handleStop(signal)
@@ -95,7 +96,7 @@
     await Promise.race([this.#start.catch(() => {}), waitFor(MAX_START_WAIT_MS)])
     let exitCode: number = EXIT_CODES.ok
     try {
-      await drain()
+      await drain(handledAtMs)
     } catch (error) {
       handleError(error)
       exitCode = EXIT_CODES.unavailable
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -288,13 +288,14 @@
 
   /**
    * Leaves the balancer's rotation while it continues to serve, lets requests in flight finish within the stop time of the
-   * settings, and resolves once callers have their replies, before the platform ends the process.
+   * settings, and resolves once callers have their replies, before the platform ends the process. `handledAtMs`: when the
+   * signal was handled, in monotonic milliseconds.
    */
-  async drain (): Promise<void> {
+  async drain (handledAtMs = systemClock.getMonotonicMs()): Promise<void> {
     const { log } = this.#options
     this.#stop = new PlannedStop({
       // the signal may have come while this process could not read it, and the platform counts from there
-      signal: { earliestMs: this.#readableTime.getSignalSinceMs(), latestMs: systemClock.getMonotonicMs() },
+      signal: { earliestMs: Math.min(handledAtMs, this.#readableTime.getSignalSinceMs()), latestMs: handledAtMs },
       stopMs: this.#settings.stopSeconds * MS_PER_SECOND,
       server: this.#server,
       relay: this.#relay,
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -212,9 +212,9 @@
 
   /** Refuses a request whose head did not arrive in time, unless the rest of it had arrived and was not read. */
   async #refuseLateHead (socket: Socket): Promise<void> {
-    const { bytesRead } = socket
+    const requests = this.#connections.countRequests(socket)
     await waitForPendingInput()
-    if (socket.bytesRead === bytesRead) this.#refuseMalformed(socket)
+    if (this.#connections.countRequests(socket) === requests) this.#refuseMalformed(socket)
   }
 
   /** Answers bytes that are not a valid request with status 400; a connection whose request they are a part of is cut. */
--- a/tests/relay/lateHeads.spec.ts
+++ b/tests/relay/lateHeads.spec.ts
@@ -32,4 +32,17 @@
     await waitFor(500)
     expect(caller.text).to.match(/^HTTP\/1\.1 200/)
   })
+
+  // a byte at the time limit of a head kept its connection for ever
+  it('should be refused although a byte of it comes at its time limit', async () => {
+    fixture = await startRelay(buildPlatformConfig({ limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutMs: HEADER_TIMEOUT_MS, idleTimeoutMs: 5000 } }))
+    caller = new PacedCaller(fixture.port)
+    const text = `${buildCallerRequest().slice(0, 60)}${'x'.repeat(3000)}`
+    let sent = 0
+    const timer = setInterval(() => caller.write(text.slice(sent, ++sent)), 1)
+    await caller.waitForEnd()
+    clearInterval(timer)
+    expect(caller.hasEnded || caller.wasReset).to.equal(true)
+    expect(caller.text).to.match(/^HTTP\/1\.1 400/)
+  }).timeout(4 * HEADER_TIMEOUT_MS)
 })
