Decode the engine section whole, and divide by the speed of the endpoint in place of one constant

Cause: all decisions under load divided by one number of prompt tokens per millisecond, and two of the fields that a configuration states of its engines were read. Change: every decision asks the endpoint or its service for the speed, which is still the former constant; the other fields of an engine, the model, the maximum and the estimated output of a request are decoded. No decision changes.

--- a/src/config/routingConfig.ts
+++ b/src/config/routingConfig.ts
@@ -35,10 +35,23 @@
   shares: RouteShare[]
 }
 
-/** Capacity of a model engine of a service. */
+/** Capacity and features of the model engines of a service. */
 export interface EngineCapacity {
   slots: number
+  /** Tokens of running requests and cached prompt parts that the memory of one engine holds. */
   cacheTokens: number
+  /** Bytes that one token takes when the engine's memory is sent to another engine. */
+  bytesPerToken: number
+  /** Megabits per second between two engines. */
+  transferMegabitsPerSecond: number
+  /** Generated tokens in one event of a stream. */
+  tokensPerEvent: number
+  /** Calls that one engine lets wait for changes of its cache; 0 when it reports none. */
+  maxCacheWatchers: number
+  /** Whether a running request can be moved to another engine. */
+  canMove: boolean
+  /** Whether the memory of a running request can be copied to another engine as it grows. */
+  canBackUp: boolean
 }
 
 /** Endpoints that serve the same requests. */
--- a/src/policy/backlogLimit.ts
+++ b/src/policy/backlogLimit.ts
@@ -1,5 +1,3 @@
-import { PREFILL_TOKENS_PER_MS } from './engineRates'
-
 /** A prompt to be sent to an endpoint, and the endpoint's backlog. */
 export interface BacklogState {
   /** Uncached prompt tokens that the endpoint would have to prefill for the prompt. */
@@ -12,6 +10,8 @@
   localTokens: number
   /** Prompt tokens of peer gateways that the endpoint has not prefilled yet, as last reported. */
   othersTokens: number
+  /** Prompt tokens that the endpoint prefills per millisecond. */
+  tokensPerMs: number
 }
 
 /** Milliseconds of prefill that may be queued ahead of a prompt of mean size: the time until the next peer load reports arrive. */
@@ -34,11 +34,11 @@
  * make up most of the prefill, until there is time. The other prompts are on time.
  *
  * @example
- * isBacklogWithinLimit({ unreadTokens: 3000, meanUniqueTokens: 3000, isLate: false, localTokens: 0, othersTokens: 20_000 }) // false
+ * isBacklogWithinLimit({ unreadTokens: 3000, meanUniqueTokens: 3000, isLate: false, localTokens: 0, othersTokens: 20_000, tokensPerMs: 100 }) // false
  */
-export function isBacklogWithinLimit ({ unreadTokens: uncachedTokens, meanUniqueTokens, isLate, localTokens, othersTokens: peerTokens }: BacklogState): boolean {
+export function isBacklogWithinLimit ({ unreadTokens: uncachedTokens, meanUniqueTokens, isLate, localTokens, othersTokens: peerTokens, tokensPerMs }: BacklogState): boolean {
   if (peerTokens === 0 || meanUniqueTokens === 0) return true
   if (!isLate && uncachedTokens < SMALL_PROMPT_RATIO * meanUniqueTokens) return true
   const sizeFactor = (meanUniqueTokens / Math.max(1, uncachedTokens)) ** SIZE_EXPONENT * (isLate ? LATE_BACKLOG_FACTOR : 1)
-  return localTokens + peerTokens <= MAX_BACKLOG_MS * PREFILL_TOKENS_PER_MS * Math.min(MAX_SIZE_FACTOR, sizeFactor)
+  return localTokens + peerTokens <= MAX_BACKLOG_MS * tokensPerMs * Math.min(MAX_SIZE_FACTOR, sizeFactor)
 }
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -1,6 +1,5 @@
 import { isBacklogWithinLimit } from './backlogLimit'
 import { isEjected } from './directEndpoint'
-import { PREFILL_TOKENS_PER_MS } from './engineRates'
 import { isBackingOff } from './endpointBackoff'
 
 import type { DirectEndpoint } from './directEndpoint'
@@ -181,7 +180,7 @@
   if (endpoint.inFlight >= maxInFlight || isBackingOff(endpoint, nowMs)) return false
   if (unreadTokens === 0) return true
   const peerTokens = getPeerLoad(endpoint.entry.id).pendingTokens
-  if (!isBacklogWithinLimit({ unreadTokens, meanUniqueTokens, isLate, localTokens: endpoint.pendingTokens, othersTokens: peerTokens })) return false
+  if (!isBacklogWithinLimit({ unreadTokens, meanUniqueTokens, isLate, localTokens: endpoint.pendingTokens, othersTokens: peerTokens, tokensPerMs: endpoint.prefillRate.tokensPerMs })) return false
   const backlogTokens = endpoint.pendingTokens + (queuedTokens.get(endpoint.entry.id) ?? 0)
   return backlogTokens === 0 || backlogTokens + unreadTokens <= endpoint.prefillLimit.tokens
 }
@@ -199,7 +198,7 @@
   const tokens = uniqueTokens + UNCACHED_SHARED_WEIGHT * uncachedSharedTokens + PENDING_TOKENS_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
   const backoffMs = Math.max(0, endpoint.quietUntilMs - nowMs)
-  return tokens / PREFILL_TOKENS_PER_MS + computeReservationCostMs(request, endpoint, peerLoad, options) + FULL_SLOTS_COST_MS * (endpoint.inFlight + countRequestsBeyondSlots(endpoint, peerLoad)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + backoffMs + computePermitWaitMs(options.getPermit(endpoint), nowMs) + random() * COST_JITTER_MS
+  return tokens / endpoint.prefillRate.tokensPerMs + computeReservationCostMs(request, endpoint, peerLoad, options) + FULL_SLOTS_COST_MS * (endpoint.inFlight + countRequestsBeyondSlots(endpoint, peerLoad)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + backoffMs + computePermitWaitMs(options.getPermit(endpoint), nowMs) + random() * COST_JITTER_MS
 }
 
 /** Computes how long a request would wait for a permit. An answer that has not arrived yet is expected to take as long again. */
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -1,4 +1,5 @@
 import { PrefixCacheEstimate } from './prefixCacheEstimate'
+import { PrefillRate } from './engines/prefillRate'
 import { PrefillLimit } from './prefillLimit'
 import { SlidingWindowCounter } from './slidingWindowCounter'
 
@@ -26,6 +27,8 @@
   pendingTokens: number
   /** Requests that this process sent to the endpoint in the last `SENDS_WINDOW_MS`. */
   recentSends: SlidingWindowCounter
+  /** Speed at which it prefills prompts. */
+  prefillRate: PrefillRate
   /** Limit on the prompt tokens that wait for prefill there. */
   prefillLimit: PrefillLimit
   /** Consecutive broken connections that led to an ejection; 0 after an answer. */
@@ -78,6 +81,7 @@
     inFlight: 0,
     pendingTokens: 0,
     recentSends: new SlidingWindowCounter(SENDS_WINDOW_MS),
+    prefillRate: new PrefillRate(),
     prefillLimit: new PrefillLimit(),
     failures: 0,
     failureRate: 0,
--- a/src/policy/dispatchQueue.ts
+++ b/src/policy/dispatchQueue.ts
@@ -1,13 +1,12 @@
 import { ClassShares } from './classShares'
-import { PREFILL_TOKENS_PER_MS } from './engineRates'
 
 /** A request queued at the gateway until an endpoint has capacity for it. */
 export interface WaitingRequest {
   id: string
   /** Priority rank; 0 goes first. */
   rank: number
-  /** Unique (unshared) tokens of its prompt; 0 for a plain service. */
-  tokens: number
+  /** Milliseconds that the prefill of the unique (unshared) part of its prompt takes; 0 for a plain service. */
+  prefillMs: number
   /** Latest feasible start: the last time at which it can start and meet its target. */
   latestStartAtMs: number
   /** Time from which the request is refused. */
@@ -34,7 +33,7 @@
  *
  * @example
  * const queue = new DispatchQueue()
- * queue.add({ id: 'r-1', rank: 1, tokens: 900, latestStartAtMs: 300, expiresAtMs: 900 })
+ * queue.add({ id: 'r-1', rank: 1, prefillMs: 9, latestStartAtMs: 300, expiresAtMs: 900 })
  * for (const request of queue.listInOrder(nowMs)) if (startIfCapacity(request)) queue.recordStart(request)
  */
 export class DispatchQueue<Request extends WaitingRequest> {
@@ -104,8 +103,8 @@
   }
 }
 
-function computeSortKeyMs ({ latestStartAtMs, tokens }: WaitingRequest): number {
-  return latestStartAtMs + PREFILL_WEIGHT * tokens / PREFILL_TOKENS_PER_MS
+function computeSortKeyMs ({ latestStartAtMs, prefillMs }: WaitingRequest): number {
+  return latestStartAtMs + PREFILL_WEIGHT * prefillMs
 }
 
 function isBefore (one: WaitingRequest, other: WaitingRequest): boolean {
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -1,6 +1,7 @@
 import { BoundedMap } from '../base/boundedMap'
 import { ConsistentHashRing } from './consistentHashRing'
 import { buildDirectEndpoint } from './directEndpoint'
+import { DEFAULT_PREFILL_TOKENS_PER_MS } from './engines/prefillRate'
 import { LeavingNotices } from './leavingNotices'
 
 import type { DirectEndpoint, EndpointEntry } from './directEndpoint'
@@ -102,6 +103,11 @@
     return known.length === 0 ? 0 : Math.min(...known)
   }
 
+  /** Returns the prompt tokens that the endpoints of a service typically prefill per millisecond. */
+  getPrefillTokensPerMs (_service: string): number {
+    return DEFAULT_PREFILL_TOKENS_PER_MS
+  }
+
   /** Returns the ids of the endpoints that are reserved for light prompts. */
   getReservedIds (service: string, version: string | null = null): ReadonlySet<string> {
     return this.#getPool(service, version)?.reservedIds ?? NO_IDS
--- a/src/policy/latestStart.ts
+++ b/src/policy/latestStart.ts
@@ -1,11 +1,11 @@
-import { PREFILL_TOKENS_PER_MS } from './engineRates'
-
 /** Timing that determines the latest feasible start of a request. */
 export interface StartTiming {
   arrivedAtMs: number
   targetMs: number
   /** Prompt tokens that the endpoint prefills for the request; 0 for a plain service. */
   tokens: number
+  /** Prompt tokens that an endpoint of the service prefills per millisecond. */
+  tokensPerMs: number
   /** Milliseconds that the plain service typically takes to answer; 0 when unknown. */
   typicalAnswerMs: number
 }
@@ -19,9 +19,9 @@
  * Otherwise it would displace a request that can still be on time, and be late itself.
  *
  * @example
- * computeLatestStart({ arrivedAtMs: 0, targetMs: 800, tokens: 4000, typicalAnswerMs: 0 }) // 700
+ * computeLatestStart({ arrivedAtMs: 0, targetMs: 800, tokens: 4000, tokensPerMs: 100, typicalAnswerMs: 0 }) // 700
  */
-export function computeLatestStart ({ arrivedAtMs, targetMs, tokens, typicalAnswerMs }: StartTiming): number {
-  const serviceTimeMs = tokens === 0 ? typicalAnswerMs : tokens / PREFILL_TOKENS_PER_MS + FIRST_EVENT_DELAY_MS
+export function computeLatestStart ({ arrivedAtMs, targetMs, tokens, tokensPerMs, typicalAnswerMs }: StartTiming): number {
+  const serviceTimeMs = tokens === 0 ? typicalAnswerMs : tokens / tokensPerMs + FIRST_EVENT_DELAY_MS
   return arrivedAtMs + targetMs - serviceTimeMs
 }
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -1,5 +1,4 @@
 import { chooseDirectEndpoint, countTokens, findDeepestSharedPart, HOME_ENDPOINT_COUNT, updateCapacity } from './directChooser'
-import { PREFILL_TOKENS_PER_MS } from './engineRates'
 import { computeLatestStart } from './latestStart'
 import { PromptSizes } from './promptSizes'
 import { isAvailable } from './endpointAvailability'
@@ -83,7 +82,12 @@
   computeLatestStartAt ({ service, promptParts, arrivedAtMs, targetMs }: PlacementRequest): number {
     const tokens = countUniqueTokens(promptParts)
     const typicalAnswerMs = tokens > 0 ? 0 : this.#options.directory.getTypicalAnswerMs(service)
-    return computeLatestStart({ arrivedAtMs, targetMs, tokens, typicalAnswerMs })
+    return computeLatestStart({ arrivedAtMs, targetMs, tokens, tokensPerMs: this.#options.directory.getPrefillTokensPerMs(service), typicalAnswerMs })
+  }
+
+  /** Computes how long the prefill of the unshared part of a prompt takes. */
+  computePrefillMs ({ service, promptParts }: Pick<PlacementRequest, 'service' | 'promptParts'>): number {
+    return countUniqueTokens(promptParts) / this.#options.directory.getPrefillTokensPerMs(service)
   }
 
   /**
@@ -121,7 +125,7 @@
   /** Records the first event of a prompt: how long the prompt waited at the endpoint, excluding its own prefill time. */
   recordFirstEvent ({ endpoint, unreadTokens: uncachedTokens }: DirectChoice, { sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
     if (uncachedTokens === 0) return
-    const delayMs = nowMs - sentAtMs - uncachedTokens / PREFILL_TOKENS_PER_MS
+    const delayMs = nowMs - sentAtMs - uncachedTokens / endpoint.prefillRate.tokensPerMs
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
   }
 
--- a/src/policy/routeTable.ts
+++ b/src/policy/routeTable.ts
@@ -1,5 +1,5 @@
 import type { StreamLimits } from './versionAssignment'
-import type { CallerBounds, Route, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
+import type { CallerBounds, EngineCapacity, Route, RoutedWorkspace, RoutingConfig } from '../config/routingConfig'
 
 /** Result of matching a caller's API key: its workspace, not needed, missing or unknown. */
 export type KeyMatch =
@@ -22,6 +22,7 @@
   readonly #routesByHost = new Map<string, Route[]>()
   readonly #tightestTargets: Map<string, number>
   readonly #maxConnections: Map<string, number>
+  readonly #engines: Map<string, EngineCapacity>
   /** Services whose streams may be taken up, with the time limits of their routes. */
   readonly streamLimits: ReadonlyMap<string, StreamLimits>
   readonly #workspacesByKey: Map<string, RoutedWorkspace> | null
@@ -34,6 +35,7 @@
     this.#tightestTargets = buildTightestTargets(config.routes)
     this.streamLimits = buildStreamLimits(config.routes)
     this.#maxConnections = new Map(config.services.map(service => [service.name, service.maxConnections]))
+    this.#engines = new Map(config.services.flatMap(({ name, engine }) => engine === null ? [] : [[name, engine] as const]))
     for (const routes of this.#routesByHost.values()) routes.sort((a, b) => b.prefix.length - a.prefix.length)
   }
 
@@ -58,6 +60,11 @@
     return this.#maxConnections.get(service) ?? Infinity
   }
 
+  /** Returns the capacity of the engines of a service; null for a plain or unknown service. */
+  getEngine (service: string): EngineCapacity | null {
+    return this.#engines.get(service) ?? null
+  }
+
   /** Matches a caller's API key with its workspace. */
   matchKey (route: Route, key: string | null): KeyMatch {
     if (this.#workspacesByKey === null) return { kind: 'notNeeded' }
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,4 +1,3 @@
-import { countUniqueTokens } from '../policy/placement'
 import { estimateWaitMs } from '../policy/endpointAvailability'
 import { decideRetry } from '../policy/retryDecision'
 import { waitForPendingInput } from '../base/pendingInput'
@@ -167,7 +166,7 @@
       id: request.traits.requestId,
       service: request.service,
       rank: request.rank,
-      tokens: countUniqueTokens(placementRequest.promptParts),
+      prefillMs: placement.computePrefillMs(placementRequest),
       latestStartAtMs,
       expiresAtMs: request.deadlineAtMs,
       choose: queuedTokens => {
--- a/src/relay/relayRequest.ts
+++ b/src/relay/relayRequest.ts
@@ -23,6 +23,12 @@
   resumedRequestId: string | null
   /** Parts of the prompt in order; the last one is unique to the request. */
   promptParts: PromptPart[]
+  /** Name of the model; null when the caller names none. */
+  model: string | null
+  /** Maximum number of tokens to generate; null when the caller names none. */
+  maxOutputTokens: number | null
+  /** The caller's estimate of the tokens to generate, right at the median but often far off; null when it gives none. */
+  estimatedOutputTokens: number | null
 }
 
 /** An admitted request, with everything needed to relay it. */
--- a/tests/policy/backlogLimit.spec.ts
+++ b/tests/policy/backlogLimit.spec.ts
@@ -7,7 +7,7 @@
 import type { BacklogState } from '../../src/policy/backlogLimit'
 
 function buildBacklogState (overrides: Partial<BacklogState> = {}): BacklogState {
-  return { unreadTokens: 3000, meanUniqueTokens: 3000, isLate: false, localTokens: 0, othersTokens: 10_000, ...overrides }
+  return { unreadTokens: 3000, meanUniqueTokens: 3000, isLate: false, localTokens: 0, othersTokens: 10_000, tokensPerMs: 100, ...overrides }
 }
 
 describe('the backlog limit of an endpoint', () => {
--- a/tests/policy/latestStart.spec.ts
+++ b/tests/policy/latestStart.spec.ts
@@ -17,7 +17,7 @@
   let calls = 0
   for (let nowMs = 0; nowMs < 6000; nowMs++) {
     for (pendingArrivals += load * SLOTS / SERVICE_MS; pendingArrivals >= 1; pendingArrivals--) {
-      queue.add({ id: `c-${calls++}`, rank: 1, tokens: 0, latestStartAtMs: computeLatestStart({ arrivedAtMs: nowMs, targetMs: TARGET_MS, tokens: 0, typicalAnswerMs }), expiresAtMs: nowMs + DEADLINE_MS })
+      queue.add({ id: `c-${calls++}`, rank: 1, prefillMs: 0, latestStartAtMs: computeLatestStart({ arrivedAtMs: nowMs, targetMs: TARGET_MS, tokens: 0, tokensPerMs: 100, typicalAnswerMs }), expiresAtMs: nowMs + DEADLINE_MS })
     }
     queue.removeExpired(nowMs)
     while (endsAtMs.length > 0 && endsAtMs[0]! <= nowMs) endsAtMs.shift()
@@ -32,8 +32,8 @@
 
 describe('computeLatestStart', () => {
   it('should leave time for the prefill, or for the typical answer time of a plain service', () => {
-    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 800, tokens: 4000, typicalAnswerMs: 50 })).to.equal(800)
-    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 390, tokens: 0, typicalAnswerMs: 85 })).to.equal(405)
+    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 800, tokens: 4000, tokensPerMs: 100, typicalAnswerMs: 50 })).to.equal(800)
+    expect(computeLatestStart({ arrivedAtMs: 100, targetMs: 390, tokens: 0, tokensPerMs: 100, typicalAnswerMs: 85 })).to.equal(405)
   })
 
   it('should use nearly the full capacity of a plain service for answers on time when twice as many calls arrive', () => {
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -152,7 +152,7 @@
     gateway.queue.add({
       id: String(this.#requests),
       rank: kind.rank,
-      tokens: promptParts.at(-1)!.tokens,
+      prefillMs: gateway.placement.computePrefillMs(request),
       latestStartAtMs,
       expiresAtMs: nowMs + kind.callerTimeoutMs,
       choose: queuedTokens => choose(queuedTokens, this.#nowMs),
--- a/tests/relay/crashGuard.spec.ts
+++ b/tests/relay/crashGuard.spec.ts
@@ -137,7 +137,7 @@
 function createRequest (part: string, requestId: string, company?: string): RelayRequest {
   const shared = [part, ...company === undefined ? [] : [company]].map(id => ({ id, tokens: 100 }))
   return {
-    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, resumedRequestId: null, promptParts: [...shared, { id: requestId, tokens: 10 }] },
+    traits: { requestId, method: 'POST', host: 'archive.example', target: '/archive', headers: [], key: null, callerTimeoutMs: null, resumeAfterEventId: null, resumedRequestId: null, promptParts: [...shared, { id: requestId, tokens: 10 }], model: null, maxOutputTokens: null, estimatedOutputTokens: null },
     route: { name: 'r-1', kind: 'stream' } as RelayRequest['route'],
     service: 'archive',
     workspace: null,
