--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -1,3 +1,4 @@
+import { isFinalStatus } from '../protocol/answerStatus'
 import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
 import { EventSplitter, selectEventsBefore } from './eventSplitter'
 
@@ -25,7 +26,7 @@
 }
 
 /** Why an answer was rejected. */
-export type RejectReason = 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge' | 'noData' | 'notContinued'
+export type RejectReason = 'invalidStatus' | 'wrongRequest' | 'unsigned' | 'encoded' | 'eventOrder' | 'eventTooLarge' | 'noData' | 'notContinued'
 
 export interface AnswerForwarderOptions {
   request: RelayRequest
@@ -139,6 +140,7 @@
 
   #checkHead (head: AnswerHead, isReused: boolean): RejectReason | null {
     const { traits } = this.#options.request
+    if (!isFinalStatus(head.status)) return 'invalidStatus'
     // on a reused connection, a refusal without an id may be that of an earlier request
     const isOwn = head.requestId === null ? head.isNotRun && !isReused : head.requestId === traits.requestId
     if (!isOwn) return 'wrongRequest'
--- a/src/sidecar/endpoint/endpointExchange.ts
+++ b/src/sidecar/endpoint/endpointExchange.ts
@@ -1,5 +1,7 @@
 import http from 'node:http'
 
+import { isFinalStatus } from '../../protocol/answerStatus'
+
 import type { IncomingMessage } from 'node:http'
 import type { EndpointEnd } from './endpointRun'
 
@@ -36,6 +38,7 @@
     request.on('socket', socket => state.startConnectTimer(socket.connecting, socket))
     request.on('error', error => state.finishBroken(error.message))
     request.on('response', response => {
+      if (!isFinalStatus(response.statusCode ?? 0)) return state.finishBroken(`the endpoint sent status ${response.statusCode}`)
       response.on('data', () => state.resetIdleTimer())
       response.on('error', error => state.finishBroken(error.message))
       options.readAnswer(response, end => state.finish(end))
