Add a check of an operator's configuration before it is sent

Cause: an operator learned of a route that never matches, or of limits that contradict each other, only from requests that went wrong. Change: findRoutingProblems and diffRouting in src/config, for the routing configuration in the product's own words; platform/checkConfig.ts reads JSON and YAML, names each place in the operator's words and compares with a file or the store.

--- a/scripts/buildPlatform.mjs
+++ b/scripts/buildPlatform.mjs
@@ -1,4 +1,4 @@
-// Builds the programs for the platform: the gateway with its code cache, and the small program that starts it.
+// Builds the programs for the platform: the gateway with its code cache, the small program that starts it, and the check of a configuration.
 import { execFileSync } from 'node:child_process'
 import { readFileSync } from 'node:fs'
 
@@ -12,5 +12,6 @@
 
 const flags = RUN_LINE.exec(readFileSync('deploy/system.toml', 'utf8'))[1].split(' ').filter(flag => flag !== '')
 await bundle('platform/main.ts', 'target/gatewayProgram.cjs', { minify: true, alias: ALIAS })
+await bundle('platform/checkConfig.ts', 'target/checkConfig.cjs', { minify: true, alias: ALIAS })
 await bundle('scripts/startCompiled.cjs', 'target/gateway.cjs')
 execFileSync(process.execPath, [...flags, 'scripts/compileAhead.cjs', 'target/gatewayProgram.cjs'], { stdio: 'inherit' })
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -1,6 +1,7 @@
 import { createServer } from 'node:http'
 
 import { readBody } from '../protocol/bodyReader'
+import { MAX_PARSED_HEADER_BYTES } from '../config/routingFindings'
 import { CallerConnections } from '../base/callerConnections'
 import { CallerReply } from './callerReply'
 import { countHeaderBytes } from './headerList'
@@ -31,8 +32,6 @@
 
 /** Bounds in force until the first configuration is read. */
 const INITIAL_BOUNDS: CallerBounds = { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 5000, idleTimeoutMs: 15_000 }
-/** Maximum header bytes that the parser accepts; the configured bound is lower. */
-const MAX_PARSED_HEADER_BYTES = 65_536
 const LISTEN_BACKLOG = 4096
 const CHECK_INTERVAL_MS = 500
 const UNREAD_AT_STOP: Refusal = { code: 'draining', message: 'This gateway stops, and the request has not arrived.', execution: 'not_run', retryAfterMs: 10 }
