Report the usage of each window from one gateway at a time

Cause: deployments whose settings name duties expect a report of the requests that began in each window; nobody sent one.

Change: gateways count the runs of requests by window and workspace and tell them to the readers of the failure domains. One reader stores the counts of a window under a condition, and sends what it stored; the write is claim, renewal and intent in one. A successor sends the same bytes again. Where the settings have no section for duties, there is no call, no line and no message to peers.

--- a/lint/importBoundaries.mjs
+++ b/lint/importBoundaries.mjs
@@ -11,8 +11,9 @@
   membership: ['protocol', 'config', 'store'],
   gateway: ['protocol', 'config', 'policy', 'store', 'membership'],
   sidecar: ['protocol', 'config', 'policy', 'store', 'membership'],
-  relay: ['protocol', 'config', 'policy', 'store'],
-  cli: ['protocol', 'config', 'policy', 'store', 'membership', 'gateway', 'sidecar', 'relay']
+  duties: ['protocol', 'config', 'store'],
+  relay: ['protocol', 'config', 'policy', 'store', 'duties'],
+  cli: ['protocol', 'config', 'policy', 'store', 'membership', 'gateway', 'sidecar', 'relay', 'duties']
 }
 
 /** Literals of the platform's wire protocol, which only `platform/` may contain. */
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -103,6 +103,16 @@
   | { event: 'versionRecordDistrusted', service: string, reason: string, sequence: number | null, era: number }
   /** The object service was restored from an older backup; `era` counts the restores. */
   | { event: 'storeRestored', era: number | null }
+  /** This gateway looked who holds a duty, since it has not heard that the report of `dueWindow` arrived. */
+  | { event: 'dutyChecked', duty: string, dueWindow: number, outcome: string, version: number | null }
+  /** This gateway claimed a duty, or failed to store what it is about to send: `intents` windows up to `window`. */
+  | { event: 'dutyWritten', duty: string, isClaim: boolean, outcome: string, number: number, era: number, window: number, intents: number }
+  /** Another gateway holds the duty now. */
+  | { event: 'dutyLost', duty: string, reason: string }
+  /** The usage of a window was sent to the platform, with the number of the holder. */
+  | { event: 'usageSent', window: number, number: number, outcome: object, workspaces: number, requests: number, elapsedMs: number }
+  /** Windows that are never reported. */
+  | { event: 'usageSkipped', windows: number[] }
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
   /** `requestId` names the request whose answer reported it; undefined when a peer gateway reported it. */
   | { event: 'endpointLeaving', requestId: string | undefined, endpoint: string, bornAtMs: number, source: string, saidAgoMs: number }
--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -36,6 +36,21 @@
 
 export type ProcessSettings = GatewaySettings | SidecarSettings
 
+/** Settings of the calls to the platform that one gateway at a time makes for all. */
+export interface DutySettings {
+  /** Base URL of the platform's interface for them. */
+  url: string
+  /** Names of the duties, as the platform spells them. */
+  names: string[]
+  /** Calls per second that the platform takes from all gateways together. */
+  callsPerSecond: number
+  /** Milliseconds within which a duty must not go to another holder and back. */
+  leaseMs: number
+  /** Length of the windows whose usage is reported, and the time after its end at which a report is due. */
+  usageWindowSeconds: number
+  usageLateSeconds: number
+}
+
 /** Settings of a gateway that relays requests directly to endpoints. */
 export interface RelaySettings {
   /** Instance name, unique in the fleet. */
@@ -68,4 +83,6 @@
   retryWindowSeconds: number
   maxDescriptors: number
   logBytesPerSecond: number
+  /** Calls to the platform that one gateway makes for all; null when there are none. */
+  duties: DutySettings | null
 }
--- a/src/config/processSettingsSchema.ts
+++ b/src/config/processSettingsSchema.ts
@@ -57,7 +57,15 @@
   retryRatio: z.number().min(0).max(1).describe('the retries allowed per request, from 0 to 1'),
   retryWindowSeconds: secondsSchema.describe('the seconds of the window in which retries are counted'),
   maxDescriptors: durationSchema.describe('the number of file descriptors that the process may open'),
-  logBytesPerSecond: durationSchema.default(65_536).describe('the bytes per second that the log may write')
+  logBytesPerSecond: durationSchema.default(65_536).describe('the bytes per second that the log may write'),
+  duties: z.strictObject({
+    url: commonShape.platform,
+    names: z.array(z.string()).describe('the names of the duties, such as usage_report'),
+    callsPerSecond: z.number().positive().describe('the calls per second that the platform accepts from all gateways together'),
+    leaseMs: durationSchema.describe('the milliseconds within which a duty must not go to another holder and back'),
+    usageWindowSeconds: secondsSchema.describe('the seconds of the windows whose usage is reported'),
+    usageLateSeconds: secondsSchema.describe('the seconds after the end of a window at which its report is due')
+  }).nullable().default(null).describe('the calls to the platform that one gateway at a time makes for all')
 })
 
 /**
--- /dev/null
+++ b/src/protocol/usageMessages.ts
@@ -0,0 +1,26 @@
+import * as z from 'zod'
+
+/** Requests that began in one window: its number, and for each workspace the count so far. */
+const windowCountsSchema = z.tuple([z.number().int(), z.array(z.tuple([z.string(), z.number().int().min(0)]))])
+
+/** Counts of one process: its id, its failure domain, the Unix milliseconds since which it counts, and its windows. */
+const processCountsSchema = z.tuple([z.string().max(200), z.string(), z.number(), z.array(windowCountsSchema)])
+
+export type ProcessCountsMessage = z.infer<typeof processCountsSchema>
+
+/** What a process says of itself in the exchange of usage counts. */
+const usageAnswerShape = {
+  /** Id of the process; a gateway that started again has another one, and does not know what it was told before. */
+  process: z.string().max(200),
+  /** Last window that is settled at the platform together with all before it; null when the process knows of none. */
+  reported: z.number().int().nullable()
+}
+
+/** Counts of requests that began, as one gateway tells them to another. They are cumulative for each process and window. */
+export const usageUpdateSchema = z.object({ ...usageAnswerShape, counts: z.array(processCountsSchema) })
+
+export type UsageUpdate = z.infer<typeof usageUpdateSchema>
+
+export const usageAnswerSchema = z.object(usageAnswerShape)
+
+export type UsageAnswer = z.infer<typeof usageAnswerSchema>
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -52,6 +52,8 @@
   handleLimit: (limit: NamedLimit, answer: LimitedAnswer) => void
   /** Called when the first event of a stream has arrived that may go on at the same version only. */
   handleBegun: (request: RelayRequest, version: string) => void
+  /** Called once for each attempt whose request began to run at the endpoint, with the monotonic milliseconds at which it did. */
+  handleRun: (request: RelayRequest, beganAtMs: number) => void
   /** Called when a connection broke to an endpoint that serves streams of its version only. */
   handleBroken: (endpoint: DirectEndpoint) => void
   /** Called when an endpoint has prefilled a prompt or ended a request, and may have capacity. */
@@ -131,6 +133,7 @@
   #streamedMs = 0
   #hasReportedAnswer = false
   #stopReason: StopReason | null = null
+  #hasRun = false
 
   constructor (options: EndpointSenderOptions, budget: ByteBudget, input: AttemptInput) {
     this.#options = options
@@ -250,6 +253,7 @@
     const { request, choice } = this.#input
     const nowMs = clock.getMonotonicMs()
     this.#begunAtMs = nowMs
+    if (this.#forwarder.head?.isEventStream === true) this.#recordRun(nowMs)
     placement.recordFirstEvent(choice, {
       // how long the prompt waited there, and not how long its event waited here
       sentAtMs: nowMs - computeReadableElapsedMs(clock, this.#startedAtMs),
@@ -261,6 +265,13 @@
     handleCapacity(request.service)
   }
 
+  /** Records once that the request began to run. */
+  #recordRun (beganAtMs: number): void {
+    if (this.#hasRun) return
+    this.#hasRun = true
+    this.#options.handleRun(this.#input.request, beganAtMs)
+  }
+
   #recordEvents (count: number): void {
     if (this.#eventCount === 0) this.#recordVersion()
     this.#streamedMs = this.#options.clock.getMonotonicMs() - this.#begunAtMs!
@@ -293,6 +304,7 @@
     const ended = this.#resolveResult(exchangeResult, computeReadableElapsedMs(clock, this.#startedAtMs))
     if (ended.verdict !== null) recordAttemptResult(this.#endpoint, ended.verdict, nowMs)
     this.#recordCrashEvidence(exchangeResult)
+    if (hasRunWhole(exchangeResult, this.#forwarder.head, request)) this.#recordRun(this.#startedAtMs)
     this.#report(ended, nowMs)
     return ended
   }
@@ -386,6 +398,12 @@
   }
 }
 
+/** Returns whether the end of an exchange shows that a request ran that is not answered in events. A stream runs from its first event on. */
+function hasRunWhole ({ kind }: ExchangeResult, head: AnswerHead | null, { route }: RelayRequest): boolean {
+  if (route.kind === 'stream') return kind === 'collected' && head !== null && isSuccess(head.status)
+  return kind === 'broken' || kind === 'passed' || (kind === 'collected' && head !== null && !head.isNotRun && !NOT_RUN_STATUSES.has(head.status))
+}
+
 /** Builds the result of a rejected answer. An endpoint that sends bytes without end is avoided at once. */
 function buildRejectResult (reason: RejectReason | null): EndedAttempt {
   const isEndless = reason === 'noData' || reason === 'eventTooLarge'
--- a/src/relay/peerClient.ts
+++ b/src/relay/peerClient.ts
@@ -3,10 +3,12 @@
 
 import { RpcClient } from '../protocol/rpcClient'
 import { permitAnswerSchema } from '../protocol/permitMessages'
+import { usageAnswerSchema } from '../protocol/usageMessages'
 import { loadUpdateSchema, peerUpdateSchema, viewAnswerSchema } from '../protocol/viewMessages'
 
 import type { Progress } from '../base/progress'
 import type { PermitAnswer, PermitRequest } from '../protocol/permitMessages'
+import type { UsageAnswer, UsageUpdate } from '../protocol/usageMessages'
 import type { LoadUpdate, PeerUpdate, ViewAnswer } from '../protocol/viewMessages'
 import type { RpcError } from '../protocol/rpcError'
 import type { ViewReader } from '../store/sharedViewService'
@@ -48,6 +50,11 @@
     return await this.#call('requestPermits', request, permitAnswerSchema, progress)
   }
 
+  /** Tells counts of requests that began. */
+  async sendUsageUpdate (update: UsageUpdate, progress: Progress): Promise<Result<UsageAnswer, string>> {
+    return await this.#call('exchangeUsage', update, usageAnswerSchema, progress)
+  }
+
   close (): void {
     this.#client.close()
   }
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -13,6 +13,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { PeerIdentity } from '../policy/peerTable'
+import type { UsageAnswer, UsageUpdate } from '../protocol/usageMessages'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
 import type { CrashGuard } from './crashGuard'
@@ -36,6 +37,8 @@
   handleLeaving: (notice: LeavingNotice) => void
   /** Lists the endpoints whose process may have ended since its entry was read. */
   listDoubted: () => DoubtedEndpoint[]
+  /** Applies another gateway's usage counts; null where usage is not reported. */
+  handleUsageUpdate: ((update: UsageUpdate) => UsageAnswer) | null
   log: DecisionLog
 }
 
@@ -57,7 +60,7 @@
   readonly loads: PeerLoadTable
 
   constructor (options: PeerNetworkOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, handleUsageUpdate, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
     const toReadable = (monotonicMs: number) => toReadableMs(clock, monotonicMs)
@@ -92,7 +95,8 @@
       view: this.view,
       handlePeerUpdate: update => this.#gossip.receiveUpdate(update),
       handleLoadUpdate: update => this.#loadExchange.receiveUpdate(update),
-      handlePermitRequest: request => limits.answerRequest(request)
+      handlePermitRequest: request => limits.answerRequest(request),
+      handleUsageUpdate
     })
   }
 
@@ -152,6 +156,20 @@
     return this.#table.chooseReader(this.#options.clock.getMonotonicMs()) === null
   }
 
+  /** Lists the gateways that are told what this one counts: the reader of its failure domain, or those of the others when it is the reader. */
+  listCountTargets (): PeerClient[] {
+    const nowMs = this.#options.clock.getMonotonicMs()
+    const reader = this.#table.chooseReader(nowMs)
+    return (reader === null ? this.#table.listRemoteReaders(nowMs) : [reader]).map(peer => this.openClient(peer))
+  }
+
+  /** Returns the position of this gateway among the readers of all failure domains, from 0; null when it is none. */
+  findReaderRank (): number | null {
+    const readers = [...this.#table.listRemoteReaders(this.#options.clock.getMonotonicMs()), this.#table.self]
+    readers.sort((one, other) => one.domain < other.domain ? -1 : 1)
+    return this.isReader() ? readers.findIndex(({ id }) => id === this.#table.self.id) : null
+  }
+
   openClient (peer: PeerIdentity): PeerClient {
     return this.#gossip.openClient(peer)
   }
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -5,6 +5,7 @@
 import { ReadableTime } from '../base/readableTime'
 import { getProcessorMs } from '../base/processorTime'
 import { StateDump } from '../base/stateDump'
+import { UsageReporting } from '../duties/usageReporting'
 import { EndpointDirectory } from '../policy/endpointDirectory'
 import { Placement } from '../policy/placement'
 import { countBuckets } from '../policy/versionAssignment'
@@ -36,6 +37,7 @@
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
 import type { RelaySettings } from '../config/processSettings'
+import type { UsagePlatform } from '../duties/dutyRunner'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { RetryWindowOptions } from '../policy/retryWindow'
 import type { ObjectService } from '../store/objectService'
@@ -51,6 +53,8 @@
   endpointDialect: EndpointDialect
   /** Path of the readiness check that the balancer calls. */
   readyPath: string
+  /** Receives usage reports; null where none are due. */
+  usagePlatform?: UsagePlatform | null
   log: DecisionLog
 }
 
@@ -72,7 +76,7 @@
 /** File descriptors reserved for files, the object service and operators; callers must not use them up. */
 const RESERVED_DESCRIPTORS = 400
 /** Settings that are read only at start. */
-const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
+const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare', 'duties'] as const
 const MS_PER_SECOND = 1000
 
 /** Runs one gateway that relays requests straight to endpoints. */
@@ -92,6 +96,7 @@
   readonly #stallDetector: StallDetector
   readonly #crashes: CrashGuard
   readonly #peers: PeerNetwork
+  readonly #usage: UsageReporting | null
   readonly #registry: VersionRegistry
   readonly #versions: StreamVersions
   readonly #originStore: StreamOriginStore
@@ -133,6 +138,7 @@
       heartbeatMs: settings.heartbeatMs,
       getListReadAtMs: () => this.#fleetWatcher.listReadAtMs
     })
+    this.#usage = this.#createUsageReporting(clock)
     // the registry reads through the view of the peers, which report the versions of streams
     this.#versions = new StreamVersions({ clock, getRegistry: () => this.#registry, readStoredOrigins: async () => await this.#originStore.read(), observer: this.#observer, countReadyVersions })
     this.#peers = new PeerNetwork({
@@ -147,6 +153,7 @@
       versions: this.#versions,
       handleLeaving: notice => this.#recordLeaving(notice),
       listDoubted: () => identity.listDoubted(),
+      handleUsageUpdate: this.#usage === null ? null : update => this.#usage!.receiveUpdate(update),
       log
     })
     this.#registry = new VersionRegistry({
@@ -211,6 +218,7 @@
       getTightestTargetMs: name => this.#fleetWatcher.table?.getTightestTargetMs(name) ?? Infinity,
       handleLeaving: ({ entry }, request) => this.#recordLeaving({ id: entry.id, bornAtMs: entry.bornAtMs, source: 'answer', saidAtMs: systemClock.getMonotonicMs() }, request.traits.requestId),
       handleBegun: (request, version) => this.#versions.recordBegun(request, version),
+      handleRun: (request, beganAtMs) => this.#usage?.recordRun(request.workspace, beganAtMs),
       handleLimit: (limit, answer) => this.#limits.recordAnswer(limit, answer),
       handleBroken: endpoint => {
         this.#peers.notifyDoubt()
@@ -268,6 +276,7 @@
     const callers = await this.#server.listen(listen.callers)
     const admin = await this.#adminListener.listen(listen.admin)
     await this.#peers.start()
+    this.#usage?.start()
     return { ready, callers, admin }
   }
 
@@ -304,7 +313,9 @@
       peers: this.#peers,
       log
     })
+    this.#usage?.startLeaving()
     await this.#stop.run()
+    await this.#usage?.flush()
   }
 
   /** Closes everything immediately, without waiting for requests in flight. */
@@ -316,7 +327,26 @@
     this.#dispatcher.close()
     this.#stallDetector.close()
     this.#readableTime.close()
-    await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#peers.close()])
+    await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#usage?.stop(), this.#peers.close()])
+  }
+
+  /** Creates the usage report; null where the settings name none. */
+  #createUsageReporting (clock: Clock): UsageReporting | null {
+    const { settings: { id, domain, duties }, usagePlatform, service, log } = this.#options
+    if (duties === null || usagePlatform === undefined || usagePlatform === null) return null
+    return new UsageReporting({
+      clock,
+      random: Math.random,
+      gateway: id,
+      domain,
+      settings: duties,
+      service,
+      platform: usagePlatform,
+      log,
+      metrics: this.#metrics,
+      listPeers: () => this.#peers.listCountTargets(),
+      getRank: () => this.#peers.findReaderRank()
+    })
   }
 
   /** Records that an endpoint is leaving; `requestId` names the request whose answer announced it. */
@@ -364,6 +394,7 @@
     this.#dump.register('peers', () => this.#peers.listPeers())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.getUsage(service, systemClock.getMonotonicMs()) })))
+    if (this.#usage !== null) this.#dump.register('duties', () => this.#usage?.readState())
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
 }
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -11,6 +11,7 @@
 
 import type { AddressInfo, Server, Socket } from 'node:net'
 import type { DecisionLine } from '../../src/base/decisionEvents'
+import type { UsagePlatform } from '../../src/duties/dutyRunner'
 import type { RelaySettings } from '../../src/config/processSettings'
 
 /** One request as received on an endpoint's socket. */
@@ -119,6 +120,7 @@
     retryWindowSeconds: 10,
     maxDescriptors: 4096,
     logBytesPerSecond: 1_000_000,
+    duties: null,
     ...overrides
   }
 }
@@ -134,7 +136,7 @@
 }
 
 /** Starts a gateway with the platform's dialects and an object service in memory. */
-export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}, store = new MemoryObjectStore()): Promise<RelayFixture> {
+export async function startRelay (config: unknown = buildPlatformConfig(), endpoints: EndpointFixture[] = [], settings: Partial<RelaySettings> = {}, store = new MemoryObjectStore(), usagePlatform: UsagePlatform | null = null): Promise<RelayFixture> {
   const service = new MemoryObjectService(store)
   if (config !== null) store.put('config/main', config)
   for (const endpoint of endpoints) registerEndpoint(store, endpoint)
@@ -147,6 +149,7 @@
     callerDialect,
     endpointDialect,
     readyPath: READY_PATH,
+    usagePlatform,
     log: new DecisionLog({ instance: 'gateway-1', bytesPerSecond: 1_000_000, destination })
   })
   const addresses = await relay.start()
