--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -67,5 +67,7 @@
   /** Length in seconds of the window in which retries are counted. */
   retryWindowSeconds: number
   maxDescriptors: number
+  /** Megabytes of memory that the process may take. */
+  memoryMb: number
   logBytesPerSecond: number
 }
--- a/tests/platform/gatewayProgram.ts
+++ b/tests/platform/gatewayProgram.ts
@@ -16,13 +16,32 @@
 /** One line of the program's log. */
 export type LogLine = Record<string, unknown> & { event: string }
 
-/** Those of the deploy file, for which the build compiles the program. */
-const PROGRAM_ARGUMENTS = ['--max-old-space-size=120', 'target/gateway.cjs']
+export interface GatewayProgramOptions {
+  /** Arguments of Node.js; by default those of the deploy file, for which the build compiles the program. */
+  nodeArguments: string[]
+  /** Changes of the settings file. */
+  settings: Record<string, unknown>
+  config: unknown
+  /** Requests that the endpoint takes at once. */
+  slots: number
+  /** Called with each request that the endpoint has received; by default it is held. */
+  answer: ((request: ReceivedRequest) => void) | null
+}
+
+const PROGRAM_FILE = 'target/gateway.cjs'
 const ROUTE_TIMEOUT_MS = 10_000
 const STOP_SECONDS = 6
+const DEFAULT_OPTIONS: GatewayProgramOptions = {
+  nodeArguments: ['--max-old-space-size=120'],
+  settings: {},
+  config: buildPlatformConfig({ routes: [buildRoute({ timeoutMs: ROUTE_TIMEOUT_MS })] }),
+  slots: 6,
+  answer: null
+}
 
 /** The real program of a gateway with its store and one endpoint, which holds its requests until a test answers them. */
 export class GatewayProgram {
+  readonly #options: GatewayProgramOptions
   readonly #folder = mkdtempSync(path.join(os.tmpdir(), 'program-'))
   readonly #file = path.join(this.#folder, 'settings.yaml')
   readonly #store = new ObjectsServer()
@@ -35,22 +54,31 @@
   port = 0
   readyPort = 0
 
+  constructor (options: Partial<GatewayProgramOptions> = {}) {
+    this.#options = { ...DEFAULT_OPTIONS, ...options }
+  }
+
+  get pid (): number {
+    return this.#child?.pid ?? 0
+  }
+
   get isRunning (): boolean {
     return this.#child !== null && this.#child.exitCode === null && this.#child.signalCode === null
   }
 
   /** Starts the program; `loadingSignal` arrives while it is loading. */
   async start (loadingSignal?: NodeJS.Signals): Promise<void> {
+    const { nodeArguments, settings, config, slots, answer } = this.#options
     const [callers, ready, admin] = await findFreePorts(3)
     this.port = callers!
     this.readyPort = ready!
     await this.#store.open()
-    this.#endpoint = await startEndpoint('e-1', request => { this.held.push(request) })
-    this.#store.put('config', 'main', buildPlatformConfig({ routes: [buildRoute({ timeoutMs: ROUTE_TIMEOUT_MS })] }))
-    this.#store.put('servers', 'e-1', { service: 'archive', address: this.#endpoint.address, zone: 'a', version: 'v1', slots: 6, state: 'ready', seq: 1, born: 1 })
-    this.writeSettings(buildProgramSettings({ callers: callers!, ready: ready!, admin: admin! }, this.#store.url, STOP_SECONDS))
+    this.#endpoint = await startEndpoint('e-1', answer ?? (request => { this.held.push(request) }))
+    this.#store.put('config', 'main', config)
+    this.#store.put('servers', 'e-1', { service: 'archive', address: this.#endpoint.address, zone: 'a', version: 'v1', slots, state: 'ready', seq: 1, born: 1 })
+    this.writeSettings({ ...buildProgramSettings({ callers: callers!, ready: ready!, admin: admin! }, this.#store.url, STOP_SECONDS), ...settings })
     const preload = loadingSignal === undefined ? [] : ['--require', './tests/fixtures/signalWhileLoading.cjs']
-    const child = spawn(process.execPath, [...preload, ...PROGRAM_ARGUMENTS], { env: { PATH: process.env.PATH, TANAGERWICK_NODE_FILE: this.#file, TEST_SIGNAL: loadingSignal ?? '' }, stdio: ['ignore', 'pipe', 'inherit'] })
+    const child = spawn(process.execPath, [...preload, ...nodeArguments, PROGRAM_FILE], { env: { PATH: process.env.PATH, TANAGERWICK_NODE_FILE: this.#file, TEST_SIGNAL: loadingSignal ?? '' }, stdio: ['ignore', 'pipe', 'inherit'] })
     this.#child = child
     this.#exit = once(child, 'close')
     createInterface({ input: child.stdout }).on('line', line => this.lines.push(JSON.parse(line)))
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -118,6 +118,7 @@
     retryRatio: 0.2,
     retryWindowSeconds: 10,
     maxDescriptors: 4096,
+    memoryMb: 200,
     logBytesPerSecond: 1_000_000,
     ...overrides
   }
