--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -82,6 +82,8 @@
   /** Length in seconds of the window in which retries are counted. */
   retryWindowSeconds: number
   maxDescriptors: number
+  /** Megabytes of memory that the process may take. */
+  memoryMb: number
   logBytesPerSecond: number
   /** Calls to the platform that one gateway makes for all; null when there are none. */
   duties: DutySettings | null
