Share the room of a rank between workspaces by service received

Cause: the queue of a gateway orders by rank, size and latest start, so a workspace that sends many times its usual fills it for all. Change: inside a rank, requests within their workspace's share of the tokens received lately at all gateways go first, and those above it start only at endpoints that would soon run idle while others wait. Gateways report the largest demands in a field of the load update, where requests wait. The replay of a load knows workspaces, and its first events are judged by the tightest target of the load.

--- a/src/policy/peerLoadTable.ts
+++ b/src/policy/peerLoadTable.ts
@@ -1,4 +1,7 @@
 import { FleetSize } from './fleetSize'
+import { mergeDemands } from './workspaceDemand'
+
+import type { DemandEntry, WorkspaceDemand } from './workspaceDemand'
 
 /** Load of one or more gateways at an endpoint. */
 export interface EndpointLoad {
@@ -19,6 +22,8 @@
 
 interface ReceivedReport {
   report: LoadReport
+  /** What workspaces received and wait for at those gateways; empty where none compete. */
+  demands: readonly DemandEntry[]
   /** Number of gateways whose load the report includes. */
   gateways: number
   scope: ReportScope
@@ -32,6 +37,7 @@
  * domains. After the reader has changed, both are there for a while and include the same gateways.
  */
 const OTHERS_REPORT_VALID_MS = 700
+const NO_DEMANDS: ReadonlyMap<string, WorkspaceDemand> = new Map()
 const NO_LOAD: EndpointLoad = { inFlight: 0, pendingTokens: 0, heardAtMs: -Infinity, permittedSends: 0 }
 
 /**
@@ -48,6 +54,9 @@
   readonly #fleetSize: FleetSize
   #total: LoadReport = new Map()
   #gatewayCount = 1
+  /** Demands of the used reports by service, rank and workspace; null until they are asked for. */
+  #demands: Map<string, Map<string, WorkspaceDemand>> | null = null
+  #usedReports: readonly ReceivedReport[] = []
   readonly #toReadable: (monotonicMs: number) => number
 
   /**
@@ -60,8 +69,8 @@
   }
 
   /** Records a reporter's load: its own, or the total of the `gateways` that it reports for. */
-  record (reporter: string, report: LoadReport, nowMs: number, { gateways, scope }: { gateways: number, scope: ReportScope } = { gateways: 1, scope: 'gateway' }): void {
-    this.#reports.set(reporter, { report, gateways, scope, atMs: nowMs })
+  record (reporter: string, report: LoadReport, nowMs: number, { gateways, scope, demands = [] }: { gateways: number, scope: ReportScope, demands?: readonly DemandEntry[] } = { gateways: 1, scope: 'gateway' }): void {
+    this.#reports.set(reporter, { report, demands, gateways, scope, atMs: nowMs })
     this.expire(nowMs)
   }
 
@@ -69,6 +78,8 @@
   expire (nowMs: number): void {
     for (const [reporter, { atMs }] of this.#reports) if (this.#computeAgeMs(atMs, nowMs) > REPORT_EXPIRY_MS) this.#reports.delete(reporter)
     const used = this.#selectReports(nowMs)
+    this.#usedReports = used
+    this.#demands = null
     this.#total = addReports(used.map(({ report }) => report))
     this.#gatewayCount = used.reduce((sum, { gateways }) => sum + gateways, 1)
     this.#fleetSize.record(this.#gatewayCount, nowMs)
@@ -89,6 +100,17 @@
     return this.#total.get(endpointId) ?? NO_LOAD
   }
 
+  /** Returns what the workspaces received and wait for at the peer gateways, in a rank of a service. */
+  getPeerDemands (service: string, rank: number): ReadonlyMap<string, WorkspaceDemand> {
+    this.#demands ??= collectDemands(mergeDemands(this.#usedReports.map(({ demands }) => demands)))
+    return this.#demands.get(`${rank} ${service}`) ?? NO_DEMANDS
+  }
+
+  /** Computes the demands of `own` and of the gateways that report to this one, except those of excluded reporters. */
+  computeTotalDemands (own: readonly DemandEntry[], isExcluded: (reporter: string) => boolean): DemandEntry[] {
+    return mergeDemands([own, ...this.#listDirectReports(isExcluded).map(({ demands }) => demands)])
+  }
+
   /** Counts the gateways that report to this one, and this one, except those of excluded reporters. */
   countGateways (isExcluded: (reporter: string) => boolean): number {
     return this.#listDirectReports(isExcluded).reduce((sum, { gateways }) => sum + gateways, 1)
@@ -131,3 +153,13 @@
   }
   return sum
 }
+
+function collectDemands (entries: readonly DemandEntry[]): Map<string, Map<string, WorkspaceDemand>> {
+  const groups = new Map<string, Map<string, WorkspaceDemand>>()
+  for (const entry of entries) {
+    const key = `${entry.rank} ${entry.service}`
+    const group = groups.get(key) ?? new Map<string, WorkspaceDemand>()
+    groups.set(key, group.set(entry.workspace, entry))
+  }
+  return groups
+}
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -86,6 +86,9 @@
 /** Prompt parts that endpoints have answered: key, milliseconds since the answer began. */
 const answeredPartsSchema = z.array(z.tuple([z.string().max(64), z.number()]))
 
+/** What workspaces received lately and wait for, where requests wait: by service and rank, the workspace, tokens received and tokens waiting. */
+const workspaceDemandsSchema = z.array(z.tuple([z.string().max(200), z.number(), z.array(z.tuple([z.string().max(200), z.number().min(0), z.number().min(0)])).max(256)])).max(256)
+
 /** Load update exchanged between two gateways. It excludes the load of the receiver itself. */
 export const loadUpdateSchema = z.object({
   /** Id of the reporting gateway. */
@@ -101,7 +104,8 @@
   crashes: partCrashesSchema.default([]),
   answered: answeredPartsSchema.default([]),
   /** Streams whose version the version record does not say for certain. */
-  begun: begunStreamsSchema.default([])
+  begun: begunStreamsSchema.default([]),
+  demands: workspaceDemandsSchema.default([])
 })
 
 export type LoadUpdate = z.infer<typeof loadUpdateSchema>
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -1,6 +1,7 @@
 import { estimateWaitMs } from '../policy/endpointAvailability'
 import { decideRetry } from '../policy/retryDecision'
 import { waitForPendingInput } from '../base/pendingInput'
+import { buildShareClaim } from './shareClaim'
 import { buildUnknownRefusal } from './streamVersions'
 
 import type { Clock } from '../base/clock'
@@ -10,6 +11,7 @@
 import type { PlacementRequest, Placement } from '../policy/placement'
 import type { RetryState, DirectAttemptOutcome } from '../policy/retryDecision'
 import type { VersionChoice } from '../policy/versionChoice'
+import type { ShareStanding } from '../policy/workspaceShares'
 import type { RetryWindow } from '../policy/retryWindow'
 import type { Refusal } from '../protocol/errorBody'
 import type { CallerReply } from './callerReply'
@@ -157,6 +159,7 @@
       return null
     }
     const placementRequest = toPlacementRequest(request)
+    const claim = buildShareClaim(request)
     const latestStartAtMs = placement.computeLatestStartAt(placementRequest)
     const hold = new AbortController()
     const chooseEndpoint = placement.createChooser(placementRequest, { triedIds: state.tried, latestStartAtMs, findVersion: () => this.#findVersion(state, hold) })
@@ -169,12 +172,13 @@
       prefillMs: placement.computePrefillMs(placementRequest),
       latestStartAtMs,
       expiresAtMs: request.deadlineAtMs,
+      claim,
       choose: queuedTokens => {
         lastChoice = chooseEndpoint(queuedTokens, clock.getMonotonicMs())
         if (lastChoice?.needsPermit === true) limits.requestPermits(lastChoice.endpoint, dispatcher.countWaiting(request.service))
         return lastChoice
       },
-      reserve: reserved => this.#reserveEndpoint(state, reserved)
+      reserve: (reserved, standing) => this.#reserveEndpoint(state, reserved, standing)
     }, AbortSignal.any([reply.signal, hold.signal]))
     this.#waiting.delete(state)
     if (choice === null && hold.signal.aborted) {
@@ -182,7 +186,7 @@
       return null
     }
     if (choice === null) {
-      observer.recordWaitEnded(request, lastChoice, dispatcher.countWaiting(request.service), clock.getMonotonicMs())
+      observer.recordWaitEnded(request, lastChoice, { waiting: dispatcher.countWaiting(request.service), standing: dispatcher.describeShare({ service: request.service, rank: request.rank, claim }) }, clock.getMonotonicMs())
       setRefusalIfNotRun(state, createOverloadedRefusal(this.#estimateWaitMs(request, this.#listUntried(state))))
       return null
     }
@@ -237,11 +241,11 @@
     })
   }
 
-  #reserveEndpoint (state: RelayState, choice: DirectChoice): void {
+  #reserveEndpoint (state: RelayState, choice: DirectChoice, standing: ShareStanding | null): void {
     const { clock, observer, placement, limits } = this.#options
     const nowMs = clock.getMonotonicMs()
     state.tried.add(choice.endpoint.entry.id)
-    observer.recordEndpointChoice(state.request, choice, { attempt: state.attempts + 1, limitPerSecond: limits.getLimit(choice.endpoint) }, nowMs)
+    observer.recordEndpointChoice(state.request, choice, { attempt: state.attempts + 1, limitPerSecond: limits.getLimit(choice.endpoint), standing }, nowMs)
     limits.takePermit(choice.endpoint)
     placement.reserve(choice, state.request.traits.promptParts, nowMs)
     state.attempts += 1
--- a/src/relay/dispatcher.ts
+++ b/src/relay/dispatcher.ts
@@ -4,6 +4,8 @@
 import type { Clock } from '../base/clock'
 import type { DirectChoice } from '../policy/directChooser'
 import type { DispatchCandidate } from '../policy/dispatchPass'
+import type { DemandEntry } from '../policy/workspaceDemand'
+import type { PeerDemands, ShareRequest, ShareStanding } from '../policy/workspaceShares'
 
 /** A request for an endpoint of a service; `choose` is called whenever capacity may have become free. */
 export interface DispatchRequest extends DispatchCandidate {
@@ -12,6 +14,8 @@
 
 export interface DispatcherOptions {
   clock: Clock
+  /** Returns what the workspaces received and wait for at the peer gateways, in a rank of a service; none by default. */
+  getPeerDemands?: (service: string, rank: number) => PeerDemands
 }
 
 interface ServiceQueue {
@@ -38,12 +42,14 @@
  */
 export class Dispatcher {
   readonly #clock: Clock
+  readonly #getPeerDemands: NonNullable<DispatcherOptions['getPeerDemands']>
   readonly #queues = new Map<string, ServiceQueue>()
   /** Set only while requests are queued. */
   #expiryTimer: NodeJS.Timeout | null = null
 
   constructor (options: DispatcherOptions) {
     this.#clock = options.clock
+    this.#getPeerDemands = options.getPeerDemands ?? (() => new Map())
   }
 
   /** Counts the requests queued for a service. */
@@ -60,6 +66,17 @@
     return [...this.#queues].map(([service, { queue }]) => ({ service, waiting: queue.size }))
   }
 
+  /** Lists what the workspaces received lately and wait for, where requests wait here or at peers. */
+  listDemands (): DemandEntry[] {
+    const nowMs = this.#clock.getMonotonicMs()
+    return [...this.#queues].flatMap(([service, { queue }]) => queue.listDemands(nowMs).map(demand => ({ service, ...demand })))
+  }
+
+  /** Describes where the workspace of a request stands against its share; null when no other one competes with it here. */
+  describeShare (request: ShareRequest & { service: string, rank: number }): ShareStanding | null {
+    return this.#queues.get(request.service)?.queue.describeShare(request, this.#clock.getMonotonicMs()) ?? null
+  }
+
   /** Waits for an endpoint with capacity. Returns null when the request expires or `signal` aborts. */
   async wait (request: DispatchRequest, signal: AbortSignal): Promise<DirectChoice | null> {
     const serviceQueue = this.#getQueue(request.service)
@@ -78,7 +95,7 @@
       }
       signal.addEventListener('abort', handleAbort, { once: true })
       const isFirst = queue.size === 0
-      queue.add(queued)
+      queue.add(queued, this.#clock.getMonotonicMs())
       if (isFirst) this.#runPass(serviceQueue)
       else this.notifyCapacity(request.service)
       if (queue.size > 0) this.#expiryTimer ??= setTimeout(() => this.#expire(), EXPIRY_CHECK_INTERVAL_MS)
@@ -129,7 +146,7 @@
   #getQueue (service: string): ServiceQueue {
     const existing = this.#queues.get(service)
     if (existing !== undefined) return existing
-    const created: ServiceQueue = { queue: new DispatchQueue<QueuedRequest>(), lastPassAtMs: -Infinity, passTimer: null }
+    const created: ServiceQueue = { queue: new DispatchQueue<QueuedRequest>(rank => this.#getPeerDemands(service, rank)), lastPassAtMs: -Infinity, passTimer: null }
     this.#queues.set(service, created)
     return created
   }
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -1,6 +1,7 @@
 import { Progress } from '../base/progress'
 import { addJitter } from '../store/backoff'
 import { BackgroundTask } from '../store/backgroundTask'
+import { decodeDemands, encodeDemands } from './demandReports'
 import { collectByVersion } from './streamOriginStore'
 import { DOMAIN_SOURCES } from './streamVersions'
 
@@ -11,6 +12,7 @@
 import type { EndpointLoad, PeerLoadTable, LoadReport, ReportScope } from '../policy/peerLoadTable'
 import type { PeerTable } from '../policy/peerTable'
 import type { OriginKnowledge } from '../policy/streamOrigins'
+import type { DemandEntry } from '../policy/workspaceDemand'
 import type { LoadUpdate } from '../protocol/viewMessages'
 import type { CrashGuard } from './crashGuard'
 import type { DoubtedEndpoint } from './endpointIdentity'
@@ -32,6 +34,8 @@
   handleLeaving: (notice: LeavingNotice) => void
   /** Lists the endpoints whose process may have ended since its entry was read, with the time of the sign. */
   listDoubted: () => DoubtedEndpoint[]
+  /** Lists what workspaces received and wait for at this gateway, where requests wait. */
+  listDemands: () => DemandEntry[]
   openClient: (peer: { id: string, address: string }) => PeerClient
 }
 
@@ -115,12 +119,12 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, doubted, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, doubted, limits, crashes, answered, begun, demands }: LoadUpdate, scope: ReportScope): void {
     const { peerLoads, clock, directory, handleLeaving, limits: coordinator, crashes: guard, versions } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
     const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0 }]))
-    peerLoads.record(domain ?? reporter, report, nowMs, { gateways, scope })
+    peerLoads.record(domain ?? reporter, report, nowMs, { gateways, scope, demands: decodeDemands(demands) })
     this.#reporters.set(domain ?? reporter, domain)
     for (const [id, bornAtMs, saidAgoMs] of leaving) handleLeaving({ id, bornAtMs, source: 'peer', saidAtMs: nowMs - saidAgoMs })
     for (const [id, bornAtMs, agoMs] of doubted) directory.recordDoubt({ id, bornAtMs }, nowMs - agoMs)
@@ -135,7 +139,7 @@
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES), demands: encodeDemands(this.#options.listDemands()) }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -151,7 +155,8 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
+    const demands = peerLoads.computeTotalDemands(this.#options.listDemands(), isExcluded)
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES), demands: encodeDemands(demands) }
   }
 
   #listBegun (sources: ReadonlySet<OriginKnowledge>): LoadUpdate['begun'] {
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -13,6 +13,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { PeerIdentity } from '../policy/peerTable'
+import type { DemandEntry } from '../policy/workspaceDemand'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
 import type { CrashGuard } from './crashGuard'
@@ -36,6 +37,8 @@
   handleLeaving: (notice: LeavingNotice) => void
   /** Lists the endpoints whose process may have ended since its entry was read. */
   listDoubted: () => DoubtedEndpoint[]
+  /** Lists what workspaces received and wait for at this gateway, where requests wait. */
+  listDemands: () => DemandEntry[]
   log: DecisionLog
 }
 
@@ -57,7 +60,7 @@
   readonly loads: PeerLoadTable
 
   constructor (options: PeerNetworkOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, listDemands, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
     const toReadable = (monotonicMs: number) => toReadableMs(clock, monotonicMs)
@@ -72,7 +75,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, listDoubted, log, openClient: peer => this.#gossip.openClient(peer) })
+    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, listDoubted, listDemands, log, openClient: peer => this.#gossip.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -8,6 +8,7 @@
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { LimitNotice } from '../policy/limitNotices'
 import type { FleetState, GrantDecision } from '../policy/sendGrants'
+import type { ShareStanding } from '../policy/workspaceShares'
 import type { RetryDecision, DirectAttemptOutcome } from '../policy/retryDecision'
 import type { Refusal } from '../protocol/errorBody'
 import type { PermitRequest } from '../protocol/permitMessages'
@@ -83,6 +84,7 @@
   readonly #attempts: Counter
   readonly #retries: Counter
   readonly #permits: Counter
+  readonly #startsByShare: Counter
   readonly #brokenAnswers: Counter
   readonly #answerEnds: Counter
   readonly #exits: Counter
@@ -99,6 +101,7 @@
     this.#attempts = metrics.createCounter('sends_total', 'Sends to endpoints by service and outcome.')
     this.#retries = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
+    this.#startsByShare = metrics.createCounter('starts_by_share_total', 'Sends of requests with a workspace, by service and whether the workspace was within its share, above it, or competed with none.')
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
     this.#answerEnds = metrics.createCounter('closed_answers_total', 'Answers without framing, by service, whether their endpoint was there afterwards and whether they count as whole.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
@@ -111,9 +114,10 @@
   }
 
   /** Records which endpoint a request is sent to, and why. */
-  recordEndpointChoice (request: RelayRequest, choice: DirectChoice, { attempt, limitPerSecond }: { attempt: number, limitPerSecond: number | null }, nowMs: number): void {
+  recordEndpointChoice (request: RelayRequest, choice: DirectChoice, { attempt, limitPerSecond, standing }: { attempt: number, limitPerSecond: number | null, standing: ShareStanding | null }, nowMs: number): void {
     const { endpoint } = choice
     if (attempt === 1) this.#queueTime.record(nowMs - request.arrivedAtMs, { service: request.service })
+    if (request.workspace !== null) this.#startsByShare.add({ service: request.service, share: standing?.share ?? 'uncontended' })
     this.#log.write('routine', {
       event: 'endpointChosen',
       requestId: request.traits.requestId,
@@ -136,12 +140,13 @@
       othersTokens: Math.round(choice.othersTokens),
       failureRate: Number(endpoint.failureRate.toFixed(2)),
       heldMs: Math.round(nowMs - request.arrivedAtMs),
-      remainingMs: Math.round(request.deadlineAtMs - nowMs)
+      remainingMs: Math.round(request.deadlineAtMs - nowMs),
+      ...standing
     })
   }
 
   /** Records that a request left the queue without being sent, with the endpoint that it last waited for. */
-  recordWaitEnded (request: RelayRequest, lastChoice: DirectChoice | null, waiting: number, nowMs: number): void {
+  recordWaitEnded (request: RelayRequest, lastChoice: DirectChoice | null, { waiting, standing }: { waiting: number, standing: ShareStanding | null }, nowMs: number): void {
     this.#log.write('notable', {
       event: 'waitEnded',
       requestId: request.traits.requestId,
@@ -156,7 +161,8 @@
       othersTokens: lastChoice === null ? null : Math.round(lastChoice.othersTokens),
       limitTokens: lastChoice === null ? null : Math.round(lastChoice.endpoint.prefillLimit.tokens),
       inFlight: lastChoice?.endpoint.inFlight ?? null,
-      silentMs: lastChoice === null ? null : Math.round(nowMs - lastChoice.endpoint.heardAtMs)
+      silentMs: lastChoice === null ? null : Math.round(nowMs - lastChoice.endpoint.heardAtMs),
+      ...standing
     })
   }
 
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -10,6 +10,7 @@
 import { countBuckets } from '../policy/versionAssignment'
 import { RetryWindow } from '../policy/retryWindow'
 import { ViewFreshness } from '../policy/viewFreshness'
+import { selectLargestDemands } from '../policy/workspaceDemand'
 import { AdmissionGate } from './admissionGate'
 import { DirectRelay } from './directRelay'
 import { CrashGuard } from './crashGuard'
@@ -73,6 +74,8 @@
 const RESERVED_DESCRIPTORS = 400
 /** Settings that are read only at start. */
 const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'processorShare'] as const
+/** Maximum number of workspaces in the state dump. */
+const MAX_DUMPED_DEMANDS = 64
 const MS_PER_SECOND = 1000
 
 /** Runs one gateway that relays requests straight to endpoints. */
@@ -100,7 +103,7 @@
   readonly #adminListener: HttpListener
   readonly #connections = new EndpointConnections({ clock: systemClock })
   readonly #agent = new EndpointAgent({ idleMs: IDLE_CONNECTION_TIMEOUT_MS, maxIdle: MAX_IDLE_CONNECTIONS, handleIdleEnd: socket => this.#connections.recordIdleEnd(socket) })
-  readonly #dispatcher = new Dispatcher({ clock: systemClock })
+  readonly #dispatcher = new Dispatcher({ clock: systemClock, getPeerDemands: (name, rank) => this.#peers.loads.getPeerDemands(name, rank) })
   /** The planned stop; null before it. */
   #stop: PlannedStop | null = null
   #unreadyReason: UnreadyReason = 'starting'
@@ -147,6 +150,7 @@
       versions: this.#versions,
       handleLeaving: notice => this.#recordLeaving(notice),
       listDoubted: () => identity.listDoubted(),
+      listDemands: () => this.#dispatcher.listDemands(),
       log
     })
     this.#registry = new VersionRegistry({
@@ -363,6 +367,7 @@
     this.#dump.register('suspects', () => this.#crashes.listSuspects())
     this.#dump.register('peers', () => this.#peers.listPeers())
     this.#dump.register('waiting', () => this.#dispatcher.listServices())
+    this.#dump.register('shares', () => selectLargestDemands(this.#dispatcher.listDemands(), MAX_DUMPED_DEMANDS))
     this.#dump.register('retries', () => this.#retries.listServices().map(service => ({ service, ...this.#retries.getUsage(service, systemClock.getMonotonicMs()) })))
     this.#dump.register('metrics', () => this.#metrics.readSummaries())
   }
--- a/tests/policy/dispatchQueue.spec.ts
+++ b/tests/policy/dispatchQueue.spec.ts
@@ -9,7 +9,7 @@
 const TOKENS_PER_MS = 100
 
 function buildWaitingRequest (id: string, rank: number, latestStartAtMs: number, tokens = 0): WaitingRequest {
-  return { id, rank, prefillMs: tokens / TOKENS_PER_MS, latestStartAtMs, expiresAtMs: 10_000 }
+  return { id, rank, prefillMs: tokens / TOKENS_PER_MS, latestStartAtMs, expiresAtMs: 10_000, claim: null }
 }
 
 describe('DispatchQueue', () => {
--- a/tests/policy/latestStart.spec.ts
+++ b/tests/policy/latestStart.spec.ts
@@ -17,7 +17,7 @@
   let calls = 0
   for (let nowMs = 0; nowMs < 6000; nowMs++) {
     for (pendingArrivals += load * SLOTS / SERVICE_MS; pendingArrivals >= 1; pendingArrivals--) {
-      queue.add({ id: `c-${calls++}`, rank: 1, prefillMs: 0, latestStartAtMs: computeLatestStart({ arrivedAtMs: nowMs, targetMs: TARGET_MS, tokens: 0, tokensPerMs: 100, typicalAnswerMs }), expiresAtMs: nowMs + DEADLINE_MS })
+      queue.add({ id: `c-${calls++}`, rank: 1, prefillMs: 0, latestStartAtMs: computeLatestStart({ arrivedAtMs: nowMs, targetMs: TARGET_MS, tokens: 0, tokensPerMs: 100, typicalAnswerMs }), expiresAtMs: nowMs + DEADLINE_MS, claim: null })
     }
     queue.removeExpired(nowMs)
     while (endsAtMs.length > 0 && endsAtMs[0]! <= nowMs) endsAtMs.shift()
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -2,8 +2,9 @@
 import { dispatchWaiting } from '../../src/policy/dispatchPass'
 import { EndpointDirectory } from '../../src/policy/endpointDirectory'
 import { PeerLoadTable } from '../../src/policy/peerLoadTable'
-import { Placement } from '../../src/policy/placement'
+import { countUniqueTokens, Placement } from '../../src/policy/placement'
 import { UNLIMITED } from '../../src/policy/sendPermits'
+import { decodeDemands, encodeDemands } from '../../src/relay/demandReports'
 import { createSeededRandom } from '../../standins/shared/seededRandom'
 import { buildEntry } from './directFixtures'
 import { EngineModel } from './engineModel'
@@ -40,6 +41,8 @@
   /** Milliseconds for which requests arrive. */
   durationMs: number
   seed: number
+  /** Workspaces that send alike, but for the first, which sends `firstFactor` times as much. All requests are of none by default. */
+  workspaces?: { count: number, firstFactor: number }
 }
 
 export interface ReplayRequestCount {
@@ -53,8 +56,16 @@
   largest: { offered: number, earned: number, arrived: number, served: number }
 }
 
+/** Requests of some workspaces and how many of them were on time. */
+export interface WorkspaceCount {
+  arrived: number
+  inTime: number
+  served: number
+}
+
 export interface ReplayResult {
   kinds: Map<string, ReplayRequestCount>
+  workspaces: { first: WorkspaceCount, others: WorkspaceCount }
   /** Fraction of the time in which the engines worked, and the total prompt tokens that they prefilled. */
   busyShare: number
   prefilledTokens: number
@@ -65,6 +76,13 @@
   start: (choice: DirectChoice) => void
 }
 
+interface SentRequest {
+  kind: ReplayRequestKind
+  request: PlacementRequest
+  isLargest: boolean
+  workspaceCount: WorkspaceCount
+}
+
 interface ReplayGateway {
   queue: DispatchQueue<ReplayWaitingRequest>
   peerLoads: PeerLoadTable
@@ -75,7 +93,6 @@
 const SERVICE = 'engines'
 const DISPATCH_INTERVAL_MS = 5
 const LOAD_REPORT_INTERVAL_MS = 200
-const TIGHTEST_TARGET_MS = 150
 /** One-way network latency between two processes, in milliseconds. */
 const NETWORK_LATENCY_MS = 1
 
@@ -90,6 +107,7 @@
   readonly #gateways: ReplayGateway[]
   readonly #engines = new Map<string, EngineModel>()
   readonly #counts = new Map<string, ReplayRequestCount>()
+  readonly #workspaceCounts = { first: { arrived: 0, inTime: 0, served: 0 }, others: { arrived: 0, inTime: 0, served: 0 } }
   readonly #events: Array<{ atMs: number, run: () => void }> = []
   readonly #stepping = new Set<string>()
   #nowMs = 0
@@ -105,7 +123,7 @@
       directory.applyList(entries, { afterOutage: false, nowMs: 0 })
       const peerLoads = new PeerLoadTable()
       const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, isListedProcess: () => true, random: this.#random })
-      return { queue: new DispatchQueue<ReplayWaitingRequest>(), peerLoads, directory, placement }
+      return { queue: new DispatchQueue<ReplayWaitingRequest>(rank => peerLoads.getPeerDemands(SERVICE, rank)), peerLoads, directory, placement }
     })
   }
 
@@ -129,6 +147,7 @@
     const engines = [...this.#engines.values()]
     return {
       kinds: this.#counts,
+      workspaces: this.#workspaceCounts,
       busyShare: engines.reduce((sum, engine) => sum + engine.busyMs, 0) / (engines.length * durationMs),
       prefilledTokens: engines.reduce((sum, engine) => sum + engine.prefilledTokens, 0)
     }
@@ -140,6 +159,9 @@
     const gateway = this.#gateways[Math.floor(this.#random() * this.#gateways.length)]!
     const promptParts = this.#samplePrompt(kind)
     const request: PlacementRequest = { service: SERVICE, promptParts, targetMs: kind.targetMs, arrivedAtMs: nowMs }
+    const workspace = this.#sampleWorkspace()
+    const workspaceCount = this.#workspaceCounts[workspace === 0 ? 'first' : 'others']
+    workspaceCount.arrived += 1
     const isLargest = promptParts.at(-1)!.tokens > kind.uniqueTokens.mean * 2.2
     const value = computeValue(kind, promptParts)
     count.arrived += 1
@@ -155,14 +177,15 @@
       prefillMs: gateway.placement.computePrefillMs(request),
       latestStartAtMs,
       expiresAtMs: nowMs + kind.callerTimeoutMs,
+      claim: workspace === null ? null : { workspace: `w-${workspace}`, uniqueTokens: countUniqueTokens(promptParts), outputTokens: kind.outputTokens },
       choose: queuedTokens => choose(queuedTokens, this.#nowMs),
       reserve: choice => gateway.placement.reserve(choice, promptParts, this.#nowMs),
       refuse: () => { count.refused += 1 },
-      start: choice => this.#send(gateway, kind, request, choice, isLargest)
-    })
+      start: choice => this.#send(gateway, { kind, request, isLargest, workspaceCount }, choice)
+    }, nowMs)
   }
 
-  #send (gateway: ReplayGateway, kind: ReplayRequestKind, request: PlacementRequest, choice: DirectChoice, isLargest: boolean): void {
+  #send (gateway: ReplayGateway, { kind, request, isLargest, workspaceCount }: SentRequest, choice: DirectChoice): void {
     const { endpoint, unreadTokens: uncachedTokens } = choice
     const sentAtMs = this.#nowMs
     const count = this.#counts.get(kind.name)!
@@ -171,7 +194,7 @@
       firstAtMs = this.#nowMs
       endpoint.pendingTokens -= uncachedTokens
       endpoint.heardAtMs = this.#nowMs
-      gateway.placement.recordFirstEvent(choice, { sentAtMs, targetMs: TIGHTEST_TARGET_MS, hasQueuedRequests: gateway.queue.size > 0, nowMs: this.#nowMs })
+      gateway.placement.recordFirstEvent(choice, { sentAtMs, targetMs: Math.min(...this.#scenario.kinds.map(({ targetMs }) => targetMs)), hasQueuedRequests: gateway.queue.size > 0, nowMs: this.#nowMs })
     }
     const handleEnd = (longestPauseMs: number) => {
       endpoint.inFlight -= 1
@@ -179,6 +202,8 @@
       const isServed = elapsedMs <= kind.callerTimeoutMs
       const isInTime = elapsedMs <= kind.targetMs && longestPauseMs <= kind.maxPauseMs
       const earned = (isInTime ? 1 : isServed ? kind.lateValueShare : 0) * computeValue(kind, request.promptParts)
+      if (isInTime) workspaceCount.inTime += 1
+      if (isServed) workspaceCount.served += 1
       if (isInTime) count.inTime += 1
       else if (isServed) count.late += 1
       count.value.earned += earned
@@ -219,11 +244,12 @@
 
   /** Reports a gateway's load to every peer, each with a random delay of up to one interval. */
   #reportLoads (index: number): void {
-    const { peerLoads, directory } = this.#gateways[index]!
+    const { peerLoads, directory, queue } = this.#gateways[index]!
+    const demands = decodeDemands(encodeDemands(queue.listDemands(this.#nowMs).map(demand => ({ service: SERVICE, ...demand }))))
     const report = new Map(directory.listAll().filter(({ inFlight }) => inFlight > 0).map(({ entry, inFlight, pendingTokens, heardAtMs }) => [entry.id, { inFlight, pendingTokens, heardAtMs, permittedSends: 0 }]))
     this.#gateways.forEach((other, otherIndex) => {
       if (otherIndex === index) return
-      this.#schedule(this.#nowMs + LOAD_REPORT_INTERVAL_MS * this.#random(), () => other.peerLoads.record(`gateway-${index}`, report, this.#nowMs))
+      this.#schedule(this.#nowMs + LOAD_REPORT_INTERVAL_MS * this.#random(), () => other.peerLoads.record(`gateway-${index}`, report, this.#nowMs, { gateways: 1, scope: 'gateway', demands }))
     })
     peerLoads.expire(this.#nowMs)
   }
@@ -238,7 +264,15 @@
   }
 
   #sampleGap ({ perSecond }: ReplayRequestKind): number {
-    return -Math.log(1 - this.#random()) * 1000 / perSecond
+    const { count, firstFactor } = this.#scenario.workspaces ?? { count: 1, firstFactor: 1 }
+    return -Math.log(1 - this.#random()) * 1000 / (perSecond * (1 + (firstFactor - 1) / count))
+  }
+
+  /** Samples the number of a request's workspace; null without workspaces. */
+  #sampleWorkspace (): number | null {
+    if (this.#scenario.workspaces === undefined) return null
+    const { count, firstFactor } = this.#scenario.workspaces
+    return Math.max(0, Math.floor(this.#random() * (count - 1 + firstFactor) - firstFactor + 1))
   }
 
   #schedule (atMs: number, run: () => void): void {
--- a/tests/policy/replayLoads.ts
+++ b/tests/policy/replayLoads.ts
@@ -28,3 +28,27 @@
   const scenario = buildManyGatewayScenario({ load, seed, gateways: 4, engines: 6 })
   return { ...scenario, speed: { ...SPEED, slots: 128, eventTokens: 5 } }
 }
+
+const BUSY_ENGINE_SPEED: EngineSpeed = { slots: 64, stepMs: 4.55, stepMsPerSlot: 0.0462, prefillTokensPerMs: 61.4, chunkTokens: 1024, firstMs: 26, eventTokens: 4 }
+
+/**
+ * Builds a burst of long prompts with large shared parts at slow engines. 24 workspaces compete, of which the first sends
+ * `firstFactor` times as much as each other one. At load 1 the rates are those of the heaviest planned burst without it.
+ */
+export function buildWorkspaceScenario ({ load, seed, firstFactor }: { load: number, seed: number, firstFactor: number }): OverloadScenario {
+  const engines = 8
+  const perEngine = load * engines
+  return {
+    gateways: 12,
+    engines,
+    speed: BUSY_ENGINE_SPEED,
+    durationMs: 8000,
+    seed,
+    workspaces: { count: 24, firstFactor },
+    kinds: [
+      { name: 'review', rank: 2, perSecond: 4.8 * perEngine, targetMs: 2527, maxPauseMs: 800, callerTimeoutMs: 12_130, sharedParts: [{ tokens: 13_300, count: 50 }], uniqueTokens: { mean: 3720, sigma: 0.7, max: 11_160 }, outputTokens: 120, lateValueShare: 0.34 },
+      { name: 'check', rank: 1, perSecond: 1.1 * perEngine, targetMs: 1519, maxPauseMs: 300, callerTimeoutMs: 6077, sharedParts: [{ tokens: 2520, count: 4 }, { tokens: 3780, count: 40 }], uniqueTokens: { mean: 2890, sigma: 0.7, max: 8670 }, outputTokens: 52, lateValueShare: 0.56 },
+      { name: 'draft', rank: 0, perSecond: 1.6 * perEngine, targetMs: 1211, maxPauseMs: 200, callerTimeoutMs: 12_112, sharedParts: [{ tokens: 210, count: 9 }, { tokens: 140, count: 55 }], uniqueTokens: { mean: 1110, sigma: 0.7, max: 3330 }, outputTokens: 172, lateValueShare: 0.24 }
+    ]
+  }
+}
--- a/tests/relay/dispatcher.spec.ts
+++ b/tests/relay/dispatcher.spec.ts
@@ -31,7 +31,7 @@
     return { endpoint, reason: 'leastCost', costMs: 0, candidates: 1, unreadTokens: 100, othersInFlight: 0, othersTokens: 0, hasCapacity, needsPermit: false }
   }
   for (let index = 0; index < QUEUED_REQUESTS; index++) {
-    const request: DispatchRequest = { id: `r-${index}`, service: 'engines', rank: 1, prefillMs: 1, latestStartAtMs: 5000, expiresAtMs: 9000, choose, reserve: () => started.push(`r-${index}`) }
+    const request: DispatchRequest = { id: `r-${index}`, service: 'engines', rank: 1, prefillMs: 1, latestStartAtMs: 5000, expiresAtMs: 9000, claim: null, choose, reserve: () => started.push(`r-${index}`) }
     dispatcher.wait(request, new AbortController().signal).catch(() => {})
   }
   return { dispatcher, clock, started, countChoices: () => choices, setCapacity: value => { hasCapacity = value } }
