--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -14,6 +14,7 @@
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { PeerIdentity } from '../policy/peerTable'
 import type { UsageAnswer, UsageUpdate } from '../protocol/usageMessages'
+import type { DemandEntry } from '../policy/workspaceDemand'
 import type { PeerRecord } from '../protocol/viewMessages'
 import type { ObjectService } from '../store/objectService'
 import type { CrashGuard } from './crashGuard'
@@ -39,6 +40,8 @@
   listDoubted: () => DoubtedEndpoint[]
   /** Applies another gateway's usage counts; null where usage is not reported. */
   handleUsageUpdate: ((update: UsageUpdate) => UsageAnswer) | null
+  /** Lists what workspaces received and wait for at this gateway, where requests wait. */
+  listDemands: () => DemandEntry[]
   log: DecisionLog
 }
 
@@ -60,7 +63,7 @@
   readonly loads: PeerLoadTable
 
   constructor (options: PeerNetworkOptions) {
-    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, handleUsageUpdate, log } = options
+    const { clock, random, settings, store, prefixes, directory, crashes, limits, versions, handleLeaving, listDoubted, listDemands, handleUsageUpdate, log } = options
     this.#options = options
     const self = buildOwnRecord(settings)
     const toReadable = (monotonicMs: number) => toReadableMs(clock, monotonicMs)
@@ -75,7 +78,7 @@
       listCrashes: () => crashes.listRecords(),
       mergeCrash: record => crashes.mergeRecord(record)
     })
-    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, listDoubted, log, openClient: peer => this.#gossip.openClient(peer) })
+    this.#loadExchange = new LoadExchange({ clock, random, table: this.#table, peerLoads: this.loads, directory, limits, crashes, versions, handleLeaving, listDoubted, listDemands, log, openClient: peer => this.#gossip.openClient(peer) })
     this.view = new SharedViewService({
       clock,
       store,
