Learn the prefill rate of engines from the first events of prompts

Cause: one constant of 100 tokens per millisecond stood for every endpoint, also for those that had slowed down.

Change: gateways fit a line through delays and sizes of prompts by service, and compare each endpoint with its siblings by what all gateways measured there (three numbers in the load update, default none). Only for services whose configuration has an engine section. It decides the cost of an endpoint and the delay samples of the prefill limit. A slowed endpoint also gets a shorter backlog.

Tests: the replay's engines are learned by default; it records the first event before it releases the prompt's tokens, as the sender does.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -106,6 +106,8 @@
   | { event: 'endpointEjected', endpoint: string, [input: string]: unknown }
   /** `requestId` names the request whose answer reported it; undefined when a peer gateway reported it. */
   | { event: 'endpointLeaving', requestId: string | undefined, endpoint: string, bornAtMs: number, source: string, saidAgoMs: number }
+  /** The believed prefill rate of an endpoint changed notably: its inputs, and their age. */
+  | { event: 'prefillRateChanged', endpoint: string, service: string, previousTokensPerMs: number, inFlight: number, [input: string]: unknown }
   /** An endpoint named another limit on the requests per second, or none any more (null). */
   | { event: 'endpointLimit', requestId: string | undefined, endpoint: string, bornAtMs: number, version: number, requestsPerSecond: number | null, before: number | null, source: string }
   /** The keeper of an endpoint's limit decided on a request for permits; `recentSends` counts the requests of all `gateways`, as far as reported. */
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -180,7 +180,7 @@
   if (endpoint.inFlight >= maxInFlight || isBackingOff(endpoint, nowMs)) return false
   if (unreadTokens === 0) return true
   const peerTokens = getPeerLoad(endpoint.entry.id).pendingTokens
-  if (!isBacklogWithinLimit({ unreadTokens, meanUniqueTokens, isLate, localTokens: endpoint.pendingTokens, othersTokens: peerTokens, tokensPerMs: endpoint.prefillRate.tokensPerMs })) return false
+  if (!isBacklogWithinLimit({ unreadTokens, meanUniqueTokens, isLate, localTokens: endpoint.pendingTokens, othersTokens: peerTokens, tokensPerMs: endpoint.prefillRate.backlogTokensPerMs })) return false
   const backlogTokens = endpoint.pendingTokens + (queuedTokens.get(endpoint.entry.id) ?? 0)
   return backlogTokens === 0 || backlogTokens + unreadTokens <= endpoint.prefillLimit.tokens
 }
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -1,5 +1,6 @@
 import { PrefixCacheEstimate } from './prefixCacheEstimate'
 import { PrefillRate } from './engines/prefillRate'
+import { ServiceRate } from './engines/serviceRate'
 import { PrefillLimit } from './prefillLimit'
 import { SlidingWindowCounter } from './slidingWindowCounter'
 
@@ -74,14 +75,14 @@
 const MAX_EJECTION_MS = 8000
 const SINGLE_USE_CONNECTIONS_MS = 10_000
 
-/** Builds the initial view of an endpoint from its list entry. */
-export function buildDirectEndpoint (entry: EndpointEntry): DirectEndpoint {
+/** Builds the initial view of an endpoint from its list entry. Endpoints of a service share what is known about its rate. */
+export function buildDirectEndpoint (entry: EndpointEntry, serviceRate = new ServiceRate()): DirectEndpoint {
   return {
     entry,
     inFlight: 0,
     pendingTokens: 0,
     recentSends: new SlidingWindowCounter(SENDS_WINDOW_MS),
-    prefillRate: new PrefillRate(),
+    prefillRate: new PrefillRate(serviceRate),
     prefillLimit: new PrefillLimit(),
     failures: 0,
     failureRate: 0,
--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -1,7 +1,7 @@
 import { BoundedMap } from '../base/boundedMap'
 import { ConsistentHashRing } from './consistentHashRing'
 import { buildDirectEndpoint } from './directEndpoint'
-import { DEFAULT_PREFILL_TOKENS_PER_MS } from './engines/prefillRate'
+import { DEFAULT_PREFILL_TOKENS_PER_MS, ServiceRate } from './engines/serviceRate'
 import { LeavingNotices } from './leavingNotices'
 
 import type { DirectEndpoint, EndpointEntry } from './directEndpoint'
@@ -53,6 +53,8 @@
 const LAPSE_GRACE_MS = 2300
 /** Maximum number of remembered removals. Protects against a flood of starts; far above the endpoints that end while a process runs. */
 const MAX_REMOVED_ENDPOINTS = 4096
+/** Maximum number of services whose prefill rates are remembered, far above those of a configuration. */
+const MAX_SERVICE_RATES = 1024
 const NO_IDS: ReadonlySet<string> = new Set()
 const NO_COUNTS: ReadonlyMap<string, number> = new Map()
 
@@ -75,6 +77,8 @@
   readonly #leaving = new LeavingNotices()
   /** Start times of removed endpoints in Unix milliseconds, by id. */
   readonly #removedStartTimes = new BoundedMap<string, number>(MAX_REMOVED_ENDPOINTS)
+  /** Remembered after the last endpoint of a service has gone, as a prior for its next one. */
+  readonly #serviceRates = new BoundedMap<string, ServiceRate>(MAX_SERVICE_RATES)
   #byService = new Map<string, ServiceIndex>()
 
   listAll (): DirectEndpoint[] {
@@ -202,7 +206,7 @@
     this.#removedStartTimes.delete(entry.id)
     const known = this.#endpoints.get(entry.id)
     if (known === undefined || !isSameProcess(known.entry, entry)) {
-      this.#endpoints.set(entry.id, buildDirectEndpoint(entry))
+      this.#endpoints.set(entry.id, buildDirectEndpoint(entry, this.#getServiceRate(entry.service)))
       return [{ kind: known === undefined ? 'joined' : 'restarted', entry }]
     }
     const previousState = known.entry.state
@@ -211,6 +215,12 @@
     return [{ kind: entry.state === 'draining' ? 'draining' : 'readyAgain', entry }]
   }
 
+  #getServiceRate (service: string): ServiceRate {
+    const rate = this.#serviceRates.get(service) ?? new ServiceRate()
+    this.#serviceRates.set(service, rate)
+    return rate
+  }
+
   #markLapsed (id: string, nowMs: number): DirectoryChange[] {
     const endpoint = this.#endpoints.get(id)
     if (endpoint === undefined) return []
--- a/src/policy/peerLoadTable.ts
+++ b/src/policy/peerLoadTable.ts
@@ -1,5 +1,7 @@
 import { FleetSize } from './fleetSize'
 
+import type { PrefillEvidence } from './engines/prefillRate'
+
 /** Load of one or more gateways at an endpoint. */
 export interface EndpointLoad {
   inFlight: number
@@ -9,6 +11,8 @@
   heardAtMs: number
   /** Requests sent in the last `SENDS_WINDOW_MS` under the limit that the endpoint names; 0 without a limit. */
   permittedSends: number
+  /** Recent first events; absent for a plain service. */
+  prefill?: PrefillEvidence
 }
 
 /** Loads by endpoint id. An absent endpoint has no load, and no bytes were received from it recently. */
@@ -125,9 +129,18 @@
         inFlight: known.inFlight + load.inFlight,
         pendingTokens: known.pendingTokens + load.pendingTokens,
         heardAtMs: Math.max(known.heardAtMs, load.heardAtMs),
-        permittedSends: known.permittedSends + load.permittedSends
+        permittedSends: known.permittedSends + load.permittedSends,
+        ...addEvidence(known, load)
       })
     }
   }
   return sum
 }
+
+function addEvidence (one: EndpointLoad, other: EndpointLoad): Pick<EndpointLoad, 'prefill'> {
+  if (one.prefill === undefined || other.prefill === undefined) {
+    const prefill = one.prefill ?? other.prefill
+    return prefill === undefined ? {} : { prefill }
+  }
+  return { prefill: { expectedMs: one.prefill.expectedMs + other.prefill.expectedMs, measuredMs: one.prefill.measuredMs + other.prefill.measuredMs, tokens: one.prefill.tokens + other.prefill.tokens } }
+}
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -1,4 +1,5 @@
 import { chooseDirectEndpoint, countTokens, findDeepestSharedPart, HOME_ENDPOINT_COUNT, updateCapacity } from './directChooser'
+import { RateMeter } from './engines/rateMeter'
 import { computeLatestStart } from './latestStart'
 import { PromptSizes } from './promptSizes'
 import { isAvailable } from './endpointAvailability'
@@ -6,6 +7,7 @@
 import type { DirectChoice, QueuedTokens, CapacityOptions } from './directChooser'
 import type { DirectEndpoint } from './directEndpoint'
 import type { EndpointDirectory } from './endpointDirectory'
+import type { RateChange } from './engines/rateMeter'
 import type { PeerLoadTable } from './peerLoadTable'
 import type { PromptPart } from './prefixCacheEstimate'
 import type { PermitState } from './sendPermits'
@@ -40,6 +42,10 @@
   getPermit: (endpoint: DirectEndpoint) => PermitState
   /** Returns whether the endpoint is still the process that the list of endpoints says. */
   isListedProcess: (endpoint: DirectEndpoint) => boolean
+  /** Returns whether the configuration says that a service's endpoints are engines, whose rates are learned. */
+  isEngine?: (service: string) => boolean
+  /** Called when the rate of an endpoint has changed notably. */
+  handleRateChange?: (change: RateChange) => void
   random: () => number
 }
 
@@ -68,9 +74,17 @@
 export class Placement {
   readonly #options: PlacementOptions
   readonly #sizes = new PromptSizes()
+  readonly #rates: RateMeter
 
   constructor (options: PlacementOptions) {
     this.#options = options
+    const { directory, loads } = options
+    this.#rates = new RateMeter({
+      isEngine: service => options.isEngine?.(service) === true,
+      listEndpoints: service => directory.listReady(service),
+      getPeerLoad: id => loads.getPeerLoad(id),
+      handleChange: change => options.handleRateChange?.(change)
+    })
   }
 
   /** Records that a request arrived. */
@@ -109,7 +123,9 @@
   }
 
   /** Reserves capacity at the chosen endpoint for a request that is about to be sent. */
-  reserve ({ endpoint, unreadTokens: uncachedTokens }: DirectChoice, promptParts: readonly PromptPart[], nowMs: number): void {
+  reserve (choice: DirectChoice, promptParts: readonly PromptPart[], nowMs: number): void {
+    const { endpoint, unreadTokens: uncachedTokens } = choice
+    this.#rates.recordSend(choice, promptParts)
     endpoint.prefixCache.record(promptParts, nowMs)
     endpoint.inFlight += 1
     endpoint.recentSends.add(nowMs)
@@ -123,7 +139,9 @@
   }
 
   /** Records the first event of a prompt: how long the prompt waited at the endpoint, excluding its own prefill time. */
-  recordFirstEvent ({ endpoint, unreadTokens: uncachedTokens }: DirectChoice, { sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
+  recordFirstEvent (choice: DirectChoice, { sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
+    const { endpoint, unreadTokens: uncachedTokens } = choice
+    this.#rates.recordFirstEvent(choice, nowMs - sentAtMs, nowMs)
     if (uncachedTokens === 0) return
     const delayMs = nowMs - sentAtMs - uncachedTokens / endpoint.prefillRate.tokensPerMs
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
@@ -151,6 +169,7 @@
 
   #buildCapacityOptions (service: string, isLate: boolean, queuedTokens: QueuedTokens, nowMs: number): CapacityOptions {
     const { loads, getPermit } = this.#options
+    this.#rates.updateFactors(service, nowMs)
     return {
       queuedTokens,
       getPeerLoad: id => loads.getPeerLoad(id),
--- a/src/protocol/viewMessages.ts
+++ b/src/protocol/viewMessages.ts
@@ -71,6 +71,9 @@
 /** Loads of endpoints: id, requests in flight, uncached prompt tokens not yet prefilled, milliseconds since the last byte received. */
 const endpointLoadsSchema = z.array(z.tuple([z.string(), z.number(), z.number(), z.number()]))
 
+/** Recent first events at engines, at the position of the endpoint in the loads: expected and measured milliseconds, and prefilled tokens. Empty for a plain service. */
+const engineLoadsSchema = z.array(z.array(z.number().min(0)).max(8))
+
 /** Endpoints whose process may have ended since its entry was read: id, start time in Unix milliseconds, milliseconds since the sign of it. */
 const doubtedEndpointsSchema = z.array(z.tuple([z.string(), z.number(), z.number().min(0)]))
 
@@ -95,6 +98,7 @@
   /** Number of gateways whose load is included in `loads`. */
   gateways: z.number(),
   loads: endpointLoadsSchema,
+  engines: engineLoadsSchema.default([]),
   leaving: leavingNoticesSchema.default([]),
   doubted: doubtedEndpointsSchema.default([]),
   limits: endpointLimitsSchema.default([]),
--- a/src/relay/loadExchange.ts
+++ b/src/relay/loadExchange.ts
@@ -48,6 +48,9 @@
 /** Maximum reported milliseconds since the last bytes of an endpoint. Longer times make no difference; an endpoint that has sent none is reported with this value. */
 const MAX_REPORTED_IDLE_MS = 60_000
 
+/** Minimum prompt tokens that an endpoint prefilled recently, from which on its first events are reported. */
+const MIN_REPORTED_TOKENS = 100
+
 /**
  * Exchanges the gateways' loads at the endpoints. The gateways of a failure domain report to the one
  * that reads the object service for them. These readers report to each other, each for its domain.
@@ -115,11 +118,11 @@
     if (answer.isOk) this.#applyUpdate(answer.value, update.domain === null ? 'others' : 'domain')
   }
 
-  #applyUpdate ({ teller: reporter, domain, gateways, loads, leaving, doubted, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
+  #applyUpdate ({ teller: reporter, domain, gateways, loads, engines, leaving, doubted, limits, crashes, answered, begun }: LoadUpdate, scope: ReportScope): void {
     const { peerLoads, clock, directory, handleLeaving, limits: coordinator, crashes: guard, versions } = this.#options
     const nowMs = clock.getMonotonicMs()
     const sends = new Map(limits.map(([id, , , , recentSends]) => [id, recentSends]))
-    const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs]) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0 }]))
+    const report = new Map(loads.map(([id, inFlight, pendingTokens, heardAgoMs], index) => [id, { inFlight, pendingTokens, heardAtMs: nowMs - heardAgoMs, permittedSends: sends.get(id) ?? 0, ...decodeEngineLoad(engines[index]) }]))
     peerLoads.record(domain ?? reporter, report, nowMs, { gateways, scope })
     this.#reporters.set(domain ?? reporter, domain)
     for (const [id, bornAtMs, saidAgoMs] of leaving) handleLeaving({ id, bornAtMs, source: 'peer', saidAtMs: nowMs - saidAgoMs })
@@ -135,7 +138,7 @@
   /** Builds the update with this gateway's load, for the reader of its domain. */
   #buildOwnUpdate (): LoadUpdate {
     const ownLoads = this.#listOwnLoads()
-    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
+    return { teller: this.#options.table.self.id, domain: null, gateways: 1, loads: this.#toTuples(ownLoads), engines: encodeEngineLoads(ownLoads), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(ownLoads), ...this.#listCrashNews(), begun: this.#listBegun(OWN_SOURCES) }
   }
 
   /** Builds the update with the load of all gateways of this domain, for another domain. */
@@ -151,7 +154,7 @@
   #buildSumUpdate (domain: string | null, isExcluded: (reporter: string) => boolean): LoadUpdate {
     const { peerLoads, table } = this.#options
     const total = peerLoads.computeTotal(this.#listOwnLoads(), isExcluded)
-    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
+    return { teller: table.self.id, domain, gateways: peerLoads.countGateways(isExcluded), loads: this.#toTuples(total), engines: encodeEngineLoads(total), leaving: this.#listLeaving(), doubted: this.#listDoubted(), limits: this.#listLimits(total), ...this.#listCrashNews(), begun: this.#listBegun(domain === null ? ALL_SOURCES : DOMAIN_SOURCES) }
   }
 
   #listBegun (sources: ReadonlySet<OriginKnowledge>): LoadUpdate['begun'] {
@@ -159,11 +162,14 @@
   }
 
   #listOwnLoads (): LoadReport {
-    const { directory, limits } = this.#options
+    const { directory, limits, clock } = this.#options
     const ownLoads = new Map<string, EndpointLoad>()
-    for (const { entry, inFlight, pendingTokens, heardAtMs } of directory.listAll()) {
+    const nowMs = clock.getMonotonicMs()
+    for (const { entry, inFlight, pendingTokens, heardAtMs, prefillRate } of directory.listAll()) {
       const permittedSends = limits.getRecentSends(entry)
-      if (inFlight > 0 || permittedSends > 0) ownLoads.set(entry.id, { inFlight, pendingTokens, heardAtMs, permittedSends })
+      const prefill = prefillRate.getEvidence(nowMs)
+      const hasEvidence = prefill.tokens >= MIN_REPORTED_TOKENS
+      if (inFlight > 0 || permittedSends > 0 || hasEvidence) ownLoads.set(entry.id, { inFlight, pendingTokens, heardAtMs, permittedSends, ...hasEvidence ? { prefill } : {} })
     }
     return ownLoads
   }
@@ -198,3 +204,15 @@
     return [...report].map(([id, { inFlight, pendingTokens, heardAtMs }]) => [id, inFlight, Math.round(pendingTokens), Math.round(Math.min(MAX_REPORTED_IDLE_MS, nowMs - heardAtMs))])
   }
 }
+
+/** Encodes what is known about engines, in the order of the loads; empty when the report has none. */
+function encodeEngineLoads (report: LoadReport): LoadUpdate['engines'] {
+  const loads = [...report.values()]
+  if (loads.every(({ prefill }) => prefill === undefined)) return []
+  return loads.map(({ prefill }) => prefill === undefined ? [] : [Math.round(prefill.expectedMs), Math.round(prefill.measuredMs), Math.round(prefill.tokens)])
+}
+
+function decodeEngineLoad (numbers: readonly number[] | undefined): Pick<EndpointLoad, 'prefill'> {
+  const [expectedMs, measuredMs, tokens = 0] = numbers ?? []
+  return expectedMs === undefined || measuredMs === undefined ? {} : { prefill: { expectedMs, measuredMs, tokens } }
+}
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -5,6 +5,7 @@
 import type { ClosedAnswer, decideAnswerEnd } from '../policy/answerEnd'
 import type { DirectChoice } from '../policy/directChooser'
 import type { DirectEndpoint, EndpointEntry } from '../policy/directEndpoint'
+import type { RateChange } from '../policy/engines/rateMeter'
 import type { LeavingNotice } from '../policy/leavingNotices'
 import type { LimitNotice } from '../policy/limitNotices'
 import type { FleetState, GrantDecision } from '../policy/sendGrants'
@@ -179,6 +180,11 @@
     })
   }
 
+  /** Records that the prefill rate of an endpoint has changed notably. */
+  recordRateChange ({ endpoint: { entry, prefillRate, inFlight }, previousTokensPerMs, evidence, nowMs }: RateChange): void {
+    this.#log.write('notable', { event: 'prefillRateChanged', endpoint: entry.id, service: entry.service, previousTokensPerMs: Math.round(previousTokensPerMs), ...prefillRate.describe(nowMs), peerExpectedMs: Math.round(evidence.expectedMs), peerMeasuredMs: Math.round(evidence.measuredMs), inFlight })
+  }
+
   /** Records that an endpoint is leaving; `requestId` names the request whose answer announced it. */
   recordLeaving ({ id, bornAtMs, source, saidAtMs }: LeavingNotice, requestId: string | undefined, nowMs: number): void {
     this.#log.write('notable', { event: 'endpointLeaving', requestId, endpoint: id, bornAtMs, source, saidAgoMs: Math.round(nowMs - saidAtMs) })
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -195,6 +195,8 @@
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
       isListedProcess: endpoint => identity.isListed(endpoint),
+      isEngine: name => this.#isEngine(name),
+      handleRateChange: change => observer.recordRateChange(change),
       random: Math.random
     })
     const sender = new EndpointSender({
@@ -319,6 +321,10 @@
     await Promise.all([this.#fleetWatcher.stop(), this.#registry.stop(), this.#originStore.stop(), this.#crashes.stop(), this.#peers.close()])
   }
 
+  #isEngine (service: string): boolean {
+    return this.#fleetWatcher.table !== null && this.#fleetWatcher.table.getEngine(service) !== null
+  }
+
   /** Records that an endpoint is leaving; `requestId` names the request whose answer announced it. */
   #recordLeaving (notice: LeavingNotice, requestId?: string): void {
     if (this.#directory.recordLeaving(notice)) this.#observer.recordLeaving(notice, requestId, systemClock.getMonotonicMs())
@@ -344,6 +350,7 @@
     this.#metrics.registerGauge('endpoints', 'Endpoints by service and state.', () => this.#directory.listAll().map(({ entry }) => ({ labels: { service: entry.service, state: entry.state, endpoint: entry.id }, value: 1 })))
     this.#metrics.registerGauge('endpoint_limit_per_second', 'Requests per second that an endpoint accepts from all gateways together.', () => this.#limits.listNotices().flatMap(({ id, requestsPerSecond }) => requestsPerSecond === null ? [] : [{ labels: { endpoint: id }, value: requestsPerSecond }]))
     this.#metrics.registerGauge('endpoint_recent_sends', 'Requests that this process sent to an endpoint in the last 4 s.', () => this.#directory.listAll().map(({ entry, recentSends }) => ({ labels: { service: entry.service, endpoint: entry.id }, value: recentSends.getCount(systemClock.getMonotonicMs()) })))
+    this.#metrics.registerGauge('endpoint_prefill_tokens_per_ms', 'Prompt tokens that an engine is believed to prefill per millisecond.', () => this.#directory.listAll().flatMap(({ entry, prefillRate }) => this.#isEngine(entry.service) ? [{ labels: { service: entry.service, endpoint: entry.id }, value: prefillRate.tokensPerMs }] : []))
     this.#metrics.registerGauge('version_buckets', 'Buckets of stream ids by service and the software version at which their streams begin.', () => this.#registry.listAssignments().flatMap(({ service, assignment }) => [...countBuckets(assignment)].map(([version, value]) => ({ labels: { service, version }, value }))))
     this.#metrics.registerGauge('held_prompt_parts', 'Sets of prompt parts whose requests are refused because they crash endpoints.', () => this.#crashes.listHolds().length)
     this.#metrics.registerGauge('log_lines_total', 'Log lines by what became of them.', () => Object.entries(log.counts).map(([outcome, value]) => ({ labels: { outcome }, value })))
@@ -354,7 +361,7 @@
   #registerDumps (): void {
     this.#dump.register('process', () => ({ id: this.#options.settings.id, isLeaving: this.#stop !== null, unreadyReason: this.#unreadyReason, inFlight: this.#relay.countInFlight() }))
     this.#dump.register('configuration', () => ({ version: this.#fleetWatcher.table?.version ?? null, routes: this.#fleetWatcher.table?.routeCount ?? 0, freshness: this.#freshness.getVerdict() }))
-    this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixCache: _prefixCache, prefillLimit, recentSends, ...view }) => ({ ...view, readLimitTokens: prefillLimit.tokens, recentSends: recentSends.getCount(systemClock.getMonotonicMs()) })))
+    this.#dump.register('endpoints', () => this.#directory.listAll().map(({ prefixCache: _prefixCache, prefillLimit, prefillRate, recentSends, ...view }) => ({ ...view, prefillRate: prefillRate.describe(systemClock.getMonotonicMs()), readLimitTokens: prefillLimit.tokens, recentSends: recentSends.getCount(systemClock.getMonotonicMs()) })))
     this.#dump.register('leaving', () => this.#directory.listLeaving())
     this.#dump.register('limits', () => this.#limits.listNotices())
     this.#dump.register('versions', () => ({ origins: this.#versions.countOrigins(), freshness: this.#registry.getFreshness(), services: this.#registry.listAssignments().map(({ service, assignment, isUsable }) => ({ service, isUsable, ...buildVersionRecord(assignment) })) }))
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -40,6 +40,10 @@
   /** Milliseconds for which requests arrive. */
   durationMs: number
   seed: number
+  /** Milliseconds at the beginning in which a fifth of the requests arrive; 0 by default. */
+  calmMs?: number
+  /** Whether the gateways learn the engines' rates; they do by default. */
+  learnsRates?: boolean
 }
 
 export interface ReplayRequestCount {
@@ -58,6 +62,8 @@
   /** Fraction of the time in which the engines worked, and the total prompt tokens that they prefilled. */
   busyShare: number
   prefilledTokens: number
+  /** Tokens per millisecond that each gateway believes each engine to prefill at the end. */
+  rates: number[]
 }
 
 interface ReplayWaitingRequest extends DispatchCandidate {
@@ -104,16 +110,16 @@
       const directory = new EndpointDirectory()
       directory.applyList(entries, { afterOutage: false, nowMs: 0 })
       const peerLoads = new PeerLoadTable()
-      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, isListedProcess: () => true, random: this.#random })
+      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, isListedProcess: () => true, isEngine: () => scenario.learnsRates !== false, random: this.#random })
       return { queue: new DispatchQueue<ReplayWaitingRequest>(), peerLoads, directory, placement }
     })
   }
 
   run (): ReplayResult {
-    const { kinds, durationMs } = this.#scenario
+    const { kinds, durationMs, calmMs = 0 } = this.#scenario
     for (const kind of kinds) {
       this.#counts.set(kind.name, { arrived: 0, inTime: 0, late: 0, refused: 0, value: { offered: 0, earned: 0 }, largest: { offered: 0, earned: 0, arrived: 0, served: 0 } })
-      for (let atMs = this.#sampleGap(kind); atMs < durationMs; atMs += this.#sampleGap(kind)) this.#schedule(atMs, () => this.#handleArrival(kind))
+      for (let atMs = this.#sampleGap(kind); atMs < durationMs; atMs += this.#sampleGap(kind) * (atMs < calmMs ? 5 : 1)) this.#schedule(atMs, () => this.#handleArrival(kind))
     }
     const endMs = durationMs + Math.max(...kinds.map(kind => kind.callerTimeoutMs)) + 1000
     for (let atMs = 0; atMs < endMs; atMs += DISPATCH_INTERVAL_MS) this.#schedule(atMs, () => this.#runPasses())
@@ -130,7 +136,8 @@
     return {
       kinds: this.#counts,
       busyShare: engines.reduce((sum, engine) => sum + engine.busyMs, 0) / (engines.length * durationMs),
-      prefilledTokens: engines.reduce((sum, engine) => sum + engine.prefilledTokens, 0)
+      prefilledTokens: engines.reduce((sum, engine) => sum + engine.prefilledTokens, 0),
+      rates: this.#gateways.flatMap(({ directory }) => directory.listAll().map(({ prefillRate }) => prefillRate.tokensPerMs))
     }
   }
 
@@ -169,9 +176,9 @@
     let firstAtMs = 0
     const handleFirst = () => {
       firstAtMs = this.#nowMs
-      endpoint.pendingTokens -= uncachedTokens
       endpoint.heardAtMs = this.#nowMs
       gateway.placement.recordFirstEvent(choice, { sentAtMs, targetMs: TIGHTEST_TARGET_MS, hasQueuedRequests: gateway.queue.size > 0, nowMs: this.#nowMs })
+      endpoint.pendingTokens -= uncachedTokens
     }
     const handleEnd = (longestPauseMs: number) => {
       endpoint.inFlight -= 1
@@ -220,7 +227,7 @@
   /** Reports a gateway's load to every peer, each with a random delay of up to one interval. */
   #reportLoads (index: number): void {
     const { peerLoads, directory } = this.#gateways[index]!
-    const report = new Map(directory.listAll().filter(({ inFlight }) => inFlight > 0).map(({ entry, inFlight, pendingTokens, heardAtMs }) => [entry.id, { inFlight, pendingTokens, heardAtMs, permittedSends: 0 }]))
+    const report = new Map(directory.listAll().filter(({ inFlight }) => inFlight > 0).map(({ entry, inFlight, pendingTokens, heardAtMs, prefillRate }) => [entry.id, { inFlight, pendingTokens, heardAtMs, permittedSends: 0, prefill: prefillRate.getEvidence(this.#nowMs) }]))
     this.#gateways.forEach((other, otherIndex) => {
       if (otherIndex === index) return
       this.#schedule(this.#nowMs + LOAD_REPORT_INTERVAL_MS * this.#random(), () => other.peerLoads.record(`gateway-${index}`, report, this.#nowMs))
--- a/tests/policy/replayLoads.ts
+++ b/tests/policy/replayLoads.ts
@@ -28,3 +28,9 @@
   const scenario = buildManyGatewayScenario({ load, seed, gateways: 4, engines: 6 })
   return { ...scenario, speed: { ...SPEED, slots: 128, eventTokens: 5 } }
 }
+
+/** Builds the same kinds of requests before engines with another prefill rate; at load 1 the unique tokens alone use it up. */
+export function buildRateScenario ({ load, tokensPerMs, seed, calmMs = 0, durationMs = 30_000 }: { load: number, tokensPerMs: number, seed: number, calmMs?: number, durationMs?: number }): OverloadScenario {
+  const scenario = buildManyGatewayScenario({ load: load * tokensPerMs / SPEED.prefillTokensPerMs, seed, gateways: 4, engines: 4 })
+  return { ...scenario, calmMs, durationMs, speed: { ...SPEED, slots: 64, stepMs: 4.55, prefillTokensPerMs: tokensPerMs, eventTokens: 4 } }
+}
