Leave a duty's object alone that cannot be read, and never begin below a number that was seen

Cause: an unreadable object counted as one of an earlier era, so the next holder began with number 1 again, as after its deletion.

Change: such an object is not replaced and nothing is reported until it is deleted; the log says so. A process begins above all numbers that it has seen.

--- a/src/duties/dutyObserver.ts
+++ b/src/duties/dutyObserver.ts
@@ -1,3 +1,5 @@
+import { dutyRecordSchema } from './dutyRecord'
+
 import type { Result } from 'true-myth'
 import type { DecisionLog } from '../base/decisionLog'
 import type { Counter, Metrics } from '../base/metrics'
@@ -18,7 +20,7 @@
 
   /** Records that this gateway looked who holds the duty. */
   recordRead (result: Result<StoredObject | null, ObjectServiceError>, dueWindow: number): void {
-    const outcome = result.isOk ? 'read' : result.error.kind
+    const outcome = result.isOk ? describeFound(result.value) : result.error.kind
     this.#storeCalls.add({ call: 'read', outcome })
     this.#log.write('notable', { event: 'dutyChecked', duty: 'usage', dueWindow, outcome, version: result.isOk ? result.value?.version ?? null : null })
   }
@@ -41,3 +43,8 @@
     this.#log.write('notable', { event: 'usageSent', window, number, outcome, workspaces: counts.length, requests, elapsedMs: Math.round(elapsedMs) })
   }
 }
+
+function describeFound (found: StoredObject | null): 'absent' | 'read' | 'unreadable' {
+  if (found === null) return 'absent'
+  return dutyRecordSchema.safeParse(found.value).success ? 'read' : 'unreadable'
+}
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -63,7 +63,7 @@
   seenAtMs: number
   /** Window that was due at the last read. */
   dueWindow: number
-  /** Whether the holder is behind, so that another one may claim. */
+  /** Whether the holder is behind, so that another one may claim. An object that cannot be read is left alone: its number is not known. */
   isBehind: boolean
 }
 
@@ -94,6 +94,8 @@
   #isUnsure = false
   readonly #settled = new Set<number>()
   #reportedWindow: number
+  /** Highest number that this process has seen; an object that was deleted does not begin again below it. */
+  #highestNumber = 0
   #retryAtMs = -Infinity
   #retryMs = MIN_RETRY_MS
 
@@ -149,6 +151,7 @@
     const parsed = dutyRecordSchema.safeParse(found?.value)
     const record = parsed.success ? parsed.data : null
     const isRestored = record !== null && found !== null && getEra(found.version) !== record.era
+    this.#highestNumber = Math.max(this.#highestNumber, record?.number ?? 0)
     if (record !== null && found !== null && !isRestored && record.process === this.#options.process) {
       // written before, without an answer: it may not be sent on the strength of a write of unknown age
       this.#holding = { record, version: found.version, sentAt: null }
@@ -159,7 +162,7 @@
     const version = found?.version ?? null
     const before = this.#observation
     const seenAtMs = before !== null && before.version === version ? before.seenAtMs : this.#options.clock.getMonotonicMs()
-    this.#observation = { record, version, seenAtMs, dueWindow, isBehind: record === null || isRestored || record.window < dueWindow }
+    this.#observation = { record, version, seenAtMs, dueWindow, isBehind: record === null ? found === null : isRestored || record.window < dueWindow }
     return wasHolding
   }
 
@@ -169,6 +172,7 @@
       this.#retryMs = MIN_RETRY_MS
       this.#observation = null
       this.#holding = { record: value, version: result.value.version, sentAt }
+      this.#highestNumber = Math.max(this.#highestNumber, value.number)
       for (const window of this.#settled) if (!value.intents.some(([stored]) => stored === window)) this.#settled.delete(window)
       if (value.intents.length === 0) this.recordReported(value.window)
       return false
@@ -243,11 +247,11 @@
     const { holder, process, sinceMs, timing } = this.#options
     const condition: WriteCondition = version === null ? { kind: 'absent' } : { kind: 'version', version }
     const era = version === null ? 0 : getEra(version)
-    const isRestored = version !== null && (record === null || record.era !== era)
+    const isRestored = record !== null && record.era !== era
     const firstWindow = findWindow(Math.min(sinceMs, counts.sinceMs), timing)
     // what was reported after the backup is not known, nor in which store the object was written: nothing that was due until now is sent
     const window = isRestored ? dueWindow : record?.window ?? firstWindow - 1
-    const base: DutyRecord = { holder, process, era, number: computeNextNumber(record?.number ?? 0, era), window, intents: isRestored ? [] : record?.intents ?? [] }
+    const base: DutyRecord = { holder, process, era, number: computeNextNumber(Math.max(this.#highestNumber, record?.number ?? 0), era), window, intents: isRestored ? [] : record?.intents ?? [] }
     this.#settled.clear()
     return this.#buildWrite(base, condition, dueWindow, counts, true)
   }
--- a/tests/duties/usageDuty.spec.ts
+++ b/tests/duties/usageDuty.spec.ts
@@ -138,6 +138,19 @@
     expectRight(fleet, restoredMs + 25_000)
   })
 
+  it('should leave an object alone that it cannot read, and begin above its number when the object is gone', async () => {
+    const fleet = await startFleet()
+    const { length } = fleet.received
+    fleet.store.put(USAGE_DUTY_KEY, { holder: 'gateway-1', number: 'seven' })
+    await fleet.advance(30_000)
+    expect(fleet.received).to.have.length(length)
+    expect(fleet.store.objects.get(USAGE_DUTY_KEY)?.value).to.deep.equal({ holder: 'gateway-1', number: 'seven' })
+    fleet.store.objects.delete(USAGE_DUTY_KEY)
+    await fleet.advance(30_000)
+    expect(fleet.received.length).to.be.above(length)
+    expect(fleet.listViolations()).to.deep.equal([])
+  })
+
   it('should go on under a new number when all gateways start again, without windows that nobody counted', async () => {
     const fleet = await startFleet()
     fleet.nodes.forEach(node => { node.isDown = true })
