Refuse a body of tiny parts in place of a pause, and take less for callers

Cause: a paused body is still read up to 64 KiB, which the library keeps as one buffer for each part. Change: a body whose parts have less than 512 bytes on average is refused where it would be paused; the budget is 15 % of memoryMb in place of 20.

--- a/src/protocol/bodyReader.ts
+++ b/src/protocol/bodyReader.ts
@@ -9,12 +9,17 @@
 /** Reason why a body could not be read. `hungUp` means that the caller disconnected, so no answer is needed. */
 export type BodyError = { kind: 'refused', refusal: Refusal } | { kind: 'hungUp' }
 
+/** Mean bytes of a body's parts below which it is not paused. */
+const MIN_PAUSED_PART_BYTES = 512
+
 /** Counts the bytes of a body while it is read and kept. */
 export interface BodyAccount {
   /** Counts more bytes. Returns false when reading should pause. */
   add: (bytes: number) => boolean
   /** Calls `handleRoom` once reading may go on. */
   waitForRoom: (handleRoom: () => void) => void
+  /** Refuses the request at once. */
+  refuse: () => void
   /** Sets what is called when the body is to be dropped, because its request is refused. */
   setDrop: (handleDrop: () => void) => void
 }
@@ -31,6 +36,7 @@
     const collector = new ByteCollector()
     let length = 0
     let isKept = true
+    let parts = 0
     const drop = (result: Result<Buffer, BodyError>) => {
       isKept = false
       request.off('data', handleData)
@@ -39,9 +45,12 @@
     }
     const handleData = (part: Buffer) => {
       length += part.length
+      parts += 1
       if (length > maxBytes) return drop(rejectBody(request, maxBytes))
       const addedBytes = collector.push(part)
       if (account === null || addedBytes === 0 || account.add(addedBytes) || !isKept) return
+      // a paused stream keeps each part that it has read as a buffer of its own
+      if (parts * MIN_PAUSED_PART_BYTES > length) return account.refuse()
       request.pause()
       account.waitForRoom(() => { if (isKept) request.resume() })
     }
--- a/src/relay/callerMemory.ts
+++ b/src/relay/callerMemory.ts
@@ -33,7 +33,7 @@
 }
 
 const BYTES_PER_MB = 1_048_576
-const BUDGET_FRACTION = 0.2
+const BUDGET_FRACTION = 0.15
 /** Four bodies of the default limit. */
 const MIN_BUDGET_BYTES = 16_777_216
 /** Bytes of memory that a request takes besides its head and body. */
@@ -147,12 +147,16 @@
 
   #evictOne (): boolean {
     const holding = chooseToGiveWay(this.#holdings, this.#ownerBytes)
-    if (holding === null) return false
+    if (holding !== null) this.refuse(holding)
+    return holding !== null
+  }
+
+  /** Lets one request give way. */
+  refuse (holding: CallerHolding): void {
     const { owner, stage, bytes, progressAtMs } = holding
     this.#options.handleGaveWay({ owner, stage, bytes, idleMs: Math.round(this.#options.clock.getMonotonicMs() - progressAtMs) })
     this.close(holding)
     holding.evict()
-    return true
   }
 
   #resumeWaiting (): void {
@@ -236,6 +240,10 @@
     this.#handleDrop = handleDrop
   }
 
+  refuse (): void {
+    if (!this.#isClosed) this.#memory.refuse(this)
+  }
+
   evict (): void {
     this.#isClosed = true
     this.#handleDrop()
