Tell all counts to a gateway that reads for itself after its reader lost the store

Cause: the readers of other failure domains went on telling the lost reader, and a member that replaced it and claimed the duty summed only what it was told. Change: an update of a reader names its teller; a reader tells all that it knows to tellers of other domains that it does not tell as their readers, for 5 s.

--- a/src/duties/usageCounts.ts
+++ b/src/duties/usageCounts.ts
@@ -28,6 +28,9 @@
   maxEntries?: number
 }
 
+/** Whose counts are listed: those of the processes of this failure domain, or all that are known. */
+export type CountScope = 'domain' | 'all'
+
 /** Counts that a receiver does not know yet, and the revision up to which it knows all of them then. */
 export interface UnknownCounts {
   counts: ProcessCountsMessage[]
@@ -99,11 +102,11 @@
     }
   }
 
-  /** Lists the counts of this failure domain that changed after a revision, at most `maxEntries` of them, the oldest change first. */
-  listUnknown (afterRevision: number, maxEntries: number): UnknownCounts {
+  /** Lists the counts, by default of this failure domain, that changed after a revision, at most `maxEntries` of them, the oldest change first. */
+  listUnknown (afterRevision: number, maxEntries: number, scope: CountScope = 'domain'): UnknownCounts {
     const changed: Array<{ id: string, window: number, workspace: string, entry: CountEntry }> = []
     for (const [id, { domain, windows }] of this.#processes) {
-      if (domain !== this.#options.domain) continue
+      if (scope === 'domain' && domain !== this.#options.domain) continue
       for (const [window, { revision, entries }] of windows) {
         if (revision <= afterRevision) continue
         for (const [workspace, entry] of entries) if (entry.revision > afterRevision) changed.push({ id, window, workspace, entry })
--- a/src/duties/usageExchange.ts
+++ b/src/duties/usageExchange.ts
@@ -5,9 +5,9 @@
 
 import type { Result } from 'true-myth'
 import type { Clock } from '../base/clock'
-import type { UsageAnswer, UsageUpdate } from '../protocol/usageMessages'
+import type { UsageAnswer, UsageTeller, UsageUpdate } from '../protocol/usageMessages'
 import type { TrueTime } from './trueTime'
-import type { UsageCounts } from './usageCounts'
+import type { CountScope, UsageCounts } from './usageCounts'
 
 /** Another gateway to which counts are told. */
 export interface UsagePeer {
@@ -27,6 +27,9 @@
   recordReported: (window: number) => void
   /** Lists the gateways that are told: the reader of this failure domain, or those of the others. */
   listPeers: () => UsagePeer[]
+  /** Returns this gateway as the teller of its failure domain; null while another one reads for it. */
+  getTeller: () => UsageTeller | null
+  openPeer: (teller: UsageTeller) => UsagePeer
   /** Called once in each interval. */
   handleInterval: () => void
   handleError: (error: unknown) => void
@@ -49,12 +52,21 @@
 const MAX_BYTES_PER_SECOND = 20_000
 const MS_PER_SECOND = 1000
 const MAX_PEERS = 100
+/** Milliseconds for which a gateway that told the counts of another failure domain is told all that is known. */
+const TELLER_VALID_MS = 5000
+
+interface HeardTeller {
+  teller: UsageTeller
+  /** Monotonic milliseconds of its last update. */
+  atMs: number
+}
 
 /** Tells the counts of this process, or of its failure domain, to the gateways that sum them. Sends nothing where nothing is new. */
 export class UsageExchange {
   readonly #options: UsageExchangeOptions
   readonly #task: BackgroundTask
   readonly #told = new BoundedMap<string, ToldState>(MAX_PEERS)
+  readonly #tellers = new BoundedMap<string, HeardTeller>(MAX_PEERS)
   #sentBytes = 0
 
   constructor (options: UsageExchangeOptions) {
@@ -77,9 +89,10 @@
 
   /** Applies another gateway's update. */
   receiveUpdate (update: UsageUpdate): UsageAnswer {
-    const { counts, process, trueTime, recordReported } = this.#options
+    const { clock, counts, process, trueTime, recordReported } = this.#options
     trueTime.recordPeer(update.process, update.ownMs)
     counts.merge(update.counts)
+    if (update.teller !== null) this.#tellers.set(update.teller.id, { teller: update.teller, atMs: clock.getMonotonicMs() })
     if (update.reported !== null) recordReported(update.reported)
     return { process, reported: this.#getReported(), trueMs: trueTime.getMs() }
   }
@@ -92,16 +105,32 @@
 
   async #sendAll (signal: AbortSignal): Promise<void> {
     this.#sentBytes = 0
-    await Promise.all(this.#options.listPeers().map(async peer => await this.#send(peer, signal)))
+    const peers = this.#options.listPeers()
+    const others = this.#listOtherTellers(peers)
+    await Promise.all([...peers.map(async peer => await this.#send(peer, 'domain', signal)), ...others.map(async peer => await this.#send(peer, 'all', signal))])
+  }
+
+  /**
+   * Lists the gateways that tell the counts of other failure domains and are not told as their readers. After a reader has
+   * lost the object service, each of its members reads for itself: it knows no counts but its own, and may report next.
+   */
+  #listOtherTellers (peers: readonly UsagePeer[]): UsagePeer[] {
+    const { clock, getTeller, openPeer } = this.#options
+    const self = getTeller()
+    if (self === null) return []
+    const told = new Set(peers.map(({ id }) => id))
+    const sinceMs = clock.getMonotonicMs() - TELLER_VALID_MS
+    return [...this.#tellers.values()].flatMap(({ teller, atMs }) => atMs < sinceMs || told.has(teller.id) || teller.domain === self.domain ? [] : [openPeer(teller)])
   }
 
-  async #send (peer: UsagePeer, signal: AbortSignal): Promise<void> {
-    const { counts, process, clock, trueTime, getReported, recordReported } = this.#options
-    const told = this.#told.get(peer.id) ?? { process: null, revision: 0, reported: -Infinity }
-    const unknown = counts.listUnknown(told.revision, MAX_COUNTS_PER_UPDATE)
+  async #send (peer: UsagePeer, scope: CountScope, signal: AbortSignal): Promise<void> {
+    const { counts, process, clock, trueTime, getReported, recordReported, getTeller } = this.#options
+    const key = `${scope} ${peer.id}`
+    const told = this.#told.get(key) ?? { process: null, revision: 0, reported: -Infinity }
+    const unknown = counts.listUnknown(told.revision, MAX_COUNTS_PER_UPDATE, scope)
     const reported = getReported()
     if (unknown.counts.length === 0 && reported <= told.reported) return
-    const update: UsageUpdate = { process, reported: this.#getReported(), ownMs: trueTime.getOwnMs(), counts: unknown.counts }
+    const update: UsageUpdate = { process, reported: this.#getReported(), ownMs: trueTime.getOwnMs(), teller: getTeller(), counts: unknown.counts }
     this.#sentBytes += JSON.stringify(update).length
     const answer = await peer.sendUsageUpdate(update, new Progress({ title: 'telling usage counts', timeoutMs: CALL_TIMEOUT_MS, signal, clock }))
     if (answer.isErr) return
@@ -109,7 +138,7 @@
     if (answer.value.reported !== null) recordReported(answer.value.reported)
     // a process that started again knows only what this update held
     const isSame = told.process === null || told.process === answer.value.process
-    this.#told.set(peer.id, { process: answer.value.process, revision: isSame ? unknown.revision : 0, reported })
+    this.#told.set(key, { process: answer.value.process, revision: isSame ? unknown.revision : 0, reported })
   }
 
   #getReported (): number | null {
--- a/src/duties/usageReporting.ts
+++ b/src/duties/usageReporting.ts
@@ -11,7 +11,7 @@
 import type { DecisionLog } from '../base/decisionLog'
 import type { Metrics } from '../base/metrics'
 import type { DutySettings } from '../config/processSettings'
-import type { UsageAnswer, UsageUpdate } from '../protocol/usageMessages'
+import type { UsageAnswer, UsageTeller, UsageUpdate } from '../protocol/usageMessages'
 import type { ObjectService } from '../store/objectService'
 import type { UsagePlatform } from './dutyRunner'
 import type { UsagePeer } from './usageExchange'
@@ -32,6 +32,9 @@
   metrics: Metrics
   /** Lists the gateways to which this one tells counts. */
   listPeers: () => UsagePeer[]
+  /** Returns this gateway as the teller of its failure domain; null while another one reads for it. */
+  getTeller: () => UsageTeller | null
+  openPeer: (teller: UsageTeller) => UsagePeer
   /** Returns the position of this gateway among those that may report; null when it is none of them. */
   getRank: () => number | null
 }
@@ -55,7 +58,7 @@
   #isLeaving = false
 
   constructor (options: UsageReportingOptions) {
-    const { clock, random, gateway, domain, settings, usage, service, platform, log, metrics, listPeers, getRank } = options
+    const { clock, random, gateway, domain, settings, usage, service, platform, log, metrics, listPeers, getTeller, openPeer, getRank } = options
     const process = createId(gateway)
     const handleError = (error: unknown) => log.writeError(error)
     this.#trueTime = new TrueTime(clock)
@@ -72,6 +75,8 @@
       getReported: () => this.#duty.reportedWindow,
       recordReported: window => this.#duty.recordReported(window),
       listPeers,
+      getTeller,
+      openPeer,
       handleInterval: () => this.#handleInterval(),
       handleError
     })
--- a/src/protocol/usageMessages.ts
+++ b/src/protocol/usageMessages.ts
@@ -18,11 +18,23 @@
   reported: z.number().int().nullable()
 }
 
+/** The gateway that tells counts as the reader of its failure domain. */
+const usageTellerSchema = z.object({
+  id: z.string().max(200),
+  domain: z.string(),
+  /** `host:port` at which it serves its peers. */
+  address: z.string().max(100)
+})
+
+export type UsageTeller = z.infer<typeof usageTellerSchema>
+
 /** Counts of requests that began, as one gateway tells them to another. They are cumulative for each process and window. */
 export const usageUpdateSchema = z.object({
   ...usageAnswerShape,
   /** Unix milliseconds by the sender's own clocks. */
   ownMs: z.number(),
+  /** The sender, where it tells the counts of its failure domain; null for a member that tells its reader. */
+  teller: usageTellerSchema.nullable().default(null),
   counts: z.array(processCountsSchema)
 })
 
--- a/src/relay/peerNetwork.ts
+++ b/src/relay/peerNetwork.ts
@@ -166,6 +166,11 @@
     return (reader === null ? this.#table.listRemoteReaders(nowMs) : [reader]).map(peer => this.openClient(peer))
   }
 
+  /** Returns this gateway, where it reads the object service for its failure domain or for itself; null where another one does. */
+  getTeller (): PeerIdentity | null {
+    return this.isReader() ? this.#table.self : null
+  }
+
   /** Returns the position of this gateway among the readers of all failure domains, from 0; null when it is none. */
   findReaderRank (): number | null {
     const readers = [...this.#table.listRemoteReaders(this.#options.clock.getMonotonicMs()), this.#table.self]
@@ -173,7 +178,7 @@
     return this.isReader() ? readers.findIndex(({ id }) => id === this.#table.self.id) : null
   }
 
-  openClient (peer: PeerIdentity): PeerClient {
+  openClient (peer: Pick<PeerIdentity, 'id' | 'address'>): PeerClient {
     return this.#gossip.openClient(peer)
   }
 
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -360,6 +360,8 @@
       log,
       metrics: this.#metrics,
       listPeers: () => this.#peers.listCountTargets(),
+      getTeller: () => this.#peers.getTeller(),
+      openPeer: teller => this.#peers.openClient(teller),
       getRank: () => this.#peers.findReaderRank()
     })
   }
--- a/tests/duties/usageCounts.spec.ts
+++ b/tests/duties/usageCounts.spec.ts
@@ -32,6 +32,8 @@
         return process === null ? Result.err('lost') : Result.ok({ process, reported: null, trueMs: 0 })
       }
     }],
+    getTeller: () => null,
+    openPeer: () => { throw new Error('no gateway of another failure domain was heard') },
     handleInterval: () => {},
     handleError: () => {}
   })
@@ -108,4 +110,40 @@
     await exchange.flush()
     expect(told.slice(4).map(update => update.reported)).to.deep.equal([6])
   })
+
+  it('should be told whole to a gateway that reads for itself, after the reader of its failure domain has lost the object service', async () => {
+    const clock = new ManualClock()
+    const known = new UsageCounts({ process: 'reader-a', domain: 'a', sinceMs: 0 })
+    const replacement = new UsageCounts({ process: 'member-b', domain: 'b', sinceMs: 0 })
+    known.recordRun('archivists', 7)
+    known.merge([['lost-reader-b', 'b', 0, [[7, [['archivists', 30]]]]], ['other-member-b', 'b', 0, [[7, [['archivists', 5]]]]]])
+    replacement.recordRun('archivists', 7)
+    const exchange = new UsageExchange({
+      clock,
+      random: () => 0.5,
+      process: 'reader-a',
+      counts: known,
+      trueTime: new TrueTime(clock),
+      getReported: () => -Infinity,
+      recordReported: () => {},
+      listPeers: () => [],
+      getTeller: () => ({ id: 'gateway-a', domain: 'a', address: '127.0.0.1:1' }),
+      openPeer: ({ id }) => ({
+        id,
+        sendUsageUpdate: async update => {
+          replacement.merge(usageUpdateSchema.parse(update).counts)
+          return Result.ok({ process: 'member-b', reported: null, trueMs: 0 })
+        }
+      }),
+      handleInterval: () => {},
+      handleError: () => {}
+    })
+    exchange.receiveUpdate({ process: 'member-b', reported: null, ownMs: 0, teller: { id: 'gateway-b2', domain: 'b', address: '127.0.0.1:2' }, counts: replacement.listUnknown(0, 10).counts })
+    await exchange.flush()
+    expect(replacement.computeTotals(7)).to.deep.equal([['archivists', 37]])
+    clock.advance(6000)
+    known.recordRun('archivists', 7)
+    await exchange.flush()
+    expect(replacement.computeTotals(7)).to.deep.equal([['archivists', 37]])
+  })
 })
