Let an endpoint fetch the beginning of a prompt from one that holds it

A request could leave its busy home endpoint only if another one read the shared beginning again, at a weight of four. A widely shared first part was read once at each endpoint.

Where the engine section of a service names bytes a token and a link, each choice of an endpoint weighs a fetch from an endpoint that is expected to hold the beginning, by own sends or by the ring, and the request names it (Kv-Fetch). An endpoint that is ejected, refused or broke a connection, or was the source of a request that ended without an event in the last 10 s, is not named; a request that was tried before names none.

--- a/bench/log/writer.ts
+++ b/bench/log/writer.ts
@@ -62,7 +62,7 @@
 /** Builds the three lines of a successful request. */
 function buildLines (requestId: string): DecisionLine[] {
   return [
-    { event: 'endpointChosen', requestId, route: 'r-cba2jgh', rank: 2, attempt: 1, endpoint: 'i-4f7bde6b9f', version: 'v1', resumes: null, resumesAfter: null, reason: 'prefixHome', costMs: 94, candidates: 28, inFlight: 3, limitPerSecond: null, recentSends: 12, pendingTokens: 1200, unreadTokens: 3000, othersInFlight: 20, othersTokens: 9000, failureRate: 0.02, heldMs: 4, remainingMs: 5990 },
+    { event: 'endpointChosen', requestId, route: 'r-cba2jgh', rank: 2, attempt: 1, endpoint: 'i-4f7bde6b9f', version: 'v1', resumes: null, resumesAfter: null, reason: 'prefixHome', costMs: 94, candidates: 28, inFlight: 3, limitPerSecond: null, recentSends: 12, pendingTokens: 1200, unreadTokens: 3000, othersInFlight: 20, othersTokens: 9000, prefixSource: null, fetchTokens: 0, failureRate: 0.02, heldMs: 4, remainingMs: 5990 },
     { event: 'sendEnded', requestId, service: 'engines', endpointId: 'i-4f7bde6b9f', attempt: 1, outcome: 'answered', status: 200, detail: '', elapsedMs: 900, firstMs: 130, events: 17 },
     { event: 'requestEnded', requestId, route: 'r-cba2jgh', end: 'whole', elapsedMs: 905, sentBytes: 3351 }
   ]
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -28,6 +28,9 @@
     /** Uncached prompt tokens of this request, and prompt tokens of peer gateways that are not yet prefilled. */
     unreadTokens: number
     othersTokens: number
+    /** Endpoint from which this one should fetch the beginning of the prompt, null when it should not, and the prompt tokens that this is expected to bring. */
+    prefixSource: string | null
+    fetchTokens: number
     failureRate: number
     /** Milliseconds since the request arrived. */
     heldMs: number
--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -1,9 +1,13 @@
 import { isBacklogWithinLimit } from './backlogLimit'
 import { isEjected } from './directEndpoint'
 import { isBackingOff } from './endpointBackoff'
+import { estimateCachedPrefix } from './prefixes/prefixBelief'
+import { addHolder, choosePrefixSource, NO_HOLDERS } from './prefixes/prefixSource'
 
 import type { DirectEndpoint } from './directEndpoint'
 import type { EndpointLoad } from './peerLoadTable'
+import type { PrefixBelief, SharedPrefix } from './prefixes/prefixBelief'
+import type { PrefixHolders, PrefixSource } from './prefixes/prefixSource'
 import type { PromptPart } from './prefixCacheEstimate'
 import type { PromptSize } from './promptSizes'
 import type { PermitState } from './sendPermits'
@@ -24,6 +28,8 @@
   candidates: number
   /** Prompt tokens that the endpoint would have to prefill because its cache lacks them. */
   unreadTokens: number
+  /** Endpoint from which the chosen one should fetch the beginning of the prompt; null when it should not. */
+  prefixSource: PrefixSource | null
   /** Requests that peer gateways have in flight there, and their prompt tokens not yet prefilled. */
   othersInFlight: number
   othersTokens: number
@@ -62,6 +68,8 @@
    * Empty when the request shares no parts.
    */
   homeEndpoints: readonly DirectEndpoint[]
+  /** Prompt tokens per millisecond that the service's engines fetch from one another; null where they cannot. */
+  transferTokensPerMs: number | null
   /** Endpoints reserved for light prompts. */
   reservedIds: ReadonlySet<string>
   /** Whether an endpoint with capacity is preferred to one without, regardless of cached prefixes. */
@@ -69,20 +77,29 @@
   random: () => number
 }
 
-type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens'>
+type Candidate = Pick<DirectChoice, 'endpoint' | 'costMs' | 'unreadTokens' | 'prefixSource'>
 
 /** Token counts of a prompt that are the same for every endpoint. */
 interface PromptTokenCounts {
-  sharedParts: readonly PromptPart[]
-  sharedTokens: number
+  shared: SharedPrefix
   uniqueTokens: number
 }
 
+/** Prompt tokens that an endpoint would prefill or fetch for a request. */
+interface ReadingPlan {
+  uniqueTokens: number
+  uncachedSharedTokens: number
+  fetchedTokens: number
+  source: PrefixSource | null
+}
+
 /**
  * Cost weight of shared tokens that the endpoint must prefill again. In addition to delaying the
  * request itself, they delay later requests and evict other parts from the cache.
  */
 const UNCACHED_SHARED_WEIGHT = 4
+/** Cost weight of shared tokens that the endpoint fetches: the copy takes memory that other parts and running requests need. */
+const FETCHED_SHARED_WEIGHT = 1
 /** Cost weight of this gateway's prompt tokens that the endpoint has not prefilled yet. */
 const PENDING_TOKENS_WEIGHT = 1
 /** Cost in milliseconds of an endpoint with all slots taken, compared with an empty one. */
@@ -93,11 +110,7 @@
 const LIGHT_ON_UNRESERVED_COST_MS = 300
 const HEAVY_ON_RESERVED_COST_MS = 3000
 const EJECTED_COST_MS = 100_000
-/** Probabilities that the home and the alternate endpoint have cached shared parts that this process did not send there. */
-const PREFIX_CACHED_PROBABILITIES = [1, 0.5]
 const HOME_REASONS = ['prefixHome', 'prefixAlternate'] as const
-/** Number of home endpoints of a shared part: the home and its alternate. */
-export const HOME_ENDPOINT_COUNT = PREFIX_CACHED_PROBABILITIES.length
 const COST_JITTER_MS = 1
 
 /**
@@ -106,20 +119,20 @@
  *
  * The chosen endpoint may lack capacity. A request waits for the endpoint that has its prefix cached,
  * because another endpoint would have to prefill the prompt again. It goes elsewhere when that
- * endpoint's backlog costs more than the prefill.
+ * endpoint's backlog costs more than the prefill, or than to fetch the prefix from an endpoint that holds it.
  *
  * @returns null when no candidate is left
  */
 export function chooseDirectEndpoint (request: DirectChoiceRequest, endpoints: readonly DirectEndpoint[], options: DirectChooserOptions): DirectChoice | null {
   const prompt = countPromptTokens(request.promptParts)
+  const holders = findHolders(prompt, endpoints, options)
   let best: Candidate | null = null
   let candidates = 0
   for (const endpoint of endpoints) {
     if (options.excludedIds.has(endpoint.entry.id)) continue
     candidates += 1
-    const uncachedTokens = countUncachedTokens(prompt, endpoint, options)
-    const costMs = estimateCostMs(request, endpoint, { uniqueTokens: prompt.uniqueTokens, uncachedSharedTokens: uncachedTokens - prompt.uniqueTokens }, options)
-    const candidate = { endpoint, costMs, unreadTokens: uncachedTokens }
+    const plan = estimateReading(prompt, endpoint, holders, options)
+    const candidate = { endpoint, costMs: estimateCostMs(request, endpoint, plan, options), unreadTokens: plan.uniqueTokens + plan.uncachedSharedTokens, prefixSource: plan.source }
     if (best === null || isPreferred(candidate, best, options)) best = candidate
   }
   if (best === null) return null
@@ -150,14 +163,24 @@
 
 function countPromptTokens (parts: readonly PromptPart[]): PromptTokenCounts {
   const sharedParts = parts.slice(0, -1)
-  return { sharedParts, sharedTokens: countTokens(sharedParts), uniqueTokens: parts.at(-1)?.tokens ?? 0 }
+  return { shared: { parts: sharedParts, tokens: countTokens(sharedParts) }, uniqueTokens: parts.at(-1)?.tokens ?? 0 }
+}
+
+/** Finds the endpoints that hold the beginning of the prompt. A request that was tried before fetches nothing, in case that is why it failed. */
+function findHolders ({ shared }: PromptTokenCounts, endpoints: readonly DirectEndpoint[], { transferTokensPerMs, excludedIds, homeEndpoints, nowMs }: DirectChooserOptions): PrefixHolders {
+  if (transferTokensPerMs === null || shared.tokens === 0 || excludedIds.size > 0) return NO_HOLDERS
+  const holders = new Map()
+  for (const endpoint of endpoints) addHolder(holders, shared, endpoint, estimateCachedPrefix(shared, endpoint, homeEndpoints, nowMs), nowMs)
+  return holders
 }
 
-/** Counts the prompt tokens that the endpoint is expected to prefill for the request. */
-function countUncachedTokens ({ sharedParts, sharedTokens, uniqueTokens }: PromptTokenCounts, endpoint: DirectEndpoint, { homeEndpoints, nowMs }: DirectChooserOptions): number {
-  const cachedProbability = PREFIX_CACHED_PROBABILITIES[homeEndpoints.indexOf(endpoint)] ?? 0
-  const cachedTokens = endpoint.prefixCache.countCachedTokens(sharedParts, nowMs)
-  return uniqueTokens + sharedTokens - Math.max(cachedTokens, Math.round(cachedProbability * sharedTokens))
+/** Plans which prompt tokens the endpoint would prefill for the request, and which it would fetch. */
+function estimateReading ({ shared, uniqueTokens }: PromptTokenCounts, endpoint: DirectEndpoint, holders: PrefixHolders, { transferTokensPerMs, homeEndpoints, nowMs }: DirectChooserOptions): ReadingPlan {
+  const belief: PrefixBelief = estimateCachedPrefix(shared, endpoint, homeEndpoints, nowMs)
+  const source = transferTokensPerMs === null ? null : choosePrefixSource(endpoint, belief, holders, transferTokensPerMs)
+  const uncachedTokens = shared.tokens - belief.cachedTokens
+  const fetchedTokens = Math.min(uncachedTokens, source?.tokens ?? 0)
+  return { uniqueTokens, uncachedSharedTokens: uncachedTokens - fetchedTokens, fetchedTokens, source }
 }
 
 /** Checks whether the request can start at the endpoint now, or could with a permit. */
@@ -191,14 +214,15 @@
   return oneHasCapacity === checkCapacity(other, options).hasCapacity ? one.costMs < other.costMs : oneHasCapacity
 }
 
-function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, { uniqueTokens, uncachedSharedTokens }: { uniqueTokens: number, uncachedSharedTokens: number }, options: DirectChooserOptions): number {
+function estimateCostMs (request: DirectChoiceRequest, endpoint: DirectEndpoint, { uniqueTokens, uncachedSharedTokens, fetchedTokens, source }: ReadingPlan, options: DirectChooserOptions): number {
   const { nowMs, random, getPeerLoad } = options
   const peerLoad = getPeerLoad(endpoint.entry.id)
   const pendingTokens = endpoint.pendingTokens + (options.queuedTokens.get(endpoint.entry.id) ?? 0)
-  const tokens = uniqueTokens + UNCACHED_SHARED_WEIGHT * uncachedSharedTokens + PENDING_TOKENS_WEIGHT * pendingTokens
+  const tokens = uniqueTokens + UNCACHED_SHARED_WEIGHT * uncachedSharedTokens + FETCHED_SHARED_WEIGHT * fetchedTokens + PENDING_TOKENS_WEIGHT * pendingTokens
   const ejectedMs = isEjected(endpoint, nowMs) ? EJECTED_COST_MS : 0
   const backoffMs = Math.max(0, endpoint.quietUntilMs - nowMs)
-  return tokens / endpoint.prefillRate.tokensPerMs + computeReservationCostMs(request, endpoint, peerLoad, options) + FULL_SLOTS_COST_MS * (endpoint.inFlight + countRequestsBeyondSlots(endpoint, peerLoad)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + backoffMs + computePermitWaitMs(options.getPermit(endpoint), nowMs) + random() * COST_JITTER_MS
+  const transferMs = fetchedTokens > 0 ? source?.transferMs ?? 0 : 0
+  return tokens / endpoint.prefillRate.tokensPerMs + transferMs + computeReservationCostMs(request, endpoint, peerLoad, options) + FULL_SLOTS_COST_MS * (endpoint.inFlight + countRequestsBeyondSlots(endpoint, peerLoad)) / endpoint.entry.slots + FAILURE_COST_MS * endpoint.failureRate + ejectedMs + backoffMs + computePermitWaitMs(options.getPermit(endpoint), nowMs) + random() * COST_JITTER_MS
 }
 
 /** Computes how long a request would wait for a permit. An answer that has not arrived yet is expected to take as long again. */
--- a/src/policy/directEndpoint.ts
+++ b/src/policy/directEndpoint.ts
@@ -43,6 +43,8 @@
   mistrustedUntilMs: number
   /** Time at which its address last refused a connection, so that its process has ended; null when it never did. */
   refusedAtMs: number | null
+  /** Time at which a request that should fetch the beginning of its prompt from this endpoint last ended without an event; null when none did. */
+  fetchFailedAtMs: number | null
   /** Time at which a connection to it last broke, with which its process may have ended; null when none did. */
   brokenAtMs: number | null
   /** Time of the start of the latest call that read its entry by itself and found it unchanged; -Infinity before. */
@@ -89,6 +91,7 @@
     quietUntilMs: 0,
     mistrustedUntilMs: 0,
     refusedAtMs: null,
+    fetchFailedAtMs: null,
     brokenAtMs: null,
     confirmedAtMs: -Infinity,
     heardAtMs: 0,
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -1,8 +1,11 @@
-import { chooseDirectEndpoint, countTokens, findDeepestSharedPart, HOME_ENDPOINT_COUNT, updateCapacity } from './directChooser'
+import { chooseDirectEndpoint, countTokens, findDeepestSharedPart, updateCapacity } from './directChooser'
 import { computeLatestStart } from './latestStart'
+import { HOME_ENDPOINT_COUNT } from './prefixes/prefixBelief'
+import { computeTransferTokensPerMs } from './prefixes/prefixSource'
 import { PromptSizes } from './promptSizes'
 import { isAvailable } from './endpointAvailability'
 
+import type { EngineCapacity } from '../config/routingConfig'
 import type { DirectChoice, QueuedTokens, CapacityOptions } from './directChooser'
 import type { DirectEndpoint } from './directEndpoint'
 import type { EndpointDirectory } from './endpointDirectory'
@@ -36,6 +39,8 @@
   loads: PeerLoadTable
   /** Returns the connections that each endpoint of a service accepts from all gateways together. */
   getMaxConnections: (service: string) => number
+  /** Returns the capacity of the engines of a service; null for a plain or unknown service. */
+  getEngine: (service: string) => EngineCapacity | null
   /** Returns whether the limit that an endpoint names allows this gateway to send to it now. */
   getPermit: (endpoint: DirectEndpoint) => PermitState
   /** Returns whether the endpoint is still the process that the list of endpoints says. */
@@ -129,6 +134,11 @@
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
   }
 
+  /** Records that a request ended without an event. The source that it should fetch the beginning of its prompt from may be the cause. */
+  recordFetchFailure ({ prefixSource }: DirectChoice, nowMs: number): void {
+    if (prefixSource !== null) prefixSource.endpoint.fetchFailedAtMs = nowMs
+  }
+
   #choose ({ service, promptParts, targetMs, arrivedAtMs }: PlacementRequest, { triedIds, findVersion }: ChooserOptions, capacityOptions: CapacityOptions): DirectChoice | null {
     const choice = findVersion()
     if (choice.kind === 'unknown') return null
@@ -142,6 +152,7 @@
       ...capacityOptions,
       excludedIds: triedIds,
       homeEndpoints: sharedPart === null ? [] : directory.listHomeEndpoints({ service, version }, sharedPart.id, size, HOME_ENDPOINT_COUNT),
+      transferTokensPerMs: computeTransferTokensPerMs(this.#options.getEngine(service)),
       reservedIds: directory.getReservedIds(service, version),
       // a late prompt that is smaller than the mean goes where it can start, so that larger ones do not start before it
       prefersCapacity: capacityOptions.nowMs - arrivedAtMs > targetMs && this.#sizes.isBelowMean(service, tokens),
--- a/src/relay/dialects.ts
+++ b/src/relay/dialects.ts
@@ -24,6 +24,8 @@
   remainingMs: number
   /** Id of the last event that the caller has received; null to start from the beginning. */
   resumeAfterEventId: number | null
+  /** `host:port` of the endpoint from which this one should fetch the beginning of the prompt; null when it should not. */
+  prefixSourceAddress: string | null
 }
 
 /** Status and headers of an endpoint's answer, as parsed by the dialect. */
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -205,7 +205,7 @@
 
   #buildExchangeOptions (): ExchangeOptions {
     const { agent, clock, dialect, connections } = this.#options
-    const { request, position } = this.#input
+    const { request, position, choice } = this.#input
     const { entry, mistrustedUntilMs } = this.#endpoint
     const [host, port] = parseAddress(entry.address)
     const remainingMs = request.deadlineAtMs - this.#startedAtMs
@@ -215,7 +215,7 @@
       port,
       method: request.traits.method,
       target: request.traits.target,
-      headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId }),
+      headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId, prefixSourceAddress: choice.prefixSource?.endpoint.entry.address ?? null }),
       body: request.body,
       clock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -292,6 +292,7 @@
     const nowMs = clock.getMonotonicMs()
     const ended = this.#resolveResult(exchangeResult, computeReadableElapsedMs(clock, this.#startedAtMs))
     if (ended.verdict !== null) recordAttemptResult(this.#endpoint, ended.verdict, nowMs)
+    if (ended.outcome !== 'answered' && ended.outcome !== 'callerLeft' && this.#begunAtMs === null) this.#options.placement.recordFetchFailure(this.#input.choice, nowMs)
     this.#recordCrashEvidence(exchangeResult)
     this.#report(ended, nowMs)
     return ended
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -83,6 +83,7 @@
   readonly #attempts: Counter
   readonly #retries: Counter
   readonly #permits: Counter
+  readonly #prefixFetches: Counter
   readonly #brokenAnswers: Counter
   readonly #answerEnds: Counter
   readonly #exits: Counter
@@ -99,6 +100,7 @@
     this.#attempts = metrics.createCounter('sends_total', 'Sends to endpoints by service and outcome.')
     this.#retries = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
+    this.#prefixFetches = metrics.createCounter('prefix_fetches_total', 'Requests whose endpoint should fetch the beginning of the prompt from another one, by service and why that one is expected to hold it.')
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
     this.#answerEnds = metrics.createCounter('closed_answers_total', 'Answers without framing, by service, whether their endpoint was there afterwards and whether they count as whole.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
@@ -113,6 +115,7 @@
   /** Records which endpoint a request is sent to, and why. */
   recordEndpointChoice (request: RelayRequest, choice: DirectChoice, { attempt, limitPerSecond }: { attempt: number, limitPerSecond: number | null }, nowMs: number): void {
     const { endpoint } = choice
+    if (choice.prefixSource !== null) this.#prefixFetches.add({ service: request.service, belief: choice.prefixSource.belief })
     if (attempt === 1) this.#queueTime.record(nowMs - request.arrivedAtMs, { service: request.service })
     this.#log.write('routine', {
       event: 'endpointChosen',
@@ -134,6 +137,8 @@
       unreadTokens: Math.round(choice.unreadTokens),
       othersInFlight: choice.othersInFlight,
       othersTokens: Math.round(choice.othersTokens),
+      prefixSource: choice.prefixSource?.endpoint.entry.id ?? null,
+      fetchTokens: choice.prefixSource?.tokens ?? 0,
       failureRate: Number(endpoint.failureRate.toFixed(2)),
       heldMs: Math.round(nowMs - request.arrivedAtMs),
       remainingMs: Math.round(request.deadlineAtMs - nowMs)
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -193,6 +193,7 @@
       directory: this.#directory,
       loads: this.#peers.loads,
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
+      getEngine: name => this.#fleetWatcher.table?.getEngine(name) ?? null,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
       isListedProcess: endpoint => identity.isListed(endpoint),
       random: Math.random
--- a/tests/policy/connectionShare.spec.ts
+++ b/tests/policy/connectionShare.spec.ts
@@ -13,7 +13,7 @@
 function countSends (loads: PeerLoadTable, nowMs: number): number {
   const directory = new EndpointDirectory()
   directory.applyList([buildEntry('e-1')], { afterOutage: false, nowMs: 0 })
-  const placement = new Placement({ directory, loads, getMaxConnections: () => MAX_CONNECTIONS, getPermit: () => UNLIMITED, isListedProcess: () => true, random: () => 0 })
+  const placement = new Placement({ directory, loads, getMaxConnections: () => MAX_CONNECTIONS, getEngine: () => null, getPermit: () => UNLIMITED, isListedProcess: () => true, random: () => 0 })
   for (let sends = 0; sends <= MAX_CONNECTIONS; sends++) {
     const choice = placement.createChooser(REQUEST, { triedIds: new Set(), latestStartAtMs: Infinity, findVersion: () => ({ kind: 'any' }) })(new Map(), nowMs)
     if (choice?.hasCapacity !== true) return sends
--- a/tests/policy/directFixtures.ts
+++ b/tests/policy/directFixtures.ts
@@ -21,5 +21,5 @@
 
 /** Builds the options of one endpoint choice. */
 export function buildChooserOptions (overrides: Partial<DirectChooserOptions> = {}): DirectChooserOptions {
-  return { excludedIds: new Set(), homeEndpoints: [], reservedIds: new Set(), queuedTokens: new Map(), getPeerLoad: () => ({ inFlight: 0, pendingTokens: 0, heardAtMs: -Infinity, permittedSends: 0 }), getPermit: () => UNLIMITED, maxInFlight: Infinity, meanUniqueTokens: 0, isLate: false, prefersCapacity: false, nowMs: 0, random: () => 0, ...overrides }
+  return { excludedIds: new Set(), homeEndpoints: [], transferTokensPerMs: null, reservedIds: new Set(), queuedTokens: new Map(), getPeerLoad: () => ({ inFlight: 0, pendingTokens: 0, heardAtMs: -Infinity, permittedSends: 0 }), getPermit: () => UNLIMITED, maxInFlight: Infinity, meanUniqueTokens: 0, isLate: false, prefersCapacity: false, nowMs: 0, random: () => 0, ...overrides }
 }
--- a/tests/policy/engineModel.ts
+++ b/tests/policy/engineModel.ts
@@ -19,6 +19,8 @@
   rank: number
   promptParts: readonly PromptPart[]
   outputTokens: number
+  /** Engine to fetch the beginning of the prompt from before it is prefilled, and the tokens that this moves per millisecond. */
+  source: { engine: EngineModel, tokensPerMs: number } | null
   handleFirst: (nowMs: number) => void
   /** Called at the end, with the longest pause between two events. */
   handleEnd: (nowMs: number, longestPauseMs: number) => void
@@ -58,10 +60,10 @@
 
   /** Runs one step and returns the milliseconds that it takes. Reports the step's results with its end time. */
   runStep (nowMs: number): number {
-    this.#admit()
+    const fetchMs = this.#admit()
     const { stepMs, stepMsPerSlot, prefillTokensPerMs } = this.#speed
     const { prefilledTokens, finished } = this.#runPrefill()
-    const tookMs = stepMs + stepMsPerSlot * this.#running.length + prefilledTokens / prefillTokensPerMs
+    const tookMs = fetchMs + stepMs + stepMsPerSlot * this.#running.length + prefilledTokens / prefillTokensPerMs
     const endMs = nowMs + tookMs
     this.busyMs += tookMs
     this.prefilledTokens += prefilledTokens
@@ -70,13 +72,30 @@
     return tookMs
   }
 
-  #admit (): void {
+  /** Admits waiting jobs, and returns the milliseconds that their fetches take. */
+  #admit (): number {
+    let fetchMs = 0
     while (this.#running.length < this.#speed.slots && this.#waiting.length > 0) {
       const job = this.#waiting.shift()!
+      fetchMs += this.#fetch(job)
       const firstUncachedIndex = job.promptParts.findIndex((part, index) => index === job.promptParts.length - 1 || !this.#cachedPartIds.has(part.id))
       job.unread = job.promptParts.slice(firstUncachedIndex).map(part => ({ ...part }))
       this.#running.push(job)
     }
+    return fetchMs
+  }
+
+  /** Fetches the shared parts that the source has and this engine lacks, and returns the milliseconds that this takes. */
+  #fetch ({ promptParts, source }: RunningJob): number {
+    if (source === null) return 0
+    let tokens = 0
+    for (const part of promptParts.slice(0, -1)) {
+      if (this.#cachedPartIds.has(part.id)) continue
+      if (!source.engine.#cachedPartIds.has(part.id)) break
+      this.#cachedPartIds.add(part.id)
+      tokens += part.tokens
+    }
+    return tokens / source.tokensPerMs
   }
 
   /** Prefills the next chunk, by rank and then by arrival. */
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -12,7 +12,8 @@
 import type { DispatchCandidate } from '../../src/policy/dispatchPass'
 import type { PlacementRequest } from '../../src/policy/placement'
 import type { PromptPart } from '../../src/policy/prefixCacheEstimate'
-import type { EngineSpeed } from './engineModel'
+import type { EngineCapacity } from '../../src/config/routingConfig'
+import type { EngineJob, EngineSpeed } from './engineModel'
 
 /** One kind of request in a scenario. */
 export interface ReplayRequestKind {
@@ -40,6 +41,10 @@
   /** Milliseconds for which requests arrive. */
   durationMs: number
   seed: number
+  /** Prompt tokens that an engine fetches from another one per millisecond; absent where engines cannot. */
+  transferTokensPerMs?: number | null
+  /** Whether no engine has what another one should fetch from it. */
+  losesSources?: boolean
 }
 
 export interface ReplayRequestCount {
@@ -73,6 +78,7 @@
 }
 
 const SERVICE = 'engines'
+const BYTES_PER_TOKEN = 35_136
 const DISPATCH_INTERVAL_MS = 5
 const LOAD_REPORT_INTERVAL_MS = 200
 const TIGHTEST_TARGET_MS = 150
@@ -104,7 +110,7 @@
       const directory = new EndpointDirectory()
       directory.applyList(entries, { afterOutage: false, nowMs: 0 })
       const peerLoads = new PeerLoadTable()
-      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getPermit: () => UNLIMITED, isListedProcess: () => true, random: this.#random })
+      const placement = new Placement({ directory, loads: peerLoads, getMaxConnections: () => Infinity, getEngine: () => buildEngineCapacity(scenario), getPermit: () => UNLIMITED, isListedProcess: () => true, random: this.#random })
       return { queue: new DispatchQueue<ReplayWaitingRequest>(), peerLoads, directory, placement }
     })
   }
@@ -189,6 +195,7 @@
       rank: kind.rank,
       promptParts: request.promptParts,
       outputTokens: kind.outputTokens,
+      source: this.#findSource(choice),
       handleFirst: (atMs: number) => this.#schedule(atMs + NETWORK_LATENCY_MS, handleFirst),
       handleEnd: (atMs: number, longestPauseMs: number) => this.#schedule(atMs + NETWORK_LATENCY_MS, () => handleEnd(longestPauseMs))
     }
@@ -198,6 +205,12 @@
     })
   }
 
+  #findSource ({ prefixSource }: DirectChoice): EngineJob['source'] {
+    const { transferTokensPerMs, losesSources = false } = this.#scenario
+    if (prefixSource === null || losesSources) return null
+    return { engine: this.#engines.get(prefixSource.endpoint.entry.id)!, tokensPerMs: transferTokensPerMs! }
+  }
+
   #runEngine (id: string): void {
     if (this.#stepping.has(id)) return
     const engine = this.#engines.get(id)!
@@ -268,6 +281,11 @@
   }
 }
 
+function buildEngineCapacity ({ speed, transferTokensPerMs = null }: OverloadScenario): EngineCapacity | null {
+  if (transferTokensPerMs === null) return null
+  return { slots: speed.slots, cacheTokens: Infinity, bytesPerToken: BYTES_PER_TOKEN, transferMegabitsPerSecond: transferTokensPerMs * BYTES_PER_TOKEN * 8 / 1000, tokensPerEvent: speed.eventTokens, maxCacheWatchers: 0, canMove: false, canBackUp: false }
+}
+
 /** Computes the value of a request: 0.3 for any request of the kind, plus a part that grows with the prompt. */
 function computeValue ({ sharedParts, uniqueTokens }: ReplayRequestKind, promptParts: readonly PromptPart[]): number {
   const meanTokens = sharedParts.reduce((sum, { tokens }) => sum + tokens, uniqueTokens.mean)
--- a/tests/relay/dispatcher.spec.ts
+++ b/tests/relay/dispatcher.spec.ts
@@ -28,7 +28,7 @@
   let hasCapacity = false
   const choose = (): DirectChoice => {
     choices += 1
-    return { endpoint, reason: 'leastCost', costMs: 0, candidates: 1, unreadTokens: 100, othersInFlight: 0, othersTokens: 0, hasCapacity, needsPermit: false }
+    return { endpoint, reason: 'leastCost', costMs: 0, candidates: 1, unreadTokens: 100, prefixSource: null, othersInFlight: 0, othersTokens: 0, hasCapacity, needsPermit: false }
   }
   for (let index = 0; index < QUEUED_REQUESTS; index++) {
     const request: DispatchRequest = { id: `r-${index}`, service: 'engines', rank: 1, prefillMs: 1, latestStartAtMs: 5000, expiresAtMs: 9000, choose, reserve: () => started.push(`r-${index}`) }
