Count a fetch in a choice only from an endpoint that has read the parts

The first event of an answer now shows that the endpoint has read the parts; only such an endpoint makes leaving the home cheaper. The home by the ring is still named for a request that leaves anyway.

--- a/src/policy/directChooser.ts
+++ b/src/policy/directChooser.ts
@@ -170,16 +170,20 @@
 function findHolders ({ shared }: PromptTokenCounts, endpoints: readonly DirectEndpoint[], { transferTokensPerMs, excludedIds, homeEndpoints, nowMs }: DirectChooserOptions): PrefixHolders {
   if (transferTokensPerMs === null || shared.tokens === 0 || excludedIds.size > 0) return NO_HOLDERS
   const holders = new Map()
-  for (const endpoint of endpoints) addHolder(holders, shared, endpoint, estimateCachedPrefix(shared, endpoint, homeEndpoints, nowMs), nowMs)
+  for (const endpoint of endpoints) addHolder(holders, shared, endpoint, endpoint === homeEndpoints[0], nowMs)
   return holders
 }
 
-/** Plans which prompt tokens the endpoint would prefill for the request, and which it would fetch. */
+/**
+ * Estimates which prompt tokens the endpoint would prefill for the request, and which it would fetch. Only tokens that
+ * the source has shown to hold count as fetched: a home endpoint that has not read its parts yet is the one with the
+ * longest queue, and each request that left it in vain would prefill them again.
+ */
 function estimateReading ({ shared, uniqueTokens }: PromptTokenCounts, endpoint: DirectEndpoint, holders: PrefixHolders, { transferTokensPerMs, homeEndpoints, nowMs }: DirectChooserOptions): ReadingPlan {
   const belief: PrefixBelief = estimateCachedPrefix(shared, endpoint, homeEndpoints, nowMs)
   const source = transferTokensPerMs === null ? null : choosePrefixSource(endpoint, belief, holders, transferTokensPerMs)
   const uncachedTokens = shared.tokens - belief.cachedTokens
-  const fetchedTokens = Math.min(uncachedTokens, source?.tokens ?? 0)
+  const fetchedTokens = source?.belief === 'read' ? Math.min(uncachedTokens, source.tokens) : 0
   return { uniqueTokens, uncachedSharedTokens: uncachedTokens - fetchedTokens, fetchedTokens, source }
 }
 
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -50,6 +50,7 @@
 
 /** Timing of a prompt whose first event arrived. */
 export interface FirstEventSample {
+  promptParts: readonly PromptPart[]
   sentAtMs: number
   /** Tightest target of the service's routes, in milliseconds. */
   targetMs: number
@@ -128,7 +129,8 @@
   }
 
   /** Records the first event of a prompt: how long the prompt waited at the endpoint, excluding its own prefill time. */
-  recordFirstEvent ({ endpoint, unreadTokens: uncachedTokens }: DirectChoice, { sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
+  recordFirstEvent ({ endpoint, unreadTokens: uncachedTokens }: DirectChoice, { promptParts, sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
+    endpoint.prefixCache.recordRead(promptParts, nowMs)
     if (uncachedTokens === 0) return
     const delayMs = nowMs - sentAtMs - uncachedTokens / endpoint.prefillRate.tokensPerMs
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
--- a/src/policy/prefixCacheEstimate.ts
+++ b/src/policy/prefixCacheEstimate.ts
@@ -21,6 +21,8 @@
  */
 export class PrefixCacheEstimate {
   readonly #usedAtMs = new Map<string, number>()
+  /** Times at which the endpoint had prefilled a part, of remembered parts. */
+  readonly #readAtMs = new Map<string, number>()
 
   /** Number of remembered parts. */
   get size (): number {
@@ -29,13 +31,17 @@
 
   /** Counts the tokens of the leading parts that the endpoint should still have cached. */
   countCachedTokens (parts: readonly PromptPart[], nowMs: number): number {
-    let tokens = 0
-    for (const part of parts) {
-      const usedAtMs = this.#usedAtMs.get(part.id)
-      if (usedAtMs === undefined || nowMs - usedAtMs > CACHE_RETENTION_MS) return tokens
-      tokens += part.tokens
-    }
-    return tokens
+    return countRecentTokens(parts, this.#usedAtMs, nowMs)
+  }
+
+  /** Counts the tokens of the leading parts that the endpoint has prefilled, as its answers show, and should still have cached. */
+  countReadTokens (parts: readonly PromptPart[], nowMs: number): number {
+    return countRecentTokens(parts, this.#readAtMs, nowMs)
+  }
+
+  /** Records that the endpoint has prefilled parts that were sent to it. */
+  recordRead (parts: readonly PromptPart[], nowMs: number): void {
+    for (const { id } of parts) if (this.#usedAtMs.has(id)) this.#readAtMs.set(id, nowMs)
   }
 
   record (parts: readonly PromptPart[], nowMs: number): void {
@@ -46,6 +52,17 @@
     for (const [id, usedAtMs] of this.#usedAtMs) {
       if (nowMs - usedAtMs <= CACHE_RETENTION_MS && this.#usedAtMs.size <= MAX_PARTS) return
       this.#usedAtMs.delete(id)
+      this.#readAtMs.delete(id)
     }
   }
 }
+
+function countRecentTokens (parts: readonly PromptPart[], times: ReadonlyMap<string, number>, nowMs: number): number {
+  let tokens = 0
+  for (const part of parts) {
+    const atMs = times.get(part.id)
+    if (atMs === undefined || nowMs - atMs > CACHE_RETENTION_MS) return tokens
+    tokens += part.tokens
+  }
+  return tokens
+}
--- a/src/policy/prefixes/prefixBelief.ts
+++ b/src/policy/prefixes/prefixBelief.ts
@@ -13,8 +13,6 @@
 /** What an endpoint is expected to have cached of a prefix. */
 export interface PrefixBelief {
   source: BeliefSource
-  /** Whether all gateways send the prompts of the prefix there. */
-  isHome: boolean
   /** Expected number of cached tokens. */
   cachedTokens: number
   /** Leading tokens that this process sent to the endpoint recently. */
@@ -33,13 +31,12 @@
  * @param homeEndpoints the home endpoint of the prefix, followed by its alternate
  * @example
  * estimateCachedPrefix({ parts: [{ id: 'a1', tokens: 800 }], tokens: 800 }, home, [home, alternate], nowMs)
- * // { source: 'home', isHome: true, cachedTokens: 800, sentTokens: 0 }
+ * // { source: 'home', cachedTokens: 800, sentTokens: 0 }
  */
 export function estimateCachedPrefix ({ parts, tokens }: SharedPrefix, endpoint: DirectEndpoint, homeEndpoints: readonly DirectEndpoint[], nowMs: number): PrefixBelief {
   const sentTokens = endpoint.prefixCache.countCachedTokens(parts, nowMs)
   const homeIndex = homeEndpoints.indexOf(endpoint)
   const guessedTokens = Math.round((HOME_PROBABILITIES[homeIndex] ?? 0) * tokens)
-  const isHome = homeIndex === 0
-  if (sentTokens > 0 && sentTokens >= guessedTokens) return { source: 'ownSends', isHome, cachedTokens: sentTokens, sentTokens }
-  return { source: HOME_SOURCES[homeIndex] ?? 'none', isHome, cachedTokens: guessedTokens, sentTokens }
+  if (sentTokens > 0 && sentTokens >= guessedTokens) return { source: 'ownSends', cachedTokens: sentTokens, sentTokens }
+  return { source: HOME_SOURCES[homeIndex] ?? 'none', cachedTokens: guessedTokens, sentTokens }
 }
--- a/src/policy/prefixes/prefixSource.ts
+++ b/src/policy/prefixes/prefixSource.ts
@@ -7,7 +7,8 @@
 /** An endpoint from which another one can fetch the beginning of a prompt. */
 export interface PrefixSource {
   endpoint: DirectEndpoint
-  belief: 'ownSends' | 'home'
+  /** Whether an answer to this process shows that the endpoint has prefilled the tokens, or only the ring makes it the home endpoint. */
+  belief: 'read' | 'home'
   /** Prompt tokens that are expected to be fetched instead of prefilled. */
   tokens: number
   /** Milliseconds that the transfer is expected to take. */
@@ -30,7 +31,7 @@
 const BITS_PER_MEGABIT = 1_000_000
 const MS_PER_SECOND = 1000
 /** Probability that a holder still has the tokens when they are fetched. */
-const HELD_PROBABILITIES: Record<PrefixSource['belief'], number> = { ownSends: 0.95, home: 0.8 }
+const HELD_PROBABILITIES: Record<PrefixSource['belief'], number> = { read: 0.95, home: 0.8 }
 /** Probability that an endpoint lacks tokens that this process did not send to it. */
 const LACK_PROBABILITIES: Record<BeliefSource, number> = { ownSends: 1, home: 0.3, alternate: 0.5, none: 1 }
 /** Milliseconds that a fetch must save at least: its set-up at both endpoints. */
@@ -55,19 +56,20 @@
 
 /**
  * Adds an endpoint to the holders of a prefix if it is expected to hold more of it than the other ones of its failure
- * domain. An endpoint other than the home at which prompts of this process still wait may not have read the parts that
- * were sent there.
+ * domain, by its answers to this process or because it is the home endpoint.
  */
-export function addHolder (holders: Map<string, PrefixHolder>, { tokens }: SharedPrefix, endpoint: DirectEndpoint, { isHome, sentTokens }: PrefixBelief, nowMs: number): void {
+export function addHolder (holders: Map<string, PrefixHolder>, { parts, tokens }: SharedPrefix, endpoint: DirectEndpoint, isHome: boolean, nowMs: number): void {
   if (!isTrusted(endpoint, nowMs)) return
-  const readTokens = endpoint.pendingTokens > 0 ? 0 : sentTokens
-  const heldTokens = isHome ? tokens : readTokens
-  if (heldTokens === 0) return
-  const belief = isHome ? 'home' : 'ownSends'
-  const key = `${belief} ${endpoint.entry.domain} ${endpoint.entry.version ?? ''}`
+  const readTokens = endpoint.prefixCache.countReadTokens(parts, nowMs)
+  if (readTokens > 0) addBetter(holders, { endpoint, belief: 'read', tokens: readTokens })
+  if (isHome && readTokens < tokens) addBetter(holders, { endpoint, belief: 'home', tokens })
+}
+
+function addBetter (holders: Map<string, PrefixHolder>, holder: PrefixHolder): void {
+  const { endpoint: { entry, inFlight }, belief, tokens } = holder
+  const key = `${belief} ${entry.domain} ${entry.version ?? ''}`
   const known = holders.get(key)
-  if (known !== undefined && (known.tokens > heldTokens || (known.tokens === heldTokens && known.endpoint.inFlight <= endpoint.inFlight))) return
-  holders.set(key, { endpoint, belief, tokens: heldTokens })
+  if (known === undefined || tokens > known.tokens || (tokens === known.tokens && inFlight < known.endpoint.inFlight)) holders.set(key, holder)
 }
 
 /**
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -251,6 +251,7 @@
     const nowMs = clock.getMonotonicMs()
     this.#begunAtMs = nowMs
     placement.recordFirstEvent(choice, {
+      promptParts: request.traits.promptParts,
       // how long the prompt waited there, and not how long its event waited here
       sentAtMs: nowMs - computeReadableElapsedMs(clock, this.#startedAtMs),
       targetMs: getTightestTargetMs(request.service),
--- a/tests/policy/overloadReplay.ts
+++ b/tests/policy/overloadReplay.ts
@@ -177,7 +177,7 @@
       firstAtMs = this.#nowMs
       endpoint.pendingTokens -= uncachedTokens
       endpoint.heardAtMs = this.#nowMs
-      gateway.placement.recordFirstEvent(choice, { sentAtMs, targetMs: TIGHTEST_TARGET_MS, hasQueuedRequests: gateway.queue.size > 0, nowMs: this.#nowMs })
+      gateway.placement.recordFirstEvent(choice, { promptParts: request.promptParts, sentAtMs, targetMs: TIGHTEST_TARGET_MS, hasQueuedRequests: gateway.queue.size > 0, nowMs: this.#nowMs })
     }
     const handleEnd = (longestPauseMs: number) => {
       endpoint.inFlight -= 1
--- a/tests/policy/prefixSource.spec.ts
+++ b/tests/policy/prefixSource.spec.ts
@@ -17,6 +17,12 @@
 const TRANSFER_TOKENS_PER_MS = 1300
 const NOW_MS = 60_000
 
+/** Lets an endpoint have read the parts, as its answer showed. */
+function addReadParts (endpoint: DirectEndpoint, parts: PromptPart[], atMs: number): void {
+  endpoint.prefixCache.record(parts, atMs - 100)
+  endpoint.prefixCache.recordRead(parts, atMs)
+}
+
 /** Chooses an endpoint for a prompt whose home endpoint has a long queue. */
 function chooseBesideBusyHome (home: DirectEndpoint, others: DirectEndpoint[], overrides: Partial<DirectChooserOptions> = {}): DirectChoice | null {
   const options = { homeEndpoints: [home], queuedTokens: new Map([[home.entry.id, 100_000]]), transferTokensPerMs: TRANSFER_TOKENS_PER_MS, nowMs: NOW_MS, ...overrides }
@@ -39,14 +45,25 @@
   it('should be the home endpoint, which is left earlier than where the beginning would be prefilled again', () => {
     const home = buildEndpoint('home')
     const idle = buildEndpoint('idle')
+    addReadParts(home, [COURSE, HISTORY], NOW_MS - 2000)
     const queuedTokens = new Map([['home', 25_000]])
     const choice = chooseBesideBusyHome(home, [idle], { queuedTokens })
     expect(choice?.endpoint).to.equal(idle)
-    expect(choice?.prefixSource).to.include({ endpoint: home, belief: 'home' })
+    expect(choice?.prefixSource).to.include({ endpoint: home, belief: 'read' })
     expect(choice?.unreadTokens).to.be.below(5000)
     expect(chooseBesideBusyHome(home, [idle], { queuedTokens, transferTokensPerMs: null })).to.include({ endpoint: home, prefixSource: null })
   })
 
+  it('should be the home endpoint, but left no earlier, while no answer shows that it has read the beginning', () => {
+    const home = buildEndpoint('home')
+    home.prefixCache.record([COURSE, HISTORY], NOW_MS - 2000)
+    const choose = (tokens: number) => chooseBesideBusyHome(home, [buildEndpoint('idle')], { queuedTokens: new Map([['home', tokens]]) })
+    expect(choose(25_000)).to.include({ endpoint: home, prefixSource: null })
+    const choice = choose(100_000)
+    expect(choice).to.include({ unreadTokens: 14_000 })
+    expect(choice?.prefixSource).to.include({ endpoint: home, belief: 'home' })
+  })
+
   it('should not be asked for while the home endpoint has little to do', () => {
     const home = buildEndpoint('home')
     expect(chooseBesideBusyHome(home, [buildEndpoint('idle')], { queuedTokens: new Map([['home', 3000]]) })).to.include({ endpoint: home, prefixSource: null })
@@ -55,10 +72,10 @@
   it('should be an endpoint that read the widely shared part, when the home may lack it', () => {
     const home = buildEndpoint('home')
     const reader = buildEndpoint('reader', { inFlight: 2 })
-    reader.prefixCache.record([COURSE, { id: 'other history', tokens: 5000 }], NOW_MS - 2000)
+    addReadParts(reader, [COURSE, { id: 'other history', tokens: 5000 }], NOW_MS - 2000)
     const choice = chooseBesideBusyHome(home, [reader], { queuedTokens: new Map() })
     expect(choice?.endpoint).to.equal(home)
-    expect(choice?.prefixSource).to.include({ endpoint: reader, belief: 'ownSends' })
+    expect(choice?.prefixSource).to.include({ endpoint: reader, belief: 'read' })
   })
 
   it('should not be an endpoint that may still read what was sent there, or whose last send is long ago', () => {
@@ -66,13 +83,13 @@
     const reading = buildEndpoint('reading', { pendingTokens: 3000 })
     const past = buildEndpoint('past', { inFlight: 2 })
     reading.prefixCache.record([COURSE], NOW_MS - 50)
-    past.prefixCache.record([COURSE], NOW_MS - 30_000)
+    addReadParts(past, [COURSE], NOW_MS - 30_000)
     expect(chooseBesideBusyHome(home, [reading, past], { queuedTokens: new Map() })).to.include({ endpoint: home, prefixSource: null })
   })
 
   it('should be one of the same failure domain where two hold the same', () => {
     const [near, far] = [buildEndpoint('near', { inFlight: 40 }), buildEndpoint('far', { inFlight: 40, entry: buildEntry('far', { domain: 'domain-b' }) })]
-    for (const holder of [far, near]) holder.prefixCache.record([COURSE, HISTORY], NOW_MS - 2000)
+    for (const holder of [far, near]) addReadParts(holder, [COURSE, HISTORY], NOW_MS - 2000)
     const home = buildEndpoint('home', { refusedAtMs: NOW_MS - 100 })
     for (const domain of ['domain-a', 'domain-b']) {
       const idle = buildEndpoint('idle', { entry: buildEntry('idle', { domain }) })
@@ -107,7 +124,7 @@
 })
 
 describe('many gateways whose prompts share their beginnings', () => {
-  const scenario = buildManyGatewayScenario({ load: 0.8, seed: 2 })
+  const scenario = buildManyGatewayScenario({ load: 0.8, seed: 2, gateways: 12, engines: 6 })
   const simulate = (transferTokensPerMs: number | null, losesSources = false) => {
     const { kinds, prefilledTokens } = simulateOverload({ ...scenario, transferTokensPerMs, losesSources })
     const counts = [...kinds.values()]
