--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -205,7 +205,7 @@
 
   #buildExchangeOptions (): ExchangeOptions {
     const { agent, clock, dialect, connections } = this.#options
-    const { request, position } = this.#input
+    const { request, position, choice } = this.#input
     const { entry, mistrustedUntilMs } = this.#endpoint
     const [host, port] = parseAddress(entry.address)
     const remainingMs = request.deadlineAtMs - this.#startedAtMs
@@ -215,7 +215,7 @@
       port,
       method: request.traits.method,
       target: request.traits.target,
-      headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId }),
+      headers: dialect.buildHeaders(request, { endpointId: entry.id, remainingMs, resumeAfterEventId: position.lastEventId, prefixSourceAddress: choice.prefixSource?.endpoint.entry.address ?? null }),
       body: request.body,
       clock,
       connectTimeoutMs: CONNECT_TIMEOUT_MS,
@@ -252,6 +252,7 @@
     this.#begunAtMs = nowMs
     if (this.#forwarder.head?.isEventStream === true) this.#recordRun(nowMs)
     placement.recordFirstEvent(choice, {
+      promptParts: request.traits.promptParts,
       // how long the prompt waited there, and not how long its event waited here
       sentAtMs: nowMs - computeReadableElapsedMs(clock, this.#startedAtMs),
       targetMs: getTightestTargetMs(request.service),
@@ -300,6 +301,7 @@
     const nowMs = clock.getMonotonicMs()
     const ended = this.#resolveResult(exchangeResult, computeReadableElapsedMs(clock, this.#startedAtMs))
     if (ended.verdict !== null) recordAttemptResult(this.#endpoint, ended.verdict, nowMs)
+    if (ended.outcome !== 'answered' && ended.outcome !== 'callerLeft' && this.#begunAtMs === null) this.#options.placement.recordFetchFailure(this.#input.choice, nowMs)
     this.#recordCrashEvidence(exchangeResult)
     if (hasRun(exchangeResult, this.#forwarder.head)) this.#recordRun(this.#startedAtMs)
     this.#report(ended, nowMs)
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -88,6 +88,7 @@
   readonly #retries: Counter
   readonly #permits: Counter
   readonly #startsByShare: Counter
+  readonly #prefixFetches: Counter
   readonly #brokenAnswers: Counter
   readonly #answerEnds: Counter
   readonly #exits: Counter
@@ -109,6 +110,7 @@
     this.#retries = metrics.createCounter('repeats_total', 'Repeats by service and whether the budget allowed them.')
     this.#permits = metrics.createCounter('permit_requests_total', 'Requests for permits to send to an endpoint that names a limit, by service and outcome.')
     this.#startsByShare = metrics.createCounter('starts_by_share_total', 'Sends of requests with a workspace, by service and whether the workspace was within its share, above it, or competed with none.')
+    this.#prefixFetches = metrics.createCounter('prefix_fetches_total', 'Requests whose endpoint should fetch the beginning of the prompt from another one, by service and why that one is expected to hold it.')
     this.#brokenAnswers = metrics.createCounter('broken_answers_total', 'Answers that broke off, by service and whether events had arrived before.')
     this.#answerEnds = metrics.createCounter('closed_answers_total', 'Answers without framing, by service, whether their endpoint was there afterwards and whether they count as whole.')
     this.#exits = metrics.createCounter('endpoint_exits_total', 'Endpoints that ended under requests of this process, by service and the sign of it.')
@@ -124,6 +126,7 @@
   /** Records which endpoint a request is sent to, and why. */
   recordEndpointChoice (request: RelayRequest, choice: DirectChoice, { attempt, limitPerSecond, standing }: { attempt: number, limitPerSecond: number | null, standing: ShareStanding | null }, nowMs: number): void {
     const { endpoint } = choice
+    if (choice.prefixSource !== null) this.#prefixFetches.add({ service: request.service, belief: choice.prefixSource.belief })
     if (attempt === 1) this.#queueTime.record(nowMs - request.arrivedAtMs, { service: request.service })
     if (request.workspace !== null) this.#startsByShare.add({ service: request.service, share: standing?.share ?? 'uncontended' })
     this.#log.write('routine', {
@@ -146,6 +149,8 @@
       unreadTokens: Math.round(choice.unreadTokens),
       othersInFlight: choice.othersInFlight,
       othersTokens: Math.round(choice.othersTokens),
+      prefixSource: choice.prefixSource?.endpoint.entry.id ?? null,
+      fetchTokens: choice.prefixSource?.tokens ?? 0,
       failureRate: Number(endpoint.failureRate.toFixed(2)),
       heldMs: Math.round(nowMs - request.arrivedAtMs),
       remainingMs: Math.round(request.deadlineAtMs - nowMs),
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -79,7 +79,7 @@
 /** File descriptors reserved for files, the object service and operators; callers must not use them up. */
 const RESERVED_DESCRIPTORS = 400
 /** Settings that are read only at start. */
-const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'memoryMb', 'processorShare', 'duties'] as const
+const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'memoryMb', 'processorShare', 'duties', 'fetchesPrefixes'] as const
 /** Maximum number of workspaces in the state dump. */
 const MAX_DUMPED_DEMANDS = 64
 const MS_PER_SECOND = 1000
@@ -207,6 +207,7 @@
       directory: this.#directory,
       loads: this.#peers.loads,
       getMaxConnections: name => this.#fleetWatcher.table?.getMaxConnections(name) ?? Infinity,
+      getEngine: name => settings.fetchesPrefixes ? this.#fleetWatcher.table?.getEngine(name) ?? null : null,
       getPermit: endpoint => this.#limits.getPermit(endpoint),
       isListedProcess: endpoint => identity.isListed(endpoint),
       isEngine: name => this.#isEngine(name),
--- a/tests/policy/engineRates.spec.ts
+++ b/tests/policy/engineRates.spec.ts
@@ -50,7 +50,7 @@
       const uniqueTokens = 200 + (index * 7919) % 6000
       const promptParts = [{ id: 'shared', tokens: 13_000 }, { id: `own-${index}`, tokens: uniqueTokens }]
       const endpoint = this.endpoints[index % this.endpoints.length]!
-      const choice: DirectChoice = { endpoint, reason: 'prefixHome', costMs: 0, candidates: 6, unreadTokens: uniqueTokens, othersInFlight: 0, othersTokens: 0, hasCapacity: true, needsPermit: false }
+      const choice: DirectChoice = { endpoint, reason: 'prefixHome', costMs: 0, candidates: 6, unreadTokens: uniqueTokens, othersInFlight: 0, othersTokens: 0, hasCapacity: true, needsPermit: false, prefixSource: null }
       const prefilledTokens = uniqueTokens + ((index * 31) % 100 < 100 * uncachedShare ? 13_000 : 0)
       this.#meter.recordSend(choice, promptParts)
       this.#meter.recordFirstEvent(choice, getSlowness(endpoint.entry.id) * (FIRST_EVENT_DELAY_MS + prefilledTokens / TOKENS_PER_MS), this.nowMs)
