Mend what the review of the parts found

Usage report: a gateway that had just started told the window before its start as settled, so that others dropped its counts; it now tells none until it knows one, and no gateway takes a window as settled that has not ended. Not mended: the setting sharesRoom is false by default. Found by reading; no test was added for these faults. Typecheck and lint passed.

--- a/src/config/processSettings.ts
+++ b/src/config/processSettings.ts
@@ -82,6 +82,8 @@
   /** Length in seconds of the window in which retries are counted. */
   retryWindowSeconds: number
   maxDescriptors: number
+  /** Whether workspaces share the room of a rank by the tokens that they received lately. */
+  sharesRoom: boolean
   /** Whether an engine fetches the beginning of a prompt from another one that holds it, where that is sooner than reading it. */
   fetchesPrefixes: boolean
   /** Megabytes of memory that the process may take. */
--- a/src/config/processSettingsSchema.ts
+++ b/src/config/processSettingsSchema.ts
@@ -57,6 +57,7 @@
   retryRatio: z.number().min(0).max(1).describe('the retries allowed per request, from 0 to 1'),
   retryWindowSeconds: secondsSchema.describe('the seconds of the window in which retries are counted'),
   maxDescriptors: durationSchema.describe('the number of file descriptors that the process may open'),
+  sharesRoom: z.boolean().default(false).describe('true to share the room of a rank between workspaces by the tokens that they received'),
   fetchesPrefixes: z.boolean().default(false).describe('true to let an engine fetch the beginning of a prompt from another one that holds it'),
   memoryMb: durationSchema.default(200).describe('the megabytes of memory that the process may take'),
   logBytesPerSecond: durationSchema.default(65_536).describe('the bytes per second that the log may write'),
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -93,7 +93,9 @@
   /** Whether a write had no answer, so that the stored object has to be read. */
   #isUnsure = false
   readonly #settled = new Set<number>()
-  #reportedWindow: number
+  #reportedWindow = -Infinity
+  /** Last window that had ended before this process started; it steps in only for later ones. */
+  readonly #windowBeforeStart: number
   /** Highest number that this process has seen; an object that was deleted does not begin again below it. */
   #highestNumber = 0
   #retryAtMs = -Infinity
@@ -101,10 +103,10 @@
 
   constructor (options: UsageDutyOptions) {
     this.#options = options
-    this.#reportedWindow = findWindow(options.sinceMs, options.timing) - 1
+    this.#windowBeforeStart = findWindow(options.sinceMs, options.timing) - 1
   }
 
-  /** Last window that is settled at the platform together with all before it, as far as known here. */
+  /** Last window that is settled at the platform together with all before it; -Infinity while this process knows of none. */
   get reportedWindow (): number {
     return this.#reportedWindow
   }
@@ -228,7 +230,7 @@
 
   #decideAsCandidate ({ trueMs, rank, counts }: DutySituation, dueWindow: number): DutyStep {
     const { timing, clock } = this.#options
-    if (rank === null || this.#reportedWindow >= dueWindow) {
+    if (rank === null || Math.max(this.#reportedWindow, this.#windowBeforeStart) >= dueWindow) {
       this.#observation = null
       return { kind: 'wait', ms: IDLE_MS }
     }
--- a/src/duties/usageReporting.ts
+++ b/src/duties/usageReporting.ts
@@ -73,7 +73,8 @@
       counts: this.#counts,
       trueTime: this.#trueTime,
       getReported: () => this.#duty.reportedWindow,
-      recordReported: window => this.#duty.recordReported(window),
+      // a gateway whose clock is ahead must not settle windows that have not ended
+      recordReported: window => { if (window < findWindow(this.#trueTime.getMs(), this.#timing)) this.#duty.recordReported(window) },
       listPeers,
       getTeller,
       openPeer,
--- a/src/protocol/bodyReader.ts
+++ b/src/protocol/bodyReader.ts
@@ -54,14 +54,15 @@
       request.pause()
       account.waitForRoom(() => { if (isKept) request.resume() })
     }
-    account?.setDrop(() => {
-      drop(err({ kind: 'hungUp' }))
-      request.resume()
-    })
     request.on('data', handleData)
     request.on('end', () => { if (isKept) resolve(ok(collector.takeAll())) })
     request.on('error', () => drop(err({ kind: 'hungUp' })))
     request.on('close', () => drop(err({ kind: 'hungUp' })))
+    // at once where the request gave way as soon as it was counted
+    account?.setDrop(() => {
+      drop(err({ kind: 'hungUp' }))
+      request.resume()
+    })
   })
 }
 
--- a/src/relay/callerMemory.ts
+++ b/src/relay/callerMemory.ts
@@ -41,6 +41,8 @@
 /** Milliseconds that a request waits for room before another one gives way. */
 const MAX_WAIT_MS = 1000
 const CHECK_INTERVAL_MS = 100
+/** Bytes that a resumed request may add in its first read. */
+const RESUMED_BYTES = 65_536
 
 /**
  * Bounds the bytes that the requests of all callers hold together, from their heads to their replies.
@@ -83,7 +85,7 @@
 
   /** Reserves bytes of an answer that is being collected. Returns false when nothing more can give way for it. */
   reserve (bytes: number): boolean {
-    if (!this.#makeRoom(bytes)) return false
+    if (!this.#canMakeRoom(bytes) || !this.#makeRoom(bytes)) return false
     this.#totalBytes += bytes
     return true
   }
@@ -133,8 +135,19 @@
     this.#timer ??= setInterval(() => this.#checkWaiting(), CHECK_INTERVAL_MS).unref()
   }
 
-  #hasRoom ({ owner }: CallerHolding): boolean {
-    return hasRoom({ budgetBytes: this.budgetBytes, totalBytes: this.#totalBytes, ownerBytes: this.#ownerBytes.get(owner) ?? 0 })
+  #hasRoom ({ owner }: CallerHolding, expectedBytes = 0): boolean {
+    return hasRoom({ budgetBytes: this.budgetBytes, totalBytes: this.#totalBytes + expectedBytes, ownerBytes: this.#ownerBytes.get(owner) ?? 0 })
+  }
+
+  /** Returns whether the budget has room for `bytes`, or would have once all that can give way has. */
+  #canMakeRoom (bytes: number): boolean {
+    let missingBytes = this.#totalBytes + bytes - this.budgetBytes
+    if (missingBytes <= 0) return true
+    for (const holding of this.#holdings) {
+      if (holding.canGiveWay) missingBytes -= holding.bytes
+      if (missingBytes <= 0) return true
+    }
+    return false
   }
 
   /** Lets requests give way until the budget has room for `bytes`. Returns false when none can give way any more. */
@@ -160,8 +173,10 @@
   }
 
   #resumeWaiting (): void {
+    let expectedBytes = 0
     for (const holding of this.#waiting) {
-      if (!this.#hasRoom(holding)) continue
+      if (!this.#hasRoom(holding, expectedBytes)) continue
+      expectedBytes += RESUMED_BYTES
       this.#waiting.delete(holding)
       holding.resume()
     }
@@ -237,6 +252,7 @@
 
   /** Sets what is called when the body is to be dropped. */
   setDrop (handleDrop: () => void): void {
+    if (this.#isClosed) return handleDrop()
     this.#handleDrop = handleDrop
   }
 
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -35,6 +35,8 @@
   crashes: CrashGuard
   limits: LimitCoordinator
   versions: StreamVersions
+  /** Whether workspaces share the room of a rank. */
+  sharesRoom: boolean
   /** Returns the refusal of a queued request that must no longer be sent; null when it may be sent. */
   checkStillAdmitted: (request: RelayRequest) => Refusal | null
   /** Returns the refusal of a request that might not end before this process does; null when it may be sent. */
@@ -159,7 +161,7 @@
       return null
     }
     const placementRequest = toPlacementRequest(request)
-    const claim = buildShareClaim(request)
+    const claim = this.#options.sharesRoom ? buildShareClaim(request) : null
     const latestStartAtMs = placement.computeLatestStartAt(placementRequest)
     const hold = new AbortController()
     const chooseEndpoint = placement.createChooser(placementRequest, { triedIds: state.tried, latestStartAtMs, findVersion: () => this.#findVersion(state, hold) })
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -92,6 +92,8 @@
   #isConnected = false
   #hasEnded = false
   #interimResponses = 0
+  /** Whether this process gave the answer up, also where all of it has arrived. */
+  #isGivenUp = false
 
   constructor (options: ExchangeOptions, sink: AnswerSink, resolve: (end: ExchangeResult) => void) {
     this.#options = options
@@ -187,6 +189,7 @@
   }
 
   #abortAnswer (message: string): void {
+    this.#isGivenUp = true
     this.#finish({ kind: 'broken', message })
     this.#abortConnection()
   }
@@ -213,7 +216,7 @@
 
   #finish (end: ExchangeResult): void {
     if (this.#hasEnded) return
-    if (end.kind === 'broken' && this.#response?.complete === true && !this.#response.readableEnded) return
+    if (end.kind === 'broken' && !this.#isGivenUp && this.#response?.complete === true && !this.#response.readableEnded) return
     this.#hasEnded = true
     this.#connectLimit?.cancel()
     this.#socket?.off('end', this.#handleSocketEnd)
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -79,7 +79,7 @@
 /** File descriptors reserved for files, the object service and operators; callers must not use them up. */
 const RESERVED_DESCRIPTORS = 400
 /** Settings that are read only at start. */
-const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'memoryMb', 'processorShare', 'duties', 'fetchesPrefixes'] as const
+const RESTART_SETTINGS = ['id', 'domain', 'listen', 'storeUrl', 'heartbeatMs', 'maxDescriptors', 'memoryMb', 'processorShare', 'duties', 'sharesRoom', 'fetchesPrefixes'] as const
 /** Maximum number of workspaces in the state dump. */
 const MAX_DUMPED_DEMANDS = 64
 const MS_PER_SECOND = 1000
@@ -250,6 +250,7 @@
       crashes: this.#crashes,
       limits: this.#limits,
       versions: this.#versions,
+      sharesRoom: settings.sharesRoom,
       checkStillAdmitted: request => gate.checkStillAdmitted(request),
       checkStop: request => this.#stop?.check(request) ?? null
     })
--- a/tests/relay/relayFixture.ts
+++ b/tests/relay/relayFixture.ts
@@ -120,6 +120,7 @@
     retryWindowSeconds: 10,
     maxDescriptors: 4096,
     memoryMb: 200,
+    sharesRoom: false,
     fetchesPrefixes: false,
     logBytesPerSecond: 1_000_000,
     duties: null,
