Count only tokens that were certainly prefilled as an engine's throughput

Cause: the lower bound of a service's rate added up guesses of uncached shared parts of all gateways, so that it could rise by itself (found by a review). Change: only the unshared tokens of a prompt count.

--- a/src/policy/engines/rateMeter.ts
+++ b/src/policy/engines/rateMeter.ts
@@ -57,6 +57,8 @@
 export class RateMeter {
   readonly #options: RateMeterOptions
   readonly #sent = new WeakMap<DirectChoice, SentPrompt>()
+  /** Prompt tokens that an endpoint had to prefill for certain; whether it had the shared parts cached is a guess. */
+  readonly #certainTokens = new WeakMap<DirectChoice, number>()
   readonly #refreshedAtMs = new Map<string, number>()
   readonly #logged = new WeakMap<DirectEndpoint, LoggedRate>()
 
@@ -68,6 +70,7 @@
   recordSend (choice: DirectChoice, promptParts: readonly PromptPart[]): void {
     const { endpoint, unreadTokens } = choice
     const uniqueTokens = promptParts.at(-1)?.tokens ?? 0
+    this.#certainTokens.set(choice, uniqueTokens)
     // a shared part that has to be prefilled may have been cached by another gateway's prompt meanwhile
     if (uniqueTokens === 0 || unreadTokens !== uniqueTokens || !this.#options.isEngine(endpoint.entry.service)) return
     const sharedTokens = promptParts.reduce((sum, { tokens }) => sum + tokens, -uniqueTokens)
@@ -77,7 +80,8 @@
   /** Records the milliseconds from the send of a prompt to its first event. */
   recordFirstEvent (choice: DirectChoice, delayMs: number, nowMs: number): void {
     const { entry, prefillRate } = choice.endpoint
-    if (choice.unreadTokens > 0 && this.#options.isEngine(entry.service)) prefillRate.recordTokens(choice.unreadTokens, nowMs)
+    const certainTokens = this.#certainTokens.get(choice) ?? 0
+    if (certainTokens > 0 && this.#options.isEngine(entry.service)) prefillRate.recordTokens(certainTokens, nowMs)
     const sent = this.#sent.get(choice)
     if (sent === undefined) return
     this.#sent.delete(choice)
