Test the faults that the review of the parts found

A window between its end and its report while another gateway starts; a request that gives way as soon as it is counted; waiting bodies that resume together; small parts between large ones.

--- a/tests/duties/usageDuty.spec.ts
+++ b/tests/duties/usageDuty.spec.ts
@@ -151,6 +151,15 @@
     expect(fleet.listViolations()).to.deep.equal([])
   })
 
+  it('should leave out no window because a gateway starts between its end and its report', async () => {
+    const fleet = await startFleet()
+    const startMs = fleet.nowMs
+    await fleet.advance(TIMING.windowMs - fleet.nowMs % TIMING.windowMs + 500)
+    fleet.replaceNode(fleet.nodes.findIndex(node => node !== fleet.getHolder()))
+    await fleet.advance(30_000)
+    expectRight(fleet, startMs)
+  })
+
   it('should go on under a new number when all gateways start again, without windows that nobody counted', async () => {
     const fleet = await startFleet()
     fleet.nodes.forEach(node => { node.isDown = true })
--- a/tests/relay/callerMemory.spec.ts
+++ b/tests/relay/callerMemory.spec.ts
@@ -75,6 +75,35 @@
     expect(memory.totalBytes).to.be.at.most(BUDGET_BYTES)
   })
 
+  it('should have the body dropped of a request that gives way as soon as it is counted', () => {
+    openHolding('crowd', 'sent').add(BUDGET_BYTES)
+    const late = openHolding('crowd')
+    let isDropped = false
+    late.setDrop(() => { isDropped = true })
+    expect(given).to.have.length(1)
+    expect(isDropped).to.equal(true)
+  })
+
+  it('should resume no more waiting bodies at once than there is room for', () => {
+    const first = openHolding('a')
+    first.add(12 * MIB)
+    const waiting = Array.from({ length: 100 }, () => openHolding('a'))
+    let resumed = 0
+    for (const holding of waiting) holding.waitForRoom(() => { resumed += 1 })
+    first.setReplyBytes(-MIB)
+    expect(resumed).to.be.within(1, 17)
+  })
+
+  it('should hold little more than its bytes for a body of small parts between large ones', () => {
+    const collector = new ByteCollector()
+    let heldBytes = 0
+    const parts = Array.from({ length: 400 }, (_, index) => Buffer.alloc(index % 2 === 0 ? 4096 : 100, index % 251))
+    for (const part of parts) heldBytes += collector.push(part)
+    const length = 200 * 4196
+    expect(heldBytes).to.be.below(1.25 * length)
+    expect(collector.takeAll().equals(Buffer.concat(parts))).to.equal(true)
+  })
+
   it('should hold little more than its bytes for a body of tiny parts', () => {
     const collector = new ByteCollector()
     let heldBytes = 0
