--- a/src/duties/trueTime.ts
+++ b/src/duties/trueTime.ts
@@ -54,7 +54,7 @@
     return monotonicMs + this.#offsetMs + this.#shiftMs
   }
 
-  /** Returns the Unix milliseconds by the clocks of this machine alone, which it tells others. */
+  /** Returns the Unix milliseconds by the clocks of this instance alone, which it tells others. */
   getOwnMs (): number {
     return this.#clock.getMonotonicMs() + this.#offsetMs
   }
--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -41,7 +41,7 @@
   loads: PeerLoadTable
   /** Returns the connections that each endpoint of a service accepts from all gateways together. */
   getMaxConnections: (service: string) => number
-  /** Returns the capacity of the engines of a service; null for a plain or unknown service. */
+  /** Returns the capacity of the engines of a service that may fetch prompt parts from one another; null where none may. */
   getEngine: (service: string) => EngineCapacity | null
   /** Returns whether the limit that an endpoint names allows this gateway to send to it now. */
   getPermit: (endpoint: DirectEndpoint) => PermitState
