--- a/src/policy/placement.ts
+++ b/src/policy/placement.ts
@@ -148,7 +148,8 @@
   recordFirstEvent (choice: DirectChoice, { promptParts, sentAtMs, targetMs, hasQueuedRequests, nowMs }: FirstEventSample): void {
     const { endpoint, unreadTokens: uncachedTokens } = choice
     this.#rates.recordFirstEvent(choice, nowMs - sentAtMs, nowMs)
-    endpoint.prefixCache.recordRead(promptParts, nowMs)
+    // only a fetch asks which endpoints have read the parts
+    if (this.#options.getEngine(endpoint.entry.service) !== null) endpoint.prefixCache.recordRead(promptParts, nowMs)
     if (uncachedTokens === 0) return
     const delayMs = nowMs - sentAtMs - uncachedTokens / endpoint.prefillRate.tokensPerMs
     endpoint.prefillLimit.recordPrefillDelay({ delayMs, targetMs, hasQueuedRequests, nowMs })
