--- a/review/lib-2/runner.mjs
+++ b/review/lib-2/runner.mjs
@@ -1,4 +1,5 @@
-// Stand-in of a runner: node runner.mjs PORT ID VERSION [--cut-inside N]. It answers streams, one event each --gap-ms, and plain requests.
+// Stand-in of a runner: node runner.mjs PORT ID VERSION [--end-inside N]. It answers streams, one event each --gap-ms, and plain requests.
+import { once } from 'node:events'
 import http from 'node:http'
 import { parseArgs } from 'node:util'
 
@@ -17,7 +18,8 @@
 server.listen(Number(port), '127.0.0.1', () => log({ listening: Number(port) }))
 
 async function serve (request, response) {
-  for await (const _part of request);
+  request.resume()
+  await once(request, 'end')
   const requestId = request.headers['tanagerwick-request-attempt-id'] ?? ''
   const expected = request.headers['tanagerwick-expect-runner']
   response.setHeader('Tanagerwick-Request-Attempt-Id', requestId)
