--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -63,7 +63,7 @@
         platform: { address: links[index]?.storeAddress ?? storeAddress },
         heartbeatMs: 1200,
         bounds: BOUNDS,
-        cloud: cloudAddress === null ? {} : { address: links[index]?.cloudAddress ?? cloudAddress, dutyPerS: 10, duties: ['usage_report'] }
+        cloud: cloudAddress === null ? {} : { address: links[index]?.cloudAddress ?? cloudAddress, dutyPerS: 50, duties: ['usage_report', 'autoscale'] }
       }
       const file = path.join(this.#folder, `boot-${index}.yaml`)
       // the template names a fixed port for operators; the processes here share one machine
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -7,6 +7,8 @@
   #objects = new Map()
   #history = []
   #revision = 100
+  /** Revision after which the history begins. */
+  #firstRevision = 0
   #era = 0
   #outage = 'none'
   #held = new Set()
@@ -41,6 +43,21 @@
     }
   }
 
+  /** Takes a copy of all objects, as a backup does. */
+  takeCopy () {
+    return { objects: structuredClone([...this.#objects]), revision: this.#revision }
+  }
+
+  /** Comes back from a copy: what was written since is gone, revisions are given out again, and the era rises. */
+  restore ({ objects, revision }) {
+    this.#objects = new Map(structuredClone(objects))
+    this.#revision = revision
+    this.#history = []
+    this.#firstRevision = revision
+    this.#era += 1
+    for (const wake of [...this.#watches]) wake()
+  }
+
   get (key) {
     return this.#objects.get(key) ?? null
   }
@@ -109,8 +126,9 @@
   }
 
   async #watch (kind, after, waitMs, response) {
+    const era = this.#era
     const find = () => this.#history.filter(entry => entry.revision > after && entry.kind === kind)
-    if (after > this.#revision) return this.#send(response, 410, {})
+    if (after > this.#revision || after < this.#firstRevision) return this.#send(response, 410, {})
     if (find().length === 0) {
       await new Promise(resolve => {
         const finish = () => {
@@ -118,13 +136,14 @@
           this.#watches.delete(wake)
           resolve()
         }
-        const wake = () => { if (find().length > 0) finish() }
+        const wake = () => { if (find().length > 0 || this.#era !== era) finish() }
         const timer = setTimeout(finish, waitMs)
         this.#watches.add(wake)
         response.on('close', finish)
       })
     }
     if (this.#outage === 'silent') return this.#held.add(response)
+    if (this.#era !== era) return this.#send(response, 410, {})
     this.#send(response, 200, { events: find().map(({ event }) => event), currentRev: this.#revision })
   }
 
