Show a gateway that takes no new channel while a crowd of unfinished bodies stays open

Tried: 1,900 clients send chunked bodies of 8 KB but for their last byte and stay connected, at one gateway with 4,100 descriptors; ten ordinary clients then try for 20 s.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+cd "$(dirname "$0")" && exec node case.mjs
