--- a/review/8/case.mjs
+++ b/review/8/case.mjs
@@ -1,56 +1,39 @@
-// The machine of the duty's holder is cut off from the platform while a call of the duty is on its way.
+// One of the runners ends its streams inside an event, with the framing of their answers intact.
 import { fileURLToPath } from 'node:url'
 
-import { buildConfig, isTroubled, runCase, sleep, waitUntil } from '../lib-2/fleet.mjs'
-import { Link } from '../lib-2/link.mjs'
+import { buildConfig, buildEntry, findPorts, isTroubled, readEvents, runCase, sendRequest, sleep } from '../lib-2/fleet.mjs'
 import { Platform } from '../lib-2/store.mjs'
 
-const GATEWAYS = 3
-const CUT_MS = 8000
-const THAW_SLACK_MS = 300
+const RUNNERS = 4
+const STREAMS = 24
+const EVENTS = 20
 
 await runCase(fileURLToPath(new URL('./record.txt', import.meta.url)), async fleet => {
   const platform = new Platform()
   await platform.open()
   platform.put('config/main', buildConfig())
-  platform.handleUsage = ({ holder, number, window, counts }) => fleet.log(`the platform gets the usage of window ${window} from ${holder} with number ${number}: ${JSON.stringify(counts)}`)
-  platform.handleWrite = (key, { spec }) => { if (key.startsWith('duties/')) fleet.log(`the store has ${key}: holder ${spec.holder}, number ${spec.number}, window ${spec.window}`) }
-  const links = []
-  for (let index = 0; index < GATEWAYS; index++) {
-    const link = new Link(platform.address)
-    await link.open()
-    links.push(link)
+  const ports = await findPorts(RUNNERS)
+  for (const [index, port] of ports.entries()) {
+    const flags = ['--events', String(EVENTS), ...(isTroubled && index === 0 ? ['--end-inside', '8'] : [])]
+    const runner = await fleet.startRunner({ id: `i-${index}`, version: 'v1', port, flags })
+    platform.put(`servers/${runner.id}`, buildEntry(runner, 'llm'))
   }
-  const gateways = await fleet.startGateways(GATEWAYS, { storeAddress: platform.address, cloudAddress: platform.address, links: links.map(({ address }) => ({ storeAddress: address, cloudAddress: address })) })
-  // two reports in calm show who holds the duty
-  await waitUntil(() => platform.usageCalls.length >= 2, 20_000, 'the first reports')
-  const { holder } = platform.usageCalls.at(-1)
-  const link = links[gateways.findIndex(({ name }) => name === holder)]
-  let cutAtMs = null
-  if (isTroubled) {
-    link.handleFirstBytes = bytes => {
-      if (cutAtMs !== null || !bytes.toString('latin1').startsWith('POST /usage')) return
-      cutAtMs = performance.now()
-      link.cut()
-      fleet.log(`${holder} has sent a call of the duty, and its machine is cut off from the platform`)
-      setTimeout(() => {
-        link.heal()
-        fleet.log(`the link of ${holder} has healed`)
-      }, CUT_MS)
-    }
-  }
-  await sleep(26_000)
-  if (isTroubled && cutAtMs === null) throw new Error('the holder sent no call')
-  return findProblem(platform.usageCalls, holder, cutAtMs === null ? -Infinity : cutAtMs + CUT_MS)
+  const gateways = await fleet.startGateways(2, { storeAddress: platform.address })
+  await sleep(3000)
+  const streams = await Promise.all(Array.from({ length: STREAMS }, async (_, index) => {
+    const id = `stream-${index}`
+    const path = index % 4 < 2 ? `/stream/${id}` : `/single/stream/${id}`
+    fleet.log(`client sends ${id} to ${gateways[index % 2].name}: ${path}`)
+    const { status, body, isWhole, error } = await sendRequest(gateways[index % 2], { id, path, timeoutMs: 11_000 })
+    const events = readEvents(body)
+    fleet.log(`client got ${id}: status ${status}, ${events.length} of ${EVENTS} events, last bytes ${JSON.stringify(body.slice(-24))}, ${isWhole ? 'complete' : error}`)
+    return { id, status, events, isWhole }
+  }))
+  return findProblem(streams)
 })
 
-/** ONE: the platform gets a call with a lower number than it has seen; not within `thawSlackMs` after the sender's link has healed. */
-function findProblem (calls, cutHolder, healedAtMs) {
-  let highest = 0
-  for (const { atMs, holder, number, window } of calls) {
-    const isExcused = holder === cutHolder && atMs <= healedAtMs + THAW_SLACK_MS
-    if (number < highest && !isExcused) return `${holder} acts on window ${window} with number ${number} after number ${highest} was seen, ${Math.round(atMs - healedAtMs)} ms after its link healed`
-    highest = Math.max(highest, number)
-  }
-  return null
+/** ORDER: a stream ends as complete before its last piece. */
+function findProblem (streams) {
+  const short = streams.filter(({ status, events, isWhole }) => status === 200 && isWhole && events.length < EVENTS)
+  return short.length > 0 ? `${short.length} of ${streams.length} streams ended as complete before their last event: ${short.map(({ id, events }) => `${id} after ${events.length}`).join(', ')}` : null
 }
--- a/review/lib-2/fleet.mjs
+++ b/review/lib-2/fleet.mjs
@@ -32,6 +32,8 @@
   #folder = mkdtempSync(path.join(tmpdir(), 'review-'))
   #startedAtMs = performance.now()
   #record
+  /** Ids of the requests that runners have begun to run. */
+  runs = new Set()
 
   constructor (recordFile) {
     this.#record = createWriteStream(recordFile)
@@ -44,7 +46,7 @@
   }
 
   /** Starts gateways whose settings are rendered from the template of the deploy file; `links[i]` may name other addresses of the platform. */
-  async startGateways (count, { storeAddress, cloudAddress = null, links = [] }) {
+  async startGateways (count, { storeAddress, cloudAddress = null, links = [], memoryMb = 200 }) {
     const deploy = readFileSync(path.join(ROOT, 'deploy/system.toml'), 'utf8')
     const [command, ...args] = /^run = "(.*)"$/m.exec(deploy)[1].split(' ')
     const template = readFileSync(path.join(ROOT, /^template = "(.*)"$/m.exec(deploy)[1]), 'utf8')
@@ -59,7 +61,7 @@
         ip: '127.0.0.1',
         listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}`, control: `127.0.0.1:${control}` },
         seeds,
-        limits: { cpuShare: 0.513, maxFds: 4100, memoryMb: 200 },
+        limits: { cpuShare: 0.513, maxFds: 4100, memoryMb },
         platform: { address: links[index]?.storeAddress ?? storeAddress },
         heartbeatMs: 1200,
         bounds: BOUNDS,
@@ -90,7 +92,10 @@
         for (const line of lines) {
           const { listening, runs, after, endsInside, event } = JSON.parse(line)
           if (listening !== undefined) resolve()
-          if (runs !== undefined) this.log(`runner ${id} ${version} runs ${runs}${after > 0 ? ` after event ${after}` : ''}`)
+          if (runs !== undefined) {
+            this.runs.add(runs)
+            this.log(`runner ${id} ${version} runs ${runs}${after > 0 ? ` after event ${after}` : ''}`)
+          }
           if (endsInside !== undefined) this.log(`runner ${id} ${version} ends the stream ${endsInside} inside event ${event}`)
         }
       })
