Break off a stream that ends within an event, whatever its framing

Cause: the framing was taken for the end of the stream. #verifyEnd asked whether the stream stopped within an event only of answers without framing.

Change: the end of each answer is decided in #verifyEnd. A part of an event behind complete framing breaks the stream off; a resumable one goes on at another endpoint after the last whole event. It is no evidence of a crash. Lines that end with CR alone are read, so that such events are passed on when they arrive and their last one can be told from a cut one. A complete comment line behind the last event no longer cuts a stream without framing.

--- a/src/relay/answerForwarder.ts
+++ b/src/relay/answerForwarder.ts
@@ -5,7 +5,7 @@
 import type { ByteBudget } from './byteBudget'
 import type { CallerReply, ReplyHead } from './callerReply'
 import type { AnswerHead, EndpointDialect } from './dialects'
-import type { CompleteEvents } from './eventSplitter'
+import type { CompleteEvents, StreamRemainder } from './eventSplitter'
 import type { AnswerSink, ExchangeResult, HeadDecision } from './endpointExchange'
 import type { HeaderList, RelayRequest } from './relayRequest'
 
@@ -119,9 +119,9 @@
     this.#heldBytes = 0
   }
 
-  /** Whether the stream stopped within an event. */
-  get endsWithinEvent (): boolean {
-    return this.#splitter.hasRemainder
+  /** What follows the last complete event of a stream. */
+  get streamRemainder (): StreamRemainder {
+    return this.#splitter.remainder
   }
 
   /** Sends the rest of a complete answer to the caller. */
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -55,6 +55,8 @@
   | { kind: 'notSent', message: string, isRefused: boolean }
   /** The connection broke before the answer was complete. */
   | { kind: 'broken', message: string }
+  /** The framing of the answer is complete, but its stream ended within an event. */
+  | { kind: 'truncated', message: string }
   /** The endpoint sent bytes that violate the protocol. */
   | { kind: 'garbled', message: string }
   | { kind: 'aborted' }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -171,12 +171,20 @@
     return this.#finish(exchangeResult)
   }
 
-  /** Returns the result with the end of an answer without framing decided: whole, or broken off. */
+  /** Returns the result with the end of the answer decided: whole, or broken off. Framing shows only that no byte of the body is missing. */
   async #verifyEnd (result: ExchangeResult): Promise<ExchangeResult> {
-    if ((result.kind !== 'collected' && result.kind !== 'passed') || result.end === 'framed') return result
+    if (result.kind !== 'collected' && result.kind !== 'passed') return result
     // a refusal has nothing that could be missing
     if (this.#forwarder.head?.isNotRun === true) return result
-    if (this.#forwarder.endsWithinEvent) return { kind: 'broken', message: 'the stream ended within an event' }
+    const isFramed = result.end === 'framed'
+    switch (this.#forwarder.streamRemainder) {
+      case 'event': return { kind: isFramed ? 'truncated' : 'broken', message: 'the stream ended within an event' }
+      case 'comment':
+        if (!isFramed) return { kind: 'broken', message: 'the stream ended within a comment' }
+        break
+      case 'none':
+    }
+    if (isFramed) return result
     const { clock, presence, isLeaving, observer } = this.#options
     const { request } = this.#input
     const closedAtMs = clock.getMonotonicMs()
@@ -328,6 +336,8 @@
       case 'passed':
         if (!this.#isSurvived(exchangeResult)) crashes.recordConnectionEnd(entry, request, this.#getStreamProgress())
         break
+      // the endpoint was there to end the framing
+      case 'truncated':
       case 'collected':
       case 'rejected':
       case 'aborted':
@@ -369,7 +379,8 @@
       case 'rejected': return buildRejectResult(this.#forwarder.rejectReason)
       case 'garbled': return buildResult('mayHaveRun', { kind: 'garbled' }, exchangeResult.message)
       case 'notSent': return buildResult('notSent', { kind: 'broken' }, exchangeResult.message)
-      case 'broken': return buildResult('mayHaveRun', { kind: 'broken' }, exchangeResult.message)
+      case 'broken':
+      case 'truncated': return buildResult('mayHaveRun', { kind: 'broken' }, exchangeResult.message)
       case 'aborted': return this.#resolveStop()
     }
   }
@@ -397,9 +408,9 @@
   }
 }
 
-/** Returns whether a request counts as run although none of its events arrived: it was answered, also with a failure, or its connection broke. */
+/** Returns whether a request counts as run although none of its events arrived: it was answered, also with a failure or a part of an event, or its connection broke. */
 function hasRun ({ kind }: ExchangeResult, head: AnswerHead | null): boolean {
-  return kind === 'broken' || (kind === 'collected' && head !== null && !head.isNotRun)
+  return kind === 'broken' || kind === 'truncated' || (kind === 'collected' && head !== null && !head.isNotRun)
 }
 
 /** Builds the result of a rejected answer. An endpoint that sends bytes without end is avoided at once. */
--- a/src/relay/eventSplitter.ts
+++ b/src/relay/eventSplitter.ts
@@ -3,7 +3,10 @@
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const MAX_EVENT_BYTES = 1_048_576
-/** Bytes before a line feed that decide whether it ends an empty line. */
+const COLON = 0x3a
+/** Line ends of event streams: CRLF, LF and CR. */
+const LINE_END = /\r\n|\n|\r/
+/** Bytes before a line end that decide whether its line is empty. */
 const EMPTY_LINE_LOOKBACK_BYTES = 2
 
 /** Complete events of a stream, byte for byte as received. */
@@ -15,6 +18,9 @@
   hasData: boolean
 }
 
+/** What follows the last complete event: nothing but complete comments, a comment whose line has not ended, or a part of an event. */
+export type StreamRemainder = 'none' | 'comment' | 'event'
+
 /**
  * Splits the bytes of an event stream (WHATWG HTML, server-sent events) after complete events. A
  * stream that breaks off within an event can then be resumed at another endpoint after the last
@@ -36,9 +42,9 @@
     return this.#pendingBytes > MAX_EVENT_BYTES
   }
 
-  /** Whether bytes of an incomplete event have been received. */
-  get hasRemainder (): boolean {
-    return this.#pendingBytes > 0
+  /** What the bytes since the last complete event hold. */
+  get remainder (): StreamRemainder {
+    return readRemainder(Buffer.concat(this.#chunks))
   }
 
   /** Bytes of memory that the incomplete event takes. */
@@ -49,8 +55,8 @@
   /** Adds bytes and returns the events that they complete; null when none is complete. */
   push (bytes: Buffer): CompleteEvents | null {
     const seen = this.#tail.length === 0 ? bytes : Buffer.concat([this.#tail, bytes])
-    const end = findLastEventEnd(seen)
-    const isComplete = end > this.#tail.length
+    const end = findLastEventEnd(seen, this.#tail.length)
+    const isComplete = end > 0
     this.#tail = seen.subarray(-EMPTY_LINE_LOOKBACK_BYTES)
     this.#chunks.push(bytes)
     this.#pendingBytes += bytes.length
@@ -83,20 +89,20 @@
   let ids = 0
   let eventStart = 0
   for (let lineStart = 0; lineStart < bytes.length;) {
-    const lineEnd = bytes.indexOf(LINE_FEED, lineStart)
-    const line = bytes.toString('latin1', lineStart, lineEnd)
-    if (parseId(line) !== null) {
+    const lineEnd = findLineEnd(bytes, lineStart)
+    if (parseId(bytes.toString('latin1', lineStart, lineEnd)) !== null) {
       if (ids === idIndex) break
       ids += 1
     }
-    lineStart = lineEnd + 1
-    if (line === '' || line === '\r') eventStart = lineStart
+    const isEmpty = lineEnd === lineStart
+    lineStart = findNextLine(bytes, lineEnd)
+    if (isEmpty) eventStart = lineStart
   }
   return eventStart === 0 ? null : parseEvents(bytes.subarray(0, eventStart))
 }
 
 function parseEvents (bytes: Buffer): CompleteEvents {
-  const lines = bytes.toString('latin1').split('\n')
+  const lines = bytes.toString('latin1').split(LINE_END)
   return { bytes, ids: parseIds(lines), hasData: lines.some(line => line.startsWith('data')) }
 }
 
@@ -110,18 +116,50 @@
 }
 
 function parseId (line: string): number | null {
-  const match = /^id: ?(\d+)\r?$/.exec(line)
+  const match = /^id: ?(\d+)$/.exec(line)
   return match === null ? null : Number(match[1])
 }
 
-function findLastEventEnd (bytes: Buffer): number {
-  for (let index = bytes.length - 1; index > 0; index--) {
-    if (bytes[index] === LINE_FEED && isEmptyLineEnd(bytes, index)) return index + 1
+function readRemainder (bytes: Buffer): StreamRemainder {
+  for (let lineStart = 0; lineStart < bytes.length;) {
+    const lineEnd = findLineEnd(bytes, lineStart)
+    const isField = lineEnd > lineStart && bytes[lineStart] !== COLON
+    if (isField) return 'event'
+    if (lineEnd === bytes.length) return 'comment'
+    lineStart = findNextLine(bytes, lineEnd)
+  }
+  return 'none'
+}
+
+/** Returns the index of the first byte of the line's end; the length where the line has not ended. */
+function findLineEnd (bytes: Buffer, lineStart: number): number {
+  let index = lineStart
+  while (index < bytes.length && bytes[index] !== LINE_FEED && bytes[index] !== CARRIAGE_RETURN) index++
+  return index
+}
+
+function findNextLine (bytes: Buffer, lineEnd: number): number {
+  return bytes[lineEnd] === CARRIAGE_RETURN && bytes[lineEnd + 1] === LINE_FEED ? lineEnd + 2 : lineEnd + 1
+}
+
+/** Returns the index behind the last byte, at or behind `start`, that ends an event; 0 when there is none. */
+function findLastEventEnd (bytes: Buffer, start: number): number {
+  for (let index = bytes.length - 1; index >= start; index--) {
+    if (isEmptyLineEnd(bytes, index)) return index + 1
   }
   return 0
 }
 
+/** Returns whether the byte ends an empty line. Of a CRLF, both bytes do, because the LF may not have arrived yet. */
 function isEmptyLineEnd (bytes: Buffer, index: number): boolean {
   const before = bytes[index - 1]
-  return before === LINE_FEED || (before === CARRIAGE_RETURN && bytes[index - 2] === LINE_FEED)
+  switch (bytes[index]) {
+    case CARRIAGE_RETURN: return isLineEnd(before)
+    case LINE_FEED: return before === LINE_FEED || (before === CARRIAGE_RETURN && isLineEnd(bytes[index - 2]))
+    default: return false
+  }
+}
+
+function isLineEnd (byte: number | undefined): boolean {
+  return byte === LINE_FEED || byte === CARRIAGE_RETURN
 }
--- a/tests/relay/eventSplitter.spec.ts
+++ b/tests/relay/eventSplitter.spec.ts
@@ -7,7 +7,7 @@
 
 describe('EventSplitter', () => {
   it('should return the same events, byte for byte, however the bytes are cut', () => {
-    fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom(...LINES), fc.constantFrom('\n', '\r\n')), { maxLength: 40 }), fc.array(fc.nat(8), { minLength: 1, maxLength: 20 }), (lines, sizes) => {
+    fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom(...LINES), fc.constantFrom('\n', '\r\n', '\r')), { maxLength: 40 }), fc.array(fc.nat(8), { minLength: 1, maxLength: 20 }), (lines, sizes) => {
       const bytes = Buffer.from(lines.flat().join(''))
       const whole = new EventSplitter()
       const expected = whole.push(bytes)
@@ -26,7 +26,7 @@
       expect(Buffer.concat(parts).toString()).to.equal(expected?.bytes.toString() ?? '')
       expect(ids).to.deep.equal(expected?.ids ?? [])
       expect(splitter.takeRemainder().toString()).to.equal(whole.takeRemainder().toString())
-      expect(splitter.hasRemainder).to.equal(false)
+      expect(splitter.remainder).to.equal('none')
     }), { seed: 39, numRuns: 500 })
   })
 
