Reset the connection of a call that is given up

Cause: a call that timed out was ended with request.destroy(), which closes the connection in order. The system kept the bytes and sent them when the link was back. The planned stop had the same fault: the process ended while a call had no answer.

Change: resetRequest is the one way in which calls are given up: calls to the platform and its store, messages to other gateways, orders and runs of a sidecar, requests to endpoints (which did so already). At the end of a planned stop the duty gives its open call up before the process ends.

--- a/src/duties/usageReporting.ts
+++ b/src/duties/usageReporting.ts
@@ -110,9 +110,10 @@
     this.#isLeaving = true
   }
 
-  /** Tells the last counts at the end of a planned stop. */
+  /** Tells the last counts at the end of a planned stop, and gives up a call that has no answer yet. */
   async flush (): Promise<void> {
     await this.#exchange.flush()
+    await this.#runner.stop()
   }
 
   /** Counts a run of a request that began at a time of the steady clock. */
--- a/src/protocol/rpcClient.ts
+++ b/src/protocol/rpcClient.ts
@@ -3,11 +3,13 @@
 import { JSONRPCClient } from 'json-rpc-2.0'
 import { Result } from 'true-myth'
 
+import { resetRequest } from '../base/resetRequest'
 import { TimeLimit } from '../base/timeLimit'
 import { LineSplitter } from './lineSplitter'
 import { RPC_PATH } from './attemptMessages'
 
 import type { IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { JSONRPCRequest, JSONRPCResponse } from 'json-rpc-2.0'
 import type { Progress } from '../base/progress'
 import type { RpcError } from './rpcError'
@@ -72,16 +74,20 @@
 
   /** Closes all connections of the pool, including those of calls in flight. */
   close (): void {
+    for (const socket of listSockets(this.#agent.sockets)) socket.resetAndDestroy()
     this.#agent.destroy()
   }
 
   /** Closes the idle connections of the pool, because the fault of one connection may affect them too. Calls in flight keep their connections. */
   #closeIdleConnections (): void {
-    const sockets = Object.values(this.#agent.freeSockets).flatMap(list => list ?? [])
-    for (const socket of sockets) socket.destroy()
+    for (const socket of listSockets(this.#agent.freeSockets)) socket.destroy()
   }
 }
 
+function listSockets (sockets: NodeJS.ReadOnlyDict<Socket[]>): Socket[] {
+  return Object.values(sockets).flatMap(list => list ?? [])
+}
+
 function createAgent (): http.Agent {
   return new http.Agent({ keepAlive: true, maxFreeSockets: MAX_IDLE_SOCKETS })
 }
@@ -223,7 +229,7 @@
     const request = this.#request
     if (request === null) return
     if (this.#responseReceived) destroyUnlessEnded(request)
-    else request.destroy()
+    else resetRequest(request)
   }
 }
 
--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -1,5 +1,6 @@
 import { request as createRequest } from 'node:http'
 
+import { resetRequest } from '../base/resetRequest'
 import { TimeLimit } from '../base/timeLimit'
 import { readAnswerEnd } from './answerFraming'
 import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
@@ -135,14 +136,8 @@
     this.#abortConnection()
   }
 
-  /**
-   * Resets the connection. After an orderly close, the operating system would still send buffered bytes
-   * seconds later, when a broken link recovers, and the endpoint would run a request that nobody waits for.
-   */
   #abortConnection (): void {
-    const socket = this.#request?.socket ?? null
-    if (socket !== null && !socket.connecting) socket.resetAndDestroy()
-    this.#request?.destroy()
+    if (this.#request !== null) resetRequest(this.#request)
   }
 
   /**
--- a/src/sidecar/endpoint/endpointExchange.ts
+++ b/src/sidecar/endpoint/endpointExchange.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 
+import { resetRequest } from '../../base/resetRequest'
 import { isFinalStatus } from '../../protocol/answerStatus'
 
 import type { IncomingMessage } from 'node:http'
@@ -86,7 +87,7 @@
     this.#ended = true
     if (this.#timer) clearTimeout(this.#timer)
     this.#options.signal.removeEventListener('abort', this.#handleAbort)
-    if (end.kind !== 'completed' && end.kind !== 'rejected') this.#request.destroy()
+    if (end.kind !== 'completed' && end.kind !== 'rejected') resetRequest(this.#request)
     this.#resolve(end)
   }
 
--- a/src/sidecar/endpoint/orderSender.ts
+++ b/src/sidecar/endpoint/orderSender.ts
@@ -3,6 +3,8 @@
 import { Result } from 'true-myth'
 import * as z from 'zod'
 
+import { resetRequest } from '../../base/resetRequest'
+
 import type { Progress } from '../../base/progress'
 import type { FencedOrder, OrderError, SendOrder } from '../../store/fencedOrderDispatcher'
 import type { EndpointPlacement } from '../../store/orderPlan'
@@ -31,7 +33,7 @@
     }
     let hasConnected = false
     const request = http.request({ host, port: Number(port), method: 'POST', path: ORDERS_PATH, agent: false, headers: { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) } })
-    const timer = setTimeout(() => request.destroy(new Error('the endpoint did not answer the order before the timeout')), progress.getRemainingMs())
+    const timer = setTimeout(() => resetRequest(request, new Error('the endpoint did not answer the order before the timeout')), progress.getRemainingMs())
     request.on('socket', socket => socket.once('connect', () => { hasConnected = true }))
     request.on('error', error => finish(Result.err({ kind: hasConnected ? 'noAnswer' : 'refused', message: error.message })))
     request.on('response', response => {
--- a/src/store/httpCall.ts
+++ b/src/store/httpCall.ts
@@ -1,5 +1,6 @@
 import http from 'node:http'
 
+import { resetRequest } from '../base/resetRequest'
 import { TimeLimit } from '../base/timeLimit'
 
 import type { Progress } from '../base/progress'
@@ -28,7 +29,8 @@
   | { kind: 'aborted', sent: boolean, message: string }
 
 /**
- * Makes one HTTP call and reads its response, with limits on time and size.
+ * Makes one HTTP call and reads its response, with limits on time and size. A call that is given up does not
+ * reach the server afterwards.
  *
  * @example
  * const result = await sendHttpCall(agent, { method: 'GET', url, timeoutMs: 1_000, maxResponseBytes: 1_048_576 }, progress)
@@ -45,13 +47,13 @@
     const fail = (message: string) => finish({ kind: sent ? 'noAnswer' : 'notSent', message: `${method} ${url.pathname}: ${message}` })
     const handleAbort = () => {
       finish({ kind: 'aborted', sent, message: `${method} ${url.pathname}: aborted by the caller` })
-      request.destroy()
+      resetRequest(request)
     }
     const request = http.request(url, { method, headers, agent })
     const limit = new TimeLimit(progress.clock, call.timeoutMs, () => {
       const message = `${method} ${url.pathname}: no response within ${Math.round(call.timeoutMs)} ms`
       finish({ kind: 'timedOut', sent, message })
-      request.destroy()
+      resetRequest(request)
     })
     request.on('socket', socket => {
       if (!socket.connecting) sent = true
@@ -63,7 +65,7 @@
         body => finish({ kind: 'answered', status: response.statusCode ?? 0, headers: response.headers, body }),
         (error: Error) => {
           fail(error.message)
-          request.destroy()
+          resetRequest(request)
         }
       )
     })
--- a/tests/relay/usageReport.spec.ts
+++ b/tests/relay/usageReport.spec.ts
@@ -1,4 +1,5 @@
 import http from 'node:http'
+import net from 'node:net'
 
 import { expect } from 'chai'
 
@@ -96,6 +97,24 @@
     expect(platform.reports.find(({ holder }) => holder !== first)?.number).to.equal(2)
   })
 
+  // the end of a process closes its connections in order, and a call that a broken link held up would still be delivered
+  it('should not reach the platform after the planned stop of its gateway', async () => {
+    let end: 'open' | 'closed' | 'reset' = 'open'
+    const silent = net.createServer(socket => {
+      socket.on('data', () => {})
+      socket.on('end', () => { end = 'closed' })
+      socket.on('error', () => { end = 'reset' })
+    })
+    await new Promise<void>(resolve => silent.listen(0, '127.0.0.1', resolve))
+    platform.close()
+    platform = { ...platform, url: `http://127.0.0.1:${(silent.address() as AddressInfo).port}`, close: () => silent.close() }
+    await startGateways(1, { ...buildDuties(platform.url), leaseMs: 60_000 })
+    await waitUntil('the call', async () => await new Promise(resolve => silent.getConnections((_error, count) => resolve(count > 0))))
+    await gateways[0]!.relay.drain()
+    await waitUntil('the end of the call', () => end !== 'open')
+    expect(end).to.equal('reset')
+  })
+
   it('should make no call, write no line and tell peers nothing where no duty is named', async () => {
     await startGateways(3, null)
     for (let index = 0; index < 9; index++) await sendRequest(gateways[index % 3]!, { id: `a-${index}` })
