Give an attempt up only where another one may be made

Cause: the stall detector left a silent endpoint before it was known whether the request may be sent again. Late in a planned stop, or with the retry budget spent, it may not, and the reply was cut.

Change: before an attempt is given up, the next one is reserved: the stop, holds, time left and retry budget are asked. Otherwise the gateway waits. The soak's endpoints pause within long streams, also without a fault.

silentInStop.spec.ts: 10 of 10 failed before, 10 pass.

--- a/soak/soakEndpoint.ts
+++ b/soak/soakEndpoint.ts
@@ -147,9 +147,12 @@
 
   async #sendEvents (request: IncomingMessage, response: ServerResponse, requestId: string, count: number): Promise<void> {
     const from = Number(readHeader(request, HEADERS.lastEventId) ?? 0)
-    const gapMs = Number(/[?&]gapMs=(\d+)/.exec(request.url ?? '')?.[1] ?? EVENT_INTERVAL_MS)
+    const gapMs = readParameter(request, 'gapMs') ?? EVENT_INTERVAL_MS
     response.writeHead(200, { 'content-type': 'text/event-stream' })
+    const pauseAt = readParameter(request, 'pauseAt') ?? 0
+    const pauseMs = from > 0 ? 0 : readParameter(request, 'pauseMs') ?? 0
     for (let index = from + 1; index <= count && !response.destroyed; index++) {
+      if (index === pauseAt) await sleep(pauseMs)
       if (this.fault === 'cutting' && index === Math.ceil(count / 2)) {
         response.write(buildEvent(requestId, index, this.version).slice(0, 6), () => request.socket.destroy())
         return
@@ -165,6 +168,11 @@
   response.writeHead(status, { [HEADERS.notRun]: '1', 'content-length': 0 }).end()
 }
 
+function readParameter ({ url = '' }: IncomingMessage, name: string): number | null {
+  const text = new URL(url, 'http://endpoint').searchParams.get(name)
+  return text === null ? null : Number(text)
+}
+
 function readHeader (request: IncomingMessage, name: string): string | null {
   const value = request.headers[name.toLowerCase()]
   return typeof value === 'string' ? value : null
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -9,7 +9,7 @@
 import type { DirectEndpoint } from '../policy/directEndpoint'
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { PlacementRequest, Placement } from '../policy/placement'
-import type { RetryState, DirectAttemptOutcome } from '../policy/retryDecision'
+import type { DirectAttemptOutcome, RetryDecision, RetryState } from '../policy/retryDecision'
 import type { VersionChoice } from '../policy/versionChoice'
 import type { ShareStanding } from '../policy/workspaceShares'
 import type { RetryWindow } from '../policy/retryWindow'
@@ -53,6 +53,8 @@
   version: VersionChoice | null
   attempts: number
   failedConnects: number
+  /** Whether the next attempt has been taken from the retry budget. */
+  hasReservedRetry: boolean
   /** Refusal that the caller gets if no further attempt succeeds. */
   lastRefusal: Refusal
   /** Forwards the failure that an endpoint answered, if no further attempt succeeds; null when there is none. */
@@ -115,7 +117,7 @@
       return false
     }
     reply.endpointId = choice.endpoint.entry.id
-    const result = await this.#options.sender.send({ request, reply, choice, position, tried, attempt: state.attempts })
+    const result = await this.#options.sender.send({ request, reply, choice, position, tried, attempt: state.attempts, reserveRetry: () => this.#reserveRetry(state) })
     switch (result.outcome) {
       case 'answered':
       case 'callerLeft': return false
@@ -260,15 +262,30 @@
   }
 
   #shouldRetry (state: RelayState, outcome: DirectAttemptOutcome): boolean {
-    const { retries, clock, observer, crashes } = this.#options
-    const { request } = state
-    const nowMs = clock.getMonotonicMs()
-    const decision = decideRetry(buildRetrySituation(state, { outcome, isCrashSuspect: crashes.isRisky(request), nowMs }))
-    const isGranted = decision.kind === 'repeat' && (!decision.usesRetryBudget || retries.acquire(request.service, nowMs))
-    observer.recordRetryDecision(request, decision, isGranted)
+    const decision = this.#decideRetry(state, outcome)
+    const isGranted = decision.kind === 'repeat' && (!decision.usesRetryBudget || state.hasReservedRetry || this.#acquireRetry(state))
+    state.hasReservedRetry = false
+    this.#options.observer.recordRetryDecision(state.request, decision, isGranted)
     return isGranted
   }
 
+  /** Reserves the attempt that follows when the present one is given up although its endpoint may still answer. */
+  #reserveRetry (state: RelayState): boolean {
+    if (this.#checkHeld(state.request) !== null || this.#decideRetry(state, 'mayHaveRun').kind === 'end') return false
+    state.hasReservedRetry ||= this.#acquireRetry(state)
+    return state.hasReservedRetry
+  }
+
+  #decideRetry (state: RelayState, outcome: DirectAttemptOutcome): RetryDecision {
+    const { clock, crashes } = this.#options
+    return decideRetry(buildRetrySituation(state, { outcome, isCrashSuspect: crashes.isRisky(state.request), nowMs: clock.getMonotonicMs() }))
+  }
+
+  #acquireRetry ({ request }: RelayState): boolean {
+    const { retries, clock } = this.#options
+    return retries.acquire(request.service, clock.getMonotonicMs())
+  }
+
   /** Forwards the failure that an endpoint answered, or sends the last refusal. */
   #finish (state: RelayState): void {
     const { request, reply } = state
@@ -298,6 +315,7 @@
     version: null,
     attempts: 0,
     failedConnects: 0,
+    hasReservedRetry: false,
     lastRefusal: createUnavailableRefusal(request),
     forwardFailure: null
   }
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -79,6 +79,8 @@
   tried: ReadonlySet<string>
   /** Number of this attempt, from 1. */
   attempt: number
+  /** Reserves the attempt that follows this one; returns false when the request must not be sent again now. */
+  reserveRetry: () => boolean
 }
 
 /** How an attempt ended. */
@@ -198,7 +200,7 @@
   }
 
   #buildWatchedAttempt (): WatchedAttempt {
-    const { request, choice, tried, attempt } = this.#input
+    const { request, choice, tried, attempt, reserveRetry } = this.#input
     return {
       request,
       endpoint: choice.endpoint,
@@ -207,6 +209,7 @@
       hasAttemptsLeft: attempt < request.route.maxAttempts,
       sentAtMs: this.#startedAtMs,
       heardAtMs: null,
+      reserveRetry,
       abort: reason => this.#stop({ stalled: reason })
     }
   }
--- a/src/relay/stallDetector.ts
+++ b/src/relay/stallDetector.ts
@@ -27,6 +27,8 @@
   sentAtMs: number
   /** Time of the answer's last progress; null before its head arrives. */
   heardAtMs: number | null
+  /** Reserves the attempt that follows this one; returns false when the request must not be sent again now. */
+  reserveRetry: () => boolean
   abort: (reason: string) => void
 }
 
@@ -104,7 +106,8 @@
     for (const [endpoint, count] of stalledAttempts) if (this.#isSilent(endpoint, count, nowMs)) this.#eject(endpoint, count, nowMs)
     for (const attempt of [...this.#attempts]) {
       const decision = this.#decide(attempt, stalledAttempts, nowMs)
-      if (decision.kind === 'giveUp') attempt.abort(decision.reason)
+      // without another attempt, the endpoint is the only one that may still answer
+      if (decision.kind === 'giveUp' && attempt.reserveRetry()) attempt.abort(decision.reason)
     }
   }
 
