Check the heads of answers before the parser reads them

Callers got answers in whose head a field name held a blank or a control byte, with that line passed on or with a body that was not the endpoint's.

Cause: the gateway left such heads to the HTTP parser of its runtime, which accepts them depending on its release and on flags of the process.

Change: AnswerHead checks line ends and field names of each head, and of interim heads, on the bytes that arrive. The gateway and the sidecar use it.

--- a/src/relay/endpointExchange.ts
+++ b/src/relay/endpointExchange.ts
@@ -2,6 +2,7 @@
 
 import { resetRequest } from '../base/resetRequest'
 import { TimeLimit } from '../base/timeLimit'
+import { watchAnswerHead } from '../protocol/answerHead'
 import { readAnswerEnd } from './answerFraming'
 import { CHUNK_OVERHEAD_BYTES } from './byteBudget'
 
@@ -97,6 +98,7 @@
   #interimResponses = 0
   /** Whether this process gave the answer up, also where all of it has arrived. */
   #isGivenUp = false
+  #stopWatchingHead = () => {}
 
   constructor (options: ExchangeOptions, sink: AnswerSink, resolve: (end: ExchangeResult) => void) {
     this.#options = options
@@ -115,6 +117,7 @@
     signal.addEventListener('abort', this.#handleAbort, { once: true })
     request.on('socket', socket => {
       this.#socket = socket
+      this.#stopWatchingHead = watchAnswerHead(socket, () => this.#rejectBytes('the head of the answer is not valid'))
       // before Node.js closes its side, after which the address is unknown too
       socket.prependListener('end', this.#handleSocketEnd)
       if (!socket.connecting) return this.#handleConnect()
@@ -156,12 +159,17 @@
 
   #countInterimResponse (): void {
     this.#interimResponses += 1
-    if (this.#interimResponses <= MAX_INTERIM_RESPONSES) return
-    this.#finish({ kind: 'garbled', message: `the endpoint sent more than ${MAX_INTERIM_RESPONSES} interim responses` })
+    if (this.#interimResponses > MAX_INTERIM_RESPONSES) this.#rejectBytes(`the endpoint sent more than ${MAX_INTERIM_RESPONSES} interim responses`)
+  }
+
+  #rejectBytes (message: string): void {
+    this.#finish({ kind: 'garbled', message })
     this.#abortConnection()
   }
 
   #handleResponse (response: IncomingMessage): void {
+    // of a head that was rejected before the parser read it
+    if (this.#hasEnded) return
     this.#response = response
     response.on('error', (error: NodeJS.ErrnoException) => this.#handleError(error))
     const decision = this.#sink.handleHead(response.statusCode ?? 0, response.rawHeaders, this.#request?.reusedSocket === true)
@@ -216,6 +224,7 @@
     if (end.kind === 'broken' && !this.#isGivenUp && this.#response?.complete === true && !this.#response.readableEnded) return
     this.#hasEnded = true
     this.#connectLimit?.cancel()
+    this.#stopWatchingHead()
     this.#socket?.off('end', this.#handleSocketEnd)
     this.#options.signal.removeEventListener('abort', this.#handleAbort)
     this.#options.budget.release(this.#heldBytes)
--- a/src/sidecar/endpoint/endpointExchange.ts
+++ b/src/sidecar/endpoint/endpointExchange.ts
@@ -1,6 +1,7 @@
 import http from 'node:http'
 
 import { resetRequest } from '../../base/resetRequest'
+import { watchAnswerHead } from '../../protocol/answerHead'
 import { isFinalStatus } from '../../protocol/answerStatus'
 
 import type { IncomingMessage } from 'node:http'
@@ -36,9 +37,14 @@
     })
     const state = new ExchangeState(request, options, resolve)
     request.setNoDelay(true)
-    request.on('socket', socket => state.startConnectTimer(socket.connecting, socket))
+    request.on('socket', socket => {
+      state.startConnectTimer(socket.connecting, socket)
+      const stopWatchingHead = watchAnswerHead(socket, () => state.finishBroken('the head of the answer is not valid'))
+      request.once('close', stopWatchingHead)
+    })
     request.on('error', error => state.finishBroken(error.message))
     request.on('response', response => {
+      if (state.hasEnded) return
       if (!isFinalStatus(response.statusCode ?? 0)) return state.finishBroken(`the endpoint sent status ${response.statusCode}`)
       response.on('data', () => state.resetIdleTimer())
       response.on('error', error => state.finishBroken(error.message))
@@ -78,6 +84,10 @@
     this.#setTimer(silenceMs, () => this.finish({ kind: 'silent', message: `no byte from the endpoint within ${silenceMs} ms` }))
   }
 
+  get hasEnded (): boolean {
+    return this.#ended
+  }
+
   finishBroken (message: string): void {
     this.finish(this.#connected ? { kind: 'broken', message } : { kind: 'notStarted', message })
   }
