Never believe the entry of an endpoint that was replaced

Cause: the directory remembered the starts of endpoints that were removed, not of those that another process had replaced under their id. The entry of such a one, from the copy or written late, took the successor's place.

Change: replaced processes are remembered and their entries ignored. In a restored list, an earlier start than the known one is older too.

--- a/src/policy/endpointDirectory.ts
+++ b/src/policy/endpointDirectory.ts
@@ -77,6 +77,8 @@
   readonly #leaving = new LeavingNotices()
   /** Start times of removed endpoints in Unix milliseconds, by id. */
   readonly #removedStartTimes = new BoundedMap<string, number>(MAX_REMOVED_ENDPOINTS)
+  /** Processes that another one has replaced under their id, as `formatProcess` writes them. They have ended, whatever entry comes back. */
+  readonly #replaced = new BoundedMap<string, true>(MAX_REMOVED_ENDPOINTS)
   /** Remembered after the last endpoint of a service has gone, as a prior for its next one. */
   readonly #serviceRates = new BoundedMap<string, ServiceRate>(MAX_SERVICE_RATES)
   #byService = new Map<string, ServiceIndex>()
@@ -193,19 +195,24 @@
   /**
    * Reconciles an entry from an older backup with the known state of the same start.
    *
-   * @returns null when that start was already removed
+   * @returns null when that start was already removed, or is older than the known one
    */
   #reconcileEntry (entry: EndpointEntry): EndpointEntry | null {
-    if (this.#removedStartTimes.get(entry.id) === entry.bornAtMs) return null
+    if (this.#removedStartTimes.get(entry.id) === entry.bornAtMs || this.#replaced.has(formatProcess(entry))) return null
     const known = this.#endpoints.get(entry.id)?.entry
-    return known?.bornAtMs === entry.bornAtMs ? { ...entry, state: known.state } : entry
+    if (known === undefined) return entry
+    if (entry.bornAtMs < known.bornAtMs) return null
+    return known.bornAtMs === entry.bornAtMs ? { ...entry, state: known.state } : entry
   }
 
   #put (entry: EndpointEntry): DirectoryChange[] {
+    // a late write of a process that has ended; its successor writes again
+    if (this.#replaced.has(formatProcess(entry))) return []
     this.#lapsedUntilMs.delete(entry.id)
     this.#removedStartTimes.delete(entry.id)
     const known = this.#endpoints.get(entry.id)
     if (known === undefined || !isSameProcess(known.entry, entry)) {
+      if (known !== undefined && known.entry.bornAtMs !== entry.bornAtMs) this.#replaced.set(formatProcess(known.entry), true)
       this.#endpoints.set(entry.id, buildDirectEndpoint(entry, this.#getServiceRate(entry.service)))
       return [{ kind: known === undefined ? 'joined' : 'restarted', entry }]
     }
@@ -258,6 +265,10 @@
   }
 }
 
+function formatProcess ({ id, bornAtMs }: EndpointEntry): string {
+  return `${id}@${bornAtMs}`
+}
+
 function isSameProcess (one: EndpointEntry, other: EndpointEntry): boolean {
   return one.bornAtMs === other.bornAtMs && one.address === other.address && one.service === other.service && one.version === other.version
 }
--- a/tests/policy/endpointDirectory.spec.ts
+++ b/tests/policy/endpointDirectory.spec.ts
@@ -70,9 +70,39 @@
     expect(directory.isReady(before)).to.equal(false)
   })
 
+  // streams of two software versions were joined at the successor
+  it('should ignore a late write of a process that another one has replaced under its id', () => {
+    const directory = new EndpointDirectory()
+    const [first, second] = [buildEntry('e-1', { bornAtMs: 1, version: 'v1' }), buildEntry('e-1', { bornAtMs: 2, version: 'v2' })]
+    directory.applyList([first], { afterOutage: false, nowMs: 0 })
+    directory.applyChanges([second], [])
+    expect(directory.applyChanges([first], [])).to.deep.equal([])
+    expect(directory.applyList([first], { afterOutage: false, nowMs: 0 })).to.deep.equal([])
+    expect(directory.listReady('engines').map(({ entry }) => entry.version)).to.deep.equal(['v2'])
+  })
+
+  it('should take an entry with an earlier start that was not known, since clocks may be set back', () => {
+    const directory = new EndpointDirectory()
+    directory.applyList([buildEntry('e-1', { bornAtMs: 2 })], { afterOutage: false, nowMs: 0 })
+    expect(directory.applyChanges([buildEntry('e-1', { bornAtMs: 1 })], []).map(({ kind }) => kind)).to.deep.equal(['restarted'])
+  })
+
   describe('with an object service restored from an older backup', () => {
     const restored = { afterOutage: true, isRestoredFromBackup: true, nowMs: 1000 }
 
+    for (const knows of [true, false]) {
+      it(`should keep the successor of a process whose entry comes back, ${knows ? 'having seen both' : 'having seen the successor alone'}`, () => {
+        const directory = new EndpointDirectory()
+        const [first, second] = [buildEntry('e-1', { bornAtMs: 1, version: 'v1' }), buildEntry('e-1', { bornAtMs: 2, version: 'v2' })]
+        if (knows) directory.applyList([first], { afterOutage: false, nowMs: 0 })
+        directory.applyList([second], { afterOutage: false, nowMs: 0 })
+        expect(directory.applyList([first], restored).map(({ kind }) => kind)).to.deep.equal(['lapsed'])
+        expect(directory.listReady('engines').map(({ entry }) => entry.version)).to.deep.equal(['v2'])
+        expect(directory.applyChanges([second], [])).to.deep.equal([])
+        expect(directory.expire(10_000)).to.deep.equal([])
+      })
+    }
+
     it('should not restore endpoints that are draining or gone', () => {
       const directory = new EndpointDirectory()
       directory.applyList([buildEntry('e-1'), buildEntry('e-2')], { afterOutage: false, nowMs: 0 })
