Keep connections free of callers whose bodies stand still

Cause: connections are bounded, and nothing freed one whose request did not end; requests gave way for memory alone.

Change: a sixteenth of the connections is kept free. Beyond the rest, what has stood still for a second gives way, with 503 and the time to come back. Connections that Node.js turns away ask for room too.

--- a/src/base/callerConnections.ts
+++ b/src/base/callerConnections.ts
@@ -68,6 +68,13 @@
     return this.#connections.size
   }
 
+  /** Counts the open connections that are not being closed. */
+  countInUse (): number {
+    let count = 0
+    for (const { use } of this.#connections.values()) if (use !== 'closing') count += 1
+    return count
+  }
+
   /** Counts the connections whose request is on its way, is being read or has no written reply yet. */
   countBusy (): number {
     // an idle connection that is to be closed may still have a request that was not read yet
--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -90,7 +90,7 @@
    * A caller does not have its reply as a whole. `stage`: how far the request had come; `endedBy`: the caller, this gateway,
    * or the end of a planned stop, which began `stopAgeMs` ago; null when there is none.
    */
-  | { event: 'callerGaveWay', owner: string, stage: string, bytes: number, idleMs: number, count: number }
+  | { event: 'callerGaveWay', shortage: string, owner: string, stage: string, bytes: number, idleMs: number, count: number }
   | { event: 'replyNotWhole', requestId: string | undefined, stage: string, endpoint: string | null, endedBy: string, ageMs: number, stopAgeMs: number | null, sentBytes: number, unwrittenBytes: number }
   | { event: 'requestEnded', requestId: string, route: string, end: string, elapsedMs: number, sentBytes: number }
 
--- a/src/protocol/bodyReader.ts
+++ b/src/protocol/bodyReader.ts
@@ -16,6 +16,8 @@
 export interface BodyAccount {
   /** Counts more bytes. Returns false when reading should pause. */
   add: (bytes: number) => boolean
+  /** Records that the caller has sent something, also where that takes no more memory. */
+  recordProgress: () => void
   /** Calls `handleRoom` once reading may go on. */
   waitForRoom: (handleRoom: () => void) => void
   /** Refuses the request at once. */
@@ -48,6 +50,7 @@
       parts += 1
       if (length > maxBytes) return drop(rejectBody(request, maxBytes))
       const addedBytes = collector.push(part)
+      account?.recordProgress()
       if (account === null || addedBytes === 0 || account.add(addedBytes) || !isKept) return
       // a paused stream keeps each part that it has read as a buffer of its own
       if (parts * MIN_PAUSED_PART_BYTES > length) return account.refuse()
--- a/src/relay/callerMemory.ts
+++ b/src/relay/callerMemory.ts
@@ -13,8 +13,12 @@
   handleGaveWay: (given: GivenWay) => void
 }
 
+/** What is short where a request gives way. */
+export type Shortage = 'memory' | 'connections'
+
 /** A request that gave way. */
 export interface GivenWay {
+  shortage: Shortage
   owner: string
   stage: ReplyStage
   bytes: number
@@ -29,7 +33,7 @@
   /** Whether its reply has ended, or was begun, and is not yet written. */
   isUnread: () => boolean
   /** Refuses the request, or cuts its reply. */
-  evict: () => void
+  evict: (shortage: Shortage) => void
 }
 
 const BYTES_PER_MB = 1_048_576
@@ -75,6 +79,10 @@
     return this.#waiting.size
   }
 
+  getMonotonicMs (): number {
+    return this.#options.clock.getMonotonicMs()
+  }
+
   /** Begins to count what a request holds. */
   open (request: HoldingRequest, headBytes: number): CallerHolding {
     const holding = new CallerHolding(this, request, this.#options.clock.getMonotonicMs())
@@ -96,6 +104,18 @@
     this.#resumeWaiting()
   }
 
+  /**
+   * Lets one request give way whose caller has sent nothing of its body for `minIdleMs`, so that its connection becomes free. Returns false
+   * when there is none.
+   */
+  evictStalled (minIdleMs: number): boolean {
+    const untilMs = this.#options.clock.getMonotonicMs() - minIdleMs
+    const stalled = [...this.#holdings].filter(holding => holding.stage === 'reading' && holding.progressAtMs <= untilMs && !this.#waiting.has(holding))
+    const holding = chooseToGiveWay(stalled, this.#ownerBytes)
+    if (holding !== null) this.refuse(holding, 'connections')
+    return holding !== null
+  }
+
   /** Sums the held bytes by the stage of their requests. */
   listByStage (): Array<{ stage: ReplyStage, bytes: number }> {
     const sums = new Map<ReplyStage, number>()
@@ -165,11 +185,11 @@
   }
 
   /** Lets one request give way. */
-  refuse (holding: CallerHolding): void {
+  refuse (holding: CallerHolding, shortage: Shortage = 'memory'): void {
     const { owner, stage, bytes, progressAtMs } = holding
-    this.#options.handleGaveWay({ owner, stage, bytes, idleMs: Math.round(this.#options.clock.getMonotonicMs() - progressAtMs) })
+    this.#options.handleGaveWay({ shortage, owner, stage, bytes, idleMs: Math.round(this.#options.clock.getMonotonicMs() - progressAtMs) })
     this.close(holding)
-    holding.evict()
+    holding.evict(shortage)
   }
 
   #resumeWaiting (): void {
@@ -230,6 +250,10 @@
     return this.#isClosed || this.#memory.update(this, this.bytes + bytes)
   }
 
+  recordProgress (): void {
+    this.progressAtMs = this.#memory.getMonotonicMs()
+  }
+
   /** Counts the bytes of the reply that are not written yet. */
   setReplyBytes (bytes: number): void {
     if (this.#isClosed) return
@@ -260,10 +284,10 @@
     if (!this.#isClosed) this.#memory.refuse(this)
   }
 
-  evict (): void {
+  evict (shortage: Shortage): void {
     this.#isClosed = true
     this.#handleDrop()
-    this.#request.evict()
+    this.#request.evict(shortage)
   }
 
   /** Releases everything. */
--- a/src/relay/relayObserver.ts
+++ b/src/relay/relayObserver.ts
@@ -117,7 +117,7 @@
     this.#continuedStreams = metrics.createCounter('streams_continued_total', 'Streams that an endpoint continued, by service and whether its software version is that of the events before.')
     this.#takeUps = metrics.createCounter('stream_take_ups_total', 'Streams that callers take up, by service and how the version that began them is known.')
     this.#repliesNotWhole = metrics.createCounter('replies_not_whole_total', 'Replies that their callers do not have as a whole, by the stage of the request and who ended them.')
-    this.#gaveWay = metrics.createCounter('gave_way_total', 'Requests refused or cut because the memory for callers is short, by stage.')
+    this.#gaveWay = metrics.createCounter('gave_way_total', 'Requests refused or cut because the memory or the connections for callers are short, by stage.')
     this.#standstills = metrics.createHistogram('held_up_ms', 'Milliseconds by which the event loop was late, where requests are read noticeably later than they arrive.')
     this.#firstEventTime = metrics.createHistogram('first_event_ms', 'Milliseconds from arrival to the first event or the answer, by service.')
     this.#queueTime = metrics.createHistogram('queue_ms', 'Milliseconds from arrival to the first send, by service.')
@@ -282,12 +282,12 @@
     this.#log.write('notable', { event: 'requestRefused', requestId, code: refusal.code, execution: refusal.execution, retryAfterMs: refusal.retryAfterMs, ...inputs })
   }
 
-  /** Records a request that gave way because the memory for callers is short; at most one line a second. */
-  recordGaveWay ({ stage, ...given }: GivenWay, nowMs: number): void {
-    this.#gaveWay.add({ stage })
+  /** Records a request that gave way because the memory or the connections for callers are short; at most one line a second. */
+  recordGaveWay ({ stage, shortage, ...given }: GivenWay, nowMs: number): void {
+    this.#gaveWay.add({ stage, shortage })
     this.#unloggedGaveWay += 1
     if (nowMs - this.#gaveWayLoggedAtMs < GAVE_WAY_LOG_INTERVAL_MS) return
-    this.#log.write('notable', { event: 'callerGaveWay', stage, ...given, count: this.#unloggedGaveWay })
+    this.#log.write('notable', { event: 'callerGaveWay', shortage, stage, ...given, count: this.#unloggedGaveWay })
     this.#gaveWayLoggedAtMs = nowMs
     this.#unloggedGaveWay = 0
   }
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -16,7 +16,7 @@
 import type { AdmissionGate } from './admissionGate'
 import type { ReplyEnder } from './callerReply'
 import type { CallerDialect } from './dialects'
-import type { CallerHolding, CallerMemory } from './callerMemory'
+import type { CallerHolding, CallerMemory, Shortage } from './callerMemory'
 import type { DirectRelay } from './directRelay'
 import type { RelayObserver } from './relayObserver'
 import type { RelayRequest } from './relayRequest'
@@ -39,7 +39,13 @@
 const CHECK_INTERVAL_MS = 500
 const UNREAD_AT_STOP: Refusal = { code: 'draining', message: 'This gateway stops, and the request has not arrived.', execution: 'not_run', retryAfterMs: 10 }
 
-const MEMORY_SHORT: Refusal = { code: 'overloaded', message: 'The memory for requests is short.', execution: 'not_run', retryAfterMs: 1000 }
+/** Part of the connections that is kept free: beyond the rest, callers that send nothing more of their bodies give way. */
+const FREE_CONNECTIONS_FRACTION = 1 / 16
+/** Milliseconds without a byte of a body after which its request may give way. */
+const MIN_STALL_MS = 1000
+const SHORT_RETRY_AFTER_MS = 1000
+/** Milliseconds that a caller whose connection is needed has to read its refusal and close. */
+const EVICTED_CLOSE_MS = 1000
 /** Bytes of a body up to which its key is checked only once it has arrived. */
 const MAX_UNCHECKED_BYTES = 16_384
 
@@ -68,6 +74,7 @@
     this.#server.maxConnections = options.maxConnections
     this.setBounds(INITIAL_BOUNDS)
     this.#connections = new CallerConnections({ clock: options.clock, server: this.#server, reportError: error => options.observer.recordError(error) })
+    for (const event of ['connection', 'drop'] as const) this.#server.on(event, () => this.#releaseConnections())
     this.#server.on('request', (request, response) => this.#handleRequest(request, response))
     this.#server.on('checkContinue', (request, response) => {
       if (!this.#connections.isClosing(request.socket)) response.writeContinue()
@@ -220,16 +227,24 @@
       owner: gate.findWorkspace(key) ?? request.socket.remoteAddress ?? '',
       getStage: () => reply.stage,
       isUnread: () => reply.hasStarted && reply.unwrittenBytes > 0,
-      evict: () => this.#evict(reply)
+      evict: shortage => this.#evict(reply, shortage)
     }, countHeaderBytes(request.rawHeaders))
     reply.setHolding(holding)
     return holding
   }
 
-  #evict (reply: CallerReply): void {
+  #evict (reply: CallerReply, shortage: Shortage): void {
     if (reply.stage !== 'reading') return reply.destroyUnread()
     reply.setLast()
-    this.#refuse(reply, MEMORY_SHORT)
+    this.#refuse(reply, { code: 'overloaded', message: `The ${shortage} for requests ${shortage === 'memory' ? 'is' : 'are'} short.`, execution: 'not_run', retryAfterMs: SHORT_RETRY_AFTER_MS })
+    if (shortage === 'connections') setTimeout(() => reply.destroyUnread(), EVICTED_CLOSE_MS).unref()
+  }
+
+  /** Keeps some connections free for new callers, who would be turned away unread otherwise. */
+  #releaseConnections (): void {
+    const { memory, maxConnections } = this.#options
+    let excess = this.#connections.countInUse() - Math.floor((1 - FREE_CONNECTIONS_FRACTION) * maxConnections)
+    while (excess > 0 && memory.evictStalled(MIN_STALL_MS)) excess -= 1
   }
 
   #refuse (reply: CallerReply, refusal: Refusal): void {
