--- a/tests/platform/compiledStart.spec.ts
+++ b/tests/platform/compiledStart.spec.ts
@@ -6,15 +6,14 @@
 import { expect } from 'chai'
 
 import { EXIT_CODES } from '../../src/cli/exitCodes'
+import { readDeployArguments } from './gatewayProgram'
 
 const FILES = ['gateway.cjs', 'gatewayProgram.cjs.wrapped', 'gatewayProgram.cjs.code']
 const CODE_REJECTED_TEXT = 'does not fit'
 
 /** Runs the program with the arguments of the deploy file but without settings, so that it exits once it is loaded. */
 function runProgram (folder: string, extraFlags: string[] = []): { status: number | null, errors: string } {
-  const [, ...args] = /^run = "(.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))![1]!.split(' ')
-  const flags = args.slice(0, -1)
-  const { status, stderr } = spawnSync(process.execPath, [...flags, ...extraFlags, path.join(folder, 'gateway.cjs')], { env: { PATH: process.env.PATH }, encoding: 'utf8' })
+  const { status, stderr } = spawnSync(process.execPath, [...readDeployArguments(), ...extraFlags, path.join(folder, 'gateway.cjs')], { env: { PATH: process.env.PATH }, encoding: 'utf8' })
   return { status, errors: stderr }
 }
 
--- a/tests/platform/crowds.spec.ts
+++ b/tests/platform/crowds.spec.ts
@@ -16,9 +16,8 @@
   count: number
 }
 
-/** The smallest machine, with the arguments of the deploy file. */
+/** The smallest machine. */
 const MEMORY_MB = 200
-const NODE_ARGUMENTS = ['--max-old-space-size=120']
 const MAX_DESCRIPTORS = 1000
 const MAX_BODY_BYTES = 4_194_304
 const CROWD_KEY = 'key-of-the-crowd'
@@ -61,7 +60,6 @@
   beforeEach(async () => {
     crowd = new Crowd()
     program = new GatewayProgram({
-      nodeArguments: NODE_ARGUMENTS,
       settings: { maxDescriptors: MAX_DESCRIPTORS, memoryMb: MEMORY_MB },
       config: buildPlatformConfig({
         routes: [buildRoute({ timeoutMs: 10_000 }), buildRoute({ name: 'r-2', kind: 'streaming', pathPrefix: '/archive/stream', timeoutMs: 10_000 })],
--- a/tests/platform/gatewayProgram.ts
+++ b/tests/platform/gatewayProgram.ts
@@ -1,6 +1,6 @@
 import { spawn } from 'node:child_process'
 import { once } from 'node:events'
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import os from 'node:os'
 import path from 'node:path'
 import { createInterface } from 'node:readline'
@@ -32,13 +32,19 @@
 const ROUTE_TIMEOUT_MS = 10_000
 const STOP_SECONDS = 6
 const DEFAULT_OPTIONS: GatewayProgramOptions = {
-  nodeArguments: ['--max-old-space-size=120'],
+  nodeArguments: readDeployArguments(),
   settings: {},
   config: buildPlatformConfig({ routes: [buildRoute({ timeoutMs: ROUTE_TIMEOUT_MS })] }),
   slots: 6,
   answer: null
 }
 
+/** Reads the arguments of Node.js in the deploy file. */
+export function readDeployArguments (): string[] {
+  const [, ...args] = /^run = "(.*)"$/m.exec(readFileSync('deploy/system.toml', 'utf8'))![1]!.split(' ')
+  return args.slice(0, -1)
+}
+
 /** The real program of a gateway with its store and one endpoint, which holds its requests until a test answers them. */
 export class GatewayProgram {
   readonly #options: GatewayProgramOptions
--- a/tests/platform/oddHeads.spec.ts
+++ b/tests/platform/oddHeads.spec.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 
 import { answerWhole, buildCallerRequest, sendRaw, SIGNATURE_LINE } from '../relay/relayFixture'
-import { GatewayProgram } from './gatewayProgram'
+import { GatewayProgram, readDeployArguments } from './gatewayProgram'
 
 import type { RawAnswer, ReceivedRequest } from '../relay/relayFixture'
 
@@ -28,7 +28,7 @@
   afterEach(async () => await program.close())
 
   async function start (parser: keyof typeof PARSERS): Promise<void> {
-    program = new GatewayProgram({ nodeArguments: ['--max-old-space-size=120', ...PARSERS[parser]], answer: request => request.requestId.startsWith('sound') ? answerWhole(request) : writeOdd(request) })
+    program = new GatewayProgram({ nodeArguments: [...readDeployArguments(), ...PARSERS[parser]], answer: request => request.requestId.startsWith('sound') ? answerWhole(request) : writeOdd(request) })
     await program.start()
     await program.waitUntilReady()
   }
