Look for stalled bodies only where connections are short

Each new connection counted all open ones, the check of heads iterated byte by byte through an iterator, and one log event stood below the comment of another.

Change: the count is asked first; the loop is indexed; the comments stand by their events. No change of behaviour.

--- a/src/base/decisionEvents.ts
+++ b/src/base/decisionEvents.ts
@@ -86,11 +86,12 @@
   | { event: 'repeatDecided', requestId: string, service: string, outcome: string }
   /** The inputs of the decision are further fields of the line. */
   | { event: 'requestRefused', requestId: string | undefined, code: string, execution: string, retryAfterMs: number | undefined, [input: string]: unknown }
+  /** A request was refused, or an unread reply cut, because the memory or the connections for callers are short; `count` since the last line. */
+  | { event: 'callerGaveWay', shortage: string, owner: string, stage: string, bytes: number, idleMs: number, count: number }
   /**
    * A caller does not have its reply as a whole. `stage`: how far the request had come; `endedBy`: the caller, this gateway,
    * or the end of a planned stop, which began `stopAgeMs` ago; null when there is none.
    */
-  | { event: 'callerGaveWay', shortage: string, owner: string, stage: string, bytes: number, idleMs: number, count: number }
   | { event: 'replyNotWhole', requestId: string | undefined, stage: string, endpoint: string | null, endedBy: string, ageMs: number, stopAgeMs: number | null, sentBytes: number, unwrittenBytes: number }
   | { event: 'requestEnded', requestId: string, route: string, end: string, elapsedMs: number, sentBytes: number }
 
--- a/src/protocol/answerHead.ts
+++ b/src/protocol/answerHead.ts
@@ -30,8 +30,8 @@
   #status = 0
 
   push (bytes: Uint8Array): HeadProgress {
-    for (const byte of bytes) {
-      this.#state = this.#read(byte)
+    for (let index = 0; index < bytes.length; index++) {
+      this.#state = this.#read(bytes[index]!)
       if (this.#state === 'whole' || this.#state === 'invalid') return this.#state
     }
     return 'partial'
--- a/src/relay/relayServer.ts
+++ b/src/relay/relayServer.ts
@@ -243,7 +243,9 @@
   /** Keeps some connections free for new callers, who would be turned away unread otherwise. */
   #releaseConnections (): void {
     const { memory, maxConnections } = this.#options
-    let excess = this.#connections.countInUse() - Math.floor((1 - FREE_CONNECTIONS_FRACTION) * maxConnections)
+    const usableConnections = Math.floor((1 - FREE_CONNECTIONS_FRACTION) * maxConnections)
+    if (this.#connections.count() <= usableConnections) return
+    let excess = this.#connections.countInUse() - usableConnections
     while (excess > 0 && memory.evictStalled(MIN_STALL_MS)) excess -= 1
   }
 
