Give silent streams up outside a stop although the retry budget is spent

Cause: without a retry left, no stream was given up any more. Outside a planned stop that serves nobody: the caller can take the stream up itself.

Change: the reservation of a retry says why there is none. With a spent budget, streams that stand still are given up outside a stop, as before the fix; a late plain answer is awaited, and in a stop everything is.

--- a/src/policy/stallDetection.ts
+++ b/src/policy/stallDetection.ts
@@ -24,10 +24,19 @@
   silentSends: number
 }
 
+/** Why an attempt that receives no bytes is abandoned. */
+export type StallReason = 'endpointSilent' | 'answerLate' | 'streamStalled'
+
+/**
+ * Whether another attempt can follow the one that is abandoned: it is reserved; the retry budget is spent, so that only the caller can
+ * repeat the request; or this process must not send the request again and may not end its answer either.
+ */
+export type RetryReservation = 'reserved' | 'budgetSpent' | 'refused'
+
 /** Whether to keep waiting for an attempt that receives no bytes, or why to abandon it. */
 export type StallDecision =
   | { kind: 'wait' }
-  | { kind: 'giveUp', reason: 'endpointSilent' | 'answerLate' | 'streamStalled' }
+  | { kind: 'giveUp', reason: StallReason }
 
 /** Milliseconds without a byte after which an endpoint with work counts as unresponsive: several batch steps. */
 const ENDPOINT_IDLE_TIMEOUT_MS = 800
@@ -59,6 +68,18 @@
   return isStreamStalled(attempt, endpoint, nowMs) ? { kind: 'giveUp', reason: 'streamStalled' } : { kind: 'wait' }
 }
 
+/**
+ * Returns whether an attempt may be abandoned. The caller of a stream that stands still can take it up elsewhere; a late answer may still
+ * come, and is worth more to its caller than a failure.
+ */
+export function canAbandon (reason: StallReason, reservation: RetryReservation): boolean {
+  switch (reservation) {
+    case 'reserved': return true
+    case 'budgetSpent': return reason !== 'answerLate'
+    case 'refused': return false
+  }
+}
+
 /** Returns whether the endpoint itself counts as unresponsive. A single stalled attempt may just be slow. */
 export function isEndpointUnresponsive (endpoint: EndpointActivity): boolean {
   return endpoint.silentSends >= MIN_STALLED_ATTEMPTS
--- a/src/relay/directRelay.ts
+++ b/src/relay/directRelay.ts
@@ -10,6 +10,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { PlacementRequest, Placement } from '../policy/placement'
 import type { DirectAttemptOutcome, RetryDecision, RetryState } from '../policy/retryDecision'
+import type { RetryReservation } from '../policy/stallDetection'
 import type { VersionChoice } from '../policy/versionChoice'
 import type { ShareStanding } from '../policy/workspaceShares'
 import type { RetryWindow } from '../policy/retryWindow'
@@ -41,6 +42,8 @@
   checkStillAdmitted: (request: RelayRequest) => Refusal | null
   /** Returns the refusal of a request that might not end before this process does; null when it may be sent. */
   checkStop: (request: RelayRequest) => Refusal | null
+  /** Returns whether a planned stop has begun. */
+  isStopping: () => boolean
 }
 
 /** State of one request over all its attempts. */
@@ -270,10 +273,12 @@
   }
 
   /** Reserves the attempt that follows when the present one is given up although its endpoint may still answer. */
-  #reserveRetry (state: RelayState): boolean {
-    if (this.#checkHeld(state.request) !== null || this.#decideRetry(state, 'mayHaveRun').kind === 'end') return false
+  #reserveRetry (state: RelayState): RetryReservation {
+    if (this.#checkHeld(state.request) !== null || this.#decideRetry(state, 'mayHaveRun').kind === 'end') return 'refused'
     state.hasReservedRetry ||= this.#acquireRetry(state)
-    return state.hasReservedRetry
+    if (state.hasReservedRetry) return 'reserved'
+    // a planned stop ends no answer that its endpoint may still give
+    return this.#options.isStopping() ? 'refused' : 'budgetSpent'
   }
 
   #decideRetry (state: RelayState, outcome: DirectAttemptOutcome): RetryDecision {
--- a/src/relay/endpointSender.ts
+++ b/src/relay/endpointSender.ts
@@ -15,6 +15,7 @@
 import type { DirectEndpoint, AttemptResult } from '../policy/directEndpoint'
 import type { NamedLimit } from '../policy/limitNotices'
 import type { Placement } from '../policy/placement'
+import type { RetryReservation } from '../policy/stallDetection'
 import type { StreamProgress } from '../policy/streamProgress'
 import type { DirectAttemptOutcome } from '../policy/retryDecision'
 import type { CallerReply } from './callerReply'
@@ -79,8 +80,8 @@
   tried: ReadonlySet<string>
   /** Number of this attempt, from 1. */
   attempt: number
-  /** Reserves the attempt that follows this one; returns false when the request must not be sent again now. */
-  reserveRetry: () => boolean
+  /** Reserves the attempt that follows this one. */
+  reserveRetry: () => RetryReservation
 }
 
 /** How an attempt ended. */
--- a/src/relay/relayProcess.ts
+++ b/src/relay/relayProcess.ts
@@ -252,7 +252,8 @@
       versions: this.#versions,
       sharesRoom: settings.sharesRoom,
       checkStillAdmitted: request => gate.checkStillAdmitted(request),
-      checkStop: request => this.#stop?.check(request) ?? null
+      checkStop: request => this.#stop?.check(request) ?? null,
+      isStopping: () => this.#stop !== null
     })
     this.#server = new RelayServer({
       clock,
--- a/src/relay/stallDetector.ts
+++ b/src/relay/stallDetector.ts
@@ -3,7 +3,7 @@
 import { isEjected, recordAttemptResult } from '../policy/directEndpoint'
 import { isAvailable } from '../policy/endpointAvailability'
 import { isRetryable } from '../policy/retryDecision'
-import { decideOnStall, isEndpointUnresponsive, isIdleTimeoutExceeded } from '../policy/stallDetection'
+import { canAbandon, decideOnStall, isEndpointUnresponsive, isIdleTimeoutExceeded } from '../policy/stallDetection'
 
 import type { Clock } from '../base/clock'
 import type { DecisionLog } from '../base/decisionLog'
@@ -11,7 +11,7 @@
 import type { EndpointDirectory } from '../policy/endpointDirectory'
 import type { PeerLoadTable } from '../policy/peerLoadTable'
 import type { PermitState } from '../policy/sendPermits'
-import type { EndpointActivity, StallDecision } from '../policy/stallDetection'
+import type { EndpointActivity, RetryReservation, StallDecision } from '../policy/stallDetection'
 import type { RelayRequest } from './relayRequest'
 
 /** One attempt that is waiting for bytes. */
@@ -27,8 +27,8 @@
   sentAtMs: number
   /** Time of the answer's last progress; null before its head arrives. */
   heardAtMs: number | null
-  /** Reserves the attempt that follows this one; returns false when the request must not be sent again now. */
-  reserveRetry: () => boolean
+  /** Reserves the attempt that follows this one. */
+  reserveRetry: () => RetryReservation
   abort: (reason: string) => void
 }
 
@@ -106,8 +106,7 @@
     for (const [endpoint, count] of stalledAttempts) if (this.#isSilent(endpoint, count, nowMs)) this.#eject(endpoint, count, nowMs)
     for (const attempt of [...this.#attempts]) {
       const decision = this.#decide(attempt, stalledAttempts, nowMs)
-      // without another attempt, the endpoint is the only one that may still answer
-      if (decision.kind === 'giveUp' && attempt.reserveRetry()) attempt.abort(decision.reason)
+      if (decision.kind === 'giveUp' && canAbandon(decision.reason, attempt.reserveRetry())) attempt.abort(decision.reason)
     }
   }
 
