--- a/src/protocol/answerHead.ts
+++ b/src/protocol/answerHead.ts
@@ -22,9 +22,9 @@
  * field has a name of valid characters. HTTP parsers differ in what they accept instead, and with it in where the body begins.
  *
  * @example
- * new AnswerHead().push(Buffer.from('HTTP/1.1 200 OK\r\nContent-Length : 5\r\n')) // 'invalid'
+ * new AnswerHeadChecker().push(Buffer.from('HTTP/1.1 200 OK\r\nContent-Length : 5\r\n')) // 'invalid'
  */
-export class AnswerHead {
+export class AnswerHeadChecker {
   #state: HeadState = 'statusLine'
   #lineBytes = 0
   #status = 0
@@ -75,7 +75,7 @@
  * is not valid. Returns a function that ends the check.
  */
 export function watchAnswerHead (socket: Socket, handleInvalid: () => void): () => void {
-  const head = new AnswerHead()
+  const head = new AnswerHeadChecker()
   const stop = () => { socket.off('data', handleBytes) }
   const handleBytes = (bytes: Buffer) => {
     const progress = head.push(bytes)
