--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -160,11 +160,11 @@
     record(this.name, 'ready')
   }
 
-  /** Reads the resident memory in megabytes; null once the process has ended. */
+  /** Reads the resident memory of the process's own in megabytes, without files that are mapped; null once the process has ended. */
   readMemoryMb () {
     if (this.child === null) return null
     try {
-      const match = /^VmRSS:\s+(\d+) kB/m.exec(readFileSync(`/proc/${this.child.pid}/status`, 'utf8'))
+      const match = /^RssAnon:\s+(\d+) kB/m.exec(readFileSync(`/proc/${this.child.pid}/status`, 'utf8'))
       return match === null ? null : Number(match[1]) / 1024
     } catch {
       return null
