--- a/review/lib-3/fleet.mjs
+++ b/review/lib-3/fleet.mjs
@@ -45,6 +45,7 @@
     console.log(message)
     process.exit(code)
   }
+  process.on('uncaughtException', error => finish(2, `the case failed: ${error.stack}`))
   process.on('SIGTERM', () => finish(2, 'the case was stopped'))
   process.on('SIGINT', () => finish(2, 'the case was stopped'))
   try {
@@ -101,6 +102,8 @@
       cloud
     }
     this.child = null
+    // also where the case ends by an error of its own
+    process.on('exit', () => { this.child?.kill('SIGKILL') })
     addCleanup(async () => {
       await this.kill('SIGKILL')
       rmSync(this.folder, { recursive: true, force: true })
--- a/review/lib-3/uploads.mjs
+++ b/review/lib-3/uploads.mjs
@@ -14,11 +14,13 @@
 /** Ends of its process after which a machine counts, of all machines in use. */
 const ENDS = 3
 const PLAYED_MS = 90_000
+/** Milliseconds that a client waits for its answer. */
+const ATTEMPT_MS = 1500
 const RUNNERS = ['i-31b174c273', 'i-fc002de080', 'i-77d0c1e9b2']
 
 const config = {
   version: 1,
-  routes: [{ name: 'order-confirm', host: HOST, pathPrefix: '/puxa403/', kind: 'non_idempotent', timeoutMs: 5000, targetLatencyMs: 400, priority: 2, maxAttempts: 1, service: 'app' }],
+  routes: [{ name: 'order-confirm', host: HOST, pathPrefix: '/puxa403/', kind: 'non_idempotent', timeoutMs: ATTEMPT_MS, targetLatencyMs: 386, priority: 2, maxAttempts: 1, service: 'app' }],
   services: [{ name: 'app', maxConnections: 100 }],
   limits: { maxHeaderBytes: 16_384, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 },
   tenants: [{ name: 'hule930', apiKeys: [KEY] }]
@@ -92,10 +94,10 @@
 }
 
 /**
- * Lets one client at each of two gateways send one upload after the other, and checks the rule on processes that end by
+ * Lets some clients at each of two gateways send one upload after the other, and checks the rule on processes that end by
  * themselves: two machines at least, three times each.
  */
-export async function playUploads ({ memoryMb, bodyBytes, uploads, pauseMs, workMs, laterMs = null }) {
+export async function playUploads ({ callers = 1, memoryMb, bodyBytes, uploads, pauseMs, workMs, laterMs = null }) {
   const store = await new Store().open()
   store.put('config', 'main', config)
   for (const id of RUNNERS) await startRunner(store, id, { workMs, laterMs })
@@ -117,10 +119,10 @@
   await sleep(1000)
   const body = Buffer.alloc(bodyBytes, 0x61)
   const untilMs = performance.now() + PLAYED_MS
-  await Promise.all(states.map(async state => {
+  await Promise.all(states.flatMap(state => Array.from({ length: callers }, () => state)).map(async state => {
     const { gateway } = state
     while (state.uploads < uploads && state.ends < ENDS && performance.now() < untilMs) {
-      const { status } = await sendAttempt(gateway.ports.callers, { path: PATH, host: HOST, key: KEY, timeLimitMs: 5000, body })
+      const { status } = await sendAttempt(gateway.ports.callers, { path: PATH, host: HOST, key: KEY, timeLimitMs: ATTEMPT_MS, body })
       state.uploads += 1
       if (status === 200) state.answered += 1
       record('platform', `${gateway.name} takes ${gateway.readMemoryMb()?.toFixed(0)} MB after ${state.uploads} uploads`)
@@ -129,6 +131,6 @@
     }
   }))
   clearInterval(timer)
-  const parts = states.map(({ gateway, ends, uploads, answered, peakMb }) => `${gateway.name} exceeded its memory ${ends} times (${answered} of ${uploads} uploads of ${bodyBytes} bytes answered, one at a time, at most ${peakMb.toFixed(0)} of ${memoryMb} MB)`)
+  const parts = states.map(({ gateway, ends, uploads, answered, peakMb }) => `${gateway.name} exceeded its memory ${ends} times (${answered} of ${uploads} uploads of ${bodyBytes} bytes answered, at most ${peakMb.toFixed(0)} of ${memoryMb} MB)`)
   return { isBroken: states.every(({ ends }) => ends >= ENDS), message: parts.join('; ') }
 }
